--- /dev/null
+++ b/standin/store/watch.go
@@ -0,0 +1,75 @@
+package store
+
+import (
+	"context"
+	"sync"
+
+	"goldcrestfork/platform"
+)
+
+type watch struct {
+	store *Store
+	kind  string
+	next  int64
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
+	if err := s.enter(ctx, func(c *Counts) { c.Watches++ }); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.HistoryLost {
+		s.faults.HistoryLost = false
+		return nil, platform.ErrGone
+	}
+	return &watch{store: s, kind: kind, next: revision + 1, done: make(chan struct{})}, nil
+}
+
+// Next implements platform.Watch.
+func (w *watch) Next(ctx context.Context) (platform.Event, error) {
+	for {
+		event, changed, err := w.poll()
+		if err != nil || event.Version > 0 {
+			return event, err
+		}
+		select {
+		case <-changed:
+		case <-w.done:
+			return platform.Event{}, platform.ErrUnavailable
+		case <-ctx.Done():
+			return platform.Event{}, ctx.Err()
+		}
+	}
+}
+
+// poll returns the next event, or the channel that closes when there may be one.
+func (w *watch) poll() (platform.Event, <-chan struct{}, error) {
+	s := w.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return platform.Event{}, nil, platform.ErrUnavailable
+	}
+	oldest := s.revision + 1
+	if len(s.history) > 0 {
+		oldest = s.history[0].Version
+	}
+	if w.next < oldest {
+		return platform.Event{}, nil, platform.ErrGone
+	}
+	for _, e := range s.history {
+		if e.Version >= w.next && e.Kind == w.kind {
+			w.next = e.Version + 1
+			return e, nil, nil
+		}
+	}
+	w.next = s.revision + 1
+	return platform.Event{}, s.changed, nil
+}
+
+// Close implements platform.Watch.
+func (w *watch) Close() { w.once.Do(func() { close(w.done) }) }
