--- /dev/null
+++ b/fleet/rendezvous/rendezvous.go
@@ -0,0 +1,67 @@
+// Package rendezvous ranks ids for a key by highest random weight.
+//
+// Every VM that knows the same ids computes the same order without asking
+// anyone, and an id that comes or goes moves only the keys that it wins. Two VMs
+// with different ids may disagree: a caller that needs more than a preference
+// has to agree on the set of ids first (see package slot).
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight is the weight of id for key; the highest wins.
+func Weight(key, id string) uint64 {
+	return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(id)))
+}
+
+// mix is the finalizer of SplitMix64. The exclusive or of two hashes alone would
+// keep the differences between ids equal for all keys, so that losing one id
+// would hand all of its keys to few others.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Best returns the id that key prefers, "" when ids is empty. It does not allocate.
+func Best(key string, ids []string) string {
+	best, weight := "", uint64(0)
+	for _, id := range ids {
+		w := Weight(key, id)
+		if best == "" || w > weight || (w == weight && id < best) {
+			best, weight = id, w
+		}
+	}
+	return best
+}
+
+// Rank returns ids in the order that key prefers; ids stays as it is.
+func Rank(key string, ids []string) []string {
+	return RankBy(key, ids, func(id string) string { return id })
+}
+
+// RankBy returns items in the order in which key prefers their ids; items stays as it is.
+func RankBy[T any](key string, items []T, id func(T) string) []T {
+	type weighted struct {
+		weight uint64
+		id     string
+		item   T
+	}
+	all := make([]weighted, 0, len(items))
+	for _, item := range items {
+		all = append(all, weighted{weight: Weight(key, id(item)), id: id(item), item: item})
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.id, b.id))
+	})
+	ranked := make([]T, 0, len(items))
+	for _, w := range all {
+		ranked = append(ranked, w.item)
+	}
+	return ranked
+}
