--- /dev/null
+++ b/fleet/member/service.go
@@ -0,0 +1,262 @@
+package member
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"goldcrestfork/fleet/peer"
+	"goldcrestfork/platform"
+)
+
+const (
+	// listInterval is the time between two reads of the platform's list. 15 s: 400
+	// VMs then make 27 of the platform's 2,000 reads a second; heartbeats carry the news.
+	listInterval = 15 * time.Second
+	// lonelyInterval replaces it while no peer answers, so that a VM that is
+	// alone stays fresh by the list.
+	lonelyInterval = 2 * time.Second
+)
+
+// Link is the part of peer.Link that heartbeats use.
+type Link interface {
+	Send(peer.Target, []byte)
+	OnDatagram(peer.DatagramHandler)
+}
+
+// Lister is the part of platform.Store that membership uses.
+type Lister interface {
+	VMs(ctx context.Context) ([]platform.VM, error)
+}
+
+// Options are the service's parts.
+type Options struct {
+	Self  Self
+	Link  Link
+	Store Lister
+	// Registerer takes the metrics; nil registers none.
+	Registerer prometheus.Registerer
+	Log        zerolog.Logger
+}
+
+// Service runs a Table: it sends the pings, takes the messages and reads the list.
+type Service struct {
+	link  Link
+	store Lister
+	log   zerolog.Logger
+
+	messages  *prometheus.CounterVec
+	malformed prometheus.Counter
+
+	mu    sync.Mutex
+	table *Table
+	fresh bool
+}
+
+// NewService takes the link's datagrams from now on; Run starts the pings.
+func NewService(o Options) *Service {
+	s := &Service{link: o.Link, store: o.Store, log: o.Log, table: NewTable(time.Now(), o.Self)}
+	s.register(o.Registerer)
+	o.Link.OnDatagram(s.receive)
+	return s
+}
+
+func (s *Service) register(r prometheus.Registerer) {
+	// goldcrest_member_messages_total by direction (out, in).
+	s.messages = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "goldcrest_member_messages_total", Help: "Heartbeats by direction."}, []string{"direction"})
+	// goldcrest_member_malformed_total: heartbeats that could not be decoded.
+	s.malformed = prometheus.NewCounter(prometheus.CounterOpts{Name: "goldcrest_member_malformed_total", Help: "Heartbeats that could not be decoded."})
+	if r == nil {
+		return
+	}
+	r.MustRegister(s.messages, s.malformed)
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	// goldcrest_member_fresh_bool: 1 while this VM may act on its views.
+	gauge("goldcrest_member_fresh_bool", "1 while this VM may act on its views.", func() float64 {
+		if s.Fresh(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	// goldcrest_member_alive_total: VMs seen alive, this one left out.
+	gauge("goldcrest_member_alive_total", "VMs seen alive.", func() float64 {
+		return float64(s.Dump(time.Now()).States[Alive.String()])
+	})
+}
+
+// Run ticks until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	var lists sync.WaitGroup
+	defer lists.Wait()
+	lists.Go(func() { s.pollList(ctx) })
+	ticker := time.NewTicker(Tick)
+	defer ticker.Stop()
+	for {
+		s.tick(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	s.mu.Lock()
+	out := s.table.Tick(now)
+	fresh := s.table.Fresh(now)
+	changed := fresh != s.fresh
+	s.fresh = fresh
+	s.mu.Unlock()
+	if changed {
+		s.log.Info().Bool("fresh", fresh).Msg("membership freshness changed")
+	}
+	s.send(out)
+}
+
+func (s *Service) send(out []Outgoing) {
+	for _, o := range out {
+		data, err := o.Message.Encode()
+		if err != nil {
+			panic("member: own message does not encode: " + err.Error())
+		}
+		s.messages.WithLabelValues("out").Inc()
+		s.link.Send(o.To, data)
+	}
+}
+
+func (s *Service) receive(from string, payload []byte, reply func([]byte)) {
+	m, err := Decode(payload)
+	if err != nil {
+		s.malformed.Inc()
+		return
+	}
+	s.messages.WithLabelValues("in").Inc()
+	s.mu.Lock()
+	answer, ok := s.table.Receive(time.Now(), from, m)
+	s.mu.Unlock()
+	if !ok {
+		return
+	}
+	data, err := answer.Encode()
+	if err != nil {
+		panic("member: own message does not encode: " + err.Error())
+	}
+	s.messages.WithLabelValues("out").Inc()
+	reply(data)
+}
+
+func (s *Service) pollList(ctx context.Context) {
+	for {
+		asked := time.Now()
+		call, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+		vms, err := s.store.VMs(call)
+		cancel()
+		wait := listInterval
+		s.mu.Lock()
+		if err == nil {
+			s.table.ObserveList(time.Now(), asked, vms)
+		}
+		if age, ok := s.table.PeerContact(time.Now()); !ok || age > FreshLimit {
+			wait = lonelyInterval
+		}
+		s.mu.Unlock()
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave tells the others that this VM is gone after this; it is for the last moment of a planned stop.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	out := s.table.Leave()
+	s.mu.Unlock()
+	s.send(out)
+}
+
+// Drain tells the others, from the next tick on, that this VM takes no new callers.
+func (s *Service) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Drain()
+}
+
+// Update sets what the heartbeats say of this VM.
+func (s *Service) Update(revision int64, epoch uint64, load uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Update(revision, epoch, load)
+}
+
+// Self is this VM's digest.
+func (s *Service) Self() Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Self()
+}
+
+// Members is Table.Members.
+func (s *Service) Members(now time.Time) []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Members(now)
+}
+
+// Fresh is Table.Fresh.
+func (s *Service) Fresh(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Fresh(now)
+}
+
+// ReportCrash is Table.ReportCrash.
+func (s *Service) ReportCrash(now time.Time, fingerprint uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.ReportCrash(now, fingerprint)
+}
+
+// Crashes is Table.Crashes.
+func (s *Service) Crashes(now time.Time, fingerprint uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Crashes(now, fingerprint)
+}
+
+// Dump is membership's part of the state dump.
+type Dump struct {
+	Self    Digest
+	Fresh   bool
+	States  map[string]int
+	Targets []string
+	Poison  int
+	Counts  Counts
+	Members []Member
+}
+
+// Dump reports the state.
+func (s *Service) Dump(now time.Time) Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Dump{
+		Self:    s.table.self,
+		Fresh:   s.table.Fresh(now),
+		States:  make(map[string]int),
+		Targets: append([]string(nil), s.table.targets...),
+		Poison:  len(s.table.poison.rows),
+		Counts:  s.table.Counts,
+		Members: s.table.Members(now),
+	}
+	for _, m := range d.Members {
+		d.States[m.State.String()]++
+	}
+	return d
+}
--- /dev/null
+++ b/fleet/member/table_test.go
@@ -0,0 +1,233 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcrestfork/fleet/peer"
+)
+
+// started gives 14 VMs in four data centres that all see each other alive.
+func started(t *testing.T) *fleet {
+	f := newFleet(14, 4)
+	require.Less(t, f.until(40, f.converged), 40)
+	return f
+}
+
+// Some datagrams get lost, then a VM is killed. The loss may call nobody down. All
+// must notice the kill within a few ticks; the dead VM must not come back by a
+// beat that was still on its way; a new VM on its address takes its place.
+func TestKilledVMIsNoticedAndReplaced(t *testing.T) {
+	f := newFleet(60, 4)
+	require.Less(t, f.until(60, f.converged), 60)
+	total := func(count func(Counts) int) (sum int) {
+		for _, table := range f.tables {
+			sum += count(table.Counts)
+		}
+		return sum
+	}
+	down := func(c Counts) int { return c.WentDown }
+	denials := func(c Counts) int { return c.Denials }
+	anyDown := total(down)
+	f.loss = 0.02
+	f.until(30, func() bool { return false })
+	f.loss = 0
+	f.until(10, func() bool { return false })
+	require.Equal(t, anyDown, total(down))
+	// The last to tick: its watchers know one beat less than those it pinged.
+	victim := f.tables[vmID(59)]
+	delete(f.tables, vmID(59))
+	downBefore, denialsBefore := total(down), total(denials)
+	require.LessOrEqual(t, f.until(40, func() bool { return f.all(vmID(59), Suspect, Down) }), 8)
+	require.Less(t, f.until(40, func() bool { return f.all(vmID(59), Down) }), 40)
+	require.Equal(t, denialsBefore, total(denials))
+	require.Equal(t, downBefore+len(f.tables), total(down))
+	f.start(vmID(80), victim.self.Address, "dc-02", incarnation, peer.Target{Address: f.tables[vmID(0)].self.Address})
+	require.Less(t, f.until(40, f.converged), 40)
+}
+
+// A VM is replaced so fast that nobody suspects the one before it. Its first
+// direct word must push the old id out, or callers are sent to one VM under two names.
+func TestReplacedVMPushesOldIDOut(t *testing.T) {
+	f := started(t)
+	address := f.tables[vmID(3)].self.Address
+	delete(f.tables, vmID(3))
+	f.start(vmID(20), address, "dc-03", incarnation, peer.Target{Address: f.tables[vmID(0)].self.Address})
+	f.step()
+	require.Equal(t, Down, f.state(vmID(3), vmID(0)))
+}
+
+// A process is paused for 30 ticks and resumed, with answers from before the
+// pause still in its socket. It must not act on its views until a ping sent after
+// the pause is answered, and must not take the others for dead for the silence it slept through.
+func TestPausedVMDoesNotActOnOldViews(t *testing.T) {
+	f := started(t)
+	slept := f.tables[vmID(2)]
+	buffered := slept.Tick(f.now)
+	f.paused[vmID(2)] = true
+	for range 30 {
+		f.step()
+	}
+	require.True(t, f.all(vmID(2), Down))
+	require.False(t, slept.Fresh(f.now), "the pause shows before any tick")
+	for _, o := range buffered {
+		answer, ok := f.tables[f.byAddr[o.To.Address]].Receive(f.now, vmID(2), o.Message)
+		require.True(t, ok)
+		slept.Receive(f.now, f.byAddr[o.To.Address], answer)
+	}
+	require.False(t, slept.Fresh(f.now), "answers to pings from before the pause prove nothing")
+	f.paused[vmID(2)] = false
+	f.step()
+	require.True(t, slept.Fresh(f.now))
+	require.Equal(t, 1, slept.Counts.Pauses)
+	require.Zero(t, slept.Counts.WentDown)
+	require.Less(t, f.until(40, f.converged), 40)
+}
+
+// Messages to one VM get lost while its own arrive, then both ways. It must find
+// itself isolated; deaf, it must not talk the others into suspecting healthy VMs.
+func TestCutVMFindsItselfIsolated(t *testing.T) {
+	deaf := vmID(5)
+	for name, cut := range map[string]func(from, to string) bool{
+		"to it":     func(_, to string) bool { return to == deaf },
+		"both ways": func(from, to string) bool { return to == deaf || from == deaf },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := started(t)
+			f.cut = cut
+			f.until(int(FreshLimit/Tick)+1, func() bool { return false })
+			require.False(t, f.tables[deaf].Fresh(f.now))
+			f.until(20, func() bool { return false })
+			require.Zero(t, f.tables[deaf].Counts.Suspicions, "it doubts itself first")
+			for id, table := range f.tables {
+				if id != deaf {
+					require.True(t, table.Fresh(f.now))
+					require.LessOrEqual(t, table.Counts.WentDown, 1, "only the deaf VM may go down")
+				}
+			}
+			f.cut = func(string, string) bool { return false }
+			require.Less(t, f.until(40, f.converged), 40)
+		})
+	}
+}
+
+// A data centre is cut off from the others for a minute. Each side must drop the
+// other from its view, stay fresh, and find the other again after the cut without
+// any change of the list.
+func TestDataCentreCutOffAndBack(t *testing.T) {
+	f := started(t)
+	inside := func(id string) bool { return f.tables[id].self.DataCentre == "dc-01" }
+	f.cut = func(from, to string) bool { return inside(from) != inside(to) }
+	split := func() bool {
+		for a := range f.tables {
+			for b := range f.tables {
+				if a != b && (f.state(a, b) == Down) != (inside(a) != inside(b)) {
+					return false
+				}
+			}
+		}
+		return true
+	}
+	require.Less(t, f.until(60, split), 60)
+	for _, table := range f.tables {
+		require.True(t, table.Fresh(f.now))
+	}
+	f.cut = func(string, string) bool { return false }
+	require.Less(t, f.until(60, f.converged), 60)
+}
+
+// The platform's list is away; a VM starts with only one peer from its settings,
+// and another leaves. All must learn of both, and a late digest of the one that
+// left must not bring it back.
+func TestStartAndLeaveWithoutTheList(t *testing.T) {
+	f := started(t)
+	f.start(vmID(20), "10.9.9.9:7000", "dc-02", incarnation, peer.Target{Address: f.tables[vmID(7)].self.Address})
+	require.Less(t, f.until(40, f.converged), 40)
+	goer := f.tables[vmID(1)]
+	late := goer.self
+	late.Beat += 100
+	f.cut = func(from, to string) bool { return from == vmID(1) && to != vmID(4) }
+	for _, o := range goer.Leave() {
+		f.deliver(vmID(1), o)
+	}
+	delete(f.tables, vmID(1))
+	require.Less(t, f.until(12, func() bool { return f.all(vmID(1), Left) }), 12)
+	f.tables[vmID(0)].merge(f.now, late, false)
+	require.Equal(t, Left, f.state(vmID(1), vmID(0)))
+}
+
+// A process restarts on a VM whose wall clock went back. Peers hold the higher
+// incarnation; the new process must rise above it, or it stays unseen for ever.
+func TestRestartWithClockSetBack(t *testing.T) {
+	f := started(t)
+	old := f.tables[vmID(6)].self
+	f.start(old.ID, old.Address, old.DataCentre, old.Incarnation-1000, peer.Target{Address: f.tables[vmID(0)].self.Address})
+	f.list()
+	require.Less(t, f.until(40, func() bool {
+		r := f.tables[vmID(0)].rows[old.ID]
+		return r.state == Alive && r.digest.Incarnation > old.Incarnation
+	}), 40)
+}
+
+// Crash counts travel twice, late and crossed between VMs. The sum must be exact
+// whatever the order, and nothing may live on for ever by being passed around.
+func TestPoisonMergesInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		a, b := NewTable(now, Self{ID: "a"}), NewTable(now, Self{ID: "b"})
+		var sent []Message
+		crashes := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "wait")) * time.Second)
+			from, to := a, b
+			if rapid.Bool().Draw(t, "swap") {
+				from, to = b, a
+			}
+			if rapid.Bool().Draw(t, "crash") {
+				from.ReportCrash(now, 42)
+				crashes++
+			}
+			sent = append(sent, from.fill(now))
+			m := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+			to.Receive(now, m.From.ID, m)
+		}
+		for _, pair := range [][2]*Table{{a, b}, {b, a}} {
+			pair[0].Receive(now, pair[1].self.ID, pair[1].fill(now))
+		}
+		require.Equal(t, crashes, a.Crashes(now, 42))
+		require.Equal(t, crashes, b.Crashes(now, 42))
+		for range int(PoisonLife/time.Minute) + 1 {
+			fromA, fromB := a.fill(now), b.fill(now)
+			now = now.Add(time.Minute)
+			a.Receive(now, "b", fromB)
+			b.Receive(now, "a", fromA)
+			a.Tick(now)
+			b.Tick(now)
+		}
+		require.Zero(t, a.Crashes(now, 42)+b.Crashes(now, 42)+len(a.poison.rows)+len(b.poison.rows))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	table := NewTable(time.Unix(0, 0), Self{ID: "a", Address: "10.0.0.1:1", Incarnation: incarnation})
+	table.ReportCrash(time.Unix(0, 0), 7)
+	data, err := table.fill(time.Unix(0, 0)).Encode()
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		now := time.Unix(0, 0)
+		table := NewTable(now, Self{ID: "self"})
+		table.Receive(now, m.From.ID, m)
+		for _, o := range table.Tick(now.Add(Tick)) {
+			_, err := o.Message.Encode()
+			require.NoError(t, err)
+		}
+	})
+}
