fleet: cold-start slots that stay exact without a coordinator

Cause: an endpoint in cold start must get no more than it bears from all VMs together, while views of the membership differ, processes pause and the platform goes away. Change: slots dealt by rendezvous over an epoch object; evidence, wait, handover, loans and confirmation in an outage, all pure in slot.Table.

--- /dev/null
+++ b/fleet/slot/model_test.go
@@ -0,0 +1,455 @@
+package slot
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"goldcrestfork/fleet/rendezvous"
+)
+
+// model runs a few processes, one platform object and some endpoints under
+// stepped time, with clocks that differ and everything that can go wrong drawn
+// from one seed. It judges by what the endpoints bear.
+type model struct {
+	random   *rand.Rand
+	params   Params
+	policy   policy
+	faults   faults
+	now      time.Duration
+	queue    []event
+	seq      int
+	procs    []*proc
+	cut      map[[2]string]bool
+	limit    int
+	running  map[string]int
+	started  int
+	overshot int
+	reports  map[string]int
+	// last is each endpoint's last start; stalled is the longest time without one.
+	last    map[string]time.Duration
+	stalled time.Duration
+	object  Epoch
+	version int64
+	storeUp bool
+}
+
+// policy is a way to share slots; exact is the one in use.
+type policy uint8
+
+const (
+	exact       policy = iota
+	oneOwner           // the preferred VM of one's own view has the whole endpoint, others forward to it
+	leasedOwner        // the same by epoch, evidence and wait; others forward to the holder
+	evenShare          // each VM takes the limit divided by the VMs, rounded up
+	evenFloor          // the same, rounded down
+	optimistic         // anyone sends while the last load report shows room
+)
+
+// faults are chances a second, for each process or pair.
+type faults struct {
+	crash, freeze, cut, outage, change, loss float64
+	// latency is the longest way of a message.
+	latency time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+// proc is one VM; its process changes at a restart.
+type proc struct {
+	id     string
+	table  *Table
+	life   int
+	offset time.Duration
+	drift  float64
+	frozen time.Duration
+	deaf   time.Duration  // the platform doesn't answer it until then
+	local  map[string]int // requests of the policies without a table
+	view   []string
+}
+
+const modelStep = 250 * time.Millisecond
+
+var modelParams = Params{Evidence: 6 * time.Second, Start: 2 * time.Second, Job: 6 * time.Second, Drift: 1000}
+
+func newModel(seed uint64, p policy, f faults, procs, limit int) *model {
+	m := &model{
+		random: rand.New(rand.NewPCG(seed, 1)), params: modelParams, policy: p, faults: f, limit: limit,
+		cut: map[[2]string]bool{}, running: map[string]int{}, reports: map[string]int{}, last: map[string]time.Duration{}, storeUp: true,
+	}
+	for i := range procs {
+		m.procs = append(m.procs, &proc{id: fmt.Sprintf("vm-%d", i), offset: time.Duration(m.random.Int64N(int64(time.Hour))), drift: m.random.Float64()*0.002 - 0.001})
+		m.restart(m.procs[i])
+	}
+	return m
+}
+
+func (m *model) restart(p *proc) {
+	p.life++
+	p.local = map[string]int{}
+	p.table = NewTable(Process{ID: p.id, Incarnation: uint64(p.life)}, m.params)
+}
+
+// clock is the process's own; it has nothing to do with another's.
+func (m *model) clock(p *proc) time.Time {
+	return time.Unix(1, 0).Add(p.offset + m.now + time.Duration(float64(m.now)*p.drift))
+}
+
+func (m *model) chance(aSecond float64) bool {
+	return m.random.Float64() < aSecond*modelStep.Seconds()
+}
+
+func (m *model) upTo(d time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(d) + 1))
+}
+
+func (m *model) after(d time.Duration, run func()) {
+	m.seq++
+	m.queue = append(m.queue, event{at: m.now + d, seq: m.seq, run: run})
+}
+
+// onProc runs something in the process as it is now: never after a restart, and only when it isn't frozen.
+func (m *model) onProc(d time.Duration, p *proc, run func()) {
+	life := p.life
+	var try func()
+	try = func() {
+		switch {
+		case p.life != life:
+		case p.frozen > m.now:
+			m.after(p.frozen-m.now, try)
+		default:
+			run()
+		}
+	}
+	m.after(d, try)
+}
+
+// send carries a message from one process to another, late or never.
+func (m *model) send(from, to *proc, run func()) {
+	if m.cut[[2]string{from.id, to.id}] || m.random.Float64() < m.faults.loss {
+		return
+	}
+	m.onProc(m.upTo(m.faults.latency), to, run)
+}
+
+func (m *model) run(until time.Duration) {
+	for m.now < until {
+		next := m.now + modelStep
+		for i := m.due(next); i >= 0; i = m.due(next) {
+			e := m.queue[i]
+			m.queue = slices.Delete(m.queue, i, i+1)
+			m.now = max(m.now, e.at)
+			e.run()
+		}
+		m.now = next
+		m.breakThings()
+		for _, p := range m.procs {
+			if p.frozen <= m.now {
+				m.act(p)
+			}
+		}
+	}
+}
+
+// due is the next event before a time, -1 without any.
+func (m *model) due(before time.Duration) int {
+	best := -1
+	for i, e := range m.queue {
+		if e.at <= before && (best < 0 || cmp.Or(cmp.Compare(e.at, m.queue[best].at), cmp.Compare(e.seq, m.queue[best].seq)) < 0) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (m *model) breakThings() {
+	for _, p := range m.procs {
+		if m.chance(m.faults.crash) {
+			m.restart(p)
+		}
+		if m.chance(m.faults.freeze) {
+			p.frozen = m.now + m.upTo(20*time.Second)
+		}
+		if m.chance(m.faults.cut) {
+			p.deaf = m.now + m.upTo(30*time.Second)
+		}
+		for _, q := range m.procs {
+			if m.chance(m.faults.cut) {
+				way := [2]string{p.id, q.id}
+				m.cut[way] = true
+				m.after(m.upTo(20*time.Second), func() { m.cut[way] = false })
+			}
+		}
+	}
+	if m.storeUp && m.chance(m.faults.outage) {
+		m.storeUp = false
+		m.after(m.upTo(40*time.Second), func() { m.storeUp = true })
+	}
+	if m.now%(2*time.Second) == 0 {
+		m.reports = map[string]int{}
+		for e, n := range m.running {
+			m.reports[e] = n
+		}
+	}
+}
+
+func (m *model) act(p *proc) {
+	if m.policy == exact || m.policy == leasedOwner {
+		if m.chance(0.7) {
+			m.read(p)
+		}
+		if m.chance(0.3) {
+			m.confirm(p)
+		}
+		if _, v := p.table.Epoch(); m.chance(m.faults.change) || v == 0 || m.chance(0.2) && m.missing(p) {
+			m.propose(p)
+		}
+	} else if m.chance(0.2) || p.view == nil {
+		m.look(p)
+	}
+	if m.chance(2) {
+		m.want(p, fmt.Sprintf("endpoint-%d", m.random.IntN(2)))
+	}
+}
+
+// look refreshes a process's own view: others that it is cut from, or that are frozen, are missing.
+func (m *model) look(p *proc) {
+	p.view = []string{p.id}
+	for _, q := range m.procs {
+		if q != p && q.frozen <= m.now && !m.cut[[2]string{q.id, p.id}] {
+			p.view = append(p.view, q.id)
+		}
+	}
+}
+
+func (m *model) read(p *proc) {
+	asked := m.clock(p)
+	if !m.storeUp || p.deaf > m.now || m.random.Float64() < m.faults.loss {
+		return
+	}
+	m.after(m.upTo(time.Second), func() {
+		e, v := m.object, m.version
+		if v > 0 {
+			m.onProc(m.upTo(3*time.Second), p, func() { p.table.Observe(m.clock(p), asked, e, v) })
+		}
+	})
+}
+
+// missing says that this process, or a restarted one, is not in the epoch yet.
+func (m *model) missing(p *proc) bool {
+	e, _ := p.table.Epoch()
+	for _, q := range m.procs {
+		if !slices.Contains(e.Members, q.table.self) {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *model) propose(p *proc) {
+	var members []Process
+	for _, q := range m.procs {
+		if m.random.Float64() > m.faults.change*5 {
+			members = append(members, q.table.self)
+		}
+	}
+	next, version, ok := p.table.Propose(members, m.gone)
+	if !ok || len(members) == 0 {
+		p.table.ProposalFailed()
+		return
+	}
+	asked := m.clock(p)
+	if !m.storeUp {
+		p.table.ProposalFailed()
+		return
+	}
+	p.table.ProposalUnknown()
+	m.after(m.upTo(3*time.Second), func() {
+		if m.version != version {
+			return
+		}
+		m.object, m.version = next, m.version+1
+		v := m.version
+		if m.random.Float64() > m.faults.loss*3 {
+			m.onProc(m.upTo(time.Second), p, func() { p.table.Observe(m.clock(p), asked, next, v) })
+		}
+	})
+}
+
+func (m *model) gone(who Process) bool {
+	return !slices.ContainsFunc(m.procs, func(p *proc) bool { return p.table.self == who })
+}
+
+func (m *model) find(who Process) *proc {
+	for _, p := range m.procs {
+		if p.table.self == who {
+			return p
+		}
+	}
+	return nil
+}
+
+// confirm asks all other members, as in an outage.
+func (m *model) confirm(p *proc) {
+	e, _ := p.table.Epoch()
+	asked, missing := m.clock(p), len(e.Members)
+	yes := func() {
+		if missing--; missing == 0 {
+			p.table.Confirmed(asked, e.Number)
+		}
+	}
+	for _, who := range e.Members {
+		q := m.find(who)
+		switch {
+		case q == p:
+			yes()
+		case q != nil:
+			m.send(p, q, func() {
+				if q.table.Confirm(e.Number) {
+					m.send(q, p, yes)
+				}
+			})
+		}
+	}
+}
+
+func (m *model) want(p *proc, endpoint string) {
+	switch m.policy {
+	case exact:
+		m.wantExact(p, endpoint)
+	case leasedOwner:
+		m.wantLeased(p, endpoint)
+	case oneOwner:
+		owner := rendezvous.Best(endpoint, p.view)
+		for _, q := range m.procs {
+			if q.id == owner {
+				m.send(p, q, func() { m.startLocal(q, endpoint, m.limit) })
+			}
+		}
+	case evenShare:
+		m.startLocal(p, endpoint, (m.limit+len(p.view)-1)/len(p.view))
+	case evenFloor:
+		m.startLocal(p, endpoint, m.limit/len(p.view))
+	case optimistic:
+		if m.reports[endpoint] < m.limit {
+			m.job(endpoint, func() {})
+		}
+	}
+}
+
+func (m *model) startLocal(p *proc, endpoint string, share int) {
+	if p.local[endpoint] >= share {
+		return
+	}
+	p.local[endpoint]++
+	life := p.life
+	m.after(m.upTo(m.faults.latency)+m.upTo(m.flight()), func() {
+		m.job(endpoint, func() {
+			if p.life == life {
+				p.local[endpoint]--
+			}
+		})
+	})
+}
+
+// wantLeased forwards to the holder of the endpoint, which runs it while its evidence holds.
+func (m *model) wantLeased(p *proc, endpoint string) {
+	k := slotKey{endpoint: endpoint}
+	holder, _ := p.table.holder(k)
+	if q := m.find(holder); q != nil {
+		m.send(p, q, func() {
+			held, ok := q.table.tenureAt(k, q.table.epoch.Number)
+			if ok && q.table.Valid(m.clock(q)) && q.table.settled(m.clock(q), k, held) {
+				m.startLocal(q, endpoint, m.limit)
+			}
+		})
+	}
+}
+
+func (m *model) wantExact(p *proc, endpoint string) {
+	if g, ok, asks := p.table.Acquire(m.clock(p), endpoint, m.limit); ok {
+		m.use(p, g)
+	} else {
+		for _, a := range asks {
+			if q := m.find(a.Process); q != nil {
+				m.ask(p, q, endpoint, a)
+			}
+		}
+	}
+}
+
+func (m *model) ask(p, q *proc, endpoint string, a Ask) {
+	if a.Kind == Handover {
+		m.send(p, q, func() {
+			if q.table.HandOver(m.clock(q), endpoint, a.Index, a.Epoch) {
+				m.send(q, p, func() { p.table.HandedOver(endpoint, a.Index, a.Epoch) })
+			}
+		})
+		return
+	}
+	id, asked := p.table.NewLoan(), m.clock(p)
+	m.send(p, q, func() {
+		if !q.table.Lend(m.clock(q), endpoint, m.limit, id) {
+			return
+		}
+		m.send(q, p, func() {
+			g, ok := p.table.Borrowed(m.clock(p), asked, endpoint, a.Process, id)
+			if !ok {
+				m.giveBack(p, g)
+				return
+			}
+			m.use(p, g)
+		})
+	})
+}
+
+func (m *model) giveBack(p *proc, g Grant) {
+	p.table.Release(g.ID)
+	if q := m.find(g.Lender); q != nil {
+		m.send(p, q, func() { q.table.Return(g.Loan) })
+	}
+}
+
+// use sends the request a little later, if it may still start; the sending process may be paused before.
+func (m *model) use(p *proc, g Grant) {
+	m.onProc(m.upTo(m.faults.latency), p, func() {
+		if !g.MayStart(m.clock(p)) {
+			m.giveBack(p, g)
+			return
+		}
+		m.after(m.upTo(m.flight()), func() {
+			m.job(g.Endpoint, func() { m.onProc(m.upTo(m.faults.latency), p, func() { m.giveBack(p, g) }) })
+		})
+	})
+}
+
+// flight bounds a request's way to the endpoint, as Params.Start does.
+func (m *model) flight() time.Duration { return min(m.params.Start/2-modelStep, m.faults.latency) }
+
+// job runs at the endpoint, whatever becomes of the process that sent it.
+func (m *model) job(endpoint string, done func()) {
+	m.started++
+	if last, ok := m.last[endpoint]; ok {
+		m.stalled = max(m.stalled, m.now-last)
+	}
+	m.last[endpoint] = m.now
+	m.running[endpoint]++
+	if m.running[endpoint] > m.limit {
+		m.overshot++
+	}
+	// Half of the jobs take as long as they may: the bounds are where proofs break.
+	took := m.params.Job - modelStep
+	if m.random.IntN(2) == 0 {
+		took = m.upTo(took)
+	}
+	m.after(took, func() {
+		m.running[endpoint]--
+		done()
+	})
+}
