fleet/slot: refuse an epoch's number that can't be

Ruled out: a bound only in the walk, since the number would then stay in the table. Change: DecodeEpoch refuses numbers above 1<<48; a benchmark of a heartbeat over QUIC.

--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -196,3 +196,27 @@
 		}
 	})
 }
+
+// BenchmarkHeartbeat measures one ping and its answer of 500 bytes each over
+// loopback, both sides in this process.
+func BenchmarkHeartbeat(b *testing.B) {
+	set, err := NewTrialSet(time.Now(), "a", "b")
+	require.NoError(b, err)
+	links := map[string]*Link{}
+	for _, id := range []string{"a", "b"} {
+		c, err := set.Credentials(id)
+		require.NoError(b, err)
+		links[id], err = Listen(Options{Listen: "127.0.0.1:0", Credentials: c})
+		require.NoError(b, err)
+		defer func() { _ = links[id].Close() }()
+	}
+	got := make(chan struct{}, 1)
+	payload := make([]byte, 500)
+	links["b"].OnDatagram(func(_ string, payload []byte, reply func([]byte)) { reply(payload) })
+	links["a"].OnDatagram(func(string, []byte, func([]byte)) { got <- struct{}{} })
+	b.ReportAllocs()
+	for b.Loop() {
+		links["a"].Send(target(links["b"]), payload)
+		<-got
+	}
+}
--- a/fleet/slot/epoch.go
+++ b/fleet/slot/epoch.go
@@ -40,6 +40,10 @@
 // the only harm is that its slots wait.
 const historyKept = 16
 
+// maxEpoch bounds an epoch's number: more than a write a millisecond for 8,000
+// years. Beyond it the object is damaged, and walking up to it would not end.
+const maxEpoch = 1 << 48
+
 // Epoch is the platform's object: who shares the slots.
 type Epoch struct {
 	_ struct{} `cbor:",toarray"`
@@ -60,7 +64,7 @@
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return Epoch{}, fmt.Errorf("decode epoch: %w", err)
 	}
-	if e.Number == 0 || len(e.History) > historyKept || !slices.IsSortedFunc(e.Members, compareProcesses) {
+	if e.Number == 0 || e.Number > maxEpoch || len(e.History) > historyKept || !slices.IsSortedFunc(e.Members, compareProcesses) {
 		return Epoch{}, errors.New("epoch out of bounds")
 	}
 	return e, nil
