--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -198,16 +198,8 @@
 		m.Digests = append(m.Digests, r.digest)
 		return true
 	}
-	// News starts where the last message ended: when the whole fleet is news, at a
-	// start, each digest must not wait until those before it are told often enough.
-	for range t.order {
-		t.hotCursor = (t.hotCursor + 1) % len(t.order)
-		r := t.order[t.hotCursor]
-		if r.hot == 0 {
-			continue
-		}
+	for _, r := range t.news() {
 		if !add(r) {
-			t.hotCursor = (t.hotCursor + len(t.order) - 1) % len(t.order)
 			return
 		}
 		r.hot--
@@ -225,3 +217,18 @@
 		}
 	}
 }
+
+// news gives the rows to tell ahead of their turn, the least told first: after a
+// start the whole fleet is news for a while, and word of a VM that drains must not
+// wait behind it. Among equals the order turns.
+func (t *Table) news() []*member {
+	var hot []*member
+	for i := range t.order {
+		if r := t.order[(t.hotCursor+i)%len(t.order)]; r.hot > 0 {
+			hot = append(hot, r)
+		}
+	}
+	t.hotCursor++
+	slices.SortStableFunc(hot, func(a, b *member) int { return b.hot - a.hot })
+	return hot
+}
