fleet/member: a whole exchange of digests at the start and each minute

Cause: by heartbeats alone a VM that starts learns of the fleet a few digests a message; when all of 400 VMs start at once it took 173 ticks until each had heard of each. Ruled out: larger heartbeats (their cost is paid each second for ever). Change: member.sync gives all digests in one call; what it brings is no news. Seen failing first: the exchange taken out, exchanged digests told as news. Conclusion: a VM that joins knows the fleet by its first exchange.

--- a/fleet/member/fleet_test.go
+++ b/fleet/member/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -112,6 +113,15 @@
 	f.messages++
 }
 
+// sync is the whole exchange of each VM with a peer that Service makes now and again.
+func (f *fleet) sync(turn int) {
+	for _, t := range f.tables {
+		if to, ok := t.syncTarget(turn); ok && f.tables[to.ID] != nil {
+			t.MergeDigests(f.now, f.tables[to.ID].Digests())
+		}
+	}
+}
+
 // until steps till done holds and gives the ticks taken, limit when it never does.
 func (f *fleet) until(limit int, done func() bool) int {
 	for n := range limit {
@@ -158,8 +168,16 @@
 }
 
 func benchmarkFleet(b *testing.B, n, dataCentres int) {
+	before := heap()
 	f := newFleet(n, dataCentres)
-	start := f.until(300, f.converged)
+	turn := 0
+	start := f.until(300, func() bool {
+		if turn++; turn == 2 || turn%int(syncInterval/Tick) == 0 {
+			f.sync(turn)
+		}
+		return f.converged()
+	})
+	kept := heap() - before
 	f.bytes, f.messages = 0, 0
 	ticks := 0
 	for b.Loop() {
@@ -171,9 +189,17 @@
 	b.ReportMetric(float64(f.messages)/perNode, "msg/node/tick")
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/perNode, "cpu-ns/node/tick")
 	b.ReportMetric(float64(start), "ticks-to-converge")
+	b.ReportMetric(float64(kept)/float64(n), "heap-B/node")
 	b.ReportMetric(0, "ns/op")
 }
 
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func BenchmarkHeartbeats(b *testing.B) {
 	for _, n := range []int{7, 28, 112, 400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkFleet(b, n, max(3, n/21)) })
--- a/fleet/member/service.go
+++ b/fleet/member/service.go
@@ -25,6 +25,8 @@
 type Link interface {
 	Send(peer.Target, []byte)
 	OnDatagram(peer.DatagramHandler)
+	Register(method string, h peer.Handler)
+	Call(ctx context.Context, t peer.Target, method string, body []byte) ([]byte, error)
 }
 
 // Lister is the part of platform.Store that membership uses.
@@ -61,6 +63,7 @@
 	s := &Service{link: o.Link, store: o.Store, log: o.Log, table: NewTable(time.Now(), o.Self)}
 	s.register(o.Registerer)
 	o.Link.OnDatagram(s.receive)
+	o.Link.Register(methodSync, s.serveSync)
 	return s
 }
 
@@ -91,9 +94,10 @@
 
 // Run ticks until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	var lists sync.WaitGroup
-	defer lists.Wait()
-	lists.Go(func() { s.pollList(ctx) })
+	var others sync.WaitGroup
+	defer others.Wait()
+	others.Go(func() { s.pollList(ctx) })
+	others.Go(func() { s.keepSync(ctx) })
 	ticker := time.NewTicker(Tick)
 	defer ticker.Stop()
 	for {
--- a/fleet/member/table_test.go
+++ b/fleet/member/table_test.go
@@ -159,6 +159,33 @@
 	require.Equal(t, Left, f.state(vmID(1), vmID(0)))
 }
 
+// A VM starts among 112. By heartbeats alone it would know the last of them after
+// tens of ticks and could neither answer callers well nor agree on slots; one
+// whole exchange must tell it all, and must not pass for news to the others.
+func TestNewVMKnowsTheFleetByOneExchange(t *testing.T) {
+	f := newFleet(112, 6)
+	require.Less(t, f.until(90, f.converged), 90)
+	seed := f.tables[vmID(7)]
+	table := f.start(vmID(120), "10.9.9.9:7000", "dc-02", incarnation, peer.Target{Address: seed.self.Address})
+	f.step()
+	f.step()
+	to, ok := table.syncTarget(0)
+	require.True(t, ok)
+	heardOf := len(table.rows)
+	table.MergeDigests(f.now, f.tables[to.ID].Digests())
+	alive, hot := 0, 0
+	for _, r := range table.rows {
+		if r.state == Alive {
+			alive++
+		}
+		if r.hot > 0 {
+			hot++
+		}
+	}
+	require.Equal(t, 112, alive)
+	require.LessOrEqual(t, hot, heardOf)
+}
+
 // A process restarts on a VM whose wall clock went back. Peers hold the higher
 // incarnation; the new process must rise above it, or it stays unseen for ever.
 func TestRestartWithClockSetBack(t *testing.T) {
@@ -218,6 +245,9 @@
 	require.NoError(f, err)
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
+		if all, err := decodeSync(data); err == nil {
+			NewTable(time.Unix(0, 0), Self{ID: "self"}).MergeDigests(time.Unix(0, 0), all)
+		}
 		m, err := Decode(data)
 		if err != nil {
 			return
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -219,4 +219,8 @@
 		links["a"].Send(target(links["b"]), payload)
 		<-got
 	}
+	stats := links["a"].conns[target(links["b"])].current.ConnectionStats()
+	b.ReportMetric(float64(stats.BytesSent)/float64(b.N), "quic-B-out/op")
+	b.ReportMetric(float64(stats.BytesReceived)/float64(b.N), "quic-B-in/op")
+	b.ReportMetric(float64(stats.PacketsSent)/float64(b.N), "packets-out/op")
 }
--- a/fleet/slot/service_test.go
+++ b/fleet/slot/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -213,8 +214,15 @@
 	})
 }
 
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // BenchmarkAcquire measures a decision when no slot is free, and what a process
-// keeps and reads, by the number of members.
+// keeps for 2,000 cold endpoints and reads, by the number of members.
 func BenchmarkAcquire(b *testing.B) {
 	for _, n := range []int{7, 28, 112, 400} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
@@ -225,13 +233,19 @@
 			e := Epoch{}.next(members)
 			data, err := e.Encode()
 			require.NoError(b, err)
-			table, now := NewTable(members[0], Defaults), time.Unix(1000, 0)
+			now, before := time.Unix(1000, 0), heap()
+			table := NewTable(members[0], Defaults)
 			table.Observe(now, now, e, 1)
+			for i := range 2000 {
+				table.Acquire(now, fmt.Sprintf("endpoint-%d", i), 4)
+			}
+			kept := heap() - before
 			b.ReportAllocs()
 			for b.Loop() {
 				table.Acquire(now, "endpoint", 4)
 			}
 			b.ReportMetric(float64(len(data)), "B/epoch-read")
+			b.ReportMetric(float64(kept), "heap-B")
 		})
 	}
 }
