Serve the platform's object API over HTTP and hold both ends to one contract

Cause: separate processes need the platform's stand-in over the network, and a lost reply must be told apart from a call that never left. Ruled out: judging by the error's text or type whether bytes left. Before: one test of the in-memory store. Conclusion: both ends can be built on.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -8,34 +8,23 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"goldcrestfork/platform"
 )
 
 // historyLimit bounds the events kept for watches; an older start gets ErrGone.
 const historyLimit = 4096
 
-// Faults is what goes wrong, from the moment it is set.
-type Faults struct {
-	// Down: every call fails with ErrUnavailable and watches break.
-	Down bool
-	// Delay is added to each call.
-	Delay time.Duration
-	// LoseReplies is the number of further writes whose effect takes place and whose reply is lost.
-	LoseReplies int
-	// RefuseWrites is the number of further writes that fail with ErrUnknown without effect.
-	RefuseWrites int
-	// HistoryLost makes every watch start fail with ErrGone, once.
-	HistoryLost bool
-}
-
 // Counts is the number of calls by kind of call; a waiting watch counts as one.
 type Counts struct {
-	Gets, Lists, Puts, Deletes, Watches, VMLists, Conflicts int
+	Gets, Lists, Puts, Deletes, Watches, VMLists, Conflicts, OverRate int
 }
 
 // Writes is the number of calls that count against the platform's write rate.
@@ -50,7 +39,10 @@
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
-	vms      []platform.VM
+	limits   [2]*rate.Limiter
+	held     []*heldWrite
+	vms      []snapshot
+	vmLag    time.Duration
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -63,21 +55,6 @@
 	}
 }
 
-// SetFaults replaces the faults in force; breaking watches see it at once.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-	s.wake()
-}
-
-// SetVMs replaces the VM list; the lag is the test's to choose.
-func (s *Store) SetVMs(vms []platform.VM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.vms = slices.Clone(vms)
-}
-
 // Counts returns the calls taken so far.
 func (s *Store) Counts() Counts {
 	s.mu.Lock()
@@ -91,10 +68,24 @@
 	s.changed = make(chan struct{})
 }
 
-// enter applies the faults common to all calls and counts the call.
-func (s *Store) enter(ctx context.Context, count func(*Counts)) error {
+// access is the kind of a call, which the platform caps apart.
+type access int
+
+const (
+	read access = iota
+	write
+)
+
+// enter applies the faults and caps common to all calls and counts the call.
+func (s *Store) enter(ctx context.Context, a access, count func(*Counts)) error {
 	s.mu.Lock()
 	count(&s.counts)
+	limit := s.limits[a]
+	if limit != nil && !limit.Allow() {
+		s.counts.OverRate++
+		s.mu.Unlock()
+		return errOverRate
+	}
 	delay, down := s.faults.Delay, s.faults.Down
 	s.mu.Unlock()
 	if delay > 0 {
@@ -107,12 +98,15 @@
 	if down {
 		return platform.ErrUnavailable
 	}
-	return ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
 }
 
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
-	if err := s.enter(ctx, func(c *Counts) { c.Gets++ }); err != nil {
+	if err := s.enter(ctx, read, func(c *Counts) { c.Gets++ }); err != nil {
 		return platform.Object{}, err
 	}
 	s.mu.Lock()
@@ -126,7 +120,7 @@
 
 // List implements platform.Store.
 func (s *Store) List(ctx context.Context, kind string) (platform.Listing, error) {
-	if err := s.enter(ctx, func(c *Counts) { c.Lists++ }); err != nil {
+	if err := s.enter(ctx, read, func(c *Counts) { c.Lists++ }); err != nil {
 		return platform.Listing{}, err
 	}
 	s.mu.Lock()
@@ -146,65 +140,66 @@
 	if len(value) > platform.MaxValue {
 		return platform.Object{}, platform.ErrTooLarge
 	}
-	if err := s.enter(ctx, func(c *Counts) { c.Puts++ }); err != nil {
+	if err := s.enter(ctx, write, func(c *Counts) { c.Puts++ }); err != nil {
 		return platform.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.write(key, bytes.Clone(value), ifVersion, false)
+	return s.write(heldWrite{key: key, value: bytes.Clone(value), ifVersion: ifVersion})
 }
 
 // Delete implements platform.Store.
 func (s *Store) Delete(ctx context.Context, key platform.Key, ifVersion int64) error {
-	if err := s.enter(ctx, func(c *Counts) { c.Deletes++ }); err != nil {
+	if err := s.enter(ctx, write, func(c *Counts) { c.Deletes++ }); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, err := s.write(key, nil, ifVersion, true)
+	_, err := s.write(heldWrite{key: key, ifVersion: ifVersion, deleted: true})
 	return err
 }
 
 // write takes effect or not, then loses the reply or not. Callers hold s.mu.
-func (s *Store) write(key platform.Key, value []byte, ifVersion int64, deleted bool) (platform.Object, error) {
+func (s *Store) write(h heldWrite) (platform.Object, error) {
 	if s.faults.RefuseWrites > 0 {
 		s.faults.RefuseWrites--
 		return platform.Object{}, platform.ErrUnknown
 	}
-	current, ok := s.objects[key]
-	if deleted && !ok {
+	if s.faults.HoldWrites > 0 {
+		s.faults.HoldWrites--
+		s.hold(h)
+		return platform.Object{}, platform.ErrUnknown
+	}
+	o, err := s.apply(h)
+	if s.faults.LoseReplies > 0 {
+		s.faults.LoseReplies--
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return o, err
+}
+
+// apply checks the condition of a write and takes effect. Callers hold s.mu.
+func (s *Store) apply(h heldWrite) (platform.Object, error) {
+	current, ok := s.objects[h.key]
+	if h.deleted && !ok {
 		return platform.Object{}, platform.ErrNotFound
 	}
-	if current.Version != ifVersion {
+	if current.Version != h.ifVersion {
 		s.counts.Conflicts++
-		current.Key = key
+		current.Key = h.key
 		return platform.Object{}, &platform.ConflictError{Current: current}
 	}
 	s.revision++
-	o := platform.Object{Key: key, Version: s.revision, Value: value}
-	if deleted {
-		delete(s.objects, key)
+	o := platform.Object{Key: h.key, Version: s.revision, Value: h.value}
+	if h.deleted {
+		delete(s.objects, h.key)
 	} else {
-		s.objects[key] = o
+		s.objects[h.key] = o
 	}
-	s.history = append(s.history, platform.Event{Object: o, Deleted: deleted})
+	s.history = append(s.history, platform.Event{Object: o, Deleted: h.deleted})
 	if len(s.history) > historyLimit {
 		s.history = slices.Clone(s.history[len(s.history)-historyLimit/2:])
 	}
 	s.wake()
-	if s.faults.LoseReplies > 0 {
-		s.faults.LoseReplies--
-		return platform.Object{}, platform.ErrUnknown
-	}
 	return o, nil
 }
-
-// VMs implements platform.Store.
-func (s *Store) VMs(ctx context.Context) ([]platform.VM, error) {
-	if err := s.enter(ctx, func(c *Counts) { c.VMLists++ }); err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(s.vms), nil
-}
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -1,28 +1,177 @@
-package store
+package store_test
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/platform"
+	"goldcrestfork/platform/httpstore"
+	"goldcrestfork/platform/storetest"
+	"goldcrestfork/standin/store"
 )
 
-// A writer loses the reply to a write that took effect. It must be able to read
-// the effect back, and a second conditional write on the old version must lose.
-func TestLostReplyTookEffect(t *testing.T) {
-	ctx := context.Background()
-	s := New()
+// faults turns the table's faults into the stand-in's.
+type faults struct{ *store.Store }
+
+func (f faults) Outage(down bool)     { f.SetFaults(store.Faults{Down: down}) }
+func (f faults) HoldWrite()           { f.SetFaults(store.Faults{HoldWrites: 1}) }
+func (f faults) LoseHistory()         { f.SetFaults(store.Faults{HistoryLost: true}) }
+func (f faults) Slow(d time.Duration) { f.SetFaults(store.Faults{Delay: d}) }
+func (f faults) LoseReply(effect bool) {
+	if effect {
+		f.SetFaults(store.Faults{LoseReplies: 1})
+		return
+	}
+	f.SetFaults(store.Faults{RefuseWrites: 1})
+}
+
+func TestContractInMemory(t *testing.T) {
+	storetest.Run(t, func(*testing.T) storetest.Fixture {
+		s := store.New()
+		return storetest.Fixture{Store: s, Faults: faults{s}}
+	})
+}
+
+func TestContractOverHTTP(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) storetest.Fixture {
+		s := store.New()
+		return storetest.Fixture{Store: serve(t, store.Handler(s)), Faults: faults{s}}
+	})
+}
+
+func serve(t *testing.T, h http.Handler) *httpstore.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	client := httpstore.New(server.URL)
+	t.Cleanup(func() {
+		client.CloseIdle()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return client
+}
+
+// A status alone must decide whether a write had an effect: only the two by
+// which the platform refuses beforehand, and the client's own mistakes, are sure.
+func TestWriteStatuses(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		want   error
+	}{
+		{http.StatusTooManyRequests, platform.ErrUnavailable},
+		{http.StatusServiceUnavailable, platform.ErrUnavailable},
+		{http.StatusForbidden, platform.ErrUnavailable},
+		{http.StatusInternalServerError, platform.ErrUnknown},
+		{http.StatusBadGateway, platform.ErrUnknown},
+		{http.StatusGatewayTimeout, platform.ErrUnknown},
+		{http.StatusRequestEntityTooLarge, platform.ErrTooLarge},
+		{http.StatusOK, platform.ErrUnknown},                 // without an entity tag
+		{http.StatusPreconditionFailed, platform.ErrUnknown}, // without the current version
+	} {
+		client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+		}))
+		_, err := client.Put(t.Context(), platform.Key{Kind: "k", Name: "n"}, nil, 1)
+		require.ErrorIs(t, err, c.want, c.status)
+	}
+}
+
+// Nobody listens, or the reply is cut: the first sent no byte, the second may have taken effect.
+func TestWriteConnections(t *testing.T) {
 	key := platform.Key{Kind: "k", Name: "n"}
-	s.SetFaults(Faults{LoseReplies: 1})
-	_, err := s.Put(ctx, key, []byte("a"), 0)
+	server := httptest.NewServer(http.NotFoundHandler())
+	server.Close()
+	_, err := httpstore.New(server.URL).Put(t.Context(), key, nil, 1)
+	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.NotErrorIs(t, err, platform.ErrUnknown)
+
+	cut := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("ETag", httpstore.Tag(5))
+		w.Header().Set("Content-Length", "100")
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_, _ = w.Write([]byte("part"))
+	}))
+	_, err = cut.Put(t.Context(), key, nil, 1)
 	require.ErrorIs(t, err, platform.ErrUnknown)
-	o, err := s.Get(ctx, key)
-	require.NoError(t, err)
-	require.Equal(t, "a", string(o.Value))
-	_, err = s.Put(ctx, key, []byte("b"), 0)
-	var conflict *platform.ConflictError
-	require.ErrorAs(t, err, &conflict)
-	require.Equal(t, o.Version, conflict.Current.Version)
+	require.NotErrorIs(t, err, platform.ErrUnavailable)
+}
+
+func TestRateCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		s.SetRates(10, 20)
+		key := platform.Key{Kind: "k", Name: "n"}
+		o, err := s.Put(t.Context(), key, nil, 0)
+		require.NoError(t, err)
+		_, err = s.Put(t.Context(), key, nil, o.Version)
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		_, err = s.Get(t.Context(), key)
+		require.NoError(t, err, "reads are capped apart")
+		time.Sleep(100 * time.Millisecond)
+		_, err = s.Put(t.Context(), key, nil, o.Version)
+		require.NoError(t, err)
+		require.Equal(t, 1, s.Counts().OverRate)
+	})
+}
+
+func TestVMListLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lag = 3 * time.Second
+		s := store.New()
+		s.SetVMLag(lag)
+		requireVMs := func(ids ...string) {
+			t.Helper()
+			rows, err := s.VMs(t.Context())
+			require.NoError(t, err)
+			require.Len(t, rows, len(ids))
+			for i, row := range rows {
+				require.Equal(t, ids[i], row.ID)
+			}
+		}
+		s.Register(platform.VM{ID: "b"})
+		time.Sleep(time.Second)
+		s.Register(platform.VM{ID: "a"})
+		requireVMs()
+		time.Sleep(2 * time.Second)
+		requireVMs("b")
+		s.Deregister("b")
+		time.Sleep(time.Second)
+		requireVMs("a", "b")
+		time.Sleep(2 * time.Second)
+		requireVMs("a")
+	})
+}
+
+// Separate processes enter themselves, set faults and read the counts over HTTP.
+func TestHandlerExtras(t *testing.T) {
+	s := store.New()
+	h := store.Handler(s)
+	do := func(method, path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		req := httptest.NewRequestWithContext(context.Background(), method, path, strings.NewReader(body))
+		h.ServeHTTP(w, req)
+		return w
+	}
+	require.Equal(t, http.StatusNoContent, do("PUT", "/vms/vm-1", `{"address":"192.0.2.1:7"}`).Code)
+	require.Contains(t, do("GET", "/vms", "").Body.String(), "192.0.2.1:7")
+	require.Equal(t, http.StatusNoContent, do("DELETE", "/vms/vm-1", "").Code)
+	require.Equal(t, "[]\n", do("GET", "/vms", "").Body.String())
+	require.Equal(t, http.StatusNoContent, do("POST", "/faults", `{"down":true}`).Code)
+	require.Equal(t, http.StatusServiceUnavailable, do("GET", "/objects/k/n", "").Code)
+	require.Equal(t, http.StatusBadRequest, do("POST", "/faults", `{"delay":"soon"}`).Code)
+	require.Equal(t, http.StatusBadRequest, do("PUT", "/objects/k/n", "x").Code)
+	require.Contains(t, do("GET", "/counts", "").Body.String(), `"Gets":1`)
+	s.SetFaults(store.Faults{})
+	s.SetRates(0, 0.001)
+	do("GET", "/objects/k/n", "")
+	over := do("GET", "/objects/k/n", "")
+	require.Equal(t, http.StatusTooManyRequests, over.Code)
+	require.NotEmpty(t, over.Header().Get("Retry-After"))
 }
--- /dev/null
+++ b/standin/store/vms.go
@@ -0,0 +1,69 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"goldcrestfork/platform"
+)
+
+// snapshot is the list of VMs as it stood from one moment on.
+type snapshot struct {
+	from time.Time
+	vms  []platform.VM
+}
+
+// SetVMs replaces the VM list at once, without lag.
+func (s *Store) SetVMs(vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = []snapshot{{vms: slices.Clone(vms)}}
+}
+
+// SetVMLag sets by how much the list lags behind Register and Deregister.
+func (s *Store) SetVMLag(lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vmLag = lag
+}
+
+// Register enters a VM or replaces its row; the list shows it after the lag.
+func (s *Store) Register(vm platform.VM) {
+	s.changeVMs(vm.ID, func(rows []platform.VM) []platform.VM { return append(rows, vm) })
+}
+
+// Deregister takes a VM out; the list shows it after the lag.
+func (s *Store) Deregister(id string) {
+	s.changeVMs(id, func(rows []platform.VM) []platform.VM { return rows })
+}
+
+func (s *Store) changeVMs(id string, add func([]platform.VM) []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []platform.VM
+	if n := len(s.vms); n > 0 {
+		rows = slices.Clone(s.vms[n-1].vms)
+	}
+	rows = add(slices.DeleteFunc(rows, func(vm platform.VM) bool { return vm.ID == id }))
+	slices.SortFunc(rows, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	s.vms = append(s.vms, snapshot{from: time.Now(), vms: rows})
+}
+
+// VMs implements platform.Store.
+func (s *Store) VMs(ctx context.Context) ([]platform.VM, error) {
+	if err := s.enter(ctx, read, func(c *Counts) { c.VMLists++ }); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shown := time.Now().Add(-s.vmLag)
+	for len(s.vms) > 1 && !s.vms[1].from.After(shown) {
+		s.vms = s.vms[1:]
+	}
+	if len(s.vms) == 0 || s.vms[0].from.After(shown) {
+		return nil, nil
+	}
+	return slices.Clone(s.vms[0].vms), nil
+}
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 
 	"goldcrestfork/platform"
@@ -17,7 +19,7 @@
 
 // Watch implements platform.Store.
 func (s *Store) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
-	if err := s.enter(ctx, func(c *Counts) { c.Watches++ }); err != nil {
+	if err := s.enter(ctx, read, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -61,8 +63,11 @@
 	if w.next < oldest {
 		return platform.Event{}, nil, platform.ErrGone
 	}
-	for _, e := range s.history {
-		if e.Version >= w.next && e.Kind == w.kind {
+	from, _ := slices.BinarySearchFunc(s.history, w.next, func(e platform.Event, next int64) int {
+		return cmp.Compare(e.Version, next)
+	})
+	for _, e := range s.history[from:] {
+		if e.Kind == w.kind {
 			w.next = e.Version + 1
 			return e, nil, nil
 		}
