--- /dev/null
+++ b/policy/admission/doc.go
@@ -0,0 +1,31 @@
+// Package admission decides which requests of a pool (a model version's or a
+// service's endpoints) run now, which wait, and which are refused.
+//
+// Load patterns: a burst of ten times the usual load for some seconds; one account
+// that sends twenty times its share; long jobs among short ones; an overload of
+// twice the capacity for minutes, and its end; a pool that loses its endpoints.
+//
+// Without it: a first-in-first-out queue fills until each request waits for about
+// its whole deadline, starts too late to finish, and the endpoints work on answers
+// nobody waits for any more. Goodput falls to nothing while every endpoint is busy,
+// and stays there after the load has gone, since callers send again what timed out.
+// One account's flood is everybody's queue, and a till lookup waits for reports.
+//
+// How it decides:
+//
+//   - An item is refused when it can't be done by its deadline, at the moment that is
+//     known: on arrival from the backlog before it, in the queue as soon as the
+//     estimate says so. The refusal carries when to come back.
+//   - Classes are served in order, immediate first. A lower class whose items would
+//     miss their deadlines gets its floor of the work first.
+//   - Within a class, accounts share by weight (start-time fair queueing on expected
+//     work). An account that has more than its share loses its rank by one class
+//     while others wait, so that a flood of immediate requests doesn't starve the
+//     interactive ones of others. With nobody else waiting it gets all there is.
+//   - Within an account, a short item passes longer ones that came up to a few of
+//     its own lengths earlier; long items may not hold the last slots.
+//
+// The queue counts slots (SetCapacity, Next, Done) but doesn't know endpoints.
+//
+// Lock order: Queue.mu is a leaf.
+package admission
--- /dev/null
+++ b/policy/admission/queue.go
@@ -0,0 +1,284 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// longFactor makes an item long: its size in mean sizes.
+	longFactor = 4.0
+	// shortDemand is for how long after a short item the reserve for them is kept.
+	shortDemand = 2 * time.Second
+	// checkEvery is the time between two looks through the queue for items that
+	// can't be done any more: a tenth of the shortest deadline, a till lookup's second.
+	checkEvery = 100 * time.Millisecond
+	// checkSlack spares queued items from an estimate that is a little off: what was
+	// accepted is refused only when four fifths of the wait would be too long.
+	checkSlack = 0.8
+	// shareSlack is how far above its share an account may be before it loses rank.
+	shareSlack = 1.5
+	// usageFloor is the work below which an account counts as idle, in mean items.
+	usageFloor = 0.05
+)
+
+// Queue is the admission of one pool on one VM. It is safe for concurrent use.
+type Queue struct {
+	mu       sync.Mutex
+	cfg      Config
+	rng      *rand.Rand
+	capacity int
+	running  int
+	long     int // running long items
+	count    int // queued items
+	accounts map[string]*account
+	// order holds the accounts in order of first arrival, so that a run is repeatable.
+	order   []*account
+	virtual float64 // start tag of the last started item
+	started [classes]decayed
+	work    [classes]float64 // queued work
+	weights [classes]float64 // sum of weights of accounts that wait in the class
+	atRisk  [classes]bool    // items of the class would miss their deadlines
+	est     estimator
+	returns calendar
+	refused []Refusal
+	checked time.Time
+	short   time.Time // last arrival of a short item
+	longs   map[uint64]bool
+}
+
+// New returns a queue without capacity. The rng spreads Retry-After; the queue owns it.
+func New(cfg Config, rng *rand.Rand) *Queue {
+	cfg = cfg.withDefaults()
+	return &Queue{
+		cfg:      cfg,
+		rng:      rng,
+		accounts: make(map[string]*account),
+		longs:    make(map[uint64]bool),
+		est:      estimator{perUnit: cfg.SecondsPerUnit},
+	}
+}
+
+// SetCapacity sets how many items may run at once. At 0 everything that waits is
+// refused: nobody knows when there will be an endpoint again.
+func (q *Queue) SetCapacity(now time.Time, slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.capacity = max(slots, 0)
+	if q.capacity == 0 && q.count > 0 {
+		q.refuseAll(now, ReasonNoCapacity)
+	}
+}
+
+// Offer hands in an item.
+func (q *Queue) Offer(now time.Time, it Item) Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if it.Size <= 0 {
+		it.Size = 1
+	}
+	a := q.account(it)
+	q.est.seen(it.Size)
+	if !q.isLong(it.Size) {
+		q.short = now
+	}
+	if q.capacity == 0 {
+		return q.verdict(now, it, ReasonNoCapacity, 0)
+	}
+	w := &waiting{Item: it, key: now.Add(seconds(q.cfg.ShortFirst * q.est.perUnit * it.Size))}
+	if late := q.late(now, a, w, 1); late > 0 {
+		return q.verdict(now, it, ReasonDeadline, late)
+	}
+	if q.count >= q.cfg.MaxItems && !q.evict(now, a) {
+		return q.verdict(now, it, ReasonFull, q.drainTime())
+	}
+	q.push(a, w)
+	if q.running < q.capacity {
+		if pa, class, i, ok := q.choose(now); ok && pa.queues[class][i] == w {
+			q.start(now, pa, class, i)
+			return Verdict{Outcome: Run}
+		}
+	}
+	return Verdict{Outcome: Queued}
+}
+
+// Next returns the item to run in a free slot, if there is one and something waits.
+func (q *Queue) Next(now time.Time) (Item, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for q.running < q.capacity && q.count > 0 {
+		a, class, i, ok := q.choose(now)
+		if !ok {
+			return Item{}, false
+		}
+		w := a.queues[class][i]
+		if now.Add(q.est.service(w.Size)).After(w.Deadline) {
+			q.take(a, class, i)
+			q.refuse(now, w.Item, ReasonDeadline, 0)
+			continue
+		}
+		q.start(now, a, class, i)
+		return w.Item, true
+	}
+	return Item{}, false
+}
+
+// Done frees the slot of an item that ran. Elapsed is its service time; 0 when it
+// failed and tells nothing. Actual is the work it took, 0 if not known.
+func (q *Queue) Done(now time.Time, it Item, elapsed time.Duration, actual float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.free(it)
+	if it.Size <= 0 {
+		it.Size = 1
+	}
+	if elapsed > 0 {
+		q.est.learn(it.Size, elapsed)
+	}
+	if a := q.accounts[it.Account]; a != nil && actual > 0 {
+		// The account pays for what it took, not for what was expected.
+		a.tag += (actual - it.Size) / a.weight
+	}
+}
+
+// PutBack frees the slot of an item that found no endpoint, or that is retried
+// later, and queues it again at the head of its account's items.
+func (q *Queue) PutBack(now time.Time, it Item) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.free(it)
+	if it.Size <= 0 {
+		it.Size = 1
+	}
+	a := q.account(it)
+	a.tag -= it.Size / a.weight
+	a.usage.add(now, -it.Size)
+	q.started[it.Class].add(now, -it.Size)
+	if q.capacity == 0 {
+		q.refuse(now, it, ReasonNoCapacity, 0)
+		return
+	}
+	q.push(a, &waiting{Item: it, key: time.Time{}})
+}
+
+// Remove takes an item out of the queue whose caller has gone away.
+func (q *Queue) Remove(it Item) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.accounts[it.Account]
+	if a == nil {
+		return false
+	}
+	for i, w := range a.queues[it.Class] {
+		if w.ID == it.ID {
+			q.take(a, int(it.Class), i)
+			return true
+		}
+	}
+	return false
+}
+
+// Refused returns the final answers that became known since the last call. Call it
+// after each other call, and every 100 ms while anything waits.
+func (q *Queue) Refused(now time.Time) []Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.count > 0 && now.Sub(q.checked) >= checkEvery {
+		q.checked = now
+		q.check(now)
+	}
+	out := q.refused
+	q.refused = nil
+	return out
+}
+
+// Len returns how many items wait and how many run.
+func (q *Queue) Len() (waiting, running int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.count, q.running
+}
+
+// Forget drops an account that configuration no longer has, once nothing of it waits.
+func (q *Queue) Forget(name string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	a := q.accounts[name]
+	if a == nil || a.queued() > 0 {
+		return
+	}
+	delete(q.accounts, name)
+	q.order = slices.DeleteFunc(q.order, func(x *account) bool { return x == a })
+}
+
+func (q *Queue) account(it Item) *account {
+	weight := it.Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	a := q.accounts[it.Account]
+	if a == nil {
+		a = &account{name: it.Account, weight: weight}
+		q.accounts[it.Account] = a
+		q.order = append(q.order, a)
+	}
+	if a.weight != weight && a.queued() == 0 {
+		// A changed weight counts from the next time that nothing of the account waits,
+		// so that the sums of weights stay right.
+		a.weight = weight
+	}
+	return a
+}
+
+// push queues an item.
+func (q *Queue) push(a *account, w *waiting) {
+	if len(a.queues[w.Class]) == 0 {
+		q.weights[w.Class] += a.weight
+	}
+	a.push(w)
+	q.work[w.Class] += w.Size
+	q.count++
+}
+
+// take takes an item out of the queue.
+func (q *Queue) take(a *account, class, i int) *waiting {
+	w := a.remove(class, i)
+	q.work[class] -= w.Size
+	q.count--
+	if len(a.queues[class]) == 0 {
+		q.weights[class] -= a.weight
+	}
+	if q.count == 0 {
+		// Sums of floats drift; an empty queue is the time to put them right.
+		q.work = [classes]float64{}
+		q.weights = [classes]float64{}
+	}
+	return w
+}
+
+// start takes an item out of the queue into a slot and charges its account.
+func (q *Queue) start(now time.Time, a *account, class, i int) {
+	w := q.take(a, class, i)
+	begin := max(q.virtual, a.tag)
+	q.virtual = begin
+	a.tag = begin + w.Size/a.weight
+	a.usage.add(now, w.Size)
+	q.started[class].add(now, w.Size)
+	q.running++
+	if q.isLong(w.Size) {
+		q.long++
+		q.longs[w.ID] = true
+	}
+}
+
+func (q *Queue) free(it Item) {
+	q.running = max(q.running-1, 0)
+	if q.longs[it.ID] {
+		delete(q.longs, it.ID)
+		q.long--
+	}
+}
+
+func (q *Queue) isLong(size float64) bool { return size > longFactor*q.est.size }
--- /dev/null
+++ b/policy/admission/types.go
@@ -0,0 +1,117 @@
+package admission
+
+import (
+	"time"
+
+	"goldcrestfork/config"
+)
+
+// Item is one request as the queue sees it.
+type Item struct {
+	// ID is the caller's; Value is handed back untouched.
+	ID    uint64
+	Value any
+	// Account is the client account, Weight its share relative to others (0 counts as 1).
+	Account string
+	Weight  float64
+	Class   config.Class
+	// Deadline is when the answer must be complete.
+	Deadline time.Time
+	// Size is the expected work in any unit that the caller keeps to; not above 0 counts as 1.
+	Size float64
+}
+
+// Outcome says what becomes of an item that was offered.
+type Outcome int
+
+// The outcomes of an offer.
+const (
+	// Run: dispatch now; the item holds a slot until Done or PutBack.
+	Run Outcome = iota
+	// Queued: Next will return it, or Refused will.
+	Queued
+	// Refused: not run, and never will be by this offer.
+	Refused
+)
+
+// Reason tells why an item was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// ReasonDeadline: it can't be done by its deadline, given what is before it.
+	ReasonDeadline Reason = "deadline"
+	// ReasonFull: the queue holds as many items as it may.
+	ReasonFull Reason = "queue-full"
+	// ReasonNoCapacity: no endpoint of the pool takes work.
+	ReasonNoCapacity Reason = "no-capacity"
+	// ReasonBroken: nearly all answers of the pool fail.
+	ReasonBroken Reason = "pool-failing"
+)
+
+// Verdict is the answer to an offer.
+type Verdict struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when to come back, set when refused.
+	RetryAfter time.Duration
+}
+
+// Refusal is the final answer to an item that was queued.
+type Refusal struct {
+	Item       Item
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Config sets a queue. The zero value of a field takes the default.
+type Config struct {
+	// SecondsPerUnit is the assumed service time of one unit of work until answers
+	// were measured. Default 1.
+	SecondsPerUnit float64
+	// MaxItems bounds the queue. Default 4096: at 32 KB a request that is half of the
+	// 256 MB a node may use.
+	MaxItems int
+	// ShortReserve is the share of slots that long items leave free while short ones
+	// come in. Default 0.15; negative for none.
+	ShortReserve float64
+	// ShortFirst is by how many of its own service times an item is set back behind
+	// later, shorter ones. Default 3; negative for first in, first out within an account.
+	ShortFirst float64
+}
+
+const (
+	defaultMaxItems = 4096
+	// defaultShortReserve: with the 10 slots that a VM has of asistente, one; with the
+	// 27 of model-ierburi, four.
+	defaultShortReserve = 0.15
+	// defaultShortFirst: a report of 20 s lets lookups pass that come within the
+	// minute after it, and no later ones, so it is not starved by them.
+	defaultShortFirst = 3.0
+)
+
+func (c Config) withDefaults() Config {
+	if c.SecondsPerUnit <= 0 {
+		c.SecondsPerUnit = 1
+	}
+	if c.MaxItems <= 0 {
+		c.MaxItems = defaultMaxItems
+	}
+	if c.ShortReserve == 0 {
+		c.ShortReserve = defaultShortReserve
+	}
+	if c.ShortFirst == 0 {
+		c.ShortFirst = defaultShortFirst
+	}
+	c.ShortReserve = max(c.ShortReserve, 0)
+	c.ShortFirst = max(c.ShortFirst, 0)
+	return c
+}
+
+// classes is the number of priority classes.
+const classes = int(config.ClassDeferrable) + 1
+
+// floors are the shares of work that a class gets before higher ones when its
+// items would otherwise miss their deadlines. Together they leave immediate
+// requests 70%: a pool that needs more for them is too small for its load.
+var floors = [classes]float64{0, 0.2, 0.1}
