--- /dev/null
+++ b/policy/rollout/counts.go
@@ -0,0 +1,205 @@
+package rollout
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"goldcrestfork/config"
+)
+
+// Tally is what one version's requests came to.
+type Tally struct {
+	// Requests that ended, whatever the outcome.
+	Requests uint64 `cbor:"1,keyasint" json:"requests"`
+	// Errors are requests that the version's endpoints failed.
+	Errors uint64 `cbor:"2,keyasint" json:"errors"`
+	// Slow are requests whose first token came later than the model's bound.
+	Slow uint64 `cbor:"3,keyasint" json:"slow"`
+	// Rated are answers with a rating, Poor those rated below the account's target.
+	Rated uint64 `cbor:"4,keyasint" json:"rated"`
+	Poor  uint64 `cbor:"5,keyasint" json:"poor"`
+}
+
+func (t *Tally) add(o Tally) {
+	t.Requests += o.Requests
+	t.Errors += o.Errors
+	t.Slow += o.Slow
+	t.Rated += o.Rated
+	t.Poor += o.Poor
+}
+
+// Counts are one source's tallies of one roll-out's epoch. They only grow, so
+// the larger of two from one source is the newer.
+type Counts struct {
+	// Source names who counted: a VM's incarnation, or the data centre of an
+	// aggregate. Sources that are added up must count different requests.
+	Source string `cbor:"1,keyasint" json:"source"`
+	// RollOut is the roll-out's name, Epoch its configuration revision.
+	RollOut string `cbor:"2,keyasint" json:"rollOut"`
+	Epoch   int64  `cbor:"3,keyasint" json:"epoch"`
+	From    Tally  `cbor:"4,keyasint" json:"from"`
+	To      Tally  `cbor:"5,keyasint" json:"to"`
+}
+
+// size orders reports of one source.
+func (c Counts) size() uint64 {
+	return c.From.Requests + c.From.Rated + c.To.Requests + c.To.Rated
+}
+
+// Totals adds up reports by source. A source's last report stays when the
+// source is gone, since its requests did take place. Not safe for concurrent use.
+type Totals struct {
+	epoch   int64
+	reports map[string]Counts
+}
+
+// Reset starts an epoch; reports of another one are ignored from then on.
+func (t *Totals) Reset(epoch int64) {
+	t.epoch = epoch
+	t.reports = make(map[string]Counts)
+}
+
+// Epoch returns the epoch in force.
+func (t *Totals) Epoch() int64 { return t.epoch }
+
+// Add takes a report; doubled, late and crossed ones change nothing.
+func (t *Totals) Add(c Counts) {
+	if c.Epoch != t.epoch {
+		return
+	}
+	if c.size() > t.reports[c.Source].size() {
+		t.reports[c.Source] = c
+	}
+}
+
+// Sum returns the totals of both versions.
+func (t *Totals) Sum() (from, to Tally) {
+	for _, c := range t.reports {
+		from.add(c.From)
+		to.add(c.To)
+	}
+	return from, to
+}
+
+// Outcome is how one request ended, for the comparison.
+type Outcome struct {
+	// Failed: the endpoint failed it. A caller that went away and a refusal for
+	// want of room are not the version's doing and aren't recorded.
+	Failed bool
+	// Slow: the first token came later than the model's bound.
+	Slow bool
+}
+
+// maxFailedKeys bounds the keys whose failure was counted, a roll-out: 8 bytes each.
+const maxFailedKeys = 4096
+
+// Recorder counts the outcomes of one VM. Safe for concurrent use.
+type Recorder struct {
+	source string
+
+	mu       sync.Mutex
+	rollOuts map[string]*recording
+}
+
+type recording struct {
+	counts Counts
+	failed *lru.Cache[uint64, struct{}]
+}
+
+// NewRecorder returns a Recorder; source names this incarnation of the VM, so
+// that a replaced VM's counts are added to its predecessor's, not lost in them.
+func NewRecorder(source string) *Recorder {
+	return &Recorder{source: source, rollOuts: make(map[string]*recording)}
+}
+
+// Request records how a request that Choose placed has ended. r is the roll-out
+// at the revision of the choice.
+//
+// One key's failures count once an epoch. A request that crashes each endpoint
+// that runs it is sent again by its caller and falls on the same side each time;
+// its repeats would look like a bad version.
+func (c *Recorder) Request(r *config.RollOut, arm Arm, key string, o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rec := c.recording(r)
+	tally := rec.tally(arm)
+	if tally == nil {
+		return
+	}
+	if o.Failed {
+		repeated, _ := rec.failed.ContainsOrAdd(xxhash.Sum64String(key), struct{}{})
+		if repeated {
+			return
+		}
+		tally.Errors++
+	}
+	tally.Requests++
+	if o.Slow {
+		tally.Slow++
+	}
+}
+
+// Rating records the rating of an answer; poor is a rating below the account's target.
+func (c *Recorder) Rating(r *config.RollOut, arm Arm, poor bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tally := c.recording(r).tally(arm)
+	if tally == nil {
+		return
+	}
+	tally.Rated++
+	if poor {
+		tally.Poor++
+	}
+}
+
+// Counts returns the reports on the roll-outs under way in s, and forgets the others.
+func (c *Recorder) Counts(s *config.Snapshot) []Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []Counts
+	for name, rec := range c.rollOuts {
+		r, ok := s.RollOuts[name]
+		if !ok || !UnderWay(r) {
+			delete(c.rollOuts, name)
+			continue
+		}
+		out = append(out, rec.counts)
+	}
+	return out
+}
+
+// recording returns the epoch's recording; nil for an answer of an older epoch.
+// Callers hold c.mu.
+func (c *Recorder) recording(r *config.RollOut) *recording {
+	rec, ok := c.rollOuts[r.Name]
+	if ok && rec.counts.Epoch > r.Revision {
+		return nil
+	}
+	if !ok || rec.counts.Epoch < r.Revision {
+		failed, err := lru.New[uint64, struct{}](maxFailedKeys)
+		if err != nil {
+			panic(err) // only a size below one fails
+		}
+		rec = &recording{
+			counts: Counts{Source: c.source, RollOut: r.Name, Epoch: r.Revision},
+			failed: failed,
+		}
+		c.rollOuts[r.Name] = rec
+	}
+	return rec
+}
+
+func (r *recording) tally(arm Arm) *Tally {
+	switch {
+	case r == nil:
+		return nil
+	case arm == ArmFrom:
+		return &r.counts.From
+	case arm == ArmTo:
+		return &r.counts.To
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/rollout/rollout_test.go
@@ -0,0 +1,227 @@
+package rollout
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcrestfork/config"
+)
+
+func rollOut(step int) *config.RollOut {
+	return &config.RollOut{
+		Meta: config.Meta{Name: "r", Revision: 7}, Model: "ierburi", From: "v1", To: "v2",
+		Steps: []float64{1, 5, 25, 50, 100}, Step: step, State: config.RollOutRunning,
+	}
+}
+
+func all(string) bool { return true }
+
+// A session that got the new version keeps it while the share rises, whichever VM is asked.
+func TestChooseIsMonotone(t *testing.T) {
+	to := 0
+	for i := range 20000 {
+		key, had := fmt.Sprint("session-", i), false
+		for step := range 5 {
+			c, ok := Choose(rollOut(step), key, all)
+			require.True(t, ok)
+			if had {
+				require.Equal(t, "v2", c.Version)
+			}
+			had = c.Version == "v2"
+			if had && step == 1 {
+				to++
+			}
+		}
+		require.True(t, had, "all sessions at 100%")
+	}
+	require.InDelta(t, 1000, to, 4*math.Sqrt(20000*0.05*0.95), "5% of 20000 within four standard deviations")
+}
+
+func TestChooseUsable(t *testing.T) {
+	only := func(v string) func(string) bool { return func(x string) bool { return x == v } }
+	r := rollOut(4)
+	c, ok := Choose(r, "k", only("v1"))
+	require.True(t, ok)
+	require.Equal(t, Choice{Version: "v1", Reason: ReasonUsable}, c)
+	c, _ = Choose(r, "k", only("v2"))
+	require.Equal(t, Choice{Version: "v2", Reason: ReasonUsable}, c)
+	r.State = config.RollOutRolledBack
+	_, ok = Choose(r, "k", only("v2"))
+	require.False(t, ok, "a version that was rolled back isn't a way out of the old one's withdrawal")
+	_, ok = Choose(r, "k", only(""))
+	require.False(t, ok)
+}
+
+func TestOf(t *testing.T) {
+	a, b, c := rollOut(0), rollOut(0), rollOut(0)
+	a.Name, a.State, a.Revision = "a", config.RollOutDone, 9
+	b.Name, c.Name, c.Revision = "b", "c", 8
+	s := &config.Snapshot{RollOuts: map[string]*config.RollOut{"a": a, "b": b, "c": c}}
+	require.Equal(t, c, Of(s, "ierburi"))
+	require.Nil(t, Of(s, "other"))
+	c.State = config.RollOutRolledBack
+	require.Equal(t, b, Of(s, "ierburi"))
+}
+
+// tally builds one side: requests, errors, slow, rated, poor.
+func tally(n ...uint64) Tally { return Tally{n[0], n[1], n[2], n[3], n[4]} }
+
+func TestEvaluate(t *testing.T) {
+	good, goodTo := tally(20000, 200, 200, 20000, 2000), tally(1000, 10, 10, 1000, 100)
+	few := tally(1900, 19, 19, 1900, 190)
+	long := DefaultSettings().SettleTime
+	for name, c := range map[string]struct {
+		step       int
+		state      config.RollOutState
+		from, to   Tally
+		elapsed    time.Duration
+		incomplete bool
+		want       Action
+	}{
+		"equal":                       {1, config.RollOutRunning, good, goodTo, long, false, Advance},
+		"equal, too early":            {1, config.RollOutRunning, good, goodTo, time.Minute, false, Hold},
+		"equal, counts missing":       {1, config.RollOutRunning, good, goodTo, long, true, Hold},
+		"too few requests":            {1, config.RollOutRunning, good, tally(300, 3, 3, 300, 30), long, false, Hold},
+		"no ratings come":             {1, config.RollOutRunning, good, tally(1000, 10, 10, 0, 0), long, false, Hold},
+		"errors":                      {1, config.RollOutRunning, few, tally(100, 20, 1, 100, 10), 0, false, RollBack},
+		"errors, counts missing":      {1, config.RollOutRunning, few, tally(100, 20, 1, 100, 10), 0, true, RollBack},
+		"errors while paused":         {1, config.RollOutPaused, few, tally(100, 20, 1, 100, 10), 0, false, RollBack},
+		"poor ratings":                {1, config.RollOutRunning, few, tally(100, 1, 1, 100, 50), 0, false, RollBack},
+		"slow":                        {1, config.RollOutRunning, few, tally(100, 1, 25, 100, 10), 0, false, Pause},
+		"slow while settling":         {1, config.RollOutPaused, few, tally(100, 1, 25, 100, 10), 0, false, Hold},
+		"slow after settling":         {1, config.RollOutPaused, few, tally(100, 1, 25, 100, 10), long, false, RollBack},
+		"both fail: a pool died":      {1, config.RollOutRunning, tally(9500, 9000, 0, 500, 50), tally(500, 480, 0, 25, 3), 0, false, Hold},
+		"sure, but a tiny difference": {3, config.RollOutRunning, tally(1e6, 500, 0, 1e6, 0), tally(1e6, 1500, 0, 1e6, 0), long, false, Hold},
+		"leans to worse":              {1, config.RollOutRunning, good, tally(1000, 18, 10, 1000, 100), long, false, Hold},
+		"last step":                   {4, config.RollOutRunning, Tally{}, goodTo, long, false, Finish},
+		"last step, errors":           {4, config.RollOutRunning, Tally{}, tally(1000, 150, 0, 0, 0), 0, false, RollBack},
+		"last step, too early":        {4, config.RollOutRunning, Tally{}, goodTo, 0, false, Hold},
+		"done":                        {4, config.RollOutDone, good, goodTo, long, false, Hold},
+		"rolled back":                 {1, config.RollOutRolledBack, good, goodTo, long, false, Hold},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rollOut(c.step)
+			r.State = c.state
+			s := DefaultSettings()
+			v := evaluate(s, r, []view{{c.from, c.to, s.limit(r)}}, c.elapsed, !c.incomplete)
+			require.Equal(t, c.want.String(), v.Action.String(), v.Reason)
+			require.NotEmpty(t, v.Reason)
+		})
+	}
+}
+
+// A version serves an hour well and then turns bad in the same step. Its good
+// hour must not hide it: the callers it fails are few only if the latest window
+// is judged by itself.
+func TestTurnsBadLate(t *testing.T) {
+	m, r, now := NewMonitor(DefaultSettings()), rollOut(1), time.Unix(0, 0)
+	m.Begin(r.Revision, now)
+	c := Counts{Source: "vm-1", Epoch: r.Revision}
+	second := func(errors uint64) Verdict {
+		c.From.add(tally(380, 4, 4, 380, 38))
+		c.To.add(tally(20, errors, 0, 20, 2))
+		m.Add(c)
+		return m.Evaluate(r, now, true)
+	}
+	for i := range uint64(3600) {
+		require.Equal(t, Hold, second(i%5/4).Action)
+	}
+	seconds := 1
+	for second(6).Action != RollBack {
+		seconds++
+	}
+	require.LessOrEqual(t, 20*seconds, 200, "requests of the bad version until it is rolled back")
+}
+
+// Reports reach the controller doubled, late and in any order. The sum must be
+// that of each source's last report, or verdicts would count requests twice.
+func TestTotalsAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		var reports []Counts
+		var want Tally
+		for vm := range 7 {
+			c := Counts{Source: fmt.Sprint("vm-", vm), RollOut: "r", Epoch: 7}
+			for range rng.IntN(5) {
+				c.To.Requests += 1 + rng.Uint64N(9)
+				c.To.Errors += rng.Uint64N(2)
+				reports = append(reports, c, c)
+			}
+			want.add(c.To)
+			reports = append(reports, Counts{Source: c.Source, Epoch: 6, To: Tally{Requests: 1 << 40}})
+		}
+		rng.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+		var totals Totals
+		totals.Reset(7)
+		for _, c := range reports {
+			totals.Add(c)
+		}
+		_, to := totals.Sum()
+		require.Equal(t, want, to)
+	})
+}
+
+// One caller sends a request that crashes its endpoint again and again; the key
+// falls on the new version each time. Its callers fail either way, but the
+// version must not be rolled back for it.
+func TestRepeatedPoisonKeyCountsOnce(t *testing.T) {
+	rec, r := NewRecorder("vm-1"), rollOut(1)
+	for range 500 {
+		rec.Request(r, ArmTo, "poison", Outcome{Failed: true})
+	}
+	for i := range 1000 {
+		rec.Request(r, ArmFrom, fmt.Sprint(i), Outcome{Failed: i%100 == 0})
+		rec.Rating(r, ArmFrom, false)
+	}
+	counts := rec.Counts(&config.Snapshot{RollOuts: map[string]*config.RollOut{"r": r}})
+	require.Len(t, counts, 1)
+	require.Equal(t, uint64(1), counts[0].To.Errors)
+	require.Equal(t, Tally{Requests: 1000, Errors: 10, Rated: 1000}, counts[0].From)
+	m := NewMonitor(DefaultSettings())
+	m.Begin(r.Revision, time.Unix(0, 0))
+	m.Add(counts[0])
+	v := m.Evaluate(r, time.Unix(0, 0), true)
+	require.Equal(t, Hold, v.Action, v.Reason)
+}
+
+func TestRecorderEpochs(t *testing.T) {
+	rec, old, next := NewRecorder("vm-1"), rollOut(1), rollOut(2)
+	next.Revision = 8
+	s := &config.Snapshot{RollOuts: map[string]*config.RollOut{"r": next}}
+	rec.Request(old, ArmTo, "a", Outcome{})
+	rec.Request(next, ArmTo, "b", Outcome{Slow: true})
+	rec.Request(old, ArmTo, "c", Outcome{}) // an answer of the step before
+	rec.Request(next, ArmNone, "d", Outcome{})
+	counts := rec.Counts(s)
+	require.Equal(t, []Counts{{Source: "vm-1", RollOut: "r", Epoch: 8, To: Tally{Requests: 1, Slow: 1}}}, counts)
+	next.State = config.RollOutDone
+	require.Empty(t, rec.Counts(s))
+}
+
+func BenchmarkChoose(b *testing.B) {
+	r := rollOut(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		Choose(r, "session-0123456789", all)
+	}
+}
+
+func BenchmarkEvaluate(b *testing.B) {
+	r := rollOut(1)
+	m, now := NewMonitor(DefaultSettings()), time.Unix(0, 0)
+	m.Begin(r.Revision, now)
+	for vm := range 19 {
+		m.Add(Counts{Source: fmt.Sprint(vm), Epoch: r.Revision,
+			From: tally(20000, 200, 200, 20000, 2000), To: tally(1000, 10, 10, 1000, 100)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Evaluate(r, now, true)
+	}
+}
