Keep the configuration in one root object with an editor and a cache

Cause: operators need one linear history of accepted changes that is checked as a whole and never goes back on any VM. Ruled out: one platform object for each operator object, where two accepted changes can be wrong together (write skew) and a reader sees halves of a change. Change: one root object (CBOR, deflate) with a revision and the ids of the last 256 changes; config.Validate, a strict parser, Editor (conditional write, lost replies settled by the id), Cache (only ever a higher revision) and the pure verdict on staleness. Conclusion: the API that the other modules build on stands.

--- /dev/null
+++ b/config/apply.go
@@ -0,0 +1,72 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+)
+
+// applyAll makes the changes on a snapshot that is not published yet and checks
+// the result as a whole. The snapshot is spoilt when it returns an error.
+func applyAll(s *Snapshot, changes []Change) error {
+	if len(changes) == 0 {
+		return Problems{{Field: "changes", Want: "at least one change"}}
+	}
+	for i := range changes {
+		if err := applyOne(s, &changes[i], s.Revision+1); err != nil {
+			return err
+		}
+	}
+	if problems := Validate(s); len(problems) > 0 {
+		return Problems(problems)
+	}
+	return nil
+}
+
+func applyOne(s *Snapshot, c *Change, revision int64) error {
+	kind, name := c.target()
+	current := s.Get(kind, name)
+	if !c.holds(current) {
+		return &ConflictError{Kind: kind, Name: name, Current: current, Revision: s.Revision}
+	}
+	if current == nil && c.Op != OpPut {
+		return &ConflictError{Kind: kind, Name: name, Revision: s.Revision}
+	}
+	switch c.Op {
+	case OpPut:
+		o := Clone(c.Object)
+		o.meta().Revision = revision
+		s.put(o)
+	case OpDelete:
+		s.remove(kind, name)
+	case OpLabel:
+		s.put(relabel(current, c, revision))
+	default:
+		return Problems{{Kind: kind, Name: name, Field: "op", Got: fmt.Sprint(c.Op), Want: "put, delete or label"}}
+	}
+	return nil
+}
+
+// holds reports whether the condition on the object's revision is met.
+func (c *Change) holds(current Object) bool {
+	switch {
+	case c.IfRevision == IfAny:
+		return true
+	case current == nil:
+		return c.IfRevision == IfAbsent
+	}
+	return current.meta().Revision == c.IfRevision
+}
+
+func relabel(current Object, c *Change, revision int64) Object {
+	o := Clone(current)
+	m := o.meta()
+	if m.Labels == nil {
+		m.Labels = make(map[string]string)
+	}
+	maps.Copy(m.Labels, c.Labels)
+	for _, key := range c.Unlabel {
+		delete(m.Labels, key)
+	}
+	m.Revision = revision
+	return o
+}
--- /dev/null
+++ b/config/cache.go
@@ -0,0 +1,227 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"goldcrestfork/config/staleness"
+	"goldcrestfork/platform"
+)
+
+// Peers is what a cache needs of the other VMs.
+type Peers interface {
+	// Watcher reports whether this VM ranks among the about two of its data centre
+	// that hold the platform's watch.
+	Watcher() bool
+	// Revisions gives the configuration revision of each VM heard lately, by VM.
+	Revisions() map[string]int64
+	// Fetch asks a VM for its encoded configuration if its revision is above have; nil when it isn't.
+	Fetch(ctx context.Context, vm string, have int64) ([]byte, error)
+}
+
+// Options of a cache.
+type Options struct {
+	// Store is the platform.
+	Store platform.Store
+	// Peers are the other VMs; nil for a VM alone.
+	Peers Peers
+	// View returns what this VM knows of the others, for the staleness verdict; nil for a VM alone.
+	// The cache fills in its own revision, confirmation and store state.
+	View func() staleness.View
+	// Metrics counts; nil counts nowhere.
+	Metrics *Metrics
+}
+
+// published is one configuration in force on this VM, with the bytes that peers are given.
+type published struct {
+	snapshot *Snapshot
+	encoded  []byte
+}
+
+// Cache holds the configuration in force on this VM. It only ever moves to a
+// higher revision, whatever the platform or a peer says.
+type Cache struct {
+	opts    Options
+	current atomic.Pointer[published]
+
+	// mu guards what follows.
+	mu      sync.Mutex
+	changed chan struct{}
+	// confirmed is when this VM's own call to the platform last showed that no newer root existed.
+	confirmed time.Time
+	// failing says that this VM's last call to the platform failed.
+	failing bool
+	// mode is where the configuration comes from now.
+	mode Mode
+}
+
+// NewCache returns a cache at revision zero; Run fills it.
+func NewCache(opts Options) *Cache {
+	if opts.Metrics == nil {
+		opts.Metrics = NewMetrics(nil)
+	}
+	c := &Cache{opts: opts, changed: make(chan struct{}), mode: ModeStarting}
+	c.current.Store(&published{snapshot: &Snapshot{}})
+	return c
+}
+
+// Snapshot returns the configuration in force; it is never nil and never changed.
+func (c *Cache) Snapshot() *Snapshot { return c.current.Load().snapshot }
+
+// Revision returns the revision in force.
+func (c *Cache) Revision() int64 { return c.Snapshot().Revision }
+
+// Encoded returns the bytes for a peer that has revision have, or nil when it has as much.
+func (c *Cache) Encoded(have int64) []byte {
+	p := c.current.Load()
+	if p.snapshot.Revision <= have {
+		return nil
+	}
+	return p.encoded
+}
+
+// Offer takes an encoded configuration from the platform, a peer or an accepted
+// change. It is published only if its revision is higher than the one in force:
+// a stale list, a late watch event or a peer that lags would otherwise bring a
+// withdrawn version back.
+func (c *Cache) Offer(encoded []byte) (bool, error) {
+	s, err := Decode(encoded)
+	if err != nil {
+		c.opts.Metrics.Undecodable.Inc()
+		return false, err
+	}
+	return c.publish(s, encoded), nil
+}
+
+// publish puts a configuration in force if it is newer than the one that is.
+func (c *Cache) publish(s *Snapshot, encoded []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.Revision <= c.Revision() {
+		c.opts.Metrics.Stale.Inc()
+		return false
+	}
+	c.current.Store(&published{snapshot: s, encoded: encoded})
+	c.opts.Metrics.Revision.Set(float64(s.Revision))
+	c.opts.Metrics.Published.Inc()
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return true
+}
+
+// WaitRevision returns the configuration once it is at revision or above, for
+// read-your-writes on any VM, or the context's error.
+func (c *Cache) WaitRevision(ctx context.Context, revision int64) (*Snapshot, error) {
+	for {
+		changed := c.Changed()
+		if s := c.Snapshot(); s.Revision >= revision {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Changed returns a channel that closes at the next publication. Take it before
+// reading the snapshot, so that none is missed.
+func (c *Cache) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Subscribe calls f with the configuration in force and with each later one
+// until ctx ends. A slow f skips revisions, never goes back.
+func (c *Cache) Subscribe(ctx context.Context, f func(*Snapshot)) {
+	for {
+		changed := c.Changed()
+		f(c.Snapshot())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// confirm notes a successful call to the platform that began at start and showed
+// that no root newer than the one in force existed then.
+func (c *Cache) confirm(start time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = false
+	if start.After(c.confirmed) {
+		c.confirmed = start
+	}
+}
+
+// failed notes a call to the platform that failed.
+func (c *Cache) failed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = true
+	c.opts.Metrics.StoreErrors.Inc()
+}
+
+// Own returns this VM's own evidence, which its heartbeats tell the others.
+func (c *Cache) Own(now time.Time) staleness.Evidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := staleness.Evidence{Revision: c.Revision(), StoreFailing: c.failing, ConfirmedAge: staleness.Never}
+	if !c.confirmed.IsZero() {
+		e.ConfirmedAge = now.Sub(c.confirmed)
+	}
+	return e
+}
+
+// view is what the staleness verdict is made from.
+func (c *Cache) view() staleness.View {
+	v := staleness.View{VMs: map[string]int{"": 1}}
+	if c.opts.View != nil {
+		v = c.opts.View()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v.Revision, v.Confirmed, v.StoreFailing = c.Revision(), c.confirmed, c.failing
+	return v
+}
+
+// Staleness judges whether this VM may take new work under the configuration it has.
+func (c *Cache) Staleness(now time.Time) staleness.Decision {
+	return staleness.Judge(c.view(), now)
+}
+
+// MayAccept judges whether this VM may accept a change: it must reach so many
+// data centres that none can go on under the old configuration unaware.
+func (c *Cache) MayAccept(now time.Time) error { return staleness.MayAccept(c.view(), now) }
+
+// State is the cache's part of the state dump.
+type State struct {
+	Revision     int64              `json:"revision"`
+	Mode         Mode               `json:"mode"`
+	StoreFailing bool               `json:"storeFailing"`
+	Staleness    staleness.Decision `json:"staleness"`
+	Objects      map[Kind]int       `json:"objects"`
+	EncodedBytes int                `json:"encodedBytes"`
+}
+
+// Dump says what is in force here, where it came from and why work is taken or not.
+func (c *Cache) Dump(now time.Time) State {
+	p := c.current.Load()
+	c.mu.Lock()
+	mode, failing := c.mode, c.failing
+	c.mu.Unlock()
+	counts := make(map[Kind]int)
+	for _, kind := range Kinds {
+		counts[kind] = len(p.snapshot.List(kind, nil))
+	}
+	return State{
+		Revision: p.snapshot.Revision, Mode: mode, StoreFailing: failing,
+		Staleness: c.Staleness(now), Objects: counts, EncodedBytes: len(p.encoded),
+	}
+}
--- /dev/null
+++ b/config/editor.go
@@ -0,0 +1,289 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"goldcrestfork/platform"
+)
+
+// RootKey is the one platform object that carries the whole configuration.
+var RootKey = platform.Key{Kind: "configuration", Name: "root"}
+
+// Bounds of an editor's attempts.
+const (
+	// maxAttempts bounds the retries of one change against racing ones. A write whose
+	// reply was lost is read back until the context ends: its fate is worth the wait.
+	maxAttempts = 64
+	// retryDelay is the mean pause after the first attempt; a write takes the platform milliseconds (users' brief).
+	retryDelay = 10 * time.Millisecond
+	// retryDoublings bounds the mean pause at 10 ms * 2^5 = 320 ms, well inside an operator's patience.
+	retryDoublings = 5
+)
+
+// Op is what a change does.
+type Op int
+
+// The operations.
+const (
+	// OpPut creates or replaces the object.
+	OpPut Op = iota
+	// OpDelete removes it.
+	OpDelete
+	// OpLabel sets and removes labels and leaves the rest as it stands.
+	OpLabel
+)
+
+// Conditions of a change on the object's revision; a positive value is the revision it must be at.
+const (
+	// IfAny sets no condition.
+	IfAny int64 = 0
+	// IfAbsent demands that the object does not exist.
+	IfAbsent int64 = -1
+)
+
+// Change is one operation on one object.
+type Change struct {
+	Op Op
+	// Object is what OpPut stores; its Meta.Revision is passed over.
+	Object Object
+	// Kind and Name say what OpDelete and OpLabel act on.
+	Kind Kind
+	Name string
+	// Labels are set and Unlabel are removed by OpLabel.
+	Labels  map[string]string
+	Unlabel []string
+	// IfRevision is the condition: IfAny, IfAbsent or a revision.
+	IfRevision int64
+}
+
+// target returns what the change acts on.
+func (c *Change) target() (Kind, string) {
+	if c.Op == OpPut {
+		return KindOf(c.Object), c.Object.meta().Name
+	}
+	return c.Kind, c.Name
+}
+
+// Errors of an editor besides Problems, *ConflictError and *UnknownError.
+var (
+	// ErrNotAccepted: the platform did not take the change; it has no effect.
+	ErrNotAccepted = errors.New("change not accepted")
+	// ErrNewer: the root was written by a newer release; this one would drop its fields.
+	ErrNewer = errors.New("configuration was written by a newer release")
+	// ErrReverted: the platform holds an older configuration than the one in force, as after a restored backup.
+	ErrReverted = errors.New("the platform holds an older configuration than the one in force")
+)
+
+// Editor makes accepted changes: each is one conditional write of the root.
+type Editor struct {
+	Store platform.Store
+	// Floor returns the highest revision this VM has seen; nil for none.
+	Floor func() int64
+	// Accepted is given the encoded root of each accepted change; may be nil.
+	Accepted func(encoded []byte)
+}
+
+// Apply makes the changes as one; see ApplyOnce.
+func (e *Editor) Apply(ctx context.Context, changes []Change) (int64, *Snapshot, error) {
+	return e.ApplyOnce(ctx, uuid.NewString(), -1, changes)
+}
+
+// ApplyOnce makes the changes as one, unless a change with this id was accepted
+// after revision since; then it returns that one's revision and the
+// configuration as it stands. A negative since says that the id was never used.
+//
+// Errors: Problems (refused), *ConflictError (lost a race), ErrNotAccepted,
+// ErrNewer and ErrReverted (no effect), *UnknownError (the same call again settles it).
+func (e *Editor) ApplyOnce(ctx context.Context, id string, since int64, changes []Change) (int64, *Snapshot, error) {
+	a := attempt{editor: e, id: id, since: since, changes: changes}
+	for n := 0; n < maxAttempts || a.pending != nil; n++ {
+		done, err := a.try(ctx)
+		if err != nil {
+			return 0, nil, err
+		}
+		if done {
+			return a.revision, a.root.Snapshot, nil
+		}
+		if err := pause(ctx, n); err != nil {
+			return 0, nil, a.giveUp(err)
+		}
+	}
+	return 0, nil, a.giveUp(errors.New("too many racing changes"))
+}
+
+// attempt is the state of one change between tries.
+type attempt struct {
+	editor  *Editor
+	id      string
+	since   int64
+	changes []Change
+
+	// pending is the write whose reply was lost; nil when nothing is in flight.
+	pending *pending
+	// current is the root object to try on; loaded says that it is known.
+	current platform.Object
+	loaded  bool
+
+	root     *root
+	revision int64
+}
+
+// pending is a write that may still take effect while the root is at base.
+type pending struct {
+	base    int64
+	encoded []byte
+	root    *root
+}
+
+// try makes one attempt; done means accepted, an error is final.
+func (a *attempt) try(ctx context.Context) (bool, error) {
+	if !a.loaded {
+		if err := a.load(ctx); err != nil {
+			return a.unreadable(err)
+		}
+	}
+	// A delayed write can land only while the root is at its base. There, sending
+	// the very same write again is safe: whichever of the two comes second conflicts
+	// and finds the id in the root. A change that was built anew could land twice.
+	if a.pending != nil && a.pending.base == a.current.Version {
+		return a.write(ctx, a.pending.root, a.pending.encoded)
+	}
+	next, err := a.build()
+	if err != nil || next == nil {
+		return err == nil, err
+	}
+	encoded, err := next.encode()
+	if err != nil {
+		return false, err
+	}
+	return a.write(ctx, next, encoded)
+}
+
+// load reads the root.
+func (a *attempt) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	o, err := a.editor.Store.Get(ctx, RootKey)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	a.current, a.loaded = o, true
+	return nil
+}
+
+// unreadable handles a failed read: with nothing in flight the change has no effect.
+func (a *attempt) unreadable(err error) (bool, error) {
+	if a.pending != nil {
+		return false, nil
+	}
+	return false, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+}
+
+// build makes the next root from the current one; nil means that the change is already in it.
+func (a *attempt) build() (*root, error) {
+	r := &root{Format: format, Snapshot: &Snapshot{}}
+	if a.current.Version != 0 {
+		var err error
+		if r, err = decodeRoot(a.current.Value); err != nil {
+			return nil, a.final(err)
+		}
+	}
+	if revision, ok := r.find(a.id); ok {
+		a.revision, a.root = revision, r
+		return nil, nil
+	}
+	if err := a.check(r); err != nil {
+		return nil, err
+	}
+	// The id is not among the changes after the base, so the write in flight lost for good.
+	a.pending = nil
+	if a.since < 0 {
+		a.since = r.Snapshot.Revision
+	}
+	if err := applyAll(r.Snapshot, a.changes); err != nil {
+		return nil, err
+	}
+	r.accept(a.id)
+	return r, nil
+}
+
+// check refuses to build on a root that may hide the change or lose others.
+func (a *attempt) check(r *root) error {
+	if a.since >= 0 && !r.covers(a.since) {
+		cause := fmt.Errorf("the root remembers %d changes, revision %d is older", historyLength, a.since)
+		return &UnknownError{ID: a.id, Since: a.since, Cause: cause}
+	}
+	if r.Format > format {
+		return a.final(ErrNewer)
+	}
+	if a.editor.Floor != nil && r.Snapshot.Revision < a.editor.Floor() {
+		return a.final(ErrReverted)
+	}
+	return nil
+}
+
+// final says what an error that ends the attempt means for the change.
+func (a *attempt) final(err error) error {
+	if a.pending != nil {
+		return a.giveUp(err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+}
+
+// write sends one conditional write and sorts its outcome.
+func (a *attempt) write(ctx context.Context, next *root, encoded []byte) (bool, error) {
+	callCtx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	base := a.current.Version
+	_, err := a.editor.Store.Put(callCtx, RootKey, encoded, base)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		a.revision, a.root, a.pending = next.Snapshot.Revision, next, nil
+		if a.editor.Accepted != nil {
+			a.editor.Accepted(encoded)
+		}
+		return true, nil
+	case errors.As(err, &conflict):
+		a.current, a.loaded = conflict.Current, true
+		return false, nil
+	case errors.Is(err, platform.ErrTooLarge):
+		return false, Problems{{Field: "configuration", Got: fmt.Sprintf("%d bytes", len(encoded)),
+			Want: fmt.Sprintf("at most %d bytes encoded", platform.MaxValue)}}
+	case errors.Is(err, platform.ErrUnavailable) && a.pending == nil:
+		return false, fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	case errors.Is(err, platform.ErrUnavailable):
+		return false, nil
+	}
+	// Any other error, a timeout included, may hide an effect: read back before deciding.
+	a.pending = &pending{base: base, encoded: encoded, root: next}
+	a.loaded = false
+	return false, nil
+}
+
+// giveUp names the fate of a change that could not be settled in time.
+func (a *attempt) giveUp(cause error) error {
+	if a.pending == nil {
+		return fmt.Errorf("%w: %w", ErrNotAccepted, cause)
+	}
+	return &UnknownError{ID: a.id, Since: a.since, Cause: cause}
+}
+
+// pause waits between attempts, with jitter so that racing editors part.
+func pause(ctx context.Context, attempt int) error {
+	mean := retryDelay << min(attempt, retryDoublings)
+	t := time.NewTimer(time.Duration(rand.Int64N(int64(2 * mean))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/config/kinds.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Object is any operator object: a pointer to one of the types of this package.
+type Object interface {
+	meta() *Meta
+}
+
+func (m *Meta) meta() *Meta { return m }
+
+// Kinds lists the kinds in the order in which they are shown and checked.
+var Kinds = []Kind{KindDataCentre, KindVersion, KindService, KindEndpoint, KindRollOut, KindAccount}
+
+// New returns an empty object of the kind, or nil for a kind that does not exist.
+func New(kind Kind) Object {
+	switch kind {
+	case KindAccount:
+		return new(ClientAccount)
+	case KindVersion:
+		return new(ModelVersion)
+	case KindRollOut:
+		return new(RollOut)
+	case KindDataCentre:
+		return new(DataCentre)
+	case KindEndpoint:
+		return new(Endpoint)
+	case KindService:
+		return new(Service)
+	}
+	return nil
+}
+
+// KindOf names the kind of an object.
+func KindOf(o Object) Kind {
+	switch o.(type) {
+	case *ClientAccount:
+		return KindAccount
+	case *ModelVersion:
+		return KindVersion
+	case *RollOut:
+		return KindRollOut
+	case *DataCentre:
+		return KindDataCentre
+	case *Endpoint:
+		return KindEndpoint
+	case *Service:
+		return KindService
+	}
+	panic(fmt.Sprintf("config: %T is no operator object", o))
+}
+
+// MetaOf returns the object's name, labels and revision.
+func MetaOf(o Object) Meta { return *o.meta() }
+
+// Clone copies an object deeply, so that a published one is never changed.
+func Clone(o Object) Object {
+	data, err := cbor.Marshal(o)
+	if err != nil {
+		panic(fmt.Sprintf("config: encode %T: %v", o, err))
+	}
+	c := New(KindOf(o))
+	if err := cbor.Unmarshal(data, c); err != nil {
+		panic(fmt.Sprintf("config: decode %T: %v", o, err))
+	}
+	return c
+}
+
+// Get returns one object, or nil.
+func (s *Snapshot) Get(kind Kind, name string) Object {
+	switch kind {
+	case KindAccount:
+		return find(s.Accounts, name)
+	case KindVersion:
+		return find(s.Versions, name)
+	case KindRollOut:
+		return find(s.RollOuts, name)
+	case KindDataCentre:
+		return find(s.DataCentres, name)
+	case KindEndpoint:
+		return find(s.Endpoints, name)
+	case KindService:
+		return find(s.Services, name)
+	}
+	return nil
+}
+
+// List returns the objects of a kind by name; with a selector, those that it matches.
+func (s *Snapshot) List(kind Kind, selector Selector) []Object {
+	var all []Object
+	switch kind {
+	case KindAccount:
+		all = objects(s.Accounts)
+	case KindVersion:
+		all = objects(s.Versions)
+	case KindRollOut:
+		all = objects(s.RollOuts)
+	case KindDataCentre:
+		all = objects(s.DataCentres)
+	case KindEndpoint:
+		all = objects(s.Endpoints)
+	case KindService:
+		all = objects(s.Services)
+	}
+	if len(selector) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(o Object) bool { return !selector.Matches(o.meta().Labels) })
+}
+
+// put stores an object. Only an editor calls it, on a snapshot that is not published yet.
+func (s *Snapshot) put(o Object) {
+	name := o.meta().Name
+	switch o := o.(type) {
+	case *ClientAccount:
+		set(&s.Accounts, name, o)
+	case *ModelVersion:
+		set(&s.Versions, name, o)
+	case *RollOut:
+		set(&s.RollOuts, name, o)
+	case *DataCentre:
+		set(&s.DataCentres, name, o)
+	case *Endpoint:
+		set(&s.Endpoints, name, o)
+	case *Service:
+		set(&s.Services, name, o)
+	}
+}
+
+func (s *Snapshot) remove(kind Kind, name string) {
+	switch kind {
+	case KindAccount:
+		delete(s.Accounts, name)
+	case KindVersion:
+		delete(s.Versions, name)
+	case KindRollOut:
+		delete(s.RollOuts, name)
+	case KindDataCentre:
+		delete(s.DataCentres, name)
+	case KindEndpoint:
+		delete(s.Endpoints, name)
+	case KindService:
+		delete(s.Services, name)
+	}
+}
+
+// object is a pointer to T that is an Object.
+type object[T any] interface {
+	*T
+	Object
+}
+
+func find[T any, P object[T]](m map[string]P, name string) Object {
+	if o, ok := m[name]; ok {
+		return o
+	}
+	return nil
+}
+
+func objects[T any, P object[T]](m map[string]P) []Object {
+	list := make([]Object, 0, len(m))
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, m[name])
+	}
+	return list
+}
+
+func set[T any, P object[T]](m *map[string]P, name string, o P) {
+	if *m == nil {
+		*m = make(map[string]P)
+	}
+	(*m)[name] = o
+}
+
+// ParseSelector reads "key=a|b,other=c"; the empty text gives the empty selector.
+func ParseSelector(text string) (Selector, error) {
+	if text == "" {
+		return nil, nil
+	}
+	s := make(Selector)
+	for term := range strings.SplitSeq(text, ",") {
+		key, values, ok := strings.Cut(term, "=")
+		if !ok || key == "" || values == "" {
+			return nil, Problems{{Field: "selector", Got: term, Want: "key=value or key=value|value"}}
+		}
+		s[key] = strings.Split(values, "|")
+	}
+	return s, nil
+}
+
+// classNames are the texts of the priority classes.
+var classNames = []string{"immediate", "interactive", "deferrable"}
+
+// String gives the class as operators write it.
+func (c Class) String() string {
+	if c < 0 || int(c) >= len(classNames) {
+		return fmt.Sprintf("class(%d)", int(c))
+	}
+	return classNames[c]
+}
+
+// MarshalText writes the class by name in JSON.
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText reads the class by name in JSON.
+func (c *Class) UnmarshalText(text []byte) error {
+	i := slices.Index(classNames, string(text))
+	if i < 0 {
+		return fmt.Errorf("class %q is none of %s", text, strings.Join(classNames, ", "))
+	}
+	*c = Class(i)
+	return nil
+}
+
+// byKind orders problems for reading.
+func byKind(a, b Problem) int {
+	return cmp.Or(
+		cmp.Compare(slices.Index(Kinds, a.Kind), slices.Index(Kinds, b.Kind)),
+		cmp.Compare(a.Name, b.Name),
+		cmp.Compare(a.Field, b.Field),
+	)
+}
