Serve a request from a caller to an endpoint and back

Cause: everything else stands on one whole path. Ruled out: a ready proxy (the users forbid it, and it can't tell a cut answer from a short one). Change: the caller API (completions streamed and not, models, plain services, addresses), the engine client that takes frames by request and position and resumes cut streams, the client of plain services that never sends a call twice, the dispatcher that wires the policy packages to goroutines, strict settings, the daemon and stand-ins. Conclusion: the path stands for one VM; claims, sessions, bills and slots over several VMs are wired next.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,49 @@
+// Command standin serves one stand-in for a system around goldcrestfork: a model
+// engine, a plain service or the rating service. The platform's is platformd.
+package main
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"goldcrestfork/standin/backend"
+)
+
+var cli struct {
+	Engine struct {
+		Versions   []string      `arg:"" help:"Model versions that it serves."`
+		TokenDelay time.Duration `default:"5ms" help:"Time between tokens."`
+	} `cmd:"" help:"A model engine's runner."`
+	Service struct{} `cmd:"" help:"A plain service that books each POST."`
+	Rating  struct{} `cmd:"" help:"The rating service."`
+
+	Listen string `default:"127.0.0.1:0" help:"Address to serve on."`
+}
+
+func main() {
+	command := kong.Parse(&cli, kong.Name("standin")).Command()
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("standin", command).Logger()
+	var h http.Handler
+	switch command {
+	case "service":
+		h = backend.NewService().Handler()
+	case "rating":
+		h = backend.NewRating().Handler()
+	default:
+		e := backend.NewEngine(cli.Engine.Versions...)
+		e.SetFaults(backend.EngineFaults{TokenDelay: cli.Engine.TokenDelay})
+		h = e.Handler()
+	}
+	l, err := net.Listen("tcp", cli.Listen)
+	if err != nil {
+		log.Fatal().Err(err).Msg("can't listen")
+	}
+	log.Info().Stringer("address", l.Addr()).Msg("serving")
+	server := http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	log.Fatal().Err(server.Serve(l)).Msg("stopped")
+}
--- a/config/parse.go
+++ b/config/parse.go
@@ -145,12 +145,16 @@
 	}
 }
 
-// nested goes on into arrays of structs; other values are checked when they are decoded.
+// nested goes on into structs and arrays of structs; other values are checked when they are decoded.
 func (p *parser) nested(v *hujson.Value, t reflect.Type, path string) {
 	if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() == 'n' {
 		p.refuse(v.StartOffset, path, "null", describeType(t)+", or the field left out")
 		return
 	}
+	if t.Kind() == reflect.Struct {
+		p.fields(v, t, path+".", "")
+		return
+	}
 	if t.Kind() != reflect.Slice || t.Elem().Kind() != reflect.Struct {
 		return
 	}
--- a/policy/picker/plugins.go
+++ b/policy/picker/plugins.go
@@ -15,6 +15,8 @@
 	Prefix []uint64
 	// Exclude names endpoints already tried.
 	Exclude []string
+	// Only is the one endpoint that will do, which holds the stream to resume; empty for any.
+	Only string
 	// Suspect says that the request was at a crash (see policy/poison).
 	Suspect bool
 }
@@ -59,12 +61,13 @@
 // Eligible implements StateFilter.
 func (HasRoom) Eligible(e *Endpoint) bool { return e.InFlight() < e.Limit() }
 
-// NotTried keeps a retry off the endpoints that were already tried.
+// NotTried keeps a retry off the endpoints that were already tried, and a resumed
+// stream on the one that holds it.
 type NotTried struct{}
 
 // Allow implements RequestFilter.
 func (NotTried) Allow(r *Request, e *Endpoint) bool {
-	return !slices.Contains(r.Exclude, e.Name)
+	return (r.Only == "" || r.Only == e.Name) && !slices.Contains(r.Exclude, e.Name)
 }
 
 // SuspectsApart keeps a request that was at a crash off endpoints where another
--- /dev/null
+++ b/router/dispatch/dispatcher.go
@@ -0,0 +1,327 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/config"
+	"goldcrestfork/policy/admission"
+	"goldcrestfork/policy/limit"
+	"goldcrestfork/policy/outlier"
+	"goldcrestfork/policy/picker"
+	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/retry"
+	"goldcrestfork/router/refusal"
+)
+
+// tick is the time between two looks at waiting requests whose deadline can't be
+// met any more; admission asks for it.
+const tick = 100 * time.Millisecond
+
+// Slots deals the endpoints' slots to the VMs.
+type Slots interface {
+	// Share returns how many of an endpoint's warm slots this VM may use.
+	Share(endpoint string, slots int) int
+	// TakeCold takes one of this VM's cold slots of an endpoint, to be given back by
+	// release when the endpoint has certainly ended the request.
+	TakeCold(endpoint string, coldSlots int) (release func(), ok bool)
+	// ColdShare returns how many cold slots this VM may use at most.
+	ColdShare(endpoint string, coldSlots int) int
+}
+
+// Config sets a dispatcher.
+type Config struct {
+	// DataCentre and Region are where this VM is.
+	DataCentre string
+	Region     string
+	// Weights are the scorers' weights. Default picker.WeightsCost.
+	Weights picker.Weights
+	// Slots deals the endpoints' slots; required.
+	Slots Slots
+	// Registerer takes the metrics; required.
+	Registerer prometheus.Registerer
+	// Seed makes choices repeatable in tests; 0 takes a random one.
+	Seed uint64
+}
+
+// Dispatcher hands out tickets. It is safe for concurrent use.
+type Dispatcher struct {
+	cfg     Config
+	table   *picker.Table
+	metrics *metrics
+	nextID  atomic.Uint64
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	lines     map[string]*line
+	endpoints map[string]*endpoint
+}
+
+// endpoint is what is known of an endpoint beside the picker's table.
+type endpoint struct {
+	spec        *config.Endpoint
+	pools       []string
+	incarnation string
+	cold        bool
+	running     map[uint64]poison.Fingerprint
+}
+
+// line is the queue and the budgets of one pool.
+type line struct {
+	name     string
+	queue    *admission.Queue
+	detector *outlier.Detector
+	budget   *retry.Budget
+	tracker  *poison.Tracker
+	size     int // endpoints
+}
+
+// New returns a dispatcher without endpoints.
+func New(cfg Config) *Dispatcher {
+	if cfg.Weights == (picker.Weights{}) {
+		cfg.Weights = picker.WeightsCost
+	}
+	seed := cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &Dispatcher{
+		cfg:       cfg,
+		table:     picker.NewTable(picker.DefaultConfig(cfg.Weights)),
+		metrics:   newMetrics(cfg.Registerer),
+		rng:       rand.New(rand.NewPCG(seed, 0)),
+		lines:     make(map[string]*line),
+		endpoints: make(map[string]*endpoint),
+	}
+}
+
+// Configure takes a new configuration: endpoints that leave or whose data centre
+// is out get no new work from this call on.
+func (d *Dispatcher) Configure(s *config.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	specs := make([]picker.Spec, 0, len(s.Endpoints))
+	members := make(map[string][]string)
+	for name, e := range s.Endpoints {
+		pools := poolsOf(e)
+		own := d.endpoints[name]
+		if own == nil {
+			own = &endpoint{running: make(map[uint64]poison.Fingerprint)}
+			d.endpoints[name] = own
+		}
+		own.spec, own.pools = e, pools
+		specs = append(specs, d.specOf(s, e, pools))
+		for _, p := range pools {
+			members[p] = append(members[p], name)
+		}
+	}
+	for name := range d.endpoints {
+		if s.Endpoints[name] == nil {
+			delete(d.endpoints, name)
+		}
+	}
+	d.table.Set(specs)
+	for _, e := range s.Endpoints {
+		d.table.Update(e.Name, func(st *picker.State) {
+			st.Leaving = e.State == config.EndpointLeaving
+			dc := s.DataCentres[e.DataCentre]
+			st.DataCentreOut = dc != nil && dc.State == config.DataCentreOut
+		})
+	}
+	d.setLines(members)
+}
+
+func poolsOf(e *config.Endpoint) []string {
+	if e.Service != "" {
+		return []string{ServicePool(e.Service)}
+	}
+	return e.Versions
+}
+
+func (d *Dispatcher) specOf(s *config.Snapshot, e *config.Endpoint, pools []string) picker.Spec {
+	tier := picker.TierFar
+	if dc := s.DataCentres[e.DataCentre]; e.DataCentre == d.cfg.DataCentre {
+		tier = picker.TierLocal
+	} else if dc != nil && dc.Region == d.cfg.Region {
+		tier = picker.TierRegion
+	}
+	return picker.Spec{Name: e.Name, Pools: pools, DataCentre: e.DataCentre, Tier: tier, Bounds: d.bounds(e)}
+}
+
+func (d *Dispatcher) bounds(e *config.Endpoint) limit.Bounds {
+	return limit.Bounds{
+		Slots: d.cfg.Slots.Share(e.Name, e.Slots),
+		Cold:  d.cfg.Slots.ColdShare(e.Name, e.ColdSlots),
+	}
+}
+
+// setLines makes one line for each pool. Callers hold d.mu.
+func (d *Dispatcher) setLines(members map[string][]string) {
+	now := time.Now()
+	for pool, names := range members {
+		l := d.lines[pool]
+		if l == nil {
+			l = &line{
+				name:     pool,
+				queue:    admission.New(admission.Config{}, rand.New(rand.NewPCG(d.rng.Uint64(), 0))),
+				detector: outlier.New(),
+				budget:   retry.New(retry.Ratio),
+				tracker:  poison.New(len(names)),
+			}
+			d.lines[pool] = l
+		}
+		l.size = len(names)
+		l.detector.Set(names)
+		l.tracker.Resize(len(names))
+	}
+	for pool, l := range d.lines {
+		if members[pool] == nil {
+			l.queue.SetCapacity(now, 0)
+			d.answerRefused(l, now)
+			delete(d.lines, pool)
+			continue
+		}
+		d.refresh(l, now)
+	}
+}
+
+// Rebalance takes a change of membership: the slots dealt to this VM may have moved.
+func (d *Dispatcher) Rebalance() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, e := range d.endpoints {
+		d.table.SetBounds(name, d.bounds(e.spec))
+	}
+}
+
+// Run looks after waiting requests until the context ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			d.Tick(now)
+		}
+	}
+}
+
+// Tick refuses what can't be done any more, ends ejections and starts what fits.
+func (d *Dispatcher) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.lines {
+		for _, c := range l.detector.Due(now) {
+			d.apply(c)
+		}
+		d.refresh(l, now)
+	}
+}
+
+// refresh sets a line's capacity and starts what fits. Callers hold d.mu.
+func (d *Dispatcher) refresh(l *line, now time.Time) {
+	slots, _ := d.table.Capacity(l.name)
+	l.queue.SetCapacity(now, slots)
+	d.pump(l, now)
+}
+
+// apply passes a detector's decision on to the picker. Callers hold d.mu.
+func (d *Dispatcher) apply(c outlier.Change) {
+	d.metrics.ejections.WithLabelValues(stateNames[c.State]).Inc()
+	d.table.Update(c.Endpoint, func(s *picker.State) {
+		s.Ejected = c.State == outlier.Ejected
+		s.Probation = c.State == outlier.Probation
+	})
+}
+
+// pump starts waiting requests while there is room. Callers hold d.mu.
+func (d *Dispatcher) pump(l *line, now time.Time) {
+	for {
+		it, ok := l.queue.Next(now)
+		if !ok {
+			break
+		}
+		w := it.Value.(*waiter)
+		t, miss := d.pick(l, now, w.need, it)
+		if t != nil {
+			w.done <- grant{ticket: t}
+			continue
+		}
+		if bad := d.missed(l, w.need, miss); bad != nil {
+			l.queue.Done(now, it, 0, 0)
+			w.done <- grant{refusal: bad}
+			continue
+		}
+		l.queue.PutBack(now, it)
+		break
+	}
+	d.answerRefused(l, now)
+}
+
+// answerRefused gives the queue's final answers at once. Callers hold d.mu.
+func (d *Dispatcher) answerRefused(l *line, now time.Time) {
+	for _, r := range l.queue.Refused(now) {
+		w := r.Item.Value.(*waiter)
+		w.done <- grant{refusal: d.refusal(r.Reason, r.RetryAfter)}
+	}
+}
+
+// refusal turns an admission's reason into the caller's answer.
+func (d *Dispatcher) refusal(reason admission.Reason, after time.Duration) *refusal.Refusal {
+	d.metrics.refused.WithLabelValues(string(reason)).Inc()
+	switch reason {
+	case admission.ReasonDeadline:
+		return refusal.New(http.StatusTooManyRequests, refusal.DeadlineTooShort, "the request can't be done by its deadline").After(after)
+	case admission.ReasonNoCapacity:
+		return refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no endpoint takes work now").After(after)
+	case admission.ReasonBroken:
+		return refusal.New(http.StatusServiceUnavailable, refusal.EndpointFailed, "nearly all answers of the pool fail").After(after)
+	default:
+		return refusal.New(http.StatusTooManyRequests, refusal.Overloaded, "the queue is full").After(after)
+	}
+}
+
+// missed is the final answer to a request for which nothing was picked, or nil
+// when waiting helps.
+func (d *Dispatcher) missed(l *line, n *Need, miss picker.Miss) *refusal.Refusal {
+	switch {
+	case n.Only != "" && miss != picker.MissFull:
+		return refusal.New(http.StatusGone, refusal.ResumeNotPossible, "the endpoint that holds the stream takes no work").WhichRan(refusal.DidRun)
+	case miss == picker.MissUnknown:
+		return refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no endpoint serves %s", l.name)
+	case miss == picker.MissFiltered && len(n.tried) >= l.size:
+		return refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "all endpoints of %s were tried", l.name).After(time.Second)
+	}
+	return nil
+}
+
+// Address returns an endpoint's "ip:port"; empty for one that is not configured.
+func (d *Dispatcher) Address(endpoint string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[endpoint]; e != nil {
+		return e.spec.Address
+	}
+	return ""
+}
+
+// Pools names the pools, sorted.
+func (d *Dispatcher) Pools() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := make([]string, 0, len(d.lines))
+	for n := range d.lines {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/router/dispatch/dump.go
@@ -0,0 +1,62 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+)
+
+// PoolDump is one pool in the state dump.
+type PoolDump struct {
+	Pool      string `json:"pool"`
+	Waiting   int    `json:"waiting"`
+	Running   int    `json:"running"`
+	Capacity  int    `json:"capacity"`
+	Endpoints int    `json:"endpoints"`
+}
+
+// EndpointDump is one endpoint in the state dump: why it gets work or not.
+type EndpointDump struct {
+	Endpoint    string   `json:"endpoint"`
+	DataCentre  string   `json:"dataCentre"`
+	Pools       []string `json:"pools"`
+	State       string   `json:"state"`
+	Cold        bool     `json:"cold"`
+	Incarnation string   `json:"incarnation,omitempty"`
+	Running     int      `json:"running"`
+	Slots       int      `json:"slots"`
+	ColdSlots   int      `json:"coldSlots"`
+	Detector    string   `json:"detector"`
+}
+
+// Dump is the dispatcher's part of the state dump.
+type Dump struct {
+	Pools     []PoolDump     `json:"pools"`
+	Endpoints []EndpointDump `json:"endpoints"`
+}
+
+// Dump tells how the queues stand and why each endpoint gets work or not.
+func (d *Dispatcher) Dump() Dump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out Dump
+	for name, l := range d.lines {
+		waiting, running := l.queue.Len()
+		slots, _ := d.table.Capacity(name)
+		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: l.size})
+	}
+	for name, e := range d.endpoints {
+		b := d.bounds(e.spec)
+		row := EndpointDump{
+			Endpoint: name, DataCentre: e.spec.DataCentre, Pools: e.pools, State: string(e.spec.State),
+			Cold: e.cold, Incarnation: e.incarnation, Running: len(e.running),
+			Slots: b.Slots, ColdSlots: b.Cold,
+		}
+		if len(e.pools) > 0 && d.lines[e.pools[0]] != nil {
+			row.Detector = stateNames[d.lines[e.pools[0]].detector.State(name)]
+		}
+		out.Endpoints = append(out.Endpoints, row)
+	}
+	slices.SortFunc(out.Pools, func(a, b PoolDump) int { return strings.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(out.Endpoints, func(a, b EndpointDump) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
--- /dev/null
+++ b/router/dispatch/metrics.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/policy/outlier"
+)
+
+var stateNames = map[outlier.State]string{
+	outlier.Healthy:   "healthy",
+	outlier.Ejected:   "ejected",
+	outlier.Probation: "probation",
+}
+
+type metrics struct {
+	refused     *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	ejections   *prometheus.CounterVec
+	quarantined prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_admission_refused_total",
+			Help: "Requests refused by the queues, by reason.",
+		}, []string{"reason"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_retries_total",
+			Help: "Decisions after a failed attempt; an empty reason means that it was made again.",
+		}, []string{"refused_for"}),
+		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_endpoint_states_total",
+			Help: "Changes of endpoints' states by the outlier detector.",
+		}, []string{"state"}),
+		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "goldcrestfork_quarantined_total",
+			Help: "Requests refused because they crashed the endpoints that ran them.",
+		}),
+	}
+	r.MustRegister(m.refused, m.retries, m.ejections, m.quarantined)
+	return m
+}
--- /dev/null
+++ b/router/engine/metrics.go
@@ -0,0 +1,33 @@
+package engine
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Metrics counts what the engine client sees.
+type Metrics struct {
+	attempts     *prometheus.CounterVec
+	wrongVersion prometheus.Counter
+	frames       [verdictCount]prometheus.Counter
+}
+
+// NewMetrics registers the client's counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_engine_attempts_total",
+			Help: "Attempts at model engines by result.",
+		}, []string{"result"}),
+		wrongVersion: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "goldcrestfork_engine_wrong_version_total",
+			Help: "Answers dropped because the engine ran another version than asked for.",
+		}),
+	}
+	frames := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrestfork_engine_frames_total",
+		Help: "Frames of engines by what became of them.",
+	}, []string{"verdict"})
+	for v := range verdictCount {
+		m.frames[v] = frames.WithLabelValues(verdictNames[v])
+	}
+	r.MustRegister(m.attempts, m.wrongVersion, frames)
+	return m
+}
--- /dev/null
+++ b/router/entry/entry.go
@@ -0,0 +1,279 @@
+// Package entry is the callers' API: completions (streamed or not), models, plain
+// services, and the question which address to use. Each request gets exactly one
+// final answer, at once when it is known: its result, or a refusal that says what
+// is known about the run and when coming back helps.
+//
+// Lock order: the package holds no lock across calls; its counters are leaves.
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"goldcrestfork/config"
+	"goldcrestfork/router/dispatch"
+	"goldcrestfork/router/engine"
+	"goldcrestfork/router/refusal"
+	"goldcrestfork/router/service"
+)
+
+// Configuration is the configuration in force on this VM.
+type Configuration interface {
+	// Snapshot is never nil; at revision 0 the VM has no configuration yet.
+	Snapshot() *config.Snapshot
+	// Fresh is nil, or tells why this VM may have missed a change that matters and
+	// must not take new work.
+	Fresh() error
+}
+
+// Sessions keeps sessions on their versions.
+type Sessions interface {
+	// Decide fixes a session's version: the first caller's wins on all VMs.
+	Decide(ctx context.Context, account, session, version string) (string, error)
+	// Sign makes the token that spares the next request the look-up.
+	Sign(account, session, version string) string
+	// Verify reads a token of that account and session.
+	Verify(token, account, session string) (version string, ok bool)
+}
+
+// Bill is what one request cost, whatever the number of its attempts.
+type Bill struct {
+	// ID is the request's id, or that of its Idempotency-Key; one bill an id.
+	ID      string
+	Account string
+	// What is the model version or the service.
+	What string
+	// Prompt and Completion are tokens; Calls counts plain calls.
+	Prompt, Completion, Calls int64
+	// Cost is in micro-units.
+	Cost int64
+}
+
+// Bills takes bills; it must not block.
+type Bills interface{ Record(Bill) }
+
+// Address is one entry VM that callers may use.
+type Address struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+}
+
+// Addresses answers which VMs to use, best first, and for how long to keep the answer.
+type Addresses interface {
+	Addresses(account, dataCentre string) ([]Address, time.Duration)
+}
+
+// Config wires an entry. All fields are required but where noted.
+type Config struct {
+	Configuration Configuration
+	Dispatch      *dispatch.Dispatcher
+	Engines       *engine.Client
+	Services      *service.Client
+	Claims        Claims
+	Sessions      Sessions
+	Bills         Bills
+	Addresses     Addresses
+	Metrics       *Metrics
+	// Secret signs resume tokens; the same on all VMs, at least 32 bytes.
+	Secret []byte
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	configuration Configuration
+	dispatch      *dispatch.Dispatcher
+	engines       *engine.Client
+	services      *service.Client
+	claims        Claims
+	sessions      Sessions
+	bills         Bills
+	addresses     Addresses
+	metrics       *Metrics
+	signer        signer
+
+	running atomic.Int64
+	closed  atomic.Bool
+}
+
+// New returns an entry.
+func New(c Config) *Entry {
+	return &Entry{
+		configuration: c.Configuration,
+		dispatch:      c.Dispatch,
+		engines:       c.Engines,
+		services:      c.Services,
+		claims:        c.Claims,
+		sessions:      c.Sessions,
+		bills:         c.Bills,
+		addresses:     c.Addresses,
+		metrics:       c.Metrics,
+		signer:        signer{secret: c.Secret},
+	}
+}
+
+// Handler serves the callers' API.
+func (e *Entry) Handler() http.Handler {
+	mux := flow.New()
+	mux.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, refusal.New(http.StatusNotFound, refusal.NoSuchPath, "no such path: %s", r.URL.Path), "")
+	})
+	mux.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.refuse(w, refusal.New(http.StatusMethodNotAllowed, refusal.NoSuchPath, "%s does not take %s", r.URL.Path, r.Method), "")
+	})
+	mux.HandleFunc("/v1/chat/completions", e.count(e.handleChat), http.MethodPost)
+	mux.HandleFunc("/v1/models", e.handleModels, http.MethodGet)
+	mux.HandleFunc("/v1/addresses", e.handleAddresses, http.MethodGet)
+	mux.HandleFunc("/v1/services/:name/...", e.count(e.handleService))
+	return mux
+}
+
+// count keeps the number of running requests, for the end of a planned stop.
+func (e *Entry) count(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		h(w, r)
+	}
+}
+
+// Running is the number of requests under way.
+func (e *Entry) Running() int { return int(e.running.Load()) }
+
+// Close refuses further requests; those under way go on. It comes at the end of a
+// planned stop, when every address answer that named this VM has run out.
+func (e *Entry) Close() { e.closed.Store(true) }
+
+// takesWork refuses new work that this VM must not take.
+func (e *Entry) takesWork() *refusal.Refusal {
+	if e.configuration.Snapshot().Revision == 0 {
+		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "the VM has no configuration yet").After(comeBack)
+	}
+	if err := e.configuration.Fresh(); err != nil {
+		return refusal.New(http.StatusServiceUnavailable, refusal.Stale, "the VM may have missed a change: %v", err).After(comeBack)
+	}
+	return nil
+}
+
+// open identifies a request's caller, unless this VM takes no new work.
+func (e *Entry) open(r *http.Request) (*Caller, *refusal.Refusal) {
+	if e.closed.Load() {
+		return nil, refusal.New(http.StatusServiceUnavailable, refusal.Draining, "the VM is about to stop; ask for addresses").After(comeBack)
+	}
+	if bad := e.takesWork(); bad != nil {
+		return nil, bad
+	}
+	return identify(r, e.configuration.Snapshot(), time.Now())
+}
+
+// refuse sends a final refusal.
+func (e *Entry) refuse(w http.ResponseWriter, r *refusal.Refusal, requestID string) {
+	r.RequestID = requestID
+	e.metrics.refusals.WithLabelValues(string(r.Code), string(r.Ran)).Inc()
+	r.Write(w)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// handleModels lists the models that the account may use and that are serving.
+func (e *Entry) handleModels(w http.ResponseWriter, r *http.Request) {
+	caller, bad := e.open(r)
+	if bad != nil {
+		e.refuse(w, bad, "")
+		return
+	}
+	models := make(map[string]bool)
+	for _, v := range e.configuration.Snapshot().Versions {
+		if v.State == config.VersionServing && caller.Account.Versions.Matches(v.Labels) {
+			models[v.Model] = true
+		}
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, m := range slices.Sorted(maps.Keys(models)) {
+		list.Data = append(list.Data, modelItem{ID: m, Object: "model", OwnedBy: "operators"})
+	}
+	writeJSON(w, list)
+}
+
+type addressList struct {
+	Addresses []Address `json:"addresses"`
+	// KeepSeconds is how long the answer may be used.
+	KeepSeconds int `json:"keepSeconds"`
+}
+
+// handleAddresses answers which VMs to use. A VM that takes no new work answers
+// too: the others' addresses are what its callers need then.
+func (e *Entry) handleAddresses(w http.ResponseWriter, r *http.Request) {
+	s := e.configuration.Snapshot()
+	if s.Revision == 0 {
+		e.refuse(w, refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "the VM has no configuration yet").After(comeBack), "")
+		return
+	}
+	caller, bad := identify(r, s, time.Now())
+	if bad != nil {
+		e.refuse(w, bad, "")
+		return
+	}
+	list, keep := e.addresses.Addresses(caller.Account.Name, r.URL.Query().Get("dataCentre"))
+	if list == nil {
+		list = []Address{}
+	}
+	w.Header().Set("Cache-Control", "private, max-age="+itoa(int(keep.Seconds())))
+	writeJSON(w, addressList{Addresses: list, KeepSeconds: int(keep.Seconds())})
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has gone is no error of ours.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// bill records one request's work, if there was any.
+func (e *Entry) bill(c *chat, fin end) {
+	s := fin.stream
+	if s.Next == 0 && fin.refusal != nil {
+		return
+	}
+	b := Bill{
+		ID:         billID(c.Caller),
+		Account:    c.Account.Name,
+		What:       fin.version,
+		Prompt:     s.Usage.PromptTokens,
+		Completion: cmp.Or(s.Usage.CompletionTokens, int64(s.Next)),
+	}
+	if v := e.configuration.Snapshot().Versions[fin.version]; v != nil {
+		b.Cost = costOf(v, b.Completion)
+	}
+	e.bills.Record(b)
+}
+
+// costOf is the price of so many output tokens, in micro-units, rounded up.
+func costOf(v *config.ModelVersion, tokens int64) int64 { return (v.Cost*tokens + 999) / 1000 }
+
+func (e *Entry) billPlain(p *plain) {
+	e.bills.Record(Bill{ID: billID(p.Caller), Account: p.Account.Name, What: p.service, Calls: 1})
+}
+
+// billID is the same for every send of one action.
+func billID(c *Caller) string {
+	if c.Key != "" {
+		return "key/" + c.Key
+	}
+	return "request/" + c.RequestID
+}
--- /dev/null
+++ b/router/entry/metrics.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts what callers get.
+type Metrics struct {
+	answers      *prometheus.CounterVec
+	refusals     *prometheus.CounterVec
+	pinsUnstored prometheus.Counter
+	claims       *prometheus.CounterVec
+	cascade      *prometheus.CounterVec
+}
+
+// NewMetrics registers the entry's counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_answers_total",
+			Help: "Whole answers by kind.",
+		}, []string{"kind"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_refusals_total",
+			Help: "Final refusals by code and by what is known of the run.",
+		}, []string{"code", "ran"}),
+		pinsUnstored: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "goldcrestfork_session_pins_unstored_total",
+			Help: "Sessions pinned by the deterministic choice because the platform's store was down.",
+		}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_claims_total",
+			Help: "Requests with an Idempotency-Key by what became of their claim.",
+		}, []string{"outcome"}),
+		cascade: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_cascade_steps_total",
+			Help: "Cascade steps by decision and reason.",
+		}, []string{"action", "reason"}),
+	}
+	r.MustRegister(m.answers, m.refusals, m.pinsUnstored, m.claims, m.cascade)
+	return m
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/router/entry/plain.go
@@ -0,0 +1,183 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"goldcrestfork/config"
+	"goldcrestfork/router/dispatch"
+	"goldcrestfork/router/refusal"
+	"goldcrestfork/router/service"
+)
+
+// plain is one call of a plain service on its way.
+type plain struct {
+	*Caller
+	service    string
+	method     string
+	path       string
+	header     http.Header
+	body       []byte
+	idempotent bool
+}
+
+// handleService serves /v1/services/{name}/… .
+func (e *Entry) handleService(w http.ResponseWriter, r *http.Request) {
+	caller, bad := e.open(r)
+	if bad != nil {
+		e.refuse(w, bad, "")
+		return
+	}
+	w.Header().Set(HeaderRequestID, caller.RequestID)
+	if bad := e.plainCall(w, r, caller); bad != nil {
+		e.refuse(w, bad, caller.RequestID)
+	}
+}
+
+func (e *Entry) plainCall(w http.ResponseWriter, r *http.Request, caller *Caller) *refusal.Refusal {
+	p, bad := e.parsePlain(r, caller)
+	if bad != nil {
+		return bad
+	}
+	if p.body, bad = readBody(w, r); bad != nil {
+		return bad
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), p.Deadline)
+	defer cancel()
+	if !p.idempotent || p.Key != "" {
+		return e.plainOnce(ctx, w, p)
+	}
+	answer, _, bad := e.callService(ctx, p)
+	if bad != nil {
+		return bad
+	}
+	e.billPlain(p)
+	writeAnswer(w, answer)
+	return nil
+}
+
+// parsePlain checks a call against the services' declarations.
+func (e *Entry) parsePlain(r *http.Request, caller *Caller) (*plain, *refusal.Refusal) {
+	s := e.configuration.Snapshot()
+	name := r.PathValue("name")
+	svc := s.Services[name]
+	if svc == nil || !caller.Account.Services.Matches(svc.Labels) {
+		return nil, refusal.New(http.StatusForbidden, refusal.ServiceNotAllowed, "the account may not call service %q", name)
+	}
+	p := &plain{Caller: caller, service: name, method: r.Method, path: "/" + r.PathValue("...")}
+	call := findCall(svc, p.method, p.path)
+	if call == nil {
+		return nil, refusal.New(http.StatusNotFound, refusal.CallNotDeclared, "service %s declares no call %s %s", name, p.method, p.path)
+	}
+	p.idempotent = call.Idempotent
+	if !p.idempotent && p.Key == "" {
+		return nil, refusal.New(http.StatusBadRequest, refusal.KeyRequired,
+			"%s %s may not be repeated; send an %s, the same on each send of the same action", p.method, p.path, HeaderIdempotencyKey)
+	}
+	p.header = http.Header{"X-Request-Id": {caller.RequestID}}
+	for _, k := range [...]string{"Content-Type", "Accept", HeaderIdempotencyKey} {
+		if v := r.Header.Values(k); len(v) > 0 {
+			p.header[k] = v
+		}
+	}
+	if r.URL.RawQuery != "" {
+		p.path += "?" + r.URL.RawQuery
+	}
+	return p, nil
+}
+
+// findCall returns the declaration that covers a call; the longest path goes first.
+func findCall(svc *config.Service, method, path string) *config.Call {
+	var best *config.Call
+	for i := range svc.Calls {
+		c := &svc.Calls[i]
+		covers := c.Path == path || strings.HasSuffix(c.Path, "/") && strings.HasPrefix(path, c.Path)
+		if c.Method == method && covers && (best == nil || len(c.Path) > len(best.Path)) {
+			best = c
+		}
+	}
+	return best
+}
+
+// callService makes attempts until there is an answer. A call that may not be
+// repeated is sent to a second endpoint only when no byte left for the first.
+func (e *Entry) callService(ctx context.Context, p *plain) (service.Answer, string, *refusal.Refusal) {
+	n := p.need()
+	ran := refusal.NotRun
+	for {
+		t, bad := e.dispatch.Acquire(ctx, n)
+		if bad == nil {
+			bad = e.plainStillAllowed(p)
+			if bad != nil {
+				t.Cancel()
+			}
+		}
+		if bad != nil {
+			bad.Ran = ran
+			return service.Answer{}, "", bad
+		}
+		answer, result, err := e.services.Do(ctx, service.Call{
+			Address: t.Address, Method: p.method, Path: p.path, Header: p.header, Body: p.body, Idempotent: p.idempotent,
+		})
+		t.Done(dispatch.Result{
+			Failed:    result == service.Unknown || answer.Status >= http.StatusInternalServerError,
+			Unreached: result == service.NotSent,
+			Running:   -1,
+		})
+		if result == service.Answered {
+			return answer, t.Endpoint, nil
+		}
+		if result == service.Unknown {
+			ran = refusal.Unknown
+		}
+		bad = refusal.New(http.StatusBadGateway, refusal.EndpointFailed, "the call failed: %v", err).WhichRan(ran).After(comeBack)
+		if result == service.Unknown && !p.idempotent {
+			// It may have run; to send it again could run it twice.
+			bad.Code, bad.RetryAfter = refusal.OutcomeUnknown, 0
+			return service.Answer{}, t.Endpoint, bad
+		}
+		after, again := e.dispatch.Again(n, t, dispatch.Failure{NotRun: result == service.NotSent})
+		if !again || !sleep(ctx, after) {
+			return service.Answer{}, t.Endpoint, bad
+		}
+	}
+}
+
+func (e *Entry) plainStillAllowed(p *plain) *refusal.Refusal {
+	if bad := e.takesWork(); bad != nil {
+		return bad
+	}
+	s := e.configuration.Snapshot()
+	account, svc := s.Accounts[p.Account.Name], s.Services[p.service]
+	if account == nil || svc == nil || !account.Services.Matches(svc.Labels) {
+		return refusal.New(http.StatusForbidden, refusal.ServiceNotAllowed, "the account may not call service %q any more", p.service)
+	}
+	return nil
+}
+
+func (p *plain) need() *dispatch.Need {
+	return &dispatch.Need{
+		RequestID:  p.RequestID,
+		Account:    p.Account,
+		Class:      p.Class,
+		Deadline:   p.Deadline,
+		Size:       1,
+		Pool:       dispatch.ServicePool(p.service),
+		Idempotent: p.idempotent,
+	}
+}
+
+// passed are the headers of a service's answer that the caller gets.
+var passed = [...]string{"Content-Type", "Content-Language", "Etag", "Last-Modified", "Location", "Cache-Control"}
+
+func writeAnswer(w http.ResponseWriter, a service.Answer) {
+	for _, k := range passed {
+		if v := a.Header.Values(k); len(v) > 0 {
+			w.Header()[k] = v
+		}
+	}
+	w.Header().Set("X-Ran", string(refusal.DidRun))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
--- /dev/null
+++ b/router/vm/harness_test.go
@@ -0,0 +1,203 @@
+package vm
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config"
+	"goldcrestfork/router/refusal"
+	"goldcrestfork/router/settings"
+	"goldcrestfork/standin/backend"
+	"goldcrestfork/standin/store"
+)
+
+// The configuration of the tests: Norte's assistant in two versions of which the
+// baker may use both and the clerk only the first, and the connector.
+const (
+	bakerKey = "baker-key"
+	clerkKey = "clerk-key"
+	v1       = "asistente-1"
+	v2       = "asistente-2"
+)
+
+// world is one VM with stand-ins around it.
+type world struct {
+	t       *testing.T
+	store   *store.Store
+	engines []*backend.Engine
+	plain   *backend.Service
+	vm      *VM
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// newWorld starts a VM before n engines that serve both versions.
+func newWorld(t *testing.T, n int) *world {
+	t.Helper()
+	w := &world{t: t, store: store.New(), plain: backend.NewService(), done: make(chan error, 1)}
+	platform := w.serve(store.Handler(w.store))
+	dir := t.TempDir()
+	for _, f := range []string{"ca", "cert", "key"} {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, f), nil, 0o600))
+	}
+	s, err := settings.Parse("test", fmt.Appendf(nil, `{
+		"vm": "vm-1", "dataCentre": "norte-a", "region": "norte",
+		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
+		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key"},
+		"platform": {"url": "http://%[2]s"},
+		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
+		"keepAddresses": "1ms",
+	}`, dir, platform, hash("secret")))
+	require.NoError(t, err)
+	w.vm, err = New(s, zerolog.Nop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go func() { w.done <- w.vm.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-w.done)
+	})
+	w.configure(n)
+	return w
+}
+
+// serve starts a stand-in and returns its address.
+func (w *world) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	w.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func (w *world) configure(n int) {
+	labels := func(tier string) map[string]string { return map[string]string{"tier": tier} }
+	objects := []config.Object{
+		&config.DataCentre{Meta: config.Meta{Name: "norte-a"}, Region: "norte", State: config.DataCentreIn},
+		&config.ModelVersion{Meta: config.Meta{Name: v1, Labels: labels("base")}, Model: "asistente", State: config.VersionServing, Cost: 100, Quality: 0.6},
+		&config.ModelVersion{Meta: config.Meta{Name: v2, Labels: labels("best")}, Model: "asistente", State: config.VersionServing, Cost: 1000, Quality: 0.9},
+		&config.Service{Meta: config.Meta{Name: "conector", Labels: labels("till")}, Calls: []config.Call{
+			{Method: "GET", Path: "/till/", Idempotent: true}, {Method: "POST", Path: "/refunds"}}},
+		&config.Endpoint{Meta: config.Meta{Name: "conector-1"}, Address: w.serve(w.plain.Handler()), DataCentre: "norte-a", Service: "conector", Slots: 8, ColdSlots: 1, State: config.EndpointServing},
+		&config.ClientAccount{Meta: config.Meta{Name: "baker"}, KeyHashes: []string{hash(bakerKey)}, Class: config.ClassInteractive,
+			Versions: config.Selector{"tier": {"base", "best"}}, Services: config.Selector{"tier": {"till"}}},
+		&config.ClientAccount{Meta: config.Meta{Name: "clerk"}, KeyHashes: []string{hash(clerkKey)}, Class: config.ClassDeferrable,
+			Versions: config.Selector{"tier": {"base"}}},
+	}
+	for i := range n {
+		e := backend.NewEngine(v1, v2)
+		w.engines = append(w.engines, e)
+		objects = append(objects, &config.Endpoint{Meta: config.Meta{Name: fmt.Sprintf("runner-%d", i)}, Address: w.serve(e.Handler()),
+			DataCentre: "norte-a", Versions: []string{v1, v2}, Slots: 8, ColdSlots: 1, State: config.EndpointServing})
+	}
+	w.put(objects...)
+}
+
+// put changes the configuration and waits until it is in force here.
+func (w *world) put(objects ...config.Object) {
+	w.t.Helper()
+	var changes []config.Change
+	for _, o := range objects {
+		changes = append(changes, config.Change{Op: config.OpPut, Object: o})
+	}
+	_, _, err := w.vm.editor.Apply(w.t.Context(), changes)
+	require.NoError(w.t, err)
+	w.vm.dispatch.Configure(w.vm.cache.Snapshot())
+}
+
+// reply is what a caller receives.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send makes one request as a caller does.
+func (w *world) send(method, path, key string, header map[string]string, body string) reply {
+	w.t.Helper()
+	req, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+w.vm.CallersAddress()+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(w.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	return reply{resp.StatusCode, resp.Header, string(b)}
+}
+
+// ask sends a completion for n tokens.
+func (w *world) ask(key, model, prompt string, n int, stream bool, header map[string]string) reply {
+	w.t.Helper()
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": stream, "max_tokens": n,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	require.NoError(w.t, err)
+	return w.send(http.MethodPost, "/v1/chat/completions", key, header, string(body))
+}
+
+// problem reads a refusal.
+func (r reply) problem(t *testing.T) (p struct {
+	Code refusal.Code
+	Ran  refusal.Ran
+}) {
+	t.Helper()
+	require.NoError(t, json.Unmarshal([]byte(r.body), &p), r.body)
+	return p
+}
+
+// text reads a document or a stream; whole says that it had its end mark.
+func (r reply) text(t *testing.T) (text string, whole bool) {
+	t.Helper()
+	if !strings.HasPrefix(r.header.Get("Content-Type"), "text/event-stream") {
+		var doc struct {
+			Choices []struct{ Message struct{ Content string } }
+		}
+		require.NoError(t, json.Unmarshal([]byte(r.body), &doc), r.body)
+		require.NotEmpty(t, doc.Choices, r.body)
+		return doc.Choices[0].Message.Content, true
+	}
+	for line := range bytes.Lines([]byte(r.body)) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(string(line)), "data:")
+		data = strings.TrimSpace(data)
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var f struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		require.NoError(t, json.Unmarshal([]byte(data), &f), data)
+		if len(f.Choices) > 0 {
+			text += f.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
--- /dev/null
+++ b/router/vm/operators.go
@@ -0,0 +1,62 @@
+package vm
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"goldcrestfork/config"
+	"goldcrestfork/router/dispatch"
+)
+
+// operatorsHandler serves probes, metrics and the state dump.
+func (v *VM) operatorsHandler() http.Handler {
+	mux := flow.New()
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "alive\n") }, http.MethodGet)
+	mux.HandleFunc("/readyz", v.ready, http.MethodGet)
+	mux.Handle("/metrics", promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}), http.MethodGet)
+	mux.HandleFunc("/state", v.state, http.MethodGet)
+	return mux
+}
+
+// ready tells whether this VM takes new work; being alive is another question.
+func (v *VM) ready(w http.ResponseWriter, _ *http.Request) {
+	d := v.cache.Staleness(time.Now())
+	if !d.TakesWork() || v.cache.Revision() == 0 {
+		writeText(w, http.StatusServiceUnavailable, "not ready: "+d.Reason+"\n")
+		return
+	}
+	writeText(w, http.StatusOK, "ready\n")
+}
+
+// State is the state dump: why requests go where they go.
+type State struct {
+	VM            string        `json:"vm"`
+	DataCentre    string        `json:"dataCentre"`
+	Running       int           `json:"running"`
+	Configuration config.State  `json:"configuration"`
+	Dispatch      dispatch.Dump `json:"dispatch"`
+}
+
+func (v *VM) state(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	// An operator that has gone is no error of ours.
+	_ = e.Encode(State{
+		VM:            v.settings.VM,
+		DataCentre:    v.settings.DataCentre,
+		Running:       v.entry.Running(),
+		Configuration: v.cache.Dump(time.Now()),
+		Dispatch:      v.dispatch.Dump(),
+	})
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(text))
+}
