Decide keys once over conditional writes, with group commit and claims

Cause: what must be agreed or kept has only the platform's conditional write. Ruled out: a lease for a shard's owner (ownership is a hint; the write decides), reading back after a lost reply (a late write may follow the read: the same conditional write is repeated instead, which either conflicts or fences it). Change: ledger with shards, seals and merges, claims with generations, a settler for outcomes owed to the store, a model test over random schedules.

--- /dev/null
+++ b/ledger/dump.go
@@ -0,0 +1,69 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+// ShardInfo is a shard in a state dump.
+type ShardInfo struct {
+	Shard    int   `json:"shard"`
+	Version  int64 `json:"version"`
+	Entries  int   `json:"head_entries"`
+	HeadSize int   `json:"head_bytes"`
+	Segments int   `json:"segments"`
+	// Sealed is the number of keys known from segments.
+	Sealed int `json:"sealed_entries"`
+	Queued int `json:"queued"`
+	// Unsettled: a write had no reply and its effect is not known yet.
+	Unsettled bool `json:"unsettled"`
+}
+
+// Dump is the ledger's part of a process's state dump.
+type Dump struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	// RefusingFor is how long callers are refused since the store is down.
+	RefusingFor time.Duration `json:"refusing_for_ns"`
+	Remembered  int           `json:"remembered_decisions"`
+	Shards      []ShardInfo   `json:"shards"`
+}
+
+// Dump gives the state of the shards that this VM has used.
+func (l *Ledger) Dump() Dump {
+	l.mu.Lock()
+	shards := make([]*shard, 0, len(l.shards))
+	for _, s := range l.shards {
+		shards = append(shards, s)
+	}
+	l.mu.Unlock()
+	d := Dump{
+		VM:          l.settings.VM,
+		Incarnation: l.settings.Incarnation,
+		RefusingFor: l.gate.wait(),
+		Remembered:  l.finals.Len(),
+	}
+	for _, s := range shards {
+		s.mu.Lock()
+		info := s.info
+		info.Shard, info.Queued = s.number, len(s.queue)
+		s.mu.Unlock()
+		d.Shards = append(d.Shards, info)
+	}
+	slices.SortFunc(d.Shards, func(a, b ShardInfo) int { return a.Shard - b.Shard })
+	return d
+}
+
+// describe brings the dump's copy up to date; the worker calls it.
+func (s *shard) describe() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.info = ShardInfo{
+		Version:   s.state.version,
+		Entries:   len(s.state.head),
+		HeadSize:  s.state.size,
+		Segments:  len(s.state.segments),
+		Sealed:    len(s.state.index),
+		Unsettled: s.unsettled,
+	}
+}
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,136 @@
+package ledger
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/standin/store"
+)
+
+const pinHours = 24
+
+func testLedger(s *store.Store, vm string) *Ledger {
+	return New(s, nil, nil, Settings{VM: vm, Incarnation: 1})
+}
+
+func TestDecideFirstWriterWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a, b := testLedger(s, "a"), testLedger(s, "b")
+		key := MakeKey(SpacePin, "acct", "s1")
+		v, mine, err := a.Decide(t.Context(), key, []byte("v1"), pinHours)
+		require.NoError(t, err)
+		require.True(t, mine)
+		require.Equal(t, "v1", string(v))
+		v, mine, err = b.Decide(t.Context(), key, []byte("v2"), pinHours)
+		require.NoError(t, err)
+		require.False(t, mine)
+		require.Equal(t, "v1", string(v))
+	})
+}
+
+// A write loses its reply. The writer must learn whether it was its own, in
+// each order of events: the write took effect, never does, or does so only
+// after the writer has written again.
+func TestLostReplies(t *testing.T) {
+	for name, fault := range map[string]store.Faults{
+		"after the effect":            {LoseReplies: 1},
+		"without effect":              {RefuseWrites: 1},
+		"effect comes late":           {HoldWrites: 1, HoldFor: 20 * time.Millisecond},
+		"effect comes later still":    {HoldWrites: 1, HoldFor: 10 * time.Second},
+		"several in a row":            {LoseReplies: 3},
+		"several late ones in a row":  {HoldWrites: 3, HoldFor: 7 * time.Millisecond},
+		"refused, then late":          {RefuseWrites: 1, HoldWrites: 1, HoldFor: time.Second},
+		"slow, reply lost afterwards": {Delay: time.Second, LoseReplies: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New()
+				s.SetFaults(fault)
+				a, b := testLedger(s, "a"), testLedger(s, "b")
+				key := MakeKey(SpacePin, "acct", "s1")
+				_, mine, err := a.Decide(t.Context(), key, []byte("v1"), pinHours)
+				require.NoError(t, err)
+				require.True(t, mine)
+				time.Sleep(time.Minute)
+				v, _, err := b.Decide(t.Context(), key, []byte("v2"), pinHours)
+				require.NoError(t, err)
+				require.Equal(t, "v1", string(v))
+			})
+		})
+	}
+}
+
+// An outage refuses at once, without effect, and ends when the store returns.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a := testLedger(s, "a")
+		key := MakeKey(SpacePin, "acct", "s1")
+		s.SetFaults(store.Faults{Down: true})
+		_, _, err := a.Decide(t.Context(), key, []byte("v1"), pinHours)
+		require.ErrorIs(t, err, ErrUnavailable)
+		before := s.Counts()
+		_, _, err = a.Decide(t.Context(), key, []byte("v1"), pinHours)
+		require.ErrorIs(t, err, ErrUnavailable)
+		require.Equal(t, before, s.Counts(), "the gate spares the platform")
+		require.Positive(t, a.RetryAfter())
+		s.SetFaults(store.Faults{})
+		time.Sleep(lastPause)
+		_, mine, err := a.Decide(t.Context(), key, []byte("v2"), pinHours)
+		require.NoError(t, err)
+		require.True(t, mine)
+		require.Zero(t, a.RetryAfter())
+	})
+}
+
+// Many callers of one shard share writes; a shard's writes stay within its share.
+func TestGroupCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		s.SetFaults(store.Faults{Delay: 3 * time.Millisecond})
+		a := testLedger(s, "a")
+		const callers = 500
+		keys := keysOfShard(7, callers)
+		var wg sync.WaitGroup
+		for _, k := range keys {
+			wg.Go(func() {
+				_, mine, err := a.Decide(context.Background(), k, []byte("v"), pinHours)
+				require.NoError(t, err)
+				require.True(t, mine)
+			})
+		}
+		wg.Wait()
+		a.Wait()
+		require.LessOrEqual(t, s.Counts().Puts, 4)
+		for _, k := range keys {
+			require.NotNil(t, readBack(t, s, k))
+		}
+	})
+}
+
+// keysOfShard makes keys that live in one shard.
+func keysOfShard(shard, n int) []Key {
+	var out []Key
+	for i := uint64(0); len(out) < n; i++ {
+		k := MakeKey(SpacePin, "acct", strconv.FormatUint(i, 10))
+		if k.Shard() == shard {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// readBack looks a key up as a VM does that has just started.
+func readBack(t require.TestingT, s *store.Store, k Key) *Entry {
+	l := testLedger(s, "reader")
+	sh := l.shard(k.Shard())
+	require.NoError(t, sh.load())
+	return sh.state.lookup(k, hourOf(time.Now()))
+}
--- /dev/null
+++ b/ledger/metrics.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/platform"
+)
+
+// batchBuckets covers a batch of one up to the largest that fits maxBatch.
+var batchBuckets = []float64{1, 2, 4, 8, 16, 32, 64, 128, 512, 2048}
+
+type metrics struct {
+	decides   *prometheus.CounterVec // ledger_decides_total{outcome}: operations by how they ended
+	writes    *prometheus.CounterVec // ledger_writes_total{result}: writes of heads
+	conflicts prometheus.Counter     // ledger_conflicts_total: head writes that another VM overtook
+	reads     prometheus.Counter     // ledger_reads_total: reads of heads and segments
+	batch     prometheus.Histogram   // ledger_batch_entries: operations in one committed write
+	segments  *prometheus.CounterVec // ledger_segments_total{event}: sealed, seal_failed, deleted
+	forwards  *prometheus.CounterVec // ledger_forwards_total{result}: operations sent to a shard's owner
+	pending   prometheus.Gauge       // ledger_settle_pending: outcomes not yet recorded
+	lost      prometheus.Counter     // ledger_settle_lost_total: outcomes given up; their claims stay unknown
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		decides:   vec("ledger_decides_total", "Operations by outcome.", "outcome"),
+		writes:    vec("ledger_writes_total", "Writes of shard heads by result.", "result"),
+		conflicts: counter("ledger_conflicts_total", "Head writes that another VM overtook."),
+		reads:     counter("ledger_reads_total", "Reads of heads and segments."),
+		batch: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "ledger_batch_entries", Help: "Operations in one committed write.", Buckets: batchBuckets,
+		}),
+		segments: vec("ledger_segments_total", "Segments by event.", "event"),
+		forwards: vec("ledger_forwards_total", "Operations sent to a shard's owner.", "result"),
+		pending: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "ledger_settle_pending", Help: "Outcomes not yet recorded.",
+		}),
+		lost: counter("ledger_settle_lost_total", "Outcomes given up; their claims stay unknown."),
+	}
+	if r != nil {
+		r.MustRegister(m.decides, m.writes, m.conflicts, m.reads, m.batch,
+			m.segments, m.forwards, m.pending, m.lost)
+	}
+	return m
+}
+
+func vec(name, help, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+// wrote counts one write of a head.
+func (m *metrics) wrote(err error) {
+	m.writes.WithLabelValues(writeResult(err)).Inc()
+	if errors.Is(err, platform.ErrConflict) {
+		m.conflicts.Inc()
+	}
+}
+
+func writeResult(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, platform.ErrConflict):
+		return "conflict"
+	case errors.Is(err, platform.ErrUnavailable):
+		return "unavailable"
+	}
+	return "unknown"
+}
+
+func (m *metrics) sealed(err error) {
+	event := "sealed"
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		event = "seal_failed"
+	}
+	m.segments.WithLabelValues(event).Inc()
+}
+
+var verdictNames = map[verdict]string{
+	verdictMine:      "mine",
+	verdictOther:     "other",
+	verdictOtherBody: "other_body",
+	verdictFenced:    "fenced",
+	verdictMissing:   "missing",
+}
+
+// decided counts one operation.
+func (m *metrics) decided(r result, err error) {
+	outcome := verdictNames[r.Verdict]
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		outcome = "unavailable"
+	case err != nil:
+		outcome = "unknown"
+	}
+	m.decides.WithLabelValues(outcome).Inc()
+}
--- /dev/null
+++ b/ledger/objects.go
@@ -0,0 +1,168 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"goldcrestfork/platform"
+)
+
+// kind is where heads and segments live; the shard count is part of a key's place.
+var kind = fmt.Sprintf("ledger-%d", ShardCount)
+
+// errHeadLost: a head that existed is gone. Heads are never deleted, so the
+// platform has lost data; what it held can't be known, and the shard refuses.
+var errHeadLost = errors.New("ledger: the head of a shard is gone")
+
+// proposal is a head to be written.
+type proposal struct {
+	segments []segmentRef
+	entries  map[Key]Entry
+	// added are the entries of segments that the state does not have yet.
+	added map[string][]Entry
+	// drop are the segments that nobody needs once the head is written.
+	drop []string
+}
+
+func (p proposal) encode() ([]byte, error) {
+	return cbor.Marshal(head{Segments: p.segments, Entries: sorted(p.entries)})
+}
+
+// load reads the head and the segments that are not at hand.
+func (s *shard) load() error {
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	s.l.metrics.reads.Inc()
+	o, err := s.l.store.Get(ctx, s.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		o, err = platform.Object{Key: s.key}, nil
+	}
+	if err != nil {
+		return err
+	}
+	return s.follow(o)
+}
+
+// follow moves the state to a head that was read.
+func (s *shard) follow(o platform.Object) error {
+	if s.state == nil && o.Version == 0 {
+		s.state = newState()
+		return nil
+	}
+	if s.state != nil && o.Version == s.state.version {
+		return nil
+	}
+	if o.Version == 0 {
+		return errHeadLost
+	}
+	var h head
+	if err := cbor.Unmarshal(o.Value, &h); err != nil {
+		return err
+	}
+	next := proposal{segments: h.Segments, entries: make(map[Key]Entry, len(h.Entries))}
+	for _, e := range h.Entries {
+		next.entries[e.Key] = e
+	}
+	var err error
+	if next.added, err = s.fetch(h.Segments); err != nil {
+		return err
+	}
+	if s.state == nil {
+		s.state = newState()
+	}
+	s.adopt(o.Version, next, len(o.Value))
+	return nil
+}
+
+// fetch reads the segments that are not at hand. One that is gone was merged
+// or has expired since the head was read; the error makes the worker read again.
+func (s *shard) fetch(refs []segmentRef) (map[string][]Entry, error) {
+	added := map[string][]Entry{}
+	for _, ref := range refs {
+		if s.state != nil && s.state.sealed[ref.Name] != nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+		s.l.metrics.reads.Inc()
+		o, err := s.l.store.Get(ctx, platform.Key{Kind: kind, Name: ref.Name})
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		var entries []Entry
+		if err := cbor.Unmarshal(o.Value, &entries); err != nil {
+			return nil, err
+		}
+		added[ref.Name] = entries
+	}
+	return added, nil
+}
+
+// adopt makes a head that is in the store the shard's state.
+func (s *shard) adopt(version int64, p proposal, size int) {
+	if version != s.state.version {
+		s.unsettled = false
+	}
+	s.state.version = version
+	s.state.head = p.entries
+	s.state.setSegments(p.segments, p.added)
+	s.state.size = size - segmentRefSize*len(p.segments)
+	s.discard(p.drop)
+	s.describe()
+}
+
+// segmentRefSize is the encoded size of a segmentRef, in bytes, rounded.
+const segmentRefSize = 40
+
+// seal writes the segment that takes over the head's entries and gives the head
+// that follows. A segment that is there already has the same content (see planSeal).
+func (s *shard) seal(p plan, hour uint32) (proposal, error) {
+	x, err := s.state.planSeal(s.number, hour)
+	if err != nil {
+		return proposal{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	_, err = s.l.store.Put(ctx, platform.Key{Kind: kind, Name: x.ref.Name}, x.value, 0)
+	s.l.metrics.sealed(err)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return proposal{}, err
+	}
+	if s.prunedAt != hour {
+		s.prunedAt = hour
+		s.state.prune()
+	}
+	keep, drop := s.state.sealedBy(x, hour)
+	return proposal{
+		segments: keep,
+		entries:  p.changes,
+		added:    map[string][]Entry{x.ref.Name: x.entries},
+		drop:     drop,
+	}, nil
+}
+
+// discard deletes segments that no head names any more. Failure leaves garbage
+// that costs space alone; Sweep finds it.
+func (s *shard) discard(names []string) {
+	for _, name := range names {
+		s.l.remove(platform.Key{Kind: kind, Name: name})
+	}
+}
+
+// remove deletes an object in the background, whatever its version.
+func (l *Ledger) remove(key platform.Key) {
+	l.workers.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+		defer cancel()
+		o, err := l.store.Get(ctx, key)
+		if err != nil {
+			return
+		}
+		if l.store.Delete(ctx, key, o.Version) == nil {
+			l.metrics.segments.WithLabelValues("deleted").Inc()
+		}
+	})
+}
--- /dev/null
+++ b/ledger/shard.go
@@ -0,0 +1,338 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"goldcrestfork/platform"
+)
+
+// call is what one caller wants of a shard; its operations go into one write.
+type call struct {
+	ctx  context.Context
+	ops  []op
+	size int
+	done chan reply // holds one
+	// tainted: a write with these operations had no reply and may yet take effect.
+	tainted bool
+}
+
+type reply struct {
+	results []result
+	err     error
+}
+
+// shard gathers operations and commits them one write at a time. Its worker
+// runs only while there is something to do.
+type shard struct {
+	l      *Ledger
+	number int
+	key    platform.Key
+
+	mu      sync.Mutex
+	queue   []*call
+	running bool
+	used    time.Time // the last time that the worker ran
+	info    ShardInfo // for Dump
+
+	// The rest belongs to the worker while it runs.
+
+	pace  *rate.Limiter
+	state *state // nil: read the head first
+	// unsettled: a write at the state's version had no reply. Until the head has
+	// moved on, that write may still take effect, so nothing may be answered
+	// from the state alone: the next write at the same version either shows by
+	// its conflict that the first took effect, or makes that impossible.
+	unsettled bool
+	// prunedAt is the hour of the last prune.
+	prunedAt uint32
+}
+
+// submit queues operations and waits for their results.
+func (s *shard) submit(ctx context.Context, ops []op) ([]result, error) {
+	c := &call{ctx: ctx, ops: ops, done: make(chan reply, 1)}
+	for _, o := range ops {
+		c.size += opOverhead + len(o.Value)
+	}
+	s.mu.Lock()
+	s.queue = append(s.queue, c)
+	start := !s.running
+	s.running = true
+	s.mu.Unlock()
+	if start {
+		s.l.workers.Go(s.run)
+	}
+	select {
+	case r := <-c.done:
+		return r.results, r.err
+	case <-ctx.Done():
+		return s.abandon(c)
+	}
+}
+
+// opOverhead is the size of an entry without its value, in bytes, rounded up
+// (measured: docs/design/ledger.md).
+const opOverhead = 128
+
+// abandon takes a call back whose caller no longer waits. Only a call that no
+// write has carried is sure to have no effect.
+func (s *shard) abandon(c *call) ([]result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, q := range s.queue {
+		if q == c {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return nil, ErrUnavailable
+		}
+	}
+	select {
+	case r := <-c.done:
+		return r.results, r.err
+	default:
+		return nil, ErrUnknown
+	}
+}
+
+// run commits until the queue is empty.
+func (s *shard) run() {
+	for {
+		s.mu.Lock()
+		batch := s.join(nil)
+		s.running = len(batch) > 0
+		s.used = time.Now()
+		s.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		s.commit(batch)
+	}
+}
+
+// join adds waiting calls to batch while they fit into one write. Callers hold s.mu.
+func (s *shard) join(batch []*call) []*call {
+	size := 0
+	for _, c := range batch {
+		size += c.size
+	}
+	for len(s.queue) > 0 {
+		next := s.queue[0]
+		if len(batch) > 0 && (s.l.alone || size+next.size > maxBatch) {
+			break
+		}
+		size += next.size
+		batch = append(batch, next)
+		s.queue = s.queue[1:]
+	}
+	return batch
+}
+
+// step is how one attempt at a commit ended.
+type step int
+
+const (
+	stepDone     step = iota // all calls have their reply
+	stepPace                 // a write is due; wait for its turn
+	stepAgain                // the state is newer now
+	stepConflict             // another VM wrote first
+	stepUnknown              // a write's reply was lost
+	stepFailed               // the platform took nothing
+	stepBroken               // an object could not be read as what it should be
+)
+
+// Waits between attempts. Grounds: the platform answers in milliseconds, so a
+// conflict's loser waits about one write; an outage lasts longer than any
+// caller waits, so a few tries tell it from a lost packet.
+const (
+	firstBackoff = 5 * time.Millisecond
+	lastBackoff  = 500 * time.Millisecond
+	failedTries  = 3
+)
+
+// commit brings a batch to its end: each call gets results, or an error, or has left.
+func (s *shard) commit(batch []*call) {
+	backoff := firstBackoff
+	failures := 0
+	read := false  // the state was read after the batch's last call came
+	paced := false // the write that is due has had its turn
+	for {
+		if len(batch) == 0 {
+			return
+		}
+		before := len(batch)
+		s.mu.Lock()
+		batch = s.join(batch)
+		s.mu.Unlock()
+		read = read && len(batch) == before
+		if batch = present(batch); len(batch) == 0 {
+			return
+		}
+		outcome := s.attempt(batch, read, paced)
+		paced = outcome == stepPace
+		switch outcome {
+		case stepDone:
+			s.l.gate.opened()
+			return
+		case stepPace:
+			s.gather()
+			continue
+		case stepAgain:
+			read = true
+			continue
+		case stepConflict:
+			read = true
+		case stepFailed, stepBroken:
+			failures++
+			if failures < s.l.gate.tries(failedTries) {
+				break
+			}
+			if outcome == stepFailed {
+				s.l.gate.failed()
+			}
+			batch = refuse(batch)
+		}
+		time.Sleep(backoff/2 + s.l.jitter(backoff))
+		backoff = min(2*backoff, lastBackoff)
+	}
+}
+
+// gather waits for the shard's share of the platform's writes; what arrives
+// meanwhile joins the batch. A quiet shard has its share at hand and waits for
+// nothing. Without it the writes grow with the requests, and the platform
+// refuses the fleet's calls, configuration and leases among them.
+func (s *shard) gather() {
+	if s.pace == nil {
+		return
+	}
+	if d := s.pace.Reserve().Delay(); d > 0 {
+		time.Sleep(d)
+	}
+}
+
+// present drops the calls whose callers have left.
+func present(batch []*call) []*call {
+	var out []*call
+	for _, c := range batch {
+		if c.ctx.Err() == nil {
+			out = append(out, c)
+			continue
+		}
+		c.done <- reply{err: c.failure()}
+	}
+	return out
+}
+
+// refuse answers the calls that are sure to have had no effect; the others go on.
+func refuse(batch []*call) []*call {
+	var out []*call
+	for _, c := range batch {
+		if c.tainted {
+			out = append(out, c)
+			continue
+		}
+		c.done <- reply{err: ErrUnavailable}
+	}
+	return out
+}
+
+func (c *call) failure() error {
+	if c.tainted {
+		return ErrUnknown
+	}
+	return ErrUnavailable
+}
+
+// attempt makes one try at committing the batch.
+func (s *shard) attempt(batch []*call, read, paced bool) step {
+	if s.state == nil {
+		if err := s.load(); err != nil {
+			return failedStep(err)
+		}
+		read = true
+	}
+	var ops []op
+	for _, c := range batch {
+		ops = append(ops, c.ops...)
+	}
+	hour := hourOf(time.Now())
+	p := s.state.plan(ops, hour)
+	writes := len(p.changes) > 0 || s.unsettled
+	switch {
+	case writes && !paced:
+		return stepPace
+	case writes:
+		return s.write(batch, p, hour)
+	case p.final || read:
+		answer(batch, p.results)
+		return stepDone
+	}
+	if err := s.load(); err != nil {
+		return failedStep(err)
+	}
+	return stepAgain
+}
+
+func failedStep(err error) step {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
+		return stepFailed
+	}
+	return stepBroken
+}
+
+// answer gives each call its part of the results.
+func answer(batch []*call, results []result) {
+	for _, c := range batch {
+		c.done <- reply{results: results[:len(c.ops)]}
+		results = results[len(c.ops):]
+	}
+}
+
+// write commits a plan at the state's version.
+func (s *shard) write(batch []*call, p plan, hour uint32) step {
+	next := proposal{segments: s.state.segments, entries: s.state.with(p.changes)}
+	if s.state.size > s.l.sealAt {
+		var err error
+		if next, err = s.seal(p, hour); err != nil {
+			return failedStep(err)
+		}
+	}
+	value, err := next.encode()
+	if err != nil {
+		return stepBroken
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	o, err := s.l.store.Put(ctx, s.key, value, s.state.version)
+	s.l.metrics.wrote(err)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		s.l.metrics.batch.Observe(float64(len(p.results)))
+		s.adopt(o.Version, next, len(value))
+		answer(batch, p.results)
+		return stepDone
+	case errors.As(err, &conflict):
+		return s.lost(conflict.Current)
+	case errors.Is(err, platform.ErrUnavailable):
+		return stepFailed
+	case errors.Is(err, platform.ErrTooLarge):
+		return stepBroken
+	}
+	s.unsettled = true
+	for _, c := range batch {
+		c.tainted = true
+	}
+	return stepUnknown
+}
+
+// lost takes the head that won; operations of ours that are in it after all
+// (an earlier write whose reply was lost) are found by their nonces.
+func (s *shard) lost(current platform.Object) step {
+	if err := s.follow(current); err != nil {
+		return failedStep(err)
+	}
+	return stepConflict
+}
