Add the harness that measures the decisions under load in virtual time

Cause: the figures of the decisions are to be chosen by what callers receive. Change: a small event loop, modelled endpoints, callers that come back, and the baselines (first in first out, fixed slots, round robin, unlimited retry, no ejection, no quarantine) beside the real modules, printed as one table. First runs showed faults, mended here: an idle pool refused what it could have tried, slow endpoints were not measured when every caller left, and a large request was never repeated by a small account's budget.

--- a/policy/admission/choose.go
+++ b/policy/admission/choose.go
@@ -26,16 +26,19 @@
 }
 
 // fairest returns the item at the head of the account with the least tag among
-// those that wait in the class. With ranks, accounts above their share are ranked
-// one class lower: they are passed over here, and their items of the class above
-// are looked at with this one.
+// those that wait in the class. With ranks, accounts above their share have lost
+// theirs: they are passed over until the last class, and compete there with all
+// their items.
 func (q *Queue) fairest(now time.Time, class int, ranks, longOK bool) (*account, int, int, bool) {
 	var best *account
 	bestClass, bestItem := 0, 0
 	for _, a := range q.order {
 		from, to := class, class
 		if ranks && q.count > a.queued() && q.overShare(now, a) {
-			from, to = demoted(class)
+			if class < classes-1 {
+				continue
+			}
+			from = 0
 		}
 		for c := from; c <= to; c++ {
 			i, ok := q.head(a, c, longOK)
@@ -51,20 +54,8 @@
 	return best, bestClass, bestItem, best != nil
 }
 
-// demoted returns the classes of an account above its share that compete in the
-// given class: the one above it, and in the lowest class its own as well.
-func demoted(class int) (from, to int) {
-	if class == classes-1 {
-		return class - 1, class
-	}
-	return class - 1, class - 1
-}
-
 // head returns the first item of the account in the class that may start.
 func (q *Queue) head(a *account, class int, longOK bool) (int, bool) {
-	if class < 0 {
-		return 0, false
-	}
 	for i, w := range a.queues[class] {
 		if longOK || !q.isLong(w.Size) {
 			return i, true
--- a/policy/admission/doc.go
+++ b/policy/admission/doc.go
@@ -19,9 +19,10 @@
 //   - Classes are served in order, immediate first. A lower class whose items would
 //     miss their deadlines gets its floor of the work first.
 //   - Within a class, accounts share by weight (start-time fair queueing on expected
-//     work). An account that has more than its share loses its rank by one class
-//     while others wait, so that a flood of immediate requests doesn't starve the
-//     interactive ones of others. With nobody else waiting it gets all there is.
+//     work). An account that has more than its share loses its rank while others
+//     wait and competes in the last class, so that a flood of immediate requests
+//     doesn't starve the reports of others. With nobody else waiting it gets all
+//     there is.
 //   - Within an account, a short item passes longer ones that came up to a few of
 //     its own lengths earlier; long items may not hold the last slots.
 //
--- a/policy/admission/estimate.go
+++ b/policy/admission/estimate.go
@@ -47,6 +47,12 @@
 	return seconds((e.perUnit + marginDeviations*e.deviation) * size)
 }
 
+// quickest is the time that an item of that size takes at least, give or take: half
+// of what is expected. Less time than that is hopeless even with nothing before it.
+func (e *estimator) quickest(size float64) time.Duration {
+	return seconds(e.perUnit * size / 2)
+}
+
 // rate is the work a second that so many slots do.
 func (e *estimator) rate(slots int) float64 {
 	return float64(slots) / e.perUnit
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -15,9 +15,12 @@
 	// checkEvery is the time between two looks through the queue for items that
 	// can't be done any more: a tenth of the shortest deadline, a till lookup's second.
 	checkEvery = 100 * time.Millisecond
-	// checkSlack spares queued items from an estimate that is a little off: what was
-	// accepted is refused only when four fifths of the wait would be too long.
-	checkSlack = 0.8
+	// offerPart and checkPart are the parts of the estimated wait that an item must
+	// have time for: more than all of it on arrival, since shorter and more urgent
+	// items will still pass it, and less once it was accepted, so that an estimate
+	// that is a little off doesn't refuse what waited already.
+	offerPart = 1.2
+	checkPart = 0.8
 	// shareSlack is how far above its share an account may be before it loses rank.
 	shareSlack = 1.5
 	// usageFloor is the work below which an account counts as idle, in mean items.
@@ -88,7 +91,7 @@
 		return q.verdict(now, it, ReasonNoCapacity, 0)
 	}
 	w := &waiting{Item: it, key: now.Add(seconds(q.cfg.ShortFirst * q.est.perUnit * it.Size))}
-	if late := q.late(now, a, w, 1); late > 0 {
+	if late := q.late(now, a, w, offerPart); late > 0 {
 		return q.verdict(now, it, ReasonDeadline, late)
 	}
 	if q.count >= q.cfg.MaxItems && !q.evict(now, a) {
--- a/policy/admission/refuse.go
+++ b/policy/admission/refuse.go
@@ -46,12 +46,12 @@
 }
 
 func (q *Queue) lateBehind(now time.Time, a *account, w *waiting, own, part float64) time.Duration {
-	done := now.Add(q.est.service(w.Size))
-	if q.running >= q.capacity || q.count > 0 {
-		wait := q.wait(now, a, int(w.Class), own)
-		done = done.Add(time.Duration(part * float64(wait)))
+	if q.running < q.capacity && q.count == 0 {
+		// A free slot costs nobody anything: it's worth a try unless it's hopeless.
+		return max(now.Add(q.est.quickest(w.Size)).Sub(w.Deadline), 0)
 	}
-	return max(done.Sub(w.Deadline), 0)
+	wait := time.Duration(part * float64(q.wait(now, a, int(w.Class), own)))
+	return max(now.Add(wait+q.est.service(w.Size)).Sub(w.Deadline), 0)
 }
 
 // check refuses what can't be done any more and finds the classes at risk.
@@ -72,7 +72,7 @@
 	own := 0.0
 	for i := 0; i < len(a.queues[class]); {
 		w := a.queues[class][i]
-		if late := q.lateBehind(now, a, w, own, checkSlack); late > 0 {
+		if late := q.lateBehind(now, a, w, own, checkPart); late > 0 {
 			q.take(a, class, i)
 			q.refuse(now, w.Item, ReasonDeadline, late)
 			continue
--- /dev/null
+++ b/policy/loadtest/vm.go
@@ -0,0 +1,268 @@
+package loadtest
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"goldcrestfork/policy/admission"
+	"goldcrestfork/policy/limit"
+	"goldcrestfork/policy/outlier"
+	"goldcrestfork/policy/picker"
+	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/retry"
+)
+
+const poolName = "pool"
+
+// vm decides for the requests that callers send to it.
+type vm struct {
+	run     *run
+	mods    Modules
+	rng     *rand.Rand
+	queue   admitter
+	table   *picker.Table
+	budget  *retry.Budget
+	outlier *outlier.Detector
+	poison  *poison.Tracker
+	only    *onlyNamed // round robin's filter
+	turn    int
+	running map[string]map[*call]bool // calls in flight by endpoint
+}
+
+// call is a request on its way through one VM.
+type call struct {
+	vm       *vm
+	req      *request
+	item     admission.Item
+	pick     picker.Request
+	print    poison.Fingerprint
+	endpoint *picker.Endpoint
+	engine   *engine
+	job      *job
+	made     int
+	began    time.Time // of this attempt
+	slot     bool      // holds a slot of the queue
+	over     bool
+}
+
+// arrive takes a request in.
+func (v *vm) arrive(r *request) *call {
+	now := v.run.loop.now
+	c := &call{vm: v, req: r, print: fingerprint(r)}
+	c.item = admission.Item{
+		ID: r.id, Value: c, Account: accountName(r.account), Weight: accountWeights[r.account],
+		Class: r.class, Deadline: r.deadline, Size: r.estimate,
+	}
+	c.pick = picker.Request{Pool: poolName}
+	if r.prefix != 0 {
+		c.pick.Prefix = []uint64{r.prefix}
+	}
+	if v.mods.Poison && v.poison.Quarantined(now, c.print) {
+		if !r.poison {
+			v.run.res.FalseQuarantines++
+		}
+		v.run.quarantined(c)
+		return c
+	}
+	if v.mods.Outlier && v.outlier.Broken(now) {
+		v.run.refused(c, v.retryAfter(now, c))
+		return c
+	}
+	verdict := v.queue.Offer(now, c.item)
+	switch verdict.Outcome {
+	case admission.Run:
+		v.dispatch(c)
+	case admission.Refused:
+		v.run.refused(c, verdict.RetryAfter)
+	}
+	v.settle()
+	return c
+}
+
+func (v *vm) retryAfter(now time.Time, c *call) time.Duration {
+	if q, ok := v.queue.(*admission.Queue); ok {
+		return q.RetryAfter(now, c.item, admission.ReasonBroken)
+	}
+	return time.Second
+}
+
+// dispatch sends a call that holds a slot of the queue to an endpoint.
+func (v *vm) dispatch(c *call) bool {
+	now := v.run.loop.now
+	c.slot = true
+	if v.mods.Poison {
+		c.pick.Suspect = v.poison.Suspect(now, c.print)
+	}
+	e, miss := v.choose(now, c)
+	if miss != picker.Picked {
+		c.slot = false
+		v.queue.PutBack(now, c.item)
+		return false
+	}
+	c.made++
+	if c.made == 1 {
+		v.run.res.firsts += c.req.estimate
+		v.budget.First(c.item.Account, c.req.estimate)
+	} else {
+		v.run.res.again += c.req.estimate
+	}
+	c.endpoint, c.began = e, now
+	c.engine = v.run.engines[e.Name]
+	v.running[e.Name][c] = true
+	c.job = c.engine.submit(c.req, func(a answer) { v.answered(c, e, a) })
+	return true
+}
+
+// choose picks an endpoint, or takes the next in turn.
+func (v *vm) choose(now time.Time, c *call) (*picker.Endpoint, picker.Miss) {
+	if v.mods.Picker {
+		return v.table.Pick(now, v.rng, &c.pick)
+	}
+	for range v.run.order {
+		v.turn = (v.turn + 1) % len(v.run.order)
+		v.only.name = v.run.order[v.turn].name
+		if e, miss := v.table.Pick(now, v.rng, &c.pick); miss == picker.Picked {
+			return e, miss
+		}
+	}
+	return nil, picker.MissFull
+}
+
+// answered takes an attempt's end.
+func (v *vm) answered(c *call, e *picker.Endpoint, a answer) {
+	if c.over {
+		return // the caller hung up, and the slot was given back then
+	}
+	now := v.run.loop.now
+	v.release(c, e, a)
+	switch {
+	case a == answered:
+		v.finish(c, now.Sub(c.began))
+		v.run.completed(c)
+	case v.retry(c, e):
+	default:
+		v.finish(c, 0)
+		v.run.failed(c)
+	}
+	v.settle()
+}
+
+// release gives the endpoint's slot back and lets the modules learn.
+func (v *vm) release(c *call, e *picker.Endpoint, a answer) {
+	now := v.run.loop.now
+	delete(v.running[e.Name], c)
+	latency := now.Sub(c.began)
+	sample := limit.Sample{Latency: latency, Size: c.req.estimate, Refused: a == full, Failed: a == failed || a == crashed}
+	v.table.Done(now, e, &c.pick, sample)
+	if a == answered && c.job.hit {
+		v.table.Cached(e, &c.pick, len(c.pick.Prefix))
+	}
+	if a == answered && v.mods.Poison {
+		v.poison.Survived(c.print)
+	}
+	if a != full {
+		v.learn(outlier.Result{Endpoint: e.Name, Failed: a != answered, Latency: latency, Size: c.req.estimate})
+	}
+}
+
+func (v *vm) learn(result outlier.Result) {
+	if !v.mods.Outlier {
+		return
+	}
+	if change, ok := v.outlier.Record(v.run.loop.now, result); ok {
+		v.apply(change)
+	}
+}
+
+func (v *vm) apply(change outlier.Change) {
+	v.table.Update(change.Endpoint, func(s *picker.State) {
+		s.Ejected = change.State == outlier.Ejected
+		s.Probation = change.State == outlier.Probation
+	})
+}
+
+// retry decides on another attempt and makes it.
+func (v *vm) retry(c *call, e *picker.Endpoint) bool {
+	now := v.run.loop.now
+	c.pick.Exclude = append(c.pick.Exclude, e.Name)
+	var after time.Duration
+	switch {
+	case v.mods.Retry:
+		d := v.budget.Decide(now, v.rng, retry.Attempt{
+			Account: c.item.Account, Idempotent: c.req.idempotent, Made: c.made,
+			Size: c.req.estimate, Deadline: c.req.deadline, Expected: c.expected(),
+		})
+		if !d.Again {
+			return false
+		}
+		after = d.After
+	case !c.req.idempotent || c.made >= retry.MaxAttempts:
+		return false
+	}
+	if v.mods.Poison && v.poison.Quarantined(now, c.print) {
+		return false
+	}
+	v.run.loop.after(after, func() {
+		if c.over {
+			return
+		}
+		v.dispatch(c)
+		v.settle()
+	})
+	return true
+}
+
+// expected is how long an attempt takes by its size alone.
+func (c *call) expected() time.Duration {
+	return time.Duration(c.req.estimate * float64(time.Second))
+}
+
+// finish ends a call that holds a slot.
+func (v *vm) finish(c *call, elapsed time.Duration) {
+	c.over = true
+	c.slot = false
+	v.queue.Done(v.run.loop.now, c.item, elapsed, 0)
+}
+
+// hangUp is the caller's leaving at its deadline.
+func (v *vm) hangUp(c *call) {
+	if c.over {
+		return
+	}
+	now := v.run.loop.now
+	c.over = true
+	if c.slot {
+		if v.running[c.endpoint.Name][c] {
+			c.engine.cancel(c.job)
+			delete(v.running[c.endpoint.Name], c)
+			v.table.Done(now, c.endpoint, &c.pick, limit.Sample{Failed: true})
+			v.learn(outlier.Result{Endpoint: c.endpoint.Name, Latency: now.Sub(c.began), Size: c.req.estimate, Cut: true})
+		}
+		v.queue.Done(now, c.item, 0, 0)
+	} else {
+		v.queue.Remove(c.item)
+	}
+	v.run.timedOut(c)
+	v.settle()
+}
+
+// settle brings the queue up to date after a change: capacity, refusals, free slots.
+func (v *vm) settle() {
+	now := v.run.loop.now
+	if v.mods.Outlier {
+		for _, change := range v.outlier.Due(now) {
+			v.apply(change)
+		}
+	}
+	capacity, _ := v.table.Capacity(poolName)
+	v.queue.SetCapacity(now, capacity)
+	for {
+		it, ok := v.queue.Next(now)
+		if !ok || !v.dispatch(it.Value.(*call)) {
+			break
+		}
+	}
+	for _, refusal := range v.queue.Refused(now) {
+		v.run.refused(refusal.Item.Value.(*call), refusal.RetryAfter)
+	}
+}
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -45,7 +45,7 @@
 	brokenRate    = 0.8
 	brokenSamples = 20
 	// probeEvery is the time between two requests that are let through an open circuit.
-	probeEvery = 250 * time.Millisecond
+	probeEvery = time.Second
 	// poolGain is the weight of one answer in the pool's error rate: about the last fifty.
 	poolGain = 0.02
 )
@@ -71,6 +71,9 @@
 	// Latency and Size give the time per unit of work; Size not above 0 gives none.
 	Latency time.Duration
 	Size    float64
+	// Cut says that the caller left before the answer was complete: Latency is the
+	// least it would have been, and nothing is known of an error.
+	Cut bool
 }
 
 // Change is a change of an endpoint's state, to be passed on to the picker.
@@ -199,6 +202,10 @@
 }
 
 func (d *Detector) learn(e *endpoint, r Result) {
+	if r.Cut {
+		d.learnCut(e, r)
+		return
+	}
 	failed := 0.0
 	if r.Failed {
 		failed = 1
@@ -210,12 +217,10 @@
 	e.errors += gain * (failed - e.errors)
 	d.samples++
 	d.errors += poolGain * (failed - d.errors)
-	if !r.Failed && e.state != Probation {
-		// One success after an open circuit counts for more than one failure before
-		// it: few requests run then, and the pool must not wait for fifty of them.
-		if d.errors > brokenRate {
-			d.errors -= 4 * poolGain
-		}
+	if !r.Failed && d.errors >= brokenRate {
+		// One success closes the circuit: only probes run then, and the pool must not
+		// wait for fifty of them. If it was luck, some failures open it again.
+		d.errors = brokenRate - poolGain
 	}
 	if r.Failed || r.Size <= 0 {
 		return
@@ -227,6 +232,19 @@
 	e.perUnit += gain * (perUnit - e.perUnit)
 }
 
+// learnCut takes an answer that was cut off as evidence of slowness only: what it
+// took at least, when that is more than the endpoint is known for. Without it, an
+// endpoint so slow that every caller leaves would never be measured.
+func (d *Detector) learnCut(e *endpoint, r Result) {
+	if r.Size <= 0 {
+		return
+	}
+	e.samples++
+	if perUnit := r.Latency.Seconds() / r.Size; perUnit > e.perUnit && e.perUnit > 0 {
+		e.perUnit += gain * (perUnit - e.perUnit)
+	}
+}
+
 func (d *Detector) bad(e *endpoint) bool {
 	if e.inRow >= consecutiveErrors {
 		return true
@@ -297,6 +315,9 @@
 		}
 		return d.eject(now, e, r.Endpoint), true
 	}
+	if r.Cut {
+		return Change{}, false
+	}
 	e.passes++
 	if e.passes < probationPasses {
 		return Change{}, false
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -9,8 +9,8 @@
 //
 // Extra work is paid from a budget: first attempts pay Ratio of their size in, a
 // retry or hedge takes its whole size out. There is one balance an account and
-// one for the pool, and both must cover it, so that one account's failures do
-// not use up the retries of the others.
+// one for the pool, and both must be in credit, so that one account's failures
+// do not use up the retries of the others.
 package retry
 
 import (
@@ -161,6 +161,9 @@
 	return time.Duration(rng.Int64N(int64(2 * mean)))
 }
 
+// withdraw overdraws by one attempt at most: a balance that must cover a large
+// request first would keep it from ever being repeated, and the debt is paid before
+// the next one.
 func (b *Budget) withdraw(a Attempt) Reason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -168,10 +171,10 @@
 	if a.Hedge {
 		keep = hedgeReserve * maxBalance * b.mean
 	}
-	if b.accounts[a.Account]-keep < a.Size {
+	if b.accounts[a.Account] <= keep {
 		return ReasonAccountBudget
 	}
-	if b.pool-keep < a.Size {
+	if b.pool <= keep {
 		return ReasonPoolBudget
 	}
 	b.accounts[a.Account] -= a.Size
