Keep control loops to one VM by a lease

Cause: 400 VMs would all do the same control work. Ruled out: a lease as the only guard, which a paused holder breaks; comparing the holder's clock with another's.

--- /dev/null
+++ b/control/lease/lease_test.go
@@ -0,0 +1,165 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"goldcrestfork/standin/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	seedA = 71
+	seedB = 72
+)
+
+func newLease(s *store.Store, holder string) *Lease {
+	return New(s, "roll-outs", holder, DefaultSettings(), prometheus.NewRegistry(), zerolog.Nop())
+}
+
+func held(l *Lease) bool {
+	_, ok := l.Held()
+	return ok
+}
+
+// The holder is paused past its lease. Another VM takes over; when the first one
+// wakes it finds by its own clock, before any platform call, that it has lapsed,
+// and its next renewal loses.
+func TestPausedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, ctx := store.New(), context.Background()
+		a, b := newLease(s, "a"), newLease(s, "b")
+		a.Tick(ctx)
+		require.True(t, held(a))
+		for !held(b) {
+			require.True(t, held(a) || time.Since(a.until) >= 0, "no gap in which a is still held")
+			b.Tick(ctx)
+			time.Sleep(b.settings.Renew)
+			require.False(t, held(a) && held(b))
+		}
+		require.False(t, held(a))
+		require.LessOrEqual(t, time.Since(a.until), 2*b.settings.Renew, "taken over soon after the lapse")
+		a.Tick(ctx)
+		require.False(t, held(a))
+		require.Equal(t, "b", a.Dump().Holder)
+	})
+}
+
+// The reply to a renewal is lost after its effect. The holder must not take its
+// own write for another VM's, or the loop would stand still for a whole lease.
+func TestLostRepliesKeepTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, ctx := store.New(), context.Background()
+		l := newLease(s, "a")
+		l.Tick(ctx)
+		for range 20 {
+			s.SetFaults(store.Faults{LoseReplies: 1})
+			l.Tick(ctx)
+			time.Sleep(l.settings.Renew)
+			require.True(t, held(l))
+			l.Tick(ctx)
+		}
+		require.True(t, held(l))
+	})
+}
+
+func TestGivenUpIsTakenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a, b := newLease(s, "a"), newLease(s, "b")
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { a.Run(ctx, func() bool { return true }); close(done) }()
+		synctest.Wait()
+		require.True(t, held(a))
+		stop()
+		<-done
+		b.Tick(context.Background())
+		require.True(t, held(b))
+		require.False(t, held(a))
+	})
+}
+
+// Three VMs want the lease while the platform is slow, down and loses replies,
+// and VMs stop trying and return. Two must never hold it at once, and in the
+// end one does.
+func TestOneHolderUnderFaults(t *testing.T) {
+	for _, seed := range []uint64{seedA, seedB} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runFaults(t, seed) })
+		})
+	}
+}
+
+func runFaults(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	s := store.New()
+	leases := []*Lease{newLease(s, "a"), newLease(s, "b"), newLease(s, "c")}
+	var stops []context.CancelFunc
+	start := func(l *Lease) {
+		ctx, stop := context.WithCancel(t.Context())
+		stops = append(stops, stop)
+		go func() {
+			ticker := time.NewTicker(l.settings.Renew)
+			defer ticker.Stop()
+			for { // as Run, but killed without giving up
+				l.Tick(ctx)
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+				}
+			}
+		}()
+	}
+	for _, l := range leases {
+		start(l)
+	}
+	takeovers, last := 0, ""
+	for range 4000 {
+		time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+		switch rng.IntN(30) {
+		case 0:
+			s.SetFaults(store.Faults{Down: true})
+		case 1:
+			s.SetFaults(store.Faults{Delay: time.Duration(rng.IntN(2500)) * time.Millisecond, LoseReplies: rng.IntN(3)})
+		case 2:
+			s.SetFaults(store.Faults{LoseReplies: rng.IntN(4), RefuseWrites: rng.IntN(2)})
+		case 3, 4:
+			s.SetFaults(store.Faults{})
+		case 5:
+			i := rng.IntN(len(leases))
+			stops[i]()
+			stops = append(stops[:i], stops[i+1:]...)
+			start(leases[i])
+			leases = append(append(leases[:i:i], leases[i+1:]...), leases[i])
+		}
+		holders := 0
+		for _, l := range leases {
+			if held(l) {
+				holders++
+				if l.holder != last {
+					takeovers, last = takeovers+1, l.holder
+				}
+			}
+		}
+		require.LessOrEqual(t, holders, 1)
+	}
+	require.Greater(t, takeovers, 5, "the schedule moved the lease")
+	s.SetFaults(store.Faults{})
+	time.Sleep(30 * time.Second)
+	require.True(t, held(leases[0]) || held(leases[1]) || held(leases[2]))
+	for _, stop := range stops {
+		stop()
+	}
+}
