Prove the editor and the cache under lost replies, outages and cuts

Cause: an accepted change must not be lost, no VM may go back, and operators read their own writes. Change: the editor hands the root it read back to the cache; a gate refuses changes on a VM that hears no majority of data centres.

--- /dev/null
+++ b/config/cache_test.go
@@ -0,0 +1,275 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config/staleness"
+	"goldcrestfork/platform"
+	"goldcrestfork/standin/store"
+)
+
+// fleet is a few VMs with a cache and an editor each on one platform. Each VM has
+// its own connection, so that one can be cut from the platform alone.
+type fleet struct {
+	store *store.Store
+	vms   []*vm
+}
+
+// vm is a VM and its view of the others, without a network.
+type vm struct {
+	fleet   *fleet
+	name    string
+	cache   *Cache
+	editor  *Editor
+	watcher bool
+	// cut keeps it from all peers; storeCut keeps it from the platform.
+	cut, storeCut atomic.Bool
+	// stale, when set, is what it gives to peers instead of its configuration.
+	stale atomic.Pointer[[]byte]
+}
+
+// link is a VM's connection to the platform; calls fail while the VM is cut from it.
+type link struct {
+	*store.Store
+	vm *vm
+}
+
+func (l link) List(ctx context.Context, kind string) (platform.Listing, error) {
+	if l.vm.storeCut.Load() {
+		return platform.Listing{}, platform.ErrUnavailable
+	}
+	return l.Store.List(ctx, kind)
+}
+
+func (l link) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
+	if l.vm.storeCut.Load() {
+		return nil, platform.ErrUnavailable
+	}
+	w, err := l.Store.Watch(ctx, kind, revision)
+	return watchLink{w, l.vm}, err
+}
+
+// watchLink delivers nothing while its VM is cut, like a connection that died unseen.
+type watchLink struct {
+	platform.Watch
+	vm *vm
+}
+
+func (w watchLink) Next(ctx context.Context) (platform.Event, error) {
+	e, err := w.Watch.Next(ctx)
+	if w.vm.storeCut.Load() && err == nil {
+		<-ctx.Done()
+		return platform.Event{}, ctx.Err()
+	}
+	return e, err
+}
+
+// newFleet makes VMs, two to a data centre; one of each two is a watcher.
+func newFleet(s *store.Store, n int) *fleet {
+	f := &fleet{store: s}
+	for i := range n {
+		f.add(string(rune('a'+i)), i%2 == 0)
+	}
+	return f
+}
+
+func (f *fleet) add(name string, watcher bool) *vm {
+	v := &vm{fleet: f, name: name, watcher: watcher}
+	v.cache = NewCache(Options{Store: link{f.store, v}, Peers: v, View: v.view})
+	v.editor = NewEditor(link{f.store, v}, v.cache)
+	f.vms = append(f.vms, v)
+	return v
+}
+
+func (v *vm) dataCentre() string { return string((v.name[0]-'a')/2 + '1') }
+
+func (v *vm) Watcher() bool { return v.watcher }
+
+func (v *vm) heard(other *vm) bool { return other != v && !v.cut.Load() && !other.cut.Load() }
+
+func (v *vm) Revisions() map[string]int64 {
+	m := make(map[string]int64)
+	for _, other := range v.fleet.vms {
+		if v.heard(other) {
+			m[other.name] = other.cache.Revision()
+		}
+	}
+	return m
+}
+
+func (v *vm) Fetch(_ context.Context, name string, have int64) ([]byte, error) {
+	for _, other := range v.fleet.vms {
+		if other.name == name && v.heard(other) {
+			if stale := other.stale.Load(); stale != nil {
+				return *stale, nil
+			}
+			return other.cache.Encoded(have), nil
+		}
+	}
+	return nil, errors.New("cut")
+}
+
+func (v *vm) view() staleness.View {
+	now := time.Now()
+	s := staleness.View{Self: v.name, DataCentre: v.dataCentre(), VMs: make(map[string]int)}
+	for _, other := range v.fleet.vms {
+		s.VMs[other.dataCentre()]++
+		if v.heard(other) {
+			s.Reports = append(s.Reports, staleness.Report{VM: other.name, DataCentre: other.dataCentre(), Echoed: now, Evidence: other.cache.Own(now)})
+		}
+	}
+	return s
+}
+
+// run starts the caches; the returned function stops them.
+func (f *fleet) run(ctx context.Context) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{}, len(f.vms))
+	for _, v := range f.vms {
+		go func() {
+			v.cache.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	n := len(f.vms)
+	return func() {
+		cancel()
+		for range n {
+			<-done
+		}
+	}
+}
+
+// settle lets virtual time pass.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// The operator changes something on one VM and reads on another, one that
+// doesn't watch the platform. The read with the change's revision waits until
+// the change is there.
+func TestReadYourWritesOnAnotherVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(store.New(), 7)
+		defer f.run(t.Context())()
+		settle(time.Second)
+		revision, _, err := f.vms[0].editor.Apply(t.Context(), []Change{centre("norte-a")})
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		for _, v := range f.vms {
+			s, err := v.cache.WaitRevision(ctx, revision)
+			require.NoError(t, err)
+			require.Contains(t, s.DataCentres, "norte-a")
+		}
+		_, err = f.vms[0].cache.WaitRevision(ctx, revision+1)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+	})
+}
+
+// A version is withdrawn. A peer that lags, a late watch event and a restored
+// backup each offer the configuration from before; none may bring it back.
+func TestConfigurationNeverReverts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(store.New(), 4)
+		defer f.run(t.Context())()
+		settle(time.Second)
+		first, err := f.vms[0].cache.WaitRevision(t.Context(), 0)
+		require.NoError(t, err)
+		old, err := Encode(first)
+		require.NoError(t, err)
+		_, _, err = f.vms[0].editor.Apply(t.Context(), []Change{centre("norte-a")})
+		require.NoError(t, err)
+		settle(5 * time.Second)
+
+		for _, v := range f.vms {
+			ok, err := v.cache.Offer(old)
+			require.NoError(t, err)
+			require.False(t, ok)
+			require.EqualValues(t, 1, v.cache.Revision())
+		}
+		o, err := f.store.Get(t.Context(), RootKey)
+		require.NoError(t, err)
+		_, err = f.store.Put(t.Context(), RootKey, old, o.Version)
+		require.NoError(t, err)
+		settle(20 * time.Second)
+		for _, v := range f.vms {
+			require.EqualValues(t, 1, v.cache.Revision())
+		}
+		_, _, err = f.vms[1].editor.Apply(t.Context(), []Change{centre("norte-b")})
+		require.ErrorIs(t, err, ErrReverted)
+	})
+}
+
+// The platform's watch loses its history, then breaks for a while. Changes that
+// were accepted meanwhile must still arrive: by a list, and by the next watch.
+func TestWatchGapsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		f := newFleet(s, 2)
+		defer f.run(t.Context())()
+		settle(time.Second)
+		other := Editor{Store: s}
+		s.SetFaults(store.Faults{Down: true})
+		settle(10 * time.Second)
+		s.SetFaults(store.Faults{HistoryLost: true})
+		revision, _, err := other.Apply(t.Context(), []Change{centre("norte-a")})
+		require.NoError(t, err)
+		settle(staleness.Bound)
+		for _, v := range f.vms {
+			require.Equal(t, revision, v.cache.Revision())
+		}
+	})
+}
+
+// The platform is down for ten minutes. The VMs go on, since nothing can change;
+// a VM that starts meanwhile takes the configuration from its peers; one without
+// peers is not ready. When one VM is cut from the peers and the platform while
+// that one works, it stops taking work within the bound.
+func TestOutageForAllAndCutOfOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		f := newFleet(s, 6)
+		stop := f.run(t.Context())
+		settle(time.Second)
+		_, _, err := f.vms[0].editor.Apply(t.Context(), []Change{centre("norte-a")})
+		require.NoError(t, err)
+		settle(5 * time.Second)
+		s.SetFaults(store.Faults{Down: true})
+		settle(10 * time.Minute)
+		for _, v := range f.vms {
+			d := v.cache.Staleness(time.Now())
+			require.Equal(t, staleness.StoreDown, d.Verdict, "%s: %s", v.name, d.Reason)
+		}
+		stop()
+
+		joining := f.add("b", false)
+		alone := f.add("f", false)
+		alone.cut.Store(true)
+		defer f.run(t.Context())()
+		settle(5 * time.Second)
+		require.EqualValues(t, 1, joining.cache.Revision())
+		require.True(t, joining.cache.Staleness(time.Now()).TakesWork())
+		require.Equal(t, staleness.Starting, alone.cache.Staleness(time.Now()).Verdict)
+
+		s.SetFaults(store.Faults{})
+		settle(15 * time.Second)
+		require.Equal(t, staleness.Fresh, alone.cache.Staleness(time.Now()).Verdict, "a VM without peers reads the platform itself")
+		cutOff := f.vms[0]
+		cutOff.cut.Store(true)
+		cutOff.storeCut.Store(true)
+		settle(staleness.Bound + Rotation)
+		require.Equal(t, staleness.Cut, cutOff.cache.Staleness(time.Now()).Verdict)
+		_, _, err = cutOff.editor.Apply(t.Context(), []Change{centre("norte-b")})
+		require.ErrorIs(t, err, staleness.ErrMinority)
+		require.Equal(t, staleness.Fresh, f.vms[1].cache.Staleness(time.Now()).Verdict)
+	})
+}
--- a/config/editor.go
+++ b/config/editor.go
@@ -87,6 +87,19 @@
 	Floor func() int64
 	// Accepted is given the encoded root of each accepted change; may be nil.
 	Accepted func(encoded []byte)
+	// Gate says why this VM may accept no change now, as Cache.MayAccept; nil for none.
+	Gate func() error
+}
+
+// NewEditor returns the editor of a VM whose configuration is in cache.
+func NewEditor(store platform.Store, cache *Cache) *Editor {
+	return &Editor{
+		Store: store,
+		Floor: cache.Revision,
+		Gate:  func() error { return cache.MayAccept(time.Now()) },
+		// The cache counts what it cannot take; an encoding made here can be decoded here.
+		Accepted: func(encoded []byte) { _, _ = cache.Offer(encoded) },
+	}
 }
 
 // Apply makes the changes as one; see ApplyOnce.
@@ -102,6 +115,11 @@
 // ErrNewer and ErrReverted (no effect), *UnknownError (the same call again settles it).
 func (e *Editor) ApplyOnce(ctx context.Context, id string, since int64, changes []Change) (int64, *Snapshot, error) {
 	a := attempt{editor: e, id: id, since: since, changes: changes}
+	if e.Gate != nil {
+		if err := e.Gate(); err != nil {
+			return 0, nil, a.final(err)
+		}
+	}
 	for n := 0; n < maxAttempts || a.pending != nil; n++ {
 		done, err := a.try(ctx)
 		if err != nil {
@@ -196,6 +214,7 @@
 	}
 	if revision, ok := r.find(a.id); ok {
 		a.revision, a.root = revision, r
+		a.tell(a.current.Value)
 		return nil, nil
 	}
 	if err := a.check(r); err != nil {
@@ -246,9 +265,7 @@
 	switch {
 	case err == nil:
 		a.revision, a.root, a.pending = next.Snapshot.Revision, next, nil
-		if a.editor.Accepted != nil {
-			a.editor.Accepted(encoded)
-		}
+		a.tell(encoded)
 		return true, nil
 	case errors.As(err, &conflict):
 		a.current, a.loaded = conflict.Current, true
@@ -267,6 +284,13 @@
 	return false, nil
 }
 
+// tell hands over a root that holds the change, so that this VM reads its own write at once.
+func (a *attempt) tell(encoded []byte) {
+	if a.editor.Accepted != nil {
+		a.editor.Accepted(encoded)
+	}
+}
+
 // giveUp names the fate of a change that could not be settled in time.
 func (a *attempt) giveUp(cause error) error {
 	if a.pending == nil {
