Claim requests that may run at most once in the ledger

Cause: a refund sent twice must be booked once, whichever VM takes the second send. Ruled out: deciding "not run" from this send alone while the store is down: the caller may have sent the key before. Change: the entry's claims go to the ledger before a byte leaves; a planned stop hands over what it owes. Measured by what callers get (go test -race -count=4 ./router/vm): 1 booking for 2 sends, 1 booking and 3 answers "unknown" after a lost reply, "not run" only where no byte left.

--- a/router/vm/adapters.go
+++ b/router/vm/adapters.go
@@ -33,20 +33,6 @@
 // TakeCold implements dispatch.Slots.
 func (sole) TakeCold(string, int) (func(), bool) { return func() {}, true }
 
-// noClaims refuses keyed requests while no ledger is wired.
-type noClaims struct{}
-
-// Begin implements entry.Claims.
-func (noClaims) Begin(context.Context, string, string, []byte) (entry.Claim, error) {
-	return entry.Claim{}, entry.ErrClaimsDown
-}
-
-// Finish implements entry.Claims.
-func (noClaims) Finish(context.Context, entry.Claim, []byte) {}
-
-// CloseNotRun implements entry.Claims.
-func (noClaims) CloseNotRun(context.Context, entry.Claim) {}
-
 // noSessions keeps sessions by the deterministic choice alone.
 type noSessions struct{}
 
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -201,3 +202,12 @@
 	}
 	return text, false
 }
+
+// closedAddress is an address where nobody listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	return l.Addr().String()
+}
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -18,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestfork/config"
+	"goldcrestfork/ledger"
 	"goldcrestfork/platform/httpstore"
 	"goldcrestfork/policy/picker"
 	"goldcrestfork/router/dispatch"
@@ -49,6 +51,10 @@
 	dispatch *dispatch.Dispatcher
 	entry    *entry.Entry
 	engines  *engine.Client
+	ledger   *ledger.Ledger
+	claims   *ledger.Claims
+	// incarnation tells this start from an earlier one of the same VM.
+	incarnation uint64
 
 	callers   net.Listener
 	operators net.Listener
@@ -61,6 +67,8 @@
 		log:      log.With().Str("vm", s.VM).Logger(),
 		registry: prometheus.NewRegistry(),
 		store:    httpstore.New(s.Platform.URL),
+
+		incarnation: rand.Uint64(),
 	}
 	v.cache = config.NewCache(config.Options{Store: v.store, Metrics: config.NewMetrics(v.registry)})
 	v.editor = &config.Editor{
@@ -85,6 +93,8 @@
 	if v.settings.Prefer == "latency" {
 		weights = picker.WeightsLatency
 	}
+	v.ledger = ledger.New(v.store, nil, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
+	v.claims = ledger.NewClaims(v.ledger, nil)
 	v.dispatch = dispatch.New(dispatch.Config{
 		DataCentre: v.settings.DataCentre,
 		Region:     v.settings.Region,
@@ -98,7 +108,7 @@
 		Dispatch:      v.dispatch,
 		Engines:       v.engines,
 		Services:      service.NewClient(v.registry),
-		Claims:        noClaims{},
+		Claims:        claims{v.claims},
 		Sessions:      noSessions{},
 		Bills:         noBills{},
 		Addresses:     ownAddress{v},
@@ -134,6 +144,7 @@
 		case <-work.Done():
 		}
 		v.drain(work)
+		v.settle(work)
 		stop()
 		_ = callers.Close()
 		_ = operators.Close()
@@ -169,6 +180,19 @@
 	v.log.Info().Int("cut", v.entry.Running()).Msg("stopped")
 }
 
+// settleTimeout bounds how long a planned stop keeps at the outcomes that the store
+// has not taken yet; an outage that is longer leaves their claims "unknown".
+const settleTimeout = time.Minute
+
+// settle hands to the store what this VM still owes it.
+func (v *VM) settle(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	if left := v.claims.Close(ctx); left > 0 {
+		v.log.Warn().Int("outcomes", left).Msg("stopped with outcomes unrecorded; their claims stay unknown")
+	}
+}
+
 // wait sleeps for d; false when ctx ended before.
 func wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -8,6 +8,7 @@
 
 	"goldcrestfork/router/refusal"
 	"goldcrestfork/standin/backend"
+	"goldcrestfork/standin/store"
 )
 
 const prompt = "how did the week go"
@@ -64,3 +65,79 @@
 	}
 	require.Zero(t, w.engines[0].Stats().Started)
 }
+
+// refund sends one refund under an Idempotency-Key.
+func (w *world) refund(key, body string, header map[string]string) reply {
+	w.t.Helper()
+	all := map[string]string{"Idempotency-Key": key}
+	for k, v := range header {
+		all[k] = v
+	}
+	return w.send(http.MethodPost, "/v1/services/conector/refunds", bakerKey, all, body)
+}
+
+// A shopkeeper's client sends a refund, and sends it again because the answer was
+// slow or lost. The refund must be booked once, and the repeat must get the first
+// answer: the claim in the store is made before a byte goes to the service.
+func TestRefundIsBookedOnce(t *testing.T) {
+	w := newWorld(t, 0)
+	first := w.refund("r-1", "12 EUR", nil)
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	again := w.refund("r-1", "12 EUR", nil)
+	require.Equal(t, http.StatusOK, again.status, again.body)
+	require.Equal(t, first.body, again.body)
+	require.Equal(t, "true", again.header.Get("X-Replayed"))
+
+	other := w.refund("r-1", "99 EUR", nil)
+	require.Equal(t, http.StatusUnprocessableEntity, other.status)
+	require.Equal(t, refusal.KeyReused, other.problem(t).Code)
+	require.Equal(t, []string{"12 EUR"}, w.plain.Booked())
+}
+
+// The service books the refund and the connection drops before its answer. The
+// caller must be told that the outcome is unknown, at once and on each repeat, and
+// nothing may be booked a second time.
+func TestLostAnswerIsUnknownAndNeverRunAgain(t *testing.T) {
+	w := newWorld(t, 0)
+	w.plain.SetFaults(backend.ServiceFaults{LoseReplies: 1})
+	for range 3 {
+		r := w.refund("r-2", "7 EUR", nil)
+		p := r.problem(t)
+		require.Equal(t, refusal.OutcomeUnknown, p.Code)
+		require.Equal(t, refusal.Unknown, p.Ran)
+	}
+	require.Equal(t, []string{"7 EUR"}, w.plain.Booked())
+}
+
+// The store goes down, before a refund and after one. A refund that was never sent
+// is refused as not run; of one that may have been sent before nobody can tell,
+// and "not run" would be untrue: its caller would book it elsewhere.
+func TestStoreDownRefusalsAreTrue(t *testing.T) {
+	w := newWorld(t, 0)
+	require.Equal(t, http.StatusOK, w.refund("r-3", "5 EUR", nil).status)
+	w.store.SetFaults(store.Faults{Down: true})
+	require.Equal(t, http.StatusOK, w.refund("r-3", "5 EUR", nil).status, "this VM remembers")
+	r := w.refund("r-0", "5 EUR", nil)
+	require.Equal(t, refusal.Unknown, r.problem(t).Ran, r.body)
+	r = w.refund("r-4", "6 EUR", map[string]string{"X-Attempt": "1"})
+	require.Equal(t, refusal.NotRun, r.problem(t).Ran, r.body)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	w.store.SetFaults(store.Faults{})
+	require.Equal(t, []string{"5 EUR"}, w.plain.Booked())
+}
+
+// No endpoint can be reached: no byte left, so that "not run" is true, and the same
+// key may run when the endpoint is back.
+func TestUnreachedEndpointIsNotRun(t *testing.T) {
+	w := newWorld(t, 0)
+	good := *w.vm.cache.Snapshot().Endpoints["conector-1"]
+	bad := good
+	bad.Address = closedAddress(t)
+	w.put(&bad)
+	r := w.refund("r-5", "8 EUR", nil)
+	require.Equal(t, refusal.NotRun, r.problem(t).Ran, r.body)
+	w.put(&good)
+	r = w.refund("r-5", "8 EUR", nil)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	require.Equal(t, []string{"8 EUR"}, w.plain.Booked())
+}
