Let no request reach an endpoint that has just started but by a cold slot

Cause: an endpoint starts anew without warning and every VM still believes it warm; 20 callers put 8 requests at once on an engine that bears 1. Ruled out: going by load reports and answers' heads, which tell too late by design. Change: connections of warm endpoints are made through a question for the endpoint's state on the same connection; a new start breaks old connections, so no request reaches the new process unasked. Such refusals cost no endpoint work and don't use the retry budget. Conclusion: exact for engines whose cold start is a new process; one that goes cold within its process is seen at its next answer.

--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -231,7 +231,7 @@
 	if r.Reported {
 		d.reported(now, t.Endpoint, e, r)
 	}
-	if r.Crashed || r.Unreached {
+	if (r.Crashed || r.Unreached) && e.spec.Service == "" {
 		// What comes back on this address has started anew: until it says otherwise
 		// it bears no more than an endpoint in cold start.
 		d.setCold(t.Endpoint, e, true)
@@ -257,6 +257,38 @@
 	}
 }
 
+// Place is an endpoint and its "ip:port".
+type Place struct{ Endpoint, Address string }
+
+// Cold returns the endpoints in cold start of which this VM has slots. Requests may
+// be too few to tell when they are warm, so somebody has to ask them.
+func (d *Dispatcher) Cold() []Place {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Place
+	for name, e := range d.endpoints {
+		if e.cold && d.bounds(e.spec).Slots > 0 {
+			out = append(out, Place{Endpoint: name, Address: e.spec.Address})
+		}
+	}
+	return out
+}
+
+// Reported takes an endpoint's word on itself that came without a request.
+func (d *Dispatcher) Reported(endpoint string, r Result) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.endpoints[endpoint]
+	if e == nil {
+		return
+	}
+	d.reported(now, endpoint, e, r)
+	for _, pool := range e.pools {
+		d.refresh(d.lines[pool], now)
+	}
+}
+
 // setCold changes an endpoint's state of start. Callers hold d.mu.
 func (d *Dispatcher) setCold(name string, e *endpoint, cold bool) {
 	if e.cold == cold {
@@ -272,10 +304,25 @@
 	NotRun bool
 	// Resumable: the endpoint may still hold the stream, so that it may be tried once more.
 	Resumable bool
+	// NotSent: no byte left; another endpoint may be tried at no cost to anyone.
+	NotSent bool
+	// Cold: no byte left, since the endpoint turned out to be in cold start; it may
+	// be tried again with one of its cold slots.
+	Cold bool
 }
 
 // Again decides whether a request is attempted again, and after how long.
 func (d *Dispatcher) Again(n *Need, t *Ticket, f Failure) (time.Duration, bool) {
+	if f.Cold || f.NotSent {
+		// The budget is for extra work of endpoints, and there was none. When a pool
+		// starts anew, or part of it dies, nearly every request meets this once;
+		// a budget of a tenth would refuse the others although endpoints are free.
+		n.made--
+		if f.NotSent {
+			n.tried = append(n.tried, t.Endpoint)
+		}
+		return 0, time.Now().Before(n.Deadline)
+	}
 	// A cut stream is cheapest to resume where its cache is; a second failure there
 	// says that the endpoint is at fault.
 	if f.Resumable && n.resumed != t.Endpoint {
--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -72,11 +72,13 @@
 	Cut
 	// Forgotten: the endpoint can't resume this stream.
 	Forgotten
+	// Cold: the endpoint is in cold start and the call held none of its cold slots; no byte left.
+	Cold
 	// CallerGone: the caller left or its deadline passed; the engine's work was cancelled.
 	CallerGone
 )
 
-var resultNames = [...]string{"complete", "not-sent", "refused", "failed", "crashed", "wrong-version", "cut", "forgotten", "caller-gone"}
+var resultNames = [...]string{"complete", "not-sent", "refused", "failed", "crashed", "wrong-version", "cut", "forgotten", "cold", "caller-gone"}
 
 // String is the metrics label.
 func (r Result) String() string { return resultNames[r] }
@@ -107,26 +109,35 @@
 
 // Client calls engines.
 type Client struct {
-	http    *http.Client
-	metrics *Metrics
+	// warm keeps connections to endpoints that were warm when they were made; cold
+	// makes one for each request.
+	warm, cold *http.Client
+	dialer     *warmDialer
+	metrics    *Metrics
 }
 
 // NewClient returns a client that shares connections between requests.
 func NewClient(m *Metrics) *Client {
-	dialer := &net.Dialer{Timeout: DialTimeout}
+	dialer := &warmDialer{net.Dialer{Timeout: DialTimeout}}
 	return &Client{
 		metrics: m,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+		dialer:  dialer,
+		warm: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.dial,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		}},
+		cold: &http.Client{Transport: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		}},
 	}
 }
 
 // Close drops unused connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.warm.CloseIdleConnections() }
 
 // Stream runs one attempt and hands each new token of s to emit; an error of
 // emit means that the caller has gone. s carries over from attempt to attempt,
@@ -159,9 +170,13 @@
 		return Outcome{Result: NotSent, Err: err}
 	}
 	start := time.Now()
-	resp, err := c.http.Do(req)
+	client := c.warm
+	if call.Cold {
+		client = c.cold
+	}
+	resp, err := client.Do(req)
 	if err != nil {
-		return Outcome{Result: sendFailure(err), Err: err}
+		return sendFailure(err)
 	}
 	defer resp.Body.Close()
 	o := Outcome{Reported: true, Report: report(resp.Header)}
@@ -206,12 +221,16 @@
 }
 
 // sendFailure tells a connect that failed, after which nothing can have run, from all else.
-func sendFailure(err error) Result {
+func sendFailure(err error) Outcome {
+	var cold *ColdError
+	if errors.As(err, &cold) {
+		return Outcome{Result: Cold, Err: err, Reported: true, Report: cold.Report}
+	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return NotSent
+		return Outcome{Result: NotSent, Err: err}
 	}
-	return Crashed
+	return Outcome{Result: Crashed, Err: err}
 }
 
 func report(h http.Header) Report {
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -216,6 +216,8 @@
 		after, again := e.dispatch.Again(n, t, dispatch.Failure{
 			NotRun:    notRun(o.Result),
 			Resumable: o.Result == engine.Cut,
+			NotSent:   o.Result == engine.NotSent,
+			Cold:      o.Result == engine.Cold,
 		})
 		if !again || !sleep(ctx, after) {
 			return fin
@@ -259,13 +261,15 @@
 }
 
 // notRun says that an attempt certainly did not run.
-func notRun(r engine.Result) bool { return r == engine.NotSent || r == engine.Refused }
+func notRun(r engine.Result) bool {
+	return r == engine.NotSent || r == engine.Refused || r == engine.Cold
+}
 
 // resultOf tells the dispatcher what an attempt says about its endpoint.
 func resultOf(o engine.Outcome, s *engine.Stream) dispatch.Result {
 	r := dispatch.Result{
 		Failed:      o.Result == engine.Failed || o.Result == engine.WrongVersion || o.Result == engine.Cut,
-		Refused:     o.Result == engine.Refused,
+		Refused:     o.Result == engine.Refused || o.Result == engine.Cold,
 		Crashed:     o.Result == engine.Crashed,
 		Unreached:   o.Result == engine.NotSent,
 		Reported:    o.Reported,
@@ -325,7 +329,7 @@
 	switch {
 	case s.Next > 0:
 		return refusal.New(http.StatusBadGateway, refusal.AnswerCut, "the answer was cut after %d tokens: %v", s.Next, o.Err).WhichRan(refusal.DidRun)
-	case o.Result == engine.NotSent || o.Result == engine.Refused:
+	case notRun(o.Result):
 		return refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no endpoint took the request: %v", o.Err).After(max(o.RetryAfter, comeBack))
 	default:
 		return refusal.New(http.StatusBadGateway, refusal.EndpointFailed, "the endpoint failed: %v", o.Err).WhichRan(refusal.Unknown).After(comeBack)
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -137,7 +137,7 @@
 			bad.Code, bad.RetryAfter = refusal.OutcomeUnknown, 0
 			return service.Answer{}, t.Endpoint, bad
 		}
-		after, again := e.dispatch.Again(n, t, dispatch.Failure{NotRun: result == service.NotSent})
+		after, again := e.dispatch.Again(n, t, dispatch.Failure{NotSent: result == service.NotSent})
 		if !again || !sleep(ctx, after) {
 			return service.Answer{}, t.Endpoint, bad
 		}
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -40,6 +40,7 @@
 	t       *testing.T
 	store   *store.Store
 	engines []*backend.Engine
+	servers []*httptest.Server
 	plain   *backend.Service
 	vm      *VM
 	stop    context.CancelFunc
@@ -85,6 +86,7 @@
 // serve starts a stand-in and returns its address.
 func (w *world) serve(h http.Handler) string {
 	s := httptest.NewServer(h)
+	w.servers = append(w.servers, s)
 	w.t.Cleanup(func() {
 		s.CloseClientConnections()
 		s.Close()
@@ -92,6 +94,13 @@
 	return s.Listener.Addr().String()
 }
 
+// restart starts an engine anew, cold: connections to it break, as with a new process.
+func (w *world) restart(i int) {
+	w.engines[i].Restart()
+	// The platform's and the service's servers come before the engines'.
+	w.servers[2+i].CloseClientConnections()
+}
+
 func (w *world) configure(n int) {
 	labels := func(tier string) map[string]string { return map[string]string{"tier": tier} }
 	objects := []config.Object{
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -136,6 +136,7 @@
 	g.Go(func() error { v.cache.Run(work); return nil })
 	g.Go(func() error { v.cache.Subscribe(work, v.dispatch.Configure); return nil })
 	g.Go(func() error { v.dispatch.Run(work); return nil })
+	g.Go(func() error { v.pollCold(work); return nil })
 	g.Go(func() error { return serve(callers, v.callers) })
 	g.Go(func() error { return serve(operators, v.operators) })
 	g.Go(func() error {
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/router/refusal"
@@ -141,3 +144,34 @@
 	require.Equal(t, http.StatusOK, r.status, r.body)
 	require.Equal(t, []string{"8 EUR"}, w.plain.Booked())
 }
+
+// Both engines start anew without warning while the VM believes them warm, and
+// twenty callers come at once. Neither engine may run more than its one cold slot
+// at a time, and every caller must get its answer: connections made before the
+// start are broken, and a new one asks for the engine's state before it carries
+// a request.
+func TestColdStartWithoutWarning(t *testing.T) {
+	w := newWorld(t, 2)
+	for range 4 {
+		require.Equal(t, http.StatusOK, w.ask(bakerKey, v1, prompt, 2, false, nil).status)
+	}
+	for i := range w.engines {
+		w.restart(i)
+		w.engines[i].SetFaults(backend.EngineFaults{TokenDelay: time.Millisecond})
+	}
+	var callers sync.WaitGroup
+	for range 20 {
+		callers.Go(func() {
+			r := w.ask(bakerKey, v1, prompt, 4, true, nil)
+			assert.Equal(t, http.StatusOK, r.status, r.body)
+			text, whole := r.text(t)
+			assert.True(t, whole)
+			assert.Equal(t, backend.Answer(prompt, 4), text)
+		})
+	}
+	callers.Wait()
+	for _, e := range w.engines {
+		require.LessOrEqual(t, e.Stats().MaxCold, 1)
+		require.Positive(t, e.Stats().MaxCold, "the test must have met the cold start")
+	}
+}
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -248,8 +248,12 @@
 	if s.faults.AnswersAs != "" {
 		version = s.faults.AnswersAs
 	}
-	h := w.Header()
-	h.Set("X-Model-Version", version)
+	w.Header().Set("X-Model-Version", version)
+	e.describe(w.Header())
+}
+
+// describe sets what the engine says of itself. Callers hold e.mu.
+func (e *Engine) describe(h http.Header) {
 	h.Set("X-Incarnation", strconv.Itoa(e.incarnation))
 	h.Set("X-Running", strconv.Itoa(e.running))
 	h.Set("X-State", e.state())
@@ -358,6 +362,7 @@
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.describe(w.Header())
 	writeJSON(w, map[string]any{"incarnation": strconv.Itoa(e.incarnation), "state": e.state(), "running": e.running})
 }
 
