--- a/control/configuration.go
+++ b/control/configuration.go
@@ -16,7 +16,7 @@
 	// for another revision; platform.ErrUnavailable for no effect;
 	// platform.ErrUnknown where the reply was lost, so that the change may be in
 	// force now or a little later; what mutate returns. Test with errors.Is.
-	Update(ctx context.Context, kind config.Kind, name string, mutate func(obj any) error, ifRevision int64) (int64, error)
+	Update(ctx context.Context, kind config.Kind, name string, mutate func(obj config.Object) error, ifRevision int64) (int64, error)
 }
 
 // ErrConflict says that the object is at another revision: somebody else changed it first.
--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -176,7 +176,7 @@
 	if until, held := c.holder.Held(); held {
 		ctx, cancel := context.WithDeadline(ctx, until)
 		defer cancel()
-		_, err := c.configuration.Update(ctx, config.KindRollOut, r.Name, func(obj any) error {
+		_, err := c.configuration.Update(ctx, config.KindRollOut, r.Name, func(obj config.Object) error {
 			return apply(obj.(*config.RollOut), v)
 		}, r.Revision)
 		written = outcome(err)
--- a/control/rollouts/controller_test.go
+++ b/control/rollouts/controller_test.go
@@ -192,7 +192,7 @@
 		v := &view{store: f}
 		c := newController(always{}, v, &traffic{f, 6 * time.Minute, false, nil})
 		operator := func(state config.RollOutState) {
-			_, err := f.change(func(obj any) error {
+			_, err := f.change(func(obj config.Object) error {
 				r := obj.(*config.RollOut)
 				r.State, r.Reason = state, "operator: looking into it"
 				return nil
--- a/control/rollouts/fake_test.go
+++ b/control/rollouts/fake_test.go
@@ -47,7 +47,7 @@
 }
 
 // change commits what an operator or a controller wants.
-func (f *fakeStore) change(mutate func(obj any) error, ifRevision int64) (int64, error) {
+func (f *fakeStore) change(mutate func(obj config.Object) error, ifRevision int64) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -85,7 +85,7 @@
 	}
 }
 
-func (v *view) Update(_ context.Context, _ config.Kind, _ string, mutate func(obj any) error, ifRevision int64) (int64, error) {
+func (v *view) Update(_ context.Context, _ config.Kind, _ string, mutate func(obj config.Object) error, ifRevision int64) (int64, error) {
 	v.writes++
 	if v.before != nil {
 		v.before()
