Ask other VMs for proof instead of trusting what arrives

Cause: a verdict on staleness needs reports that are dated to a question of this VM; a heartbeat that waited in a frozen VM's buffer would look new. A second cause, found by a flaky harness test: the editor compared the root with a revision learned after reading it and took a racing change for a restored backup. Ruled out: dating heartbeats by arrival. Change: Contacts (members, ask) with one question to a watcher each 2 s and one to each data centre only while a proof is missing or a change is to be accepted; the floor is taken before the read.

--- a/config/cache.go
+++ b/config/cache.go
@@ -27,9 +27,13 @@
 	Store platform.Store
 	// Peers are the other VMs; nil for a VM alone.
 	Peers Peers
-	// View returns what this VM knows of the others, for the staleness verdict; nil for a VM alone.
-	// The cache fills in its own revision, confirmation and store state.
-	View func() staleness.View
+	// Contacts asks the other VMs for their evidence; given exactly when Peers is.
+	Contacts Contacts
+	// DataCentre is where this VM runs.
+	DataCentre string
+	// VMs gives the number of VMs in each data centre by the platform's last list, this
+	// one included; nil for a VM alone.
+	VMs func() map[string]int
 	// Metrics counts; nil counts nowhere.
 	Metrics *Metrics
 }
@@ -45,6 +49,7 @@
 type Cache struct {
 	opts    Options
 	current atomic.Pointer[published]
+	inquiry inquiry
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -63,6 +68,7 @@
 		opts.Metrics = NewMetrics(nil)
 	}
 	c := &Cache{opts: opts, changed: make(chan struct{}), mode: ModeStarting}
+	c.inquiry = inquiry{contacts: opts.Contacts, metrics: opts.Metrics, reports: make(map[string]staleness.Report)}
 	c.current.Store(&published{snapshot: &Snapshot{}})
 	return c
 }
@@ -168,23 +174,26 @@
 	c.opts.Metrics.StoreErrors.Inc()
 }
 
-// Own returns this VM's own evidence, which its heartbeats tell the others.
-func (c *Cache) Own(now time.Time) staleness.Evidence {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := staleness.Evidence{Revision: c.Revision(), StoreFailing: c.failing, ConfirmedAge: staleness.Never}
-	if !c.confirmed.IsZero() {
-		e.ConfirmedAge = now.Sub(c.confirmed)
+// Evidence is what this VM answers to another that asks; its proof may be one that
+// a third VM gave, which only adds to its age.
+func (c *Cache) Evidence(now time.Time) staleness.Evidence {
+	v := c.view(now)
+	e := staleness.Evidence{Revision: v.Revision, StoreFailing: v.StoreFailing, ConfirmedAge: staleness.Never}
+	if d := staleness.Judge(v, now); !d.Confirmed.IsZero() {
+		e.ConfirmedAge = d.Age(now)
 	}
 	return e
 }
 
-// view is what the staleness verdict is made from.
-func (c *Cache) view() staleness.View {
-	v := staleness.View{VMs: map[string]int{"": 1}}
-	if c.opts.View != nil {
-		v = c.opts.View()
+// view is what the verdicts are made from.
+func (c *Cache) view(now time.Time) staleness.View {
+	v := staleness.View{DataCentre: c.opts.DataCentre}
+	if c.opts.VMs != nil {
+		v.VMs = c.opts.VMs()
+	} else {
+		v.VMs = map[string]int{c.opts.DataCentre: 1}
 	}
+	v.Reports = c.inquiry.recent(now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v.Revision, v.Confirmed, v.StoreFailing = c.Revision(), c.confirmed, c.failing
@@ -193,12 +202,19 @@
 
 // Staleness judges whether this VM may take new work under the configuration it has.
 func (c *Cache) Staleness(now time.Time) staleness.Decision {
-	return staleness.Judge(c.view(), now)
+	return staleness.Judge(c.view(now), now)
 }
 
 // MayAccept judges whether this VM may accept a change: it must reach so many
-// data centres that none can go on under the old configuration unaware.
-func (c *Cache) MayAccept(now time.Time) error { return staleness.MayAccept(c.view(), now) }
+// data centres that none can go on under the old configuration unaware. It asks
+// them, which takes a round trip.
+func (c *Cache) MayAccept(ctx context.Context) error {
+	if c.opts.Contacts != nil {
+		c.inquiry.round(ctx)
+	}
+	now := time.Now()
+	return staleness.MayAccept(c.view(now), now)
+}
 
 // State is the cache's part of the state dump.
 type State struct {
--- a/config/cache_test.go
+++ b/config/cache_test.go
@@ -82,7 +82,7 @@
 
 func (f *fleet) add(name string, watcher bool) *vm {
 	v := &vm{fleet: f, name: name, watcher: watcher}
-	v.cache = NewCache(Options{Store: link{f.store, v}, Peers: v, View: v.view})
+	v.cache = NewCache(Options{Store: link{f.store, v}, Peers: v, Contacts: v, DataCentre: v.dataCentre(), VMs: f.places})
 	v.editor = NewEditor(link{f.store, v}, v.cache)
 	f.vms = append(f.vms, v)
 	return v
@@ -116,16 +116,32 @@
 	return nil, errors.New("cut")
 }
 
-func (v *vm) view() staleness.View {
-	now := time.Now()
-	s := staleness.View{Self: v.name, DataCentre: v.dataCentre(), VMs: make(map[string]int)}
+func (v *vm) Members() []Member {
+	var members []Member
 	for _, other := range v.fleet.vms {
-		s.VMs[other.dataCentre()]++
-		if v.heard(other) {
-			s.Reports = append(s.Reports, staleness.Report{VM: other.name, DataCentre: other.dataCentre(), Echoed: now, Evidence: other.cache.Own(now)})
+		if other != v {
+			members = append(members, Member{VM: other.name, DataCentre: other.dataCentre(), Watcher: other.watcher})
 		}
 	}
-	return s
+	return members
+}
+
+func (v *vm) Ask(_ context.Context, name string) (staleness.Evidence, error) {
+	for _, other := range v.fleet.vms {
+		if other.name == name && v.heard(other) {
+			return other.cache.Evidence(time.Now()), nil
+		}
+	}
+	return staleness.Evidence{}, errors.New("cut")
+}
+
+// places is the platform's list of VMs, counted.
+func (f *fleet) places() map[string]int {
+	m := make(map[string]int)
+	for _, v := range f.vms {
+		m[v.dataCentre()]++
+	}
+	return m
 }
 
 // run starts the caches; the returned function stops them.
@@ -209,24 +225,25 @@
 	})
 }
 
-// The platform's watch loses its history, then breaks for a while. Changes that
-// were accepted meanwhile must still arrive: by a list, and by the next watch.
+// A watch dies unseen while a change is accepted, and when it is opened anew the
+// platform no longer keeps that event. Only a list can bring the change; callers
+// of the VM would otherwise be served under the old configuration for good.
 func TestWatchGapsAreClosed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
-		f := newFleet(s, 2)
+		f := newFleet(s, 1)
 		defer f.run(t.Context())()
 		settle(time.Second)
-		other := Editor{Store: s}
-		s.SetFaults(store.Faults{Down: true})
-		settle(10 * time.Second)
-		s.SetFaults(store.Faults{HistoryLost: true})
+		v, other := f.vms[0], Editor{Store: s}
+		v.storeCut.Store(true)
 		revision, _, err := other.Apply(t.Context(), []Change{centre("norte-a")})
 		require.NoError(t, err)
-		settle(staleness.Bound)
-		for _, v := range f.vms {
-			require.Equal(t, revision, v.cache.Revision())
-		}
+		settle(10 * time.Millisecond)
+		require.Zero(t, v.cache.Revision())
+		v.storeCut.Store(false)
+		s.SetFaults(store.Faults{HistoryLost: true})
+		settle(2 * Rotation)
+		require.Equal(t, revision, v.cache.Revision())
 	})
 }
 
--- /dev/null
+++ b/config/contacts.go
@@ -0,0 +1,146 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"goldcrestfork/config/staleness"
+)
+
+// Member is another VM that may be asked for its evidence.
+type Member struct {
+	VM         string
+	DataCentre string
+	// Watcher: it ranks among those of its data centre that hold the platform's watch.
+	Watcher bool
+}
+
+// Contacts is how a VM asks others what they know of the configuration.
+type Contacts interface {
+	// Members lists the other VMs that are thought to live.
+	Members() []Member
+	// Ask asks one VM for its evidence, which is its Cache.Evidence. One round trip:
+	// an answer is as old as the question at most, whatever either VM's clock says.
+	Ask(ctx context.Context, vm string) (staleness.Evidence, error)
+}
+
+// Periods of asking.
+const (
+	// askPeriod is the mean pause between questions to a watcher. With two rotations
+	// of a watch before it, a proof is 9.2 s old at most, below readAfter.
+	askPeriod = 2 * time.Second
+	// askTimeout bounds one question: above a round trip between regions (estimated
+	// at 300 ms), below askPeriod.
+	askTimeout = time.Second
+)
+
+// inquiry keeps what the others answered lately.
+type inquiry struct {
+	contacts Contacts
+	metrics  *Metrics
+
+	// mu guards reports. It is a leaf.
+	mu      sync.Mutex
+	reports map[string]staleness.Report
+}
+
+// ask asks one VM and keeps its answer, dated to the question.
+func (q *inquiry) ask(ctx context.Context, m Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	start := time.Now()
+	evidence, err := q.contacts.Ask(ctx, m.VM)
+	if err != nil {
+		q.metrics.Questions.WithLabelValues("failed").Inc()
+		return false
+	}
+	q.metrics.Questions.WithLabelValues("answered").Inc()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.reports[m.VM] = staleness.Report{VM: m.VM, DataCentre: m.DataCentre, Echoed: start, Evidence: evidence}
+	return true
+}
+
+// recent returns the reports that still count and drops those that don't.
+func (q *inquiry) recent(now time.Time) []staleness.Report {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	reports := make([]staleness.Report, 0, len(q.reports))
+	for vm, r := range q.reports {
+		if now.Sub(r.Echoed) > staleness.Bound {
+			delete(q.reports, vm)
+			continue
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// one asks a random watcher of the data centre, or any other VM when none is known.
+func (q *inquiry) one(ctx context.Context, dataCentre string) {
+	near := func(m Member) bool { return m.DataCentre == dataCentre && m.Watcher }
+	members := q.contacts.Members()
+	if m, ok := pick(members, near); ok {
+		q.ask(ctx, m)
+		return
+	}
+	if m, ok := pick(members, func(Member) bool { return true }); ok {
+		q.ask(ctx, m)
+	}
+}
+
+// attemptsEach is how many VMs of a data centre are asked before it counts as silent in a round.
+const attemptsEach = 2
+
+// round asks a VM of each data centre at once. It costs as many calls as there
+// are data centres, so it is kept for a missing proof and for an operator's change.
+func (q *inquiry) round(ctx context.Context) {
+	places := make(map[string][]Member)
+	for _, m := range q.contacts.Members() {
+		places[m.DataCentre] = append(places[m.DataCentre], m)
+	}
+	var wg sync.WaitGroup
+	for _, members := range places {
+		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+		wg.Go(func() {
+			for _, m := range members[:min(len(members), attemptsEach)] {
+				if q.ask(ctx, m) {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// pick returns a random member among those wanted.
+func pick(members []Member, want func(Member) bool) (Member, bool) {
+	var found Member
+	n := 0
+	for _, m := range members {
+		if !want(m) {
+			continue
+		}
+		n++
+		if rand.IntN(n) == 0 {
+			found = m
+		}
+	}
+	return found, n > 0
+}
+
+// inquire asks the others until ctx ends: a watcher now and then, and all data
+// centres while no proof is fresh enough.
+func (c *Cache) inquire(ctx context.Context) {
+	for ctx.Err() == nil {
+		switch now := time.Now(); {
+		case c.Staleness(now).Age(now) > readAfter:
+			c.inquiry.round(ctx)
+		case !c.opts.Peers.Watcher():
+			c.inquiry.one(ctx, c.opts.DataCentre)
+		}
+		sleep(ctx, jitter(askPeriod))
+	}
+}
--- a/config/editor.go
+++ b/config/editor.go
@@ -88,7 +88,7 @@
 	// Accepted is given the encoded root of each accepted change; may be nil.
 	Accepted func(encoded []byte)
 	// Gate says why this VM may accept no change now, as Cache.MayAccept; nil for none.
-	Gate func() error
+	Gate func(context.Context) error
 }
 
 // NewEditor returns the editor of a VM whose configuration is in cache.
@@ -96,7 +96,7 @@
 	return &Editor{
 		Store: store,
 		Floor: cache.Revision,
-		Gate:  func() error { return cache.MayAccept(time.Now()) },
+		Gate:  cache.MayAccept,
 		// The cache counts what it cannot take; an encoding made here can be decoded here.
 		Accepted: func(encoded []byte) { _, _ = cache.Offer(encoded) },
 	}
@@ -116,7 +116,7 @@
 func (e *Editor) ApplyOnce(ctx context.Context, id string, since int64, changes []Change) (int64, *Snapshot, error) {
 	a := attempt{editor: e, id: id, since: since, changes: changes}
 	if e.Gate != nil {
-		if err := e.Gate(); err != nil {
+		if err := e.Gate(ctx); err != nil {
 			return 0, nil, a.final(err)
 		}
 	}
@@ -147,6 +147,8 @@
 	// current is the root object to try on; loaded says that it is known.
 	current platform.Object
 	loaded  bool
+	// floor is the highest revision that this VM had seen before current was read.
+	floor int64
 
 	root     *root
 	revision int64
@@ -187,14 +189,25 @@
 func (a *attempt) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
+	floor := a.seen()
 	o, err := a.editor.Store.Get(ctx, RootKey)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	a.current, a.loaded = o, true
+	a.current, a.loaded, a.floor = o, true, floor
 	return nil
 }
 
+// seen is the highest revision known here. It is asked before the platform is:
+// a change that others make during the call raises it above what the call returns,
+// and the editor would take that for a restored backup.
+func (a *attempt) seen() int64 {
+	if a.editor.Floor == nil {
+		return 0
+	}
+	return a.editor.Floor()
+}
+
 // unreadable handles a failed read: with nothing in flight the change has no effect.
 func (a *attempt) unreadable(err error) (bool, error) {
 	if a.pending != nil {
@@ -241,7 +254,7 @@
 	if r.Format > format {
 		return a.final(ErrNewer)
 	}
-	if a.editor.Floor != nil && r.Snapshot.Revision < a.editor.Floor() {
+	if r.Snapshot.Revision < a.floor {
 		return a.final(ErrReverted)
 	}
 	return nil
@@ -259,7 +272,7 @@
 func (a *attempt) write(ctx context.Context, next *root, encoded []byte) (bool, error) {
 	callCtx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
 	defer cancel()
-	base := a.current.Version
+	base, floor := a.current.Version, a.seen()
 	_, err := a.editor.Store.Put(callCtx, RootKey, encoded, base)
 	var conflict *platform.ConflictError
 	switch {
@@ -268,7 +281,7 @@
 		a.tell(encoded)
 		return true, nil
 	case errors.As(err, &conflict):
-		a.current, a.loaded = conflict.Current, true
+		a.current, a.loaded, a.floor = conflict.Current, true, floor
 		return false, nil
 	case errors.Is(err, platform.ErrTooLarge):
 		return false, Problems{{Field: "configuration", Got: fmt.Sprintf("%d bytes", len(encoded)),
--- a/config/editor_test.go
+++ b/config/editor_test.go
@@ -146,7 +146,7 @@
 		{"root of a newer release", Editor{Store: withRoot(t, newerBytes)}, ErrNewer},
 		{"foreign bytes in the root", Editor{Store: withRoot(t, []byte("x"))}, ErrFormat},
 		{"older backup restored", Editor{Store: store.New(), Floor: func() int64 { return 9 }}, ErrReverted},
-		{"minority", Editor{Store: store.New(), Gate: func() error { return context.Canceled }}, context.Canceled},
+		{"minority", Editor{Store: store.New(), Gate: func(context.Context) error { return context.Canceled }}, context.Canceled},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -191,3 +191,34 @@
 		require.Greater(t, MetaOf(conflict.Current).Revision, first)
 	})
 }
+
+// slowStore lets another change be accepted between its answer and the editor's reading of it.
+type slowStore struct {
+	*store.Store
+	meanwhile func()
+}
+
+func (s *slowStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	o, err := s.Store.Get(ctx, key)
+	if f := s.meanwhile; f != nil {
+		s.meanwhile = nil
+		f()
+	}
+	return o, err
+}
+
+// While an editor reads the root, this VM learns of a change that another VM made.
+// The root it read is older than what the VM has, but nothing was restored: the
+// operator's change must be tried again, not refused.
+func TestRacingChangeIsNoRestoredBackup(t *testing.T) {
+	s := &slowStore{Store: store.New()}
+	cache := NewCache(Options{Store: s})
+	s.meanwhile = func() {
+		other := NewEditor(s.Store, cache)
+		_, _, err := other.Apply(t.Context(), []Change{centre("norte-b")})
+		require.NoError(t, err)
+	}
+	revision, _, err := NewEditor(s, cache).Apply(t.Context(), []Change{centre("norte-a")})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, revision)
+}
--- a/config/run.go
+++ b/config/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"goldcrestfork/platform"
@@ -38,8 +39,8 @@
 	// takes milliseconds, another region's round trip a few hundred (estimated).
 	fetchTimeout = time.Second
 	// readAfter is the age of the last proof from anybody at which a follower reads
-	// the platform itself: above what watchers and two heartbeats give (two rotations
-	// of at most 3.6 s, and 2 s), below staleness.Bound by two attempts.
+	// the platform itself: above what a sound watcher's answer gives (two rotations of
+	// at most 3.6 s, and askPeriod), below staleness.Bound by two attempts.
 	readAfter = 10 * time.Second
 	// minRetry and maxRetry bound the mean pause after failed calls to the platform.
 	// At 400 VMs the upper one is 80 calls a second when an outage ends.
@@ -49,6 +50,11 @@
 
 // Run keeps the cache up to date until ctx ends.
 func (c *Cache) Run(ctx context.Context) {
+	var background sync.WaitGroup
+	defer background.Wait()
+	if c.opts.Contacts != nil {
+		background.Go(func() { c.inquire(ctx) })
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		var err error
--- a/config/staleness/staleness.go
+++ b/config/staleness/staleness.go
@@ -26,16 +26,16 @@
 	// Bound is the age of the last proof at which a VM stops taking new work. The
 	// users want a change in force within 16 s; the bound leaves 2 s to judge and to
 	// turn callers away, and is above the age that a sound VM sees: two rotations of
-	// a watch (2 x 3.6 s at most) and two heartbeats.
+	// a watch (2 x 3.6 s at most) and the pause between questions (3 s at most).
 	Bound = 14 * time.Second
-	// ReportBound is the age at which what a peer said no longer counts: several
-	// heartbeats, so that one lost datagram changes nothing.
+	// ReportBound is the age at which what a peer said no longer counts: two
+	// questions' worth, so that one lost answer changes nothing.
 	ReportBound = 5 * time.Second
 	// Never is the ConfirmedAge of a VM without proof.
 	Never time.Duration = -1
 )
 
-// Evidence is what a VM knows of its own configuration; its heartbeats carry it.
+// Evidence is what a VM knows of its own configuration and answers to others that ask.
 type Evidence struct {
 	// Revision is in force on the VM.
 	Revision int64
@@ -50,7 +50,7 @@
 type Report struct {
 	VM         string
 	DataCentre string
-	// Echoed is when this VM sent the heartbeat that the report answers. Ages count
+	// Echoed is when this VM sent the question that the report answers. Ages count
 	// from there: a VM that was frozen finds old reports in its buffers, and their
 	// arrival time would make them look new.
 	Echoed time.Time
--- a/config/staleness/staleness_test.go
+++ b/config/staleness/staleness_test.go
@@ -63,9 +63,9 @@
 	require.Equal(t, Cut, Judge(View{Revision: 5, Confirmed: now.Add(-Bound - 1)}, now).Verdict)
 }
 
-// A VM is frozen for a minute and finds heartbeats from before in its buffers.
+// A VM is frozen for a minute and finds answers from before in its buffers.
 // They tell of fresh proof and of a platform that fails all; neither may count,
-// since they answer heartbeats that this VM sent a minute ago.
+// since they answer questions that this VM sent a minute ago.
 func TestFrozenVMIsNotFooledByOldReports(t *testing.T) {
 	old := func(vm, dataCentre string, e Evidence) Report {
 		r := report(vm, dataCentre, e)
