Answer by cascades: cheap version first, rated before a word is passed on

Cause: many requests are well served by a cheap version, and the account's quality target decides which. Ruled out: streaming the cheap answer while it is rated; the caller would see an answer that is then taken back. Change: steps of policy/cascade with answers held until accepted, an engine id for each step, one bill over all steps, outcomes and ratings recorded for roll-outs. Measured (go test -race ./router/vm, TestCascade): a rating of 0.95 gives the cheap version's answer, 0.2 the better one's, both whole, streamed and not.

--- a/router/entry/answer.go
+++ b/router/entry/answer.go
@@ -20,12 +20,21 @@
 	c        *chat
 	endpoint string
 	started  bool
+	// held keeps the frames of an answer that may still be discarded.
+	holding bool
+	held    []engine.Frame
 }
 
 func newAnswer(w http.ResponseWriter, c *chat) *answer {
 	return &answer{w: w, rc: http.NewResponseController(w), c: c}
 }
 
+// hold begins an answer that is kept back until it is accepted, or one that is
+// passed on as it comes; what was held before is discarded.
+func (a *answer) hold(on bool) {
+	a.holding, a.held = on, nil
+}
+
 // from notes the endpoint that the next frames come from; a resume token names it.
 func (a *answer) from(endpoint string) {
 	moved := a.started && a.endpoint != endpoint
@@ -45,6 +54,7 @@
 		Account:   a.c.Account.Name,
 		Version:   a.c.version,
 		Endpoint:  a.endpoint,
+		EngineID:  a.c.engineID,
 	})
 }
 
@@ -65,6 +75,10 @@
 	if !a.c.body.Stream {
 		return nil
 	}
+	if a.holding {
+		a.held = append(a.held, f)
+		return nil
+	}
 	if !a.started {
 		a.started = true
 		a.head()
@@ -93,6 +107,9 @@
 
 // finish ends the answer. A refusal that it returns has not been sent yet.
 func (a *answer) finish(fin end) *refusal.Refusal {
+	if fin.refusal == nil {
+		a.release()
+	}
 	switch {
 	case fin.refusal != nil && !a.started:
 		return fin.refusal
@@ -111,6 +128,17 @@
 	return nil
 }
 
+// release passes on what was held: its answer was accepted.
+func (a *answer) release() {
+	held := a.held
+	a.hold(false)
+	for _, f := range held {
+		if a.frame(f) != nil {
+			return
+		}
+	}
+}
+
 // cut tells the caller of a stream that it is not whole: without the event a
 // client that takes the connection's end for the end mark would keep half an answer.
 func (a *answer) cut(r *refusal.Refusal) {
@@ -143,7 +171,7 @@
 
 func newCompletion(c *chat, s *engine.Stream) completion {
 	return completion{
-		ID:      c.RequestID,
+		ID:      c.engineID,
 		Object:  "chat.completion",
 		Model:   c.version,
 		Choices: []choice{{Message: message{Role: "assistant", Content: s.Text()}, FinishReason: s.Finish}},
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -42,6 +42,10 @@
 	moved   string
 	// pinned is the token that the caller sent.
 	pinned string
+	// engineID is the request's id at the engines; each step of a cascade has its own.
+	engineID string
+	// task is the caller's label for the kind of request.
+	task string
 	// arm is the side of a roll-out's comparison that the outcome counts for.
 	arm rollout.Arm
 	// resume and from say which stream the request goes on with, and where.
@@ -162,7 +166,7 @@
 	if bad != nil {
 		return bad
 	}
-	c.pinned = r.Header.Get(HeaderPin)
+	c.pinned, c.task = r.Header.Get(HeaderPin), r.Header.Get(HeaderTask)
 	if bad = e.readResume(r, c); bad != nil {
 		return bad
 	}
@@ -175,7 +179,11 @@
 	if c.Key != "" {
 		return e.chatOnce(ctx, c, a)
 	}
-	fin := e.attempts(ctx, c, a)
+	plan, bad := e.plan(c)
+	if bad != nil {
+		return bad
+	}
+	fin := e.cascaded(ctx, c, a, plan)
 	e.bill(c, fin)
 	return a.finish(fin)
 }
@@ -192,6 +200,8 @@
 	version  string
 	endpoint string
 	attempts int
+	// cost is that of all steps, in micro-units.
+	cost int64
 }
 
 // attempts runs a request at one endpoint after the other until the answer is
@@ -246,7 +256,7 @@
 	fin.endpoint = t.Endpoint
 	a.from(t.Endpoint)
 	o := e.engines.Stream(ctx, engine.Call{
-		RequestID: c.RequestID,
+		RequestID: c.engineID,
 		Address:   t.Address,
 		Version:   c.version,
 		Class:     int(c.Class),
@@ -254,6 +264,7 @@
 		Cold:      t.Cold,
 	}, fin.stream, a.frame)
 	t.Done(resultOf(o, fin.stream))
+	e.outcomes.ended(c, o)
 	if !notRun(o.Result) {
 		fin.ran = refusal.Unknown
 	}
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -19,6 +19,8 @@
 	"github.com/alexedwards/flow"
 
 	"goldcrestfork/config"
+	"goldcrestfork/policy/cascade"
+	"goldcrestfork/policy/rollout"
 	"goldcrestfork/router/dispatch"
 	"goldcrestfork/router/engine"
 	"goldcrestfork/router/refusal"
@@ -81,7 +83,13 @@
 	Sessions      Sessions
 	Bills         Bills
 	Addresses     Addresses
-	Metrics       *Metrics
+	// Rater may be nil: cascades then go by the versions' expected quality.
+	Rater Rater
+	// Cascade sets the cascades' learner.
+	Cascade cascade.Settings
+	// Outcomes counts for the comparison of roll-outs.
+	Outcomes *rollout.Recorder
+	Metrics  *Metrics
 	// Secret signs resume tokens; the same on all VMs, at least 32 bytes.
 	Secret []byte
 }
@@ -98,6 +106,10 @@
 	addresses     Addresses
 	metrics       *Metrics
 	signer        signer
+	rater         Rater
+	learner       *cascade.Learner
+	ratingTimeout time.Duration
+	outcomes      outcomes
 
 	running atomic.Int64
 	closed  atomic.Bool
@@ -116,9 +128,16 @@
 		addresses:     c.Addresses,
 		metrics:       c.Metrics,
 		signer:        signer{secret: c.Secret},
+		rater:         c.Rater,
+		learner:       cascade.NewLearner(c.Cascade),
+		ratingTimeout: c.Cascade.RatingTimeout,
+		outcomes:      outcomes{recorder: c.Outcomes, configuration: c.Configuration},
 	}
 }
 
+// Cascade is the cascades' part of the state dump.
+func (e *Entry) Cascade() cascade.Dump { return e.learner.Dump() }
+
 // Handler serves the callers' API.
 func (e *Entry) Handler() http.Handler {
 	mux := flow.New()
@@ -244,23 +263,34 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// bill records one request's work, if there was any.
+// spent is what a step cost, in micro-units: what was generated is paid for,
+// whether the caller gets to see it or not.
+func (e *Entry) spent(fin end) int64 {
+	v := e.configuration.Snapshot().Versions[fin.version]
+	if v == nil {
+		return 0
+	}
+	return costOf(v, fin.tokens())
+}
+
+// tokens is the number of tokens generated.
+func (fin end) tokens() int64 {
+	return cmp.Or(fin.stream.Usage.CompletionTokens, int64(fin.stream.Next))
+}
+
+// bill records one request's work over all its steps and attempts, if there was any.
 func (e *Entry) bill(c *chat, fin end) {
-	s := fin.stream
-	if s.Next == 0 && fin.refusal != nil {
+	if fin.cost == 0 && fin.tokens() == 0 {
 		return
 	}
-	b := Bill{
+	e.bills.Record(Bill{
 		ID:         billID(c.Caller),
 		Account:    c.Account.Name,
 		What:       fin.version,
-		Prompt:     s.Usage.PromptTokens,
-		Completion: cmp.Or(s.Usage.CompletionTokens, int64(s.Next)),
-	}
-	if v := e.configuration.Snapshot().Versions[fin.version]; v != nil {
-		b.Cost = costOf(v, b.Completion)
-	}
-	e.bills.Record(b)
+		Prompt:     fin.stream.Usage.PromptTokens,
+		Completion: fin.tokens(),
+		Cost:       fin.cost,
+	})
 }
 
 // costOf is the price of so many output tokens, in micro-units, rounded up.
--- a/router/entry/once.go
+++ b/router/entry/once.go
@@ -179,7 +179,12 @@
 	if earlier != nil {
 		return a.replay(earlier)
 	}
-	fin := e.attempts(ctx, c, a)
+	plan, bad := e.plan(c)
+	if bad != nil {
+		e.claims.CloseNotRun(context.WithoutCancel(ctx), claim)
+		return bad
+	}
+	fin := e.cascaded(ctx, c, a, plan)
 	var keep recorded
 	if fin.refusal == nil {
 		// A completion always encodes.
--- a/router/entry/resume.go
+++ b/router/entry/resume.go
@@ -20,6 +20,8 @@
 	Account   string `cbor:"2,keyasint"`
 	Version   string `cbor:"3,keyasint"`
 	Endpoint  string `cbor:"4,keyasint"`
+	// EngineID is the stream's id at the endpoint.
+	EngineID string `cbor:"5,keyasint"`
 }
 
 // signer signs and reads resume tokens with a secret that all VMs share.
@@ -74,7 +76,7 @@
 		return refusal.New(http.StatusBadRequest, refusal.BadRequest, "%s is the id of the last event, a number", HeaderPosition)
 	}
 	c.resume, c.from = &t, from
-	// The same id, so that the engine finds the stream and the bill stays one.
+	// The same id, so that the bill stays one.
 	c.RequestID = t.RequestID
 	return nil
 }
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -27,10 +27,12 @@
 )
 
 // The configuration of the tests: Norte's assistant in two versions of which the
-// baker may use both and the clerk only the first, and the connector.
+// baker may use both and the clerk only the first, the shop with a quality target,
+// and the connector.
 const (
 	bakerKey = "baker-key"
 	clerkKey = "clerk-key"
+	shopKey  = "shop-key"
 	v1       = "asistente-1"
 	v2       = "asistente-2"
 )
@@ -42,6 +44,7 @@
 	engines []*backend.Engine
 	servers []*httptest.Server
 	plain   *backend.Service
+	rating  *backend.Rating
 	vm      *VM
 	stop    context.CancelFunc
 	done    chan error
@@ -55,8 +58,9 @@
 // newWorld starts a VM before n engines that serve both versions.
 func newWorld(t *testing.T, n int) *world {
 	t.Helper()
-	w := &world{t: t, store: store.New(), plain: backend.NewService(), done: make(chan error, 1)}
+	w := &world{t: t, store: store.New(), plain: backend.NewService(), rating: backend.NewRating(), done: make(chan error, 1)}
 	platform := w.serve(store.Handler(w.store))
+	rating := w.serve(w.rating.Handler())
 	dir := t.TempDir()
 	for _, f := range []string{"ca", "cert", "key"} {
 		require.NoError(t, os.WriteFile(filepath.Join(dir, f), nil, 0o600))
@@ -67,8 +71,9 @@
 		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key"},
 		"platform": {"url": "http://%[2]s"},
 		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
+		"rating": {"url": "http://%[4]s/rate"},
 		"keepAddresses": "1ms",
-	}`, dir, platform, hash("secret")))
+	}`, dir, platform, hash("secret"), rating))
 	require.NoError(t, err)
 	w.vm, err = New(s, zerolog.Nop())
 	require.NoError(t, err)
@@ -97,21 +102,23 @@
 // restart starts an engine anew, cold: connections to it break, as with a new process.
 func (w *world) restart(i int) {
 	w.engines[i].Restart()
-	// The platform's and the service's servers come before the engines'.
-	w.servers[2+i].CloseClientConnections()
+	// The platform's, the rating's and the service's servers come before the engines'.
+	w.servers[3+i].CloseClientConnections()
 }
 
 func (w *world) configure(n int) {
 	labels := func(tier string) map[string]string { return map[string]string{"tier": tier} }
 	objects := []config.Object{
 		&config.DataCentre{Meta: config.Meta{Name: "norte-a"}, Region: "norte", State: config.DataCentreIn},
-		&config.ModelVersion{Meta: config.Meta{Name: v1, Labels: labels("base")}, Model: "asistente", State: config.VersionServing, Cost: 100, Quality: 0.6},
+		&config.ModelVersion{Meta: config.Meta{Name: v1, Labels: labels("base")}, Model: "asistente", State: config.VersionServing, Cost: 100, Quality: 0.6, Cascade: v2},
 		&config.ModelVersion{Meta: config.Meta{Name: v2, Labels: labels("best")}, Model: "asistente", State: config.VersionServing, Cost: 1000, Quality: 0.9},
 		&config.Service{Meta: config.Meta{Name: "conector", Labels: labels("till")}, Calls: []config.Call{
 			{Method: "GET", Path: "/till/", Idempotent: true}, {Method: "POST", Path: "/refunds"}}},
 		&config.Endpoint{Meta: config.Meta{Name: "conector-1"}, Address: w.serve(w.plain.Handler()), DataCentre: "norte-a", Service: "conector", Slots: 8, ColdSlots: 1, State: config.EndpointServing},
 		&config.ClientAccount{Meta: config.Meta{Name: "baker"}, KeyHashes: []string{hash(bakerKey)}, Class: config.ClassInteractive,
 			Versions: config.Selector{"tier": {"base", "best"}}, Services: config.Selector{"tier": {"till"}}},
+		&config.ClientAccount{Meta: config.Meta{Name: "shop"}, KeyHashes: []string{hash(shopKey)}, Class: config.ClassDeferrable,
+			Versions: config.Selector{"tier": {"base", "best"}}, Quality: 0.8},
 		&config.ClientAccount{Meta: config.Meta{Name: "clerk"}, KeyHashes: []string{hash(clerkKey)}, Class: config.ClassDeferrable,
 			Versions: config.Selector{"tier": {"base"}}},
 	}
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,7 +22,9 @@
 	"goldcrestfork/config"
 	"goldcrestfork/ledger"
 	"goldcrestfork/platform/httpstore"
+	"goldcrestfork/policy/cascade"
 	"goldcrestfork/policy/picker"
+	"goldcrestfork/policy/rollout"
 	"goldcrestfork/router/dispatch"
 	"goldcrestfork/router/engine"
 	"goldcrestfork/router/entry"
@@ -53,6 +56,7 @@
 	engines  *engine.Client
 	ledger   *ledger.Ledger
 	claims   *ledger.Claims
+	recorder *rollout.Recorder
 	// incarnation tells this start from an earlier one of the same VM.
 	incarnation uint64
 
@@ -89,10 +93,11 @@
 }
 
 func (v *VM) wire() {
-	weights := picker.WeightsCost
+	weights, learning := picker.WeightsCost, cascade.DefaultSettings()
 	if v.settings.Prefer == "latency" {
-		weights = picker.WeightsLatency
+		weights, learning = picker.WeightsLatency, cascade.LatencySettings()
 	}
+	v.recorder = rollout.NewRecorder(fmt.Sprintf("%s/%x", v.settings.VM, v.incarnation))
 	v.ledger = ledger.New(v.store, nil, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.claims = ledger.NewClaims(v.ledger, nil)
 	v.dispatch = dispatch.New(dispatch.Config{
@@ -112,6 +117,9 @@
 		Sessions:      noSessions{},
 		Bills:         noBills{},
 		Addresses:     ownAddress{v},
+		Rater:         newRater(v.settings.Rating.URL),
+		Cascade:       learning,
+		Outcomes:      v.recorder,
 		Metrics:       entry.NewMetrics(v.registry),
 		Secret:        v.settings.SecretBytes(),
 	})
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -175,3 +175,30 @@
 		require.Positive(t, e.Stats().MaxCold, "the test must have met the cold start")
 	}
 }
+
+// The shop's account has a quality target. A cheap answer rated above it is the
+// caller's; one rated below is discarded, and nothing of it may reach the caller,
+// who gets the better version's answer whole.
+func TestCascade(t *testing.T) {
+	for name, c := range map[string]struct {
+		rating  float64
+		version string
+	}{
+		"cheap answer good enough": {0.95, v1},
+		"cheap answer poor":        {0.2, v2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 1)
+			w.rating.SetFaults(backend.RatingFaults{Ratings: map[string]float64{v1: c.rating}})
+			for _, stream := range []bool{true, false} {
+				r := w.ask(shopKey, "asistente", prompt, 6, stream, nil)
+				require.Equal(t, http.StatusOK, r.status, r.body)
+				require.Equal(t, c.version, r.header.Get("X-Model-Version"))
+				text, whole := r.text(t)
+				require.True(t, whole)
+				require.Equal(t, backend.Answer(prompt, 6), text)
+				require.NotContains(t, r.body, `"error"`)
+			}
+		})
+	}
+}
