Keep sessions, bills and streams over VMs, and prove it by what callers receive

Cause: a VM may be replaced at any moment, and its callers go on elsewhere. Ruled out: waiting for the first answer's token alone (a caller may send only its session's id), a bill per VM (a resumed stream would be billed twice). Change: pins and bills of the ledger wired in; the moment of acceptance travels in the resume token.

--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -60,3 +60,15 @@
 	slices.SortFunc(out.Endpoints, func(a, b EndpointDump) int { return strings.Compare(a.Endpoint, b.Endpoint) })
 	return out
 }
+
+// Waiting is the number of requests that wait in a pool.
+func (d *Dispatcher) Waiting(pool string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lines[pool]
+	if l == nil {
+		return 0
+	}
+	waiting, _ := l.queue.Len()
+	return waiting
+}
--- a/router/entry/answer.go
+++ b/router/entry/answer.go
@@ -55,6 +55,7 @@
 		Version:   a.c.version,
 		Endpoint:  a.endpoint,
 		EngineID:  a.c.engineID,
+		Accepted:  a.c.Accepted.Unix(),
 	})
 }
 
--- a/router/entry/choose.go
+++ b/router/entry/choose.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"goldcrestfork/config"
+	"goldcrestfork/ledger/pin"
 	"goldcrestfork/policy/rollout"
 	"goldcrestfork/router/refusal"
 )
@@ -36,13 +37,6 @@
 		c.version = c.resume.Version
 		return nil
 	}
-	if v, ok := e.sessions.Verify(c.pinned, c.Account.Name, c.Session); ok && c.Session != "" {
-		if usable(v) {
-			c.keep(v, c.pinned)
-			return nil
-		}
-		c.moved = v
-	}
 	first, bad := c.first(s, usable)
 	if bad != nil {
 		return bad
@@ -54,10 +48,6 @@
 	return e.pin(ctx, c, usable)
 }
 
-func (c *chat) keep(version, token string) {
-	c.version, c.pin = version, token
-}
-
 // first is the version for a request that has none yet.
 func (c *chat) first(s *config.Snapshot, usable func(string) bool) (rollout.Choice, *refusal.Refusal) {
 	if r := rollout.Of(s, c.body.Model); r != nil {
@@ -106,38 +96,24 @@
 	return refusal.New(http.StatusForbidden, refusal.ModelNotAllowed, "the account may not use model %q", c.body.Model)
 }
 
-// pin keeps a session on one version. The first decision wins on every VM. When
-// the decided version takes no work any more, the session moves along a chain of
-// decisions, one for each version it had to leave, so that all VMs move it alike.
+// pin keeps a session on the version of its first answer. While the store is down
+// a new session takes the roll-out's choice, which depends on the session and the
+// configuration's revision alone: it can't change while the store is down, so that
+// every VM takes the same.
 func (e *Entry) pin(ctx context.Context, c *chat, usable func(string) bool) *refusal.Refusal {
-	preferred := c.version
-	session := c.Session
-	for range maxMoves {
-		v, err := e.sessions.Decide(ctx, c.Account.Name, session, preferred)
-		if err != nil {
-			// The platform's store is down. The preferred version is a function of
-			// the session and the configuration's revision, which can't change while
-			// the store is down, so that every VM takes the same.
-			e.metrics.pinsUnstored.Inc()
-			break
-		}
-		if usable(v) {
-			c.version = v
-			break
-		}
-		c.moved = v
-		session += "\x00" + v
+	session := pin.Session{Account: c.Account.Name, ID: c.Session}
+	p, err := e.sessions.Version(ctx, session, c.pinned, c.version, usable, c.Accepted)
+	if err != nil {
+		return c.noVersion(e.configuration.Snapshot())
 	}
-	c.pin = e.sessions.Sign(c.Account.Name, c.Session, c.version)
-	if c.version != preferred {
-		c.arm = rollout.ArmNone
+	e.metrics.pins.WithLabelValues(string(p.Source)).Inc()
+	if p.Version != c.version {
+		c.version, c.arm = p.Version, rollout.ArmNone
 	}
+	c.pin, c.moved = p.Token, p.Moved
 	return nil
 }
 
-// maxMoves bounds the chain of a session's moves: the 19 versions that are in use (letter 1), and one.
-const maxMoves = 20
-
 // stillAllowed checks a request's version against the configuration of this moment.
 func (e *Entry) stillAllowed(c *chat, started bool) *refusal.Refusal {
 	if bad := e.takesWork(); bad != nil {
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -19,6 +19,8 @@
 	"github.com/alexedwards/flow"
 
 	"goldcrestfork/config"
+	"goldcrestfork/ledger/bill"
+	"goldcrestfork/ledger/pin"
 	"goldcrestfork/policy/cascade"
 	"goldcrestfork/policy/rollout"
 	"goldcrestfork/router/dispatch"
@@ -36,31 +38,15 @@
 	Fresh() error
 }
 
-// Sessions keeps sessions on their versions.
+// Sessions keeps sessions on their versions; see pin.Pins.
 type Sessions interface {
-	// Decide fixes a session's version: the first caller's wins on all VMs.
-	Decide(ctx context.Context, account, session, version string) (string, error)
-	// Sign makes the token that spares the next request the look-up.
-	Sign(account, session, version string) string
-	// Verify reads a token of that account and session.
-	Verify(token, account, session string) (version string, ok bool)
-}
-
-// Bill is what one request cost, whatever the number of its attempts.
-type Bill struct {
-	// ID is the request's id, or that of its Idempotency-Key; one bill an id.
-	ID      string
-	Account string
-	// What is the model version or the service.
-	What string
-	// Prompt and Completion are tokens; Calls counts plain calls.
-	Prompt, Completion, Calls int64
-	// Cost is in micro-units.
-	Cost int64
+	// Version gives a session's version: that of its token, or the one recorded first,
+	// or choice. It fails only when choice is empty.
+	Version(ctx context.Context, s pin.Session, token, choice string, usable func(string) bool, now time.Time) (pin.Pin, error)
 }
 
 // Bills takes bills; it must not block.
-type Bills interface{ Record(Bill) }
+type Bills interface{ Add(bill.Bill) bool }
 
 // Address is one entry VM that callers may use.
 type Address struct {
@@ -283,13 +269,14 @@
 	if fin.cost == 0 && fin.tokens() == 0 {
 		return
 	}
-	e.bills.Record(Bill{
-		ID:         billID(c.Caller),
-		Account:    c.Account.Name,
-		What:       fin.version,
-		Prompt:     fin.stream.Usage.PromptTokens,
-		Completion: fin.tokens(),
-		Cost:       fin.cost,
+	e.bills.Add(bill.Bill{
+		Account:      c.Account.Name,
+		Request:      billID(c.Caller),
+		Accepted:     c.Accepted,
+		Version:      fin.version,
+		InputTokens:  fin.stream.Usage.PromptTokens,
+		OutputTokens: fin.tokens(),
+		Micros:       fin.cost,
 	})
 }
 
@@ -297,7 +284,7 @@
 func costOf(v *config.ModelVersion, tokens int64) int64 { return (v.Cost*tokens + 999) / 1000 }
 
 func (e *Entry) billPlain(p *plain) {
-	e.bills.Record(Bill{ID: billID(p.Caller), Account: p.Account.Name, What: p.service, Calls: 1})
+	e.bills.Add(bill.Bill{Account: p.Account.Name, Request: billID(p.Caller), Accepted: p.Accepted, Version: p.service})
 }
 
 // billID is the same for every send of one action.
--- a/router/entry/metrics.go
+++ b/router/entry/metrics.go
@@ -8,11 +8,11 @@
 
 // Metrics counts what callers get.
 type Metrics struct {
-	answers      *prometheus.CounterVec
-	refusals     *prometheus.CounterVec
-	pinsUnstored prometheus.Counter
-	claims       *prometheus.CounterVec
-	cascade      *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	pins     *prometheus.CounterVec
+	claims   *prometheus.CounterVec
+	cascade  *prometheus.CounterVec
 }
 
 // NewMetrics registers the entry's counters.
@@ -26,10 +26,10 @@
 			Name: "goldcrestfork_refusals_total",
 			Help: "Final refusals by code and by what is known of the run.",
 		}, []string{"code", "ran"}),
-		pinsUnstored: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "goldcrestfork_session_pins_unstored_total",
-			Help: "Sessions pinned by the deterministic choice because the platform's store was down.",
-		}),
+		pins: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrestfork_session_pins_total",
+			Help: "Sessions' versions by where they came from; hash means that the platform's store was down.",
+		}, []string{"source"}),
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrestfork_claims_total",
 			Help: "Requests with an Idempotency-Key by what became of their claim.",
@@ -39,7 +39,7 @@
 			Help: "Cascade steps by decision and reason.",
 		}, []string{"action", "reason"}),
 	}
-	r.MustRegister(m.answers, m.refusals, m.pinsUnstored, m.claims, m.cascade)
+	r.MustRegister(m.answers, m.refusals, m.pins, m.claims, m.cascade)
 	return m
 }
 
--- a/router/entry/request.go
+++ b/router/entry/request.go
@@ -48,10 +48,13 @@
 type Caller struct {
 	// RequestID is made here: a caller's own id could cross with another's.
 	RequestID string
-	Account   *config.ClientAccount
-	Class     config.Class
-	Deadline  time.Time
-	Session   string
+	// Accepted is when the first VM took the request; it travels with a resumed
+	// stream, so that the bill of either VM falls into one minute.
+	Accepted time.Time
+	Account  *config.ClientAccount
+	Class    config.Class
+	Deadline time.Time
+	Session  string
 	// Key is the Idempotency-Key; empty for none.
 	Key string
 	// FirstSend says that the caller never sent this key before.
@@ -66,6 +69,7 @@
 	}
 	c := &Caller{
 		RequestID: uuid.Must(uuid.NewV7()).String(),
+		Accepted:  now,
 		Account:   account,
 		Session:   r.Header.Get(HeaderSession),
 		Key:       r.Header.Get(HeaderIdempotencyKey),
--- a/router/entry/resume.go
+++ b/router/entry/resume.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +23,8 @@
 	Endpoint  string `cbor:"4,keyasint"`
 	// EngineID is the stream's id at the endpoint.
 	EngineID string `cbor:"5,keyasint"`
+	// Accepted is when the request was first taken, in seconds since 1970.
+	Accepted int64 `cbor:"6,keyasint"`
 }
 
 // signer signs and reads resume tokens with a secret that all VMs share.
@@ -77,6 +80,6 @@
 	}
 	c.resume, c.from = &t, from
 	// The same id, so that the bill stays one.
-	c.RequestID = t.RequestID
+	c.RequestID, c.Accepted = t.RequestID, time.Unix(t.Accepted, 0)
 	return nil
 }
--- a/router/vm/adapters.go
+++ b/router/vm/adapters.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestfork/config"
+	"goldcrestfork/ledger/pin"
 	"goldcrestfork/router/entry"
 )
 
@@ -33,25 +34,14 @@
 // TakeCold implements dispatch.Slots.
 func (sole) TakeCold(string, int) (func(), bool) { return func() {}, true }
 
-// noSessions keeps sessions by the deterministic choice alone.
-type noSessions struct{}
+// sessions keeps sessions on the version that the roll-out gives them first.
+type sessions struct{ *pin.Pins }
 
-// Decide implements entry.Sessions.
-func (noSessions) Decide(_ context.Context, _, _, version string) (string, error) {
-	return version, nil
+// Version implements entry.Sessions.
+func (s sessions) Version(ctx context.Context, id pin.Session, token, choice string, usable func(string) bool, now time.Time) (pin.Pin, error) {
+	return s.Pins.Version(ctx, id, token, []pin.Share{{Version: choice, Weight: 1}}, usable, now)
 }
 
-// Sign implements entry.Sessions.
-func (noSessions) Sign(string, string, string) string { return "" }
-
-// Verify implements entry.Sessions.
-func (noSessions) Verify(string, string, string) (string, bool) { return "", false }
-
-type noBills struct{}
-
-// Record implements entry.Bills.
-func (noBills) Record(entry.Bill) {}
-
 // ownAddress answers with this VM alone.
 type ownAddress struct{ v *VM }
 
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -37,17 +38,18 @@
 	v2       = "asistente-2"
 )
 
-// world is one VM with stand-ins around it.
+// world is VMs with stand-ins around them.
 type world struct {
-	t       *testing.T
-	store   *store.Store
-	engines []*backend.Engine
-	servers []*httptest.Server
-	plain   *backend.Service
-	rating  *backend.Rating
-	vm      *VM
-	stop    context.CancelFunc
-	done    chan error
+	t        *testing.T
+	store    *store.Store
+	platform string
+	rater    string
+	engines  []*backend.Engine
+	servers  []*httptest.Server
+	plain    *backend.Service
+	rating   *backend.Rating
+	// vm is the first VM, which requests go to where no other is named.
+	vm *VM
 }
 
 func hash(key string) string {
@@ -58,34 +60,42 @@
 // newWorld starts a VM before n engines that serve both versions.
 func newWorld(t *testing.T, n int) *world {
 	t.Helper()
-	w := &world{t: t, store: store.New(), plain: backend.NewService(), rating: backend.NewRating(), done: make(chan error, 1)}
-	platform := w.serve(store.Handler(w.store))
-	rating := w.serve(w.rating.Handler())
-	dir := t.TempDir()
+	w := &world{t: t, store: store.New(), plain: backend.NewService(), rating: backend.NewRating()}
+	w.platform = w.serve(store.Handler(w.store))
+	w.rater = w.serve(w.rating.Handler())
+	w.vm, _ = w.start("vm-1")
+	w.configure(n)
+	return w
+}
+
+// start starts a VM; stop ends it as planned and waits.
+func (w *world) start(name string) (v *VM, stop func()) {
+	w.t.Helper()
+	dir := w.t.TempDir()
 	for _, f := range []string{"ca", "cert", "key"} {
-		require.NoError(t, os.WriteFile(filepath.Join(dir, f), nil, 0o600))
+		require.NoError(w.t, os.WriteFile(filepath.Join(dir, f), nil, 0o600))
 	}
 	s, err := settings.Parse("test", fmt.Appendf(nil, `{
-		"vm": "vm-1", "dataCentre": "norte-a", "region": "norte",
+		"vm": "%[5]s", "dataCentre": "norte-a", "region": "norte",
 		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
 		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key"},
 		"platform": {"url": "http://%[2]s"},
 		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
 		"rating": {"url": "http://%[4]s/rate"},
 		"keepAddresses": "1ms",
-	}`, dir, platform, hash("secret"), rating))
-	require.NoError(t, err)
-	w.vm, err = New(s, zerolog.Nop())
-	require.NoError(t, err)
+	}`, dir, w.platform, hash("secret"), w.rater, name))
+	require.NoError(w.t, err)
+	v, err = New(s, zerolog.Nop())
+	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	w.stop = cancel
-	go func() { w.done <- w.vm.Run(ctx) }()
-	t.Cleanup(func() {
+	done := make(chan error, 1)
+	go func() { done <- v.Run(ctx) }()
+	stop = sync.OnceFunc(func() {
 		cancel()
-		require.NoError(t, <-w.done)
+		require.NoError(w.t, <-done)
 	})
-	w.configure(n)
-	return w
+	w.t.Cleanup(stop)
+	return v, stop
 }
 
 // serve starts a stand-in and returns its address.
@@ -138,9 +148,17 @@
 	for _, o := range objects {
 		changes = append(changes, config.Change{Op: config.OpPut, Object: o})
 	}
-	_, _, err := w.vm.editor.Apply(w.t.Context(), changes)
+	revision, _, err := w.vm.editor.Apply(w.t.Context(), changes)
+	require.NoError(w.t, err)
+	w.inForce(w.vm, revision)
+}
+
+// inForce waits until a VM works under a revision.
+func (w *world) inForce(v *VM, revision int64) {
+	w.t.Helper()
+	s, err := v.cache.WaitRevision(w.t.Context(), revision)
 	require.NoError(w.t, err)
-	w.vm.dispatch.Configure(w.vm.cache.Snapshot())
+	v.dispatch.Configure(s)
 }
 
 // reply is what a caller receives.
@@ -153,7 +171,13 @@
 // send makes one request as a caller does.
 func (w *world) send(method, path, key string, header map[string]string, body string) reply {
 	w.t.Helper()
-	req, err := http.NewRequestWithContext(w.t.Context(), method, "http://"+w.vm.CallersAddress()+path, strings.NewReader(body))
+	return w.sendTo(w.vm, method, path, key, header, body)
+}
+
+// open begins a request and returns its response as it comes.
+func (w *world) open(ctx context.Context, v *VM, method, path, key string, header map[string]string, body string) *http.Response {
+	w.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+v.CallersAddress()+path, strings.NewReader(body))
 	require.NoError(w.t, err)
 	req.Header.Set("Authorization", "Bearer "+key)
 	for k, v := range header {
@@ -161,6 +185,12 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(w.t, err)
+	return resp
+}
+
+func (w *world) sendTo(v *VM, method, path, key string, header map[string]string, body string) reply {
+	w.t.Helper()
+	resp := w.open(w.t.Context(), v, method, path, key, header, body)
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
 	require.NoError(w.t, err)
@@ -170,12 +200,24 @@
 // ask sends a completion for n tokens.
 func (w *world) ask(key, model, prompt string, n int, stream bool, header map[string]string) reply {
 	w.t.Helper()
+	return w.askAt(w.vm, key, model, prompt, n, stream, header)
+}
+
+func (w *world) askAt(v *VM, key, model, prompt string, n int, stream bool, header map[string]string) reply {
+	w.t.Helper()
+	return w.sendTo(v, http.MethodPost, chatPath, key, header, chatBody(w.t, model, prompt, n, stream))
+}
+
+const chatPath = "/v1/chat/completions"
+
+func chatBody(t *testing.T, model, prompt string, n int, stream bool) string {
+	t.Helper()
 	body, err := json.Marshal(map[string]any{
 		"model": model, "stream": stream, "max_tokens": n,
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
 	})
-	require.NoError(w.t, err)
-	return w.send(http.MethodPost, "/v1/chat/completions", key, header, string(body))
+	require.NoError(t, err)
+	return string(body)
 }
 
 // problem reads a refusal.
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -21,6 +21,8 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/ledger"
+	"goldcrestfork/ledger/bill"
+	"goldcrestfork/ledger/pin"
 	"goldcrestfork/platform/httpstore"
 	"goldcrestfork/policy/cascade"
 	"goldcrestfork/policy/picker"
@@ -56,6 +58,7 @@
 	engines  *engine.Client
 	ledger   *ledger.Ledger
 	claims   *ledger.Claims
+	bills    *bill.Spool
 	recorder *rollout.Recorder
 	// incarnation tells this start from an earlier one of the same VM.
 	incarnation uint64
@@ -80,7 +83,9 @@
 		Floor:    v.cache.Revision,
 		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
 	}
-	v.wire()
+	if err := v.wire(); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	var err error
 	if v.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -92,7 +97,12 @@
 	return v, nil
 }
 
-func (v *VM) wire() {
+func (v *VM) wire() error {
+	secret := v.settings.SecretBytes()
+	signer, err := pin.NewSigner(0, secret)
+	if err != nil {
+		return err
+	}
 	weights, learning := picker.WeightsCost, cascade.DefaultSettings()
 	if v.settings.Prefer == "latency" {
 		weights, learning = picker.WeightsLatency, cascade.LatencySettings()
@@ -100,6 +110,7 @@
 	v.recorder = rollout.NewRecorder(fmt.Sprintf("%s/%x", v.settings.VM, v.incarnation))
 	v.ledger = ledger.New(v.store, nil, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.claims = ledger.NewClaims(v.ledger, nil)
+	v.bills = bill.NewSpool(v.store, v.registry, bill.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.dispatch = dispatch.New(dispatch.Config{
 		DataCentre: v.settings.DataCentre,
 		Region:     v.settings.Region,
@@ -114,15 +125,16 @@
 		Engines:       v.engines,
 		Services:      service.NewClient(v.registry),
 		Claims:        claims{v.claims},
-		Sessions:      noSessions{},
-		Bills:         noBills{},
+		Sessions:      sessions{pin.New(v.ledger, signer)},
+		Bills:         v.bills,
 		Addresses:     ownAddress{v},
 		Rater:         newRater(v.settings.Rating.URL),
 		Cascade:       learning,
 		Outcomes:      v.recorder,
 		Metrics:       entry.NewMetrics(v.registry),
-		Secret:        v.settings.SecretBytes(),
+		Secret:        secret,
 	})
+	return nil
 }
 
 // CallersAddress is where callers connect.
@@ -144,6 +156,7 @@
 	g.Go(func() error { v.cache.Run(work); return nil })
 	g.Go(func() error { v.cache.Subscribe(work, v.dispatch.Configure); return nil })
 	g.Go(func() error { v.dispatch.Run(work); return nil })
+	g.Go(func() error { v.bills.Run(work, bill.FlushInterval(1)); return nil })
 	g.Go(func() error { v.pollCold(work); return nil })
 	g.Go(func() error { return serve(callers, v.callers) })
 	g.Go(func() error { return serve(operators, v.operators) })
@@ -200,6 +213,9 @@
 	if left := v.claims.Close(ctx); left > 0 {
 		v.log.Warn().Int("outcomes", left).Msg("stopped with outcomes unrecorded; their claims stay unknown")
 	}
+	if err := v.bills.Flush(ctx); err != nil {
+		v.log.Warn().Int("bills", v.bills.Held()).Err(err).Msg("stopped with bills unwritten; they are lost")
+	}
 }
 
 // wait sleeps for d; false when ctx ended before.
