Show each safeguard of the ledger at work

Cause: abandoned claims, seals, expiry, deaths at each call and lost heads had no test of their own; the model test alone does not notice their safeguards. Found by them: a worker slept on after its last call was refused; expired entries stayed in memory for up to two hours; a merged segment's entries stayed until the next hour.

--- a/ledger/objects.go
+++ b/ledger/objects.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -109,6 +110,10 @@
 	s.state.version = version
 	s.state.head = p.entries
 	s.state.setSegments(p.segments, p.added)
+	if hour := hourOf(time.Now()); len(p.added) > 0 && s.indexedAt != hour {
+		s.indexedAt = hour
+		s.state.reindex()
+	}
 	s.state.size = size - segmentRefSize*len(p.segments)
 	s.discard(p.drop)
 	s.describe()
@@ -131,10 +136,6 @@
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		return proposal{}, err
 	}
-	if s.prunedAt != hour {
-		s.prunedAt = hour
-		s.state.prune()
-	}
 	keep, drop := s.state.sealedBy(x, hour)
 	return proposal{
 		segments: keep,
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -48,8 +48,8 @@
 	// from the state alone: the next write at the same version either shows by
 	// its conflict that the first took effect, or makes that impossible.
 	unsettled bool
-	// prunedAt is the hour of the last prune.
-	prunedAt uint32
+	// indexedAt is the hour of the last new index.
+	indexedAt uint32
 }
 
 // submit queues operations and waits for their results.
@@ -159,9 +159,6 @@
 	read := false  // the state was read after the batch's last call came
 	paced := false // the write that is due has had its turn
 	for {
-		if len(batch) == 0 {
-			return
-		}
 		before := len(batch)
 		s.mu.Lock()
 		batch = s.join(batch)
@@ -192,7 +189,9 @@
 			if outcome == stepFailed {
 				s.l.gate.failed()
 			}
-			batch = refuse(batch)
+			if batch = refuse(batch); len(batch) == 0 {
+				return
+			}
 		}
 		time.Sleep(backoff/2 + s.l.jitter(backoff))
 		backoff = min(2*backoff, lastBackoff)
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -192,19 +192,25 @@
 	return out
 }
 
-// setSegments replaces the list of segments; all of them must be in sealed.
-// New segments are newer than all that stay, since a merge only ever replaces
+// setSegments replaces the list of segments; those that are not at hand must be
+// in added. They are newer than all that stay, since a merge only ever replaces
 // the end of the list; so it suffices to index those.
 func (s *state) setSegments(refs []segmentRef, added map[string][]Entry) {
 	s.segments = refs
+	if len(added) == 0 {
+		return
+	}
+	named := make(map[string][]Entry, len(refs))
 	for _, ref := range refs {
 		entries, ok := added[ref.Name]
-		if !ok {
-			continue
+		if ok {
+			s.indexEntries(entries)
+		} else {
+			entries = s.sealed[ref.Name]
 		}
-		s.sealed[ref.Name] = entries
-		s.indexEntries(entries)
+		named[ref.Name] = entries
 	}
+	s.sealed = named
 }
 
 func (s *state) indexEntries(entries []Entry) {
@@ -213,16 +219,12 @@
 	}
 }
 
-// prune frees the segments that the list no longer names and, by a new index,
-// the entries in them.
-func (s *state) prune() {
-	named := make(map[string][]Entry, len(s.segments))
+// reindex frees the entries that are in no segment any more.
+func (s *state) reindex() {
 	s.index = make(map[Key]*Entry, len(s.index))
 	for _, ref := range s.segments {
-		named[ref.Name] = s.sealed[ref.Name]
-		s.indexEntries(named[ref.Name])
+		s.indexEntries(s.sealed[ref.Name])
 	}
-	s.sealed = named
 }
 
 func headName(shard int) string { return fmt.Sprintf("%03d", shard) }
--- /dev/null
+++ b/ledger/state_test.go
@@ -0,0 +1,217 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/platform"
+	"goldcrestfork/standin/store"
+)
+
+// sealing returns a ledger that seals every few entries.
+func sealing(s platform.Store, vm string) *Ledger {
+	l := New(s, nil, nil, Settings{VM: vm, WritesPerSecond: -1})
+	l.sealAt = modelSeal
+	return l
+}
+
+func decideAll(t *testing.T, l *Ledger, keys []Key, hours uint32) {
+	t.Helper()
+	for i, k := range keys {
+		_, mine, err := l.Decide(t.Context(), k, fmt.Append(nil, i), hours)
+		require.NoError(t, err)
+		require.True(t, mine, "key %d", i)
+	}
+}
+
+// Hundreds of entries leave the head for segments, which merge: any VM finds
+// them all in a few objects, and after their retention they leave the store.
+func TestSegments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a := sealing(s, "a")
+		const n = 600
+		keys := keysOfShard(5, n+1)
+		decideAll(t, a, keys[:n], 24)
+		a.Wait()
+		b := sealing(s, "b")
+		for i, k := range keys[:n] {
+			v, mine, err := b.Decide(t.Context(), k, []byte("late"), 24)
+			require.NoError(t, err)
+			require.False(t, mine)
+			require.Equal(t, fmt.Sprint(i), string(v))
+		}
+		b.Wait()
+		info := b.Dump().Shards[0]
+		require.Greater(t, info.Segments, 1)
+		require.Less(t, info.Segments, 16)
+		listing, err := s.List(t.Context(), kind)
+		require.NoError(t, err)
+		require.Len(t, listing.Objects, info.Segments+1, "merged segments are deleted")
+
+		time.Sleep(27 * time.Hour)
+		decideAll(t, a, keys[n:], 24)
+		decideAll(t, a, keysOfShard(5, 3*n)[2*n:], 24)
+		a.Wait()
+		require.Nil(t, readBack(t, s, keys[0]))
+		sealed := a.Dump().Shards[0].Sealed
+		require.Less(t, sealed, n+10, "expired entries leave the memory too")
+	})
+}
+
+// An entry in use does not expire; one that nobody uses does, after its grace.
+func TestExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		used, left := keysOfShard(9, 2)[0], keysOfShard(9, 2)[1]
+		decideAll(t, testLedger(s, "a"), []Key{used, left}, 4)
+		for range 5 {
+			time.Sleep(3 * time.Hour)
+			v, _, err := testLedger(s, "b").Decide(t.Context(), used, []byte("other"), 4)
+			require.NoError(t, err)
+			require.Equal(t, "0", string(v))
+		}
+		require.NotNil(t, readBack(t, s, used))
+		require.Nil(t, readBack(t, s, left))
+	})
+}
+
+// A VM dies between a seal and the head's write, at each call in turn: nothing
+// acknowledged is lost, and Sweep finds what it left behind.
+func TestDeathAtEachCall(t *testing.T) {
+	for calls := 1; calls <= 40; calls++ {
+		for _, effect := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				s := store.New()
+				dying := &vmStore{Store: s}
+				a := sealing(dying, "a")
+				dying.dieAfter(calls, effect)
+				keys := keysOfShard(3, 30)
+				var acknowledged []Key
+				for _, k := range keys {
+					if _, _, err := a.Decide(t.Context(), k, []byte("v"), 24); err == nil && dying.alive() {
+						acknowledged = append(acknowledged, k)
+					}
+				}
+				a.Wait()
+				b := sealing(s, "b")
+				for _, k := range keys {
+					_, _, err := b.Decide(t.Context(), k, []byte("w"), 24)
+					require.NoError(t, err)
+				}
+				b.Wait()
+				_, err := b.Sweep(t.Context())
+				require.NoError(t, err)
+				for _, k := range acknowledged {
+					e := readBack(t, s, k)
+					require.NotNil(t, e)
+					require.Equal(t, "v", string(e.Value))
+				}
+				listing, err := s.List(t.Context(), kind)
+				require.NoError(t, err)
+				require.Len(t, listing.Objects, b.Dump().Shards[0].Segments+1, "garbage is left")
+			})
+		}
+	}
+}
+
+// racingStore lets another VM commit just before one's own head write.
+type racingStore struct {
+	platform.Store
+	before func()
+}
+
+func (r *racingStore) Put(ctx context.Context, k platform.Key, value []byte, at int64) (platform.Object, error) {
+	if k.Name == headName(3) && r.before != nil {
+		before := r.before
+		r.before = nil
+		before()
+	}
+	return r.Store.Put(ctx, k, value, at)
+}
+
+// A VM has sealed and merged, and loses the race for the head. The segments
+// that the winner's head names must still be there.
+func TestLostRaceAfterSeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		r := &racingStore{Store: s}
+		a := sealing(r, "a")
+		keys := keysOfShard(3, 200)
+		other := keysOfShard(3, 400)[200:]
+		for i, k := range keys {
+			r.before = func() { decideAll(t, testLedger(s, "b"), other[i:i+1], 24) }
+			decideAll(t, a, []Key{k}, 24)
+		}
+		a.Wait()
+		for _, k := range append(keys, other...) {
+			require.NotNil(t, readBack(t, s, k))
+		}
+	})
+}
+
+// Two VMs whose clocks differ seal one head version: what one leaves out as
+// expired or merges differently must not become the other's segment.
+func TestSealsOfOneVersionDiffer(t *testing.T) {
+	s := newState()
+	s.version, s.size = 7, 100
+	s.head[Key{1}] = Entry{Key: Key{1}, Expire: 10}
+	early, err := s.planSeal(0, 10)
+	require.NoError(t, err)
+	late, err := s.planSeal(0, 12)
+	require.NoError(t, err)
+	require.NotEqual(t, early.value, late.value)
+	require.NotEqual(t, early.ref.Name, late.ref.Name)
+	for range mergeRun {
+		s.segments = append(s.segments, segmentRef{Size: 100, Expire: 20})
+	}
+	merged, err := s.planSeal(0, 10)
+	require.NoError(t, err)
+	require.Zero(t, merged.from)
+	s.segments = s.segments[:mergeRun-2]
+	unmerged, err := s.planSeal(0, 10)
+	require.NoError(t, err)
+	require.NotEqual(t, merged.ref.Name, unmerged.ref.Name)
+}
+
+// The platform loses a head. Its keys can't be known any more: the shard
+// refuses rather than decide them again.
+func TestLostHeadRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a := testLedger(s, "a")
+		keys := keysOfShard(3, 2)
+		decideAll(t, a, keys[:1], 24)
+		o, err := s.Get(t.Context(), platform.Key{Kind: kind, Name: headName(3)})
+		require.NoError(t, err)
+		require.NoError(t, s.Delete(t.Context(), o.Key, o.Version))
+		_, _, err = a.Decide(t.Context(), keys[1], []byte("v"), 24)
+		require.ErrorIs(t, err, ErrUnavailable)
+		require.Zero(t, a.RetryAfter(), "other shards go on")
+		a.Wait()
+	})
+}
+
+// Trim frees idle shards, but not one whose last write is in doubt.
+func TestTrim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a := testLedger(s, "a")
+		decideAll(t, a, keysOfShard(3, 1), 24)
+		s.SetFaults(store.Faults{Delay: time.Millisecond, RefuseWrites: 100})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Millisecond)
+		defer cancel()
+		_, _, err := a.Decide(ctx, keysOfShard(4, 1)[0], []byte("v"), 24)
+		require.ErrorIs(t, err, ErrUnknown)
+		a.Wait()
+		time.Sleep(time.Minute)
+		a.Trim(time.Now())
+		require.Len(t, a.Dump().Shards, 1)
+		require.Equal(t, 4, a.Dump().Shards[0].Shard)
+	})
+}
