--- a/ledger/dump.go
+++ b/ledger/dump.go
@@ -15,6 +15,8 @@
 	// Sealed is the number of keys known from segments.
 	Sealed int `json:"sealed_entries"`
 	Queued int `json:"queued"`
+	// Writes is the number of heads that this VM has written.
+	Writes int `json:"writes"`
 	// Unsettled: a write had no reply and its effect is not known yet.
 	Unsettled bool `json:"unsettled"`
 }
@@ -64,6 +66,7 @@
 		HeadSize:  s.state.size,
 		Segments:  len(s.state.segments),
 		Sealed:    len(s.state.index),
+		Writes:    s.writes,
 		Unsettled: s.unsettled,
 	}
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -134,3 +134,27 @@
 	require.NoError(t, sh.load())
 	return sh.state.lookup(k, hourOf(time.Now()))
 }
+
+// A shard under steady load keeps to its share of the platform's writes, and
+// each caller still gets its decision within the time that the share gives.
+func TestPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a := testLedger(s, "a")
+		const seconds, perSecond = 20, 50
+		var wg sync.WaitGroup
+		for _, k := range keysOfShard(7, seconds*perSecond) {
+			time.Sleep(time.Second / perSecond)
+			wg.Go(func() {
+				begun := time.Now()
+				_, _, err := a.Decide(context.Background(), k, nil, pinHours)
+				require.NoError(t, err)
+				require.LessOrEqual(t, time.Since(begun), 2*time.Second*ShardCount/DefaultWritesPerSecond)
+			})
+		}
+		wg.Wait()
+		a.Wait()
+		heads := float64(seconds*DefaultWritesPerSecond) / ShardCount
+		require.LessOrEqual(t, float64(a.Dump().Shards[0].Writes), heads+paceBurst+1)
+	})
+}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -50,6 +50,7 @@
 	unsettled bool
 	// indexedAt is the hour of the last new index.
 	indexedAt uint32
+	writes    int
 }
 
 // submit queues operations and waits for their results.
@@ -309,6 +310,7 @@
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
+		s.writes++
 		s.l.metrics.batch.Observe(float64(len(p.results)))
 		s.adopt(o.Version, next, len(value))
 		answer(batch, p.results)
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -215,3 +215,25 @@
 		require.Equal(t, 4, a.Dump().Shards[0].Shard)
 	})
 }
+
+// Another VM sweeps between a seal and its head's write: the segment that no
+// head names yet must stay.
+func TestSweepDuringSeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		r := &racingStore{Store: s}
+		a := sealing(r, "a")
+		keys := keysOfShard(3, 30)
+		for _, k := range keys {
+			r.before = func() {
+				_, err := testLedger(s, "b").Sweep(t.Context())
+				require.NoError(t, err)
+			}
+			decideAll(t, a, []Key{k}, 24)
+		}
+		a.Wait()
+		for _, k := range keys {
+			require.NotNil(t, readBack(t, s, k))
+		}
+	})
+}
