--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -36,8 +36,9 @@
 	// DefaultTimeout of one operation: more than two calls to the platform, so
 	// that one lost reply can be settled within it.
 	DefaultTimeout = 5 * time.Second
-	// paceBurst writes of a shard go out at once after a quiet spell.
-	paceBurst = 8
+	// paceBurst writes of a shard go out at once after a quiet spell: a claim and
+	// its outcome. More would let all shards together go far over the rate.
+	paceBurst = 2
 	// finalsKept bounds the cache of decisions that can't change any more.
 	finalsKept = 16 << 10
 )
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -145,10 +145,12 @@
 )
 
 // Waits between attempts. Grounds: the platform answers in milliseconds, so a
-// conflict's loser waits about one write; an outage lasts longer than any
-// caller waits, so a few tries tell it from a lost packet.
+// conflict's loser waits for a few writes at most (longer waits cost 40 writers
+// without a hint more than the conflicts do: docs/design/ledger.md); an outage
+// lasts longer than any caller waits, so a few tries tell it from a lost packet.
 const (
 	firstBackoff = 5 * time.Millisecond
+	lastConflict = 40 * time.Millisecond
 	lastBackoff  = 500 * time.Millisecond
 	failedTries  = 3
 )
@@ -195,7 +197,10 @@
 			}
 		}
 		time.Sleep(backoff/2 + s.l.jitter(backoff))
-		backoff = min(2*backoff, lastBackoff)
+		if backoff *= 2; outcome == stepConflict {
+			backoff = min(backoff, lastConflict)
+		}
+		backoff = min(backoff, lastBackoff)
 	}
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -25,6 +25,8 @@
 // Counts is the number of calls by kind of call; a waiting watch counts as one.
 type Counts struct {
 	Gets, Lists, Puts, Deletes, Watches, VMLists, Conflicts, OverRate int
+	// PutBytes is the size of all values sent in writes, taken or not.
+	PutBytes int64
 }
 
 // Writes is the number of calls that count against the platform's write rate.
@@ -62,6 +64,17 @@
 	return s.counts
 }
 
+// Bytes is the size of all values held.
+func (s *Store) Bytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var total int64
+	for _, o := range s.objects {
+		total += int64(len(o.Value))
+	}
+	return total
+}
+
 // wake lets waiting watches look again. Callers hold s.mu.
 func (s *Store) wake() {
 	close(s.changed)
@@ -140,7 +153,10 @@
 	if len(value) > platform.MaxValue {
 		return platform.Object{}, platform.ErrTooLarge
 	}
-	if err := s.enter(ctx, write, func(c *Counts) { c.Puts++ }); err != nil {
+	if err := s.enter(ctx, write, func(c *Counts) {
+		c.Puts++
+		c.PutBytes += int64(len(value))
+	}); err != nil {
 		return platform.Object{}, err
 	}
 	s.mu.Lock()
