Test the decisions under load, and keep sums and orders exact

Cause: runs with the same seed differed, since the picker's sets were filled in map order; a pool that loses its power could leave a request quarantined that was by chance at its first three crashes, since blame was weighed only when given.

--- /dev/null
+++ b/policy/admission/queue_test.go
@@ -0,0 +1,245 @@
+package admission
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcrestfork/config"
+)
+
+const seed = 7
+
+var start = time.Unix(1_700_000_000, 0)
+
+// measured returns a queue that knows that a unit of work takes a second.
+func measured(slots int) *Queue {
+	q := New(Config{}, rand.New(rand.NewPCG(seed, 0)))
+	q.SetCapacity(start, 1)
+	it := item(0, "warm-up", config.ClassImmediate, time.Hour)
+	q.Offer(start, it)
+	q.Done(start, it, time.Second, 0)
+	q.Forget("warm-up")
+	q.SetCapacity(start, slots)
+	return q
+}
+
+func item(id uint64, account string, class config.Class, within time.Duration) Item {
+	return Item{ID: id, Account: account, Weight: 1, Class: class, Deadline: start.Add(within), Size: 1}
+}
+
+// TestWeights: two accounts wait; each slot that frees goes to the one that had
+// less for its weight.
+func TestWeights(t *testing.T) {
+	q := measured(1)
+	for id := range uint64(80) {
+		it := item(id, fmt.Sprint("a", id%2), config.ClassInteractive, time.Hour)
+		it.Weight = float64(1 + 2*(id%2))
+		q.Offer(start, it)
+	}
+	got := map[string]int{}
+	last := Item{Account: "a0"} // the first one offered runs
+	for range 40 {
+		got[last.Account]++
+		q.Done(start, last, 0, 0)
+		last, _ = q.Next(start)
+	}
+	require.InDelta(t, 30, got["a1"], 1)
+}
+
+// TestOrder: what starts first when one slot frees.
+func TestOrder(t *testing.T) {
+	cases := []struct {
+		name  string
+		items []Item
+		want  uint64
+	}{
+		{"class first", []Item{
+			item(1, "a", config.ClassDeferrable, time.Hour),
+			item(2, "b", config.ClassInteractive, time.Hour),
+			item(3, "c", config.ClassImmediate, time.Hour),
+		}, 3},
+		{"short passes long of its account", []Item{
+			sized(item(1, "a", config.ClassInteractive, time.Hour), 20),
+			sized(item(2, "a", config.ClassInteractive, time.Hour), 1),
+		}, 2},
+		{"one account's second waits for another's first", []Item{
+			item(1, "running", config.ClassInteractive, time.Hour),
+			item(2, "b", config.ClassInteractive, time.Hour),
+		}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			q := measured(1)
+			first := sized(item(99, "running", config.ClassInteractive, time.Hour), 5)
+			require.Equal(t, Run, q.Offer(start, first).Outcome)
+			for _, it := range c.items {
+				require.Equal(t, Queued, q.Offer(start, it).Outcome)
+			}
+			q.Done(start, first, 0, 0)
+			got, ok := q.Next(start)
+			require.True(t, ok)
+			require.Equal(t, c.want, got.ID)
+		})
+	}
+}
+
+func sized(it Item, size float64) Item {
+	it.Size = size
+	return it
+}
+
+// TestDeferrableFloor: immediate requests keep coming for longer than a deferrable
+// one may wait; it starts in time all the same.
+func TestDeferrableFloor(t *testing.T) {
+	q := measured(1)
+	now := start
+	q.Offer(now, item(1, "flood", config.ClassImmediate, time.Hour))
+	q.Offer(now, item(2, "weekly", config.ClassDeferrable, 30*time.Second))
+	running := item(1, "flood", config.ClassImmediate, time.Hour)
+	for id := uint64(3); id < 40; id++ {
+		now = now.Add(time.Second)
+		q.Offer(now, item(id, "flood", config.ClassImmediate, time.Hour))
+		q.Done(now, running, time.Second, 0)
+		require.Empty(t, q.Refused(now))
+		running, _ = q.Next(now)
+		if running.ID == 2 {
+			return
+		}
+	}
+	t.Fatal("the deferrable item never started")
+}
+
+// TestRefusedAtOnce: a caller that can't be served is told on arrival, or the moment
+// it becomes clear, and told when to come back.
+func TestRefusedAtOnce(t *testing.T) {
+	t.Run("on arrival, behind the backlog", func(t *testing.T) {
+		q := measured(1)
+		for id := range uint64(30) {
+			q.Offer(start, item(id, "a", config.ClassInteractive, time.Minute))
+		}
+		v := q.Offer(start, item(99, "a", config.ClassInteractive, 10*time.Second))
+		require.Equal(t, Refused, v.Outcome)
+		require.Equal(t, ReasonDeadline, v.Reason)
+		require.Greater(t, v.RetryAfter, 10*time.Second)
+	})
+	t.Run("no endpoint left", func(t *testing.T) {
+		q := measured(1)
+		q.Offer(start, item(1, "a", config.ClassInteractive, time.Minute))
+		q.Offer(start, item(2, "a", config.ClassInteractive, time.Minute))
+		q.SetCapacity(start, 0)
+		got := q.Refused(start)
+		require.Len(t, got, 1)
+		require.Equal(t, ReasonNoCapacity, got[0].Reason)
+		require.Positive(t, got[0].RetryAfter)
+		require.Equal(t, ReasonNoCapacity, q.Offer(start, item(3, "a", 0, time.Minute)).Reason)
+	})
+	t.Run("endpoints became slow", func(t *testing.T) {
+		q := measured(1)
+		for id := range uint64(20) {
+			q.Offer(start, item(id, "a", config.ClassInteractive, 30*time.Second))
+		}
+		now := start.Add(10 * time.Second)
+		q.Done(now, item(0, "a", config.ClassInteractive, 0), 10*time.Second, 0)
+		require.NotEmpty(t, q.Refused(now))
+	})
+	t.Run("nothing is measured yet", func(t *testing.T) {
+		q := New(Config{}, rand.New(rand.NewPCG(seed, 0)))
+		q.SetCapacity(start, 1)
+		require.Equal(t, Run, q.Offer(start, sized(item(1, "a", 0, time.Second), 4096)).Outcome)
+	})
+}
+
+// TestRetryAfterSpread: callers refused in one instant are not sent back in one.
+func TestRetryAfterSpread(t *testing.T) {
+	q := measured(4)
+	for id := range uint64(100) {
+		q.Offer(start, item(id, "a", config.ClassInteractive, 20*time.Second))
+	}
+	perSecond := map[int]int{}
+	for id := range uint64(40) {
+		v := q.Offer(start, item(1000+id, "a", config.ClassInteractive, time.Second))
+		require.Equal(t, Refused, v.Outcome)
+		require.LessOrEqual(t, v.RetryAfter, maxRetryAfter*5/4)
+		perSecond[int(v.RetryAfter.Seconds())]++
+	}
+	for _, n := range perSecond {
+		require.LessOrEqual(t, n, 4, "a second's work of all slots at most")
+	}
+}
+
+// lowest returns the item with the lowest id, so that a failing case can be replayed.
+func lowest(items map[uint64]Item) (Item, bool) {
+	ids := slices.Sorted(maps.Keys(items))
+	if len(ids) == 0 {
+		return Item{}, false
+	}
+	return items[ids[0]], true
+}
+
+// TestEachItemEndsOnce: whatever is called, an item ends as run, refused or removed,
+// exactly once, and no more run than there are slots.
+func TestEachItemEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{MaxItems: 8}, rand.New(rand.NewPCG(seed, 0)))
+		now, slots := start, rapid.IntRange(1, 4).Draw(t, "slots")
+		q.SetCapacity(now, slots)
+		open := map[uint64]Item{} // queued
+		running := map[uint64]Item{}
+		run := func(it Item) {
+			delete(open, it.ID)
+			running[it.ID] = it
+			require.LessOrEqual(t, len(running), 4)
+		}
+		for id := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1, 2:
+				it := item(id, fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "account")), config.Class(rapid.IntRange(0, 2).Draw(t, "class")), 0)
+				it.Size = rapid.Float64Range(0.1, 20).Draw(t, "size")
+				it.Deadline = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "deadline")) * time.Second)
+				switch q.Offer(now, it).Outcome {
+				case Run:
+					run(it)
+				case Queued:
+					open[it.ID] = it
+				}
+			case 3:
+				if it, ok := lowest(running); ok {
+					delete(running, it.ID)
+					if rapid.Bool().Draw(t, "back") {
+						open[it.ID] = it
+						q.PutBack(now, it)
+					} else {
+						q.Done(now, it, time.Duration(it.Size*float64(time.Second)), it.Size)
+					}
+				}
+			case 4:
+				if it, ok := lowest(open); ok {
+					require.True(t, q.Remove(it))
+					delete(open, it.ID)
+				}
+			case 5:
+				q.SetCapacity(now, rapid.IntRange(0, 4).Draw(t, "slots"))
+			}
+			for it, ok := q.Next(now); ok; it, ok = q.Next(now) {
+				require.Contains(t, open, it.ID)
+				run(it)
+			}
+			for _, r := range q.Refused(now) {
+				require.Contains(t, open, r.Item.ID)
+				require.Positive(t, r.RetryAfter)
+				delete(open, r.Item.ID)
+			}
+			waiting, held := q.Len()
+			require.Equal(t, len(open), waiting)
+			require.Equal(t, len(running), held)
+		}
+	})
+}
--- /dev/null
+++ b/policy/limit/limit_test.go
@@ -0,0 +1,119 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ok(latency time.Duration) Sample { return Sample{Latency: latency, Size: 1} }
+
+// TestColdAtOnce: an endpoint restarts without warning while its slots are full.
+// From that moment nothing starts above what it bears cold; when it is warm again
+// it is filled step by step.
+func TestColdAtOnce(t *testing.T) {
+	l := New(DefaultConfig, Bounds{Slots: 8, Cold: 1}, false)
+	for range 8 {
+		require.True(t, l.Acquire())
+	}
+	l.SetCold(true)
+	for range 8 {
+		require.False(t, l.Acquire())
+		l.Release(start, ok(time.Second))
+	}
+	require.True(t, l.Acquire())
+	require.False(t, l.Acquire())
+	l.SetCold(false)
+	require.Equal(t, 1, l.Current())
+	for want := 2; want <= 8; want++ {
+		l.Release(start, ok(time.Second))
+		require.Equal(t, want, l.Current(), "one more a success")
+		require.True(t, l.Acquire())
+	}
+}
+
+func TestNoColdSlotDealt(t *testing.T) {
+	l := New(DefaultConfig, Bounds{Slots: 2, Cold: 0}, true)
+	require.False(t, l.Acquire())
+	l.SetCold(false)
+	require.True(t, l.Acquire(), "a warm endpoint gets at least one, or nothing would be learned")
+}
+
+// TestSignals: what moves the limit, from 10 of 20 slots.
+func TestSignals(t *testing.T) {
+	cases := []struct {
+		name string
+		cfg  Config
+		s    Sample
+		want func(t *testing.T, before, after int)
+	}{
+		{"refusal", DefaultConfig, Sample{Refused: true, Latency: time.Millisecond}, lower},
+		{"four times as slow", DefaultConfig, ok(4 * time.Second), lower},
+		{"as usual", DefaultConfig, ok(time.Second), higher},
+		{"slow, signal off", Config{}, ok(4 * time.Second), higher},
+		{"slow, fixed", Config{Fixed: true}, ok(4 * time.Second), same},
+		{"failures say nothing", DefaultConfig, Sample{Failed: true, Latency: time.Minute, Size: 1}, same},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := New(c.cfg, Bounds{Slots: 10}, false)
+			now := start
+			l.Acquire()
+			l.Release(now, ok(time.Second))
+			l.bounds.Slots = 20
+			before := l.Current()
+			for range 40 {
+				now = now.Add(200 * time.Millisecond)
+				for l.Acquire() {
+				}
+				l.Release(now, c.s)
+			}
+			c.want(t, before, l.Current())
+		})
+	}
+}
+
+func lower(t *testing.T, before, after int)  { require.Less(t, after, before) }
+func higher(t *testing.T, before, after int) { require.Greater(t, after, before) }
+func same(t *testing.T, before, after int)   { require.GreaterOrEqual(t, after, before) }
+
+// TestWithinBounds: whatever is measured, no more is in flight than was dealt when
+// it was acquired, and a warm endpoint with a slot is never shut out for good.
+func TestWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Bounds{Slots: rapid.IntRange(0, 20).Draw(t, "slots"), Cold: rapid.IntRange(0, 3).Draw(t, "cold")}
+		l := New(DefaultConfig, b, rapid.Bool().Draw(t, "startsCold"))
+		now := start
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				bound := b.Slots
+				if l.Cold() {
+					bound = b.Cold
+				}
+				if l.Acquire() {
+					require.LessOrEqual(t, l.InFlight(), bound)
+				}
+			case 2:
+				l.Release(now, Sample{
+					Latency: time.Duration(rapid.IntRange(1, 10_000).Draw(t, "latency")) * time.Millisecond,
+					Size:    rapid.Float64Range(0, 5).Draw(t, "size"),
+					Refused: rapid.Bool().Draw(t, "refused"),
+				})
+			case 3:
+				l.SetCold(rapid.Bool().Draw(t, "cold"))
+			case 4:
+				b.Slots = rapid.IntRange(0, 20).Draw(t, "slots")
+				l.SetBounds(b)
+			}
+			if !l.Cold() && b.Slots > 0 {
+				require.GreaterOrEqual(t, l.Current(), 1)
+			}
+		}
+	})
+}
--- a/policy/loadtest/result.go
+++ b/policy/loadtest/result.go
@@ -154,3 +154,6 @@
 		}
 	}
 }
+
+// Immediate is the tally of the immediate class.
+func (r *Result) Immediate() *Tally { return &r.Classes[config.ClassImmediate] }
--- a/policy/picker/endpoint.go
+++ b/policy/picker/endpoint.go
@@ -60,6 +60,9 @@
 	limit    *limit.Limit
 	// sinceReport counts own dispatches since the report was taken.
 	sinceReport int
+	// counted is what it adds to the capacity of each of its pools, running what it
+	// adds to their load.
+	counted, running int
 	// position is its place in each of its pools' open sets, -1 when it's in none.
 	position []int
 	pools    []*pool
@@ -82,6 +85,21 @@
 	members []*Endpoint
 	open    [tiers][]*Endpoint
 	ring    ring
+	// capacity and inFlight are the sums over the members that Capacity returns.
+	capacity, inFlight int
+}
+
+// count brings the sums of its pools up to date.
+func (e *Endpoint) count() {
+	limit, running := 0, e.InFlight()
+	if (TakesWork{}).Eligible(e) {
+		limit = e.Limit()
+	}
+	for _, p := range e.pools {
+		p.capacity += limit - e.counted
+		p.inFlight += running - e.running
+	}
+	e.counted, e.running = limit, running
 }
 
 // setOpen puts the endpoint into the open sets of its pools, or takes it out.
--- /dev/null
+++ b/policy/picker/picker_test.go
@@ -0,0 +1,267 @@
+package picker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"goldcrestfork/policy/limit"
+)
+
+const seed = 9
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// fleet returns specs of n endpoints that each serve two of the versions.
+func fleet(n, versions, slots int) []Spec {
+	specs := make([]Spec, n)
+	for i := range specs {
+		specs[i] = Spec{
+			Name:   fmt.Sprintf("e%04d", i),
+			Pools:  []string{fmt.Sprint("v", i%versions), fmt.Sprint("v", (i+1)%versions)},
+			Tier:   Tier(i / versions % 3),
+			Bounds: limit.Bounds{Slots: slots, Cold: 1},
+		}
+	}
+	return specs
+}
+
+func table(specs []Spec) *Table {
+	t := NewTable(DefaultConfig(WeightsCost))
+	t.Set(specs)
+	return t
+}
+
+func one(n, slots int) []Spec {
+	specs := fleet(n, 1, slots)
+	for i := range specs {
+		specs[i].Pools, specs[i].Tier = []string{"v0"}, TierLocal
+	}
+	return specs
+}
+
+// TestNeverWhatMayNot: under any sequence of changes, a pick serves the version
+// asked for, takes work, has room, and was not tried; and while such an endpoint
+// exists, one is picked.
+func TestNeverWhatMayNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		specs := fleet(8, 3, 2)
+		tab, rng := table(specs), newRand()
+		state := map[string]State{}
+		running := map[string]int{}
+		var picked []*Endpoint
+		r := &Request{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := specs[rapid.IntRange(0, 7).Draw(t, "endpoint")].Name
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				s := State{
+					Leaving: rapid.Bool().Draw(t, "leaving"), Down: rapid.Bool().Draw(t, "down"),
+					DataCentreOut: rapid.Bool().Draw(t, "out"), Probation: rapid.Bool().Draw(t, "probation"),
+				}
+				state[name] = s
+				tab.Update(name, func(to *State) { *to = s })
+			case 1:
+				if len(picked) > 0 {
+					tab.Done(start, picked[0], r, limit.Sample{Failed: true})
+					running[picked[0].Name]--
+					picked = picked[1:]
+				}
+			case 2:
+				tab.Set(specs)
+			default:
+				r.Pool = fmt.Sprint("v", rapid.IntRange(0, 2).Draw(t, "version"))
+				r.Exclude = []string{name}
+				r.Prefix = []uint64{uint64(rapid.IntRange(0, 3).Draw(t, "prefix"))}
+				may := map[string]bool{}
+				for _, s := range specs {
+					st := state[s.Name]
+					if (s.Pools[0] == r.Pool || s.Pools[1] == r.Pool) && !st.Leaving && !st.Down &&
+						!st.DataCentreOut && !st.Probation && running[s.Name] < 2 && s.Name != name {
+						may[s.Name] = true
+					}
+				}
+				e, miss := tab.Pick(start, rng, r)
+				require.Equal(t, len(may) > 0, miss == Picked)
+				if e != nil {
+					require.True(t, may[e.Name], e.Name)
+					running[e.Name]++
+					picked = append(picked, e)
+				}
+			}
+		}
+	})
+}
+
+// TestProbation: an endpoint on probation is tried out by what can be made good, one
+// request at a time.
+func TestProbation(t *testing.T) {
+	tab, rng := table(one(1, 4)), newRand()
+	tab.Update("e0000", func(s *State) { s.Probation = true })
+	_, miss := tab.Pick(start, rng, &Request{Pool: "v0"})
+	require.Equal(t, MissFiltered, miss)
+	_, miss = tab.Pick(start, rng, &Request{Pool: "v0", Probe: true})
+	require.Equal(t, Picked, miss)
+	_, miss = tab.Pick(start, rng, &Request{Pool: "v0", Probe: true})
+	require.Equal(t, MissFull, miss)
+}
+
+// TestSuspectsApart: two requests that were at a crash never share an endpoint.
+func TestSuspectsApart(t *testing.T) {
+	tab, rng := table(one(2, 8)), newRand()
+	r := &Request{Pool: "v0", Suspect: true}
+	a, _ := tab.Pick(start, rng, r)
+	b, _ := tab.Pick(start, rng, r)
+	require.NotEqual(t, a.Name, b.Name)
+	_, miss := tab.Pick(start, rng, r)
+	require.Equal(t, MissFiltered, miss)
+	tab.Done(start, a, r, limit.Sample{})
+	c, _ := tab.Pick(start, rng, r)
+	require.Equal(t, a.Name, c.Name)
+}
+
+// TestNoHerd: seven VMs hold the same stale report, in which one endpoint is idle and
+// the others are half full. Before the next report they send 84 requests; the idle
+// one must not get most of them.
+func TestNoHerd(t *testing.T) {
+	got := map[string]int{}
+	for vm := range 7 {
+		tab := table(one(12, 8))
+		rng := rand.New(rand.NewPCG(seed, uint64(vm)))
+		for i, s := range one(12, 8) {
+			tab.Report(s.Name, Report{InFlight: 8 * min(i, 1), At: start})
+		}
+		for range 12 {
+			e, _ := tab.Pick(start.Add(2*time.Second), rng, &Request{Pool: "v0"})
+			got[e.Name]++
+		}
+	}
+	require.LessOrEqual(t, got["e0000"], 21, "three times its share of 7 at most")
+	require.Len(t, got, 12)
+}
+
+// TestAffinity: where a prefix goes, by what is known of it. Events are late, some
+// are lost, and a restart empties the cache.
+func TestAffinity(t *testing.T) {
+	const prefix = 42
+	cases := []struct {
+		name   string
+		events []Event
+		cold   bool
+		want   float64 // confidence that e0000 holds it
+	}{
+		{"stored", []Event{{Sequence: 1, Stored: []uint64{prefix}}}, false, confirmed},
+		{"a later event was lost", []Event{{Sequence: 1, Stored: []uint64{prefix}}, {Sequence: 4}}, false, doubted},
+		{"an old event comes again", []Event{{Sequence: 2, Stored: []uint64{prefix}}, {Sequence: 1, Removed: []uint64{prefix}}}, false, confirmed},
+		{"removed", []Event{{Sequence: 1, Stored: []uint64{prefix}}, {Sequence: 2, Removed: []uint64{prefix}}}, false, 0},
+		{"cleared", []Event{{Sequence: 1, Stored: []uint64{prefix}}, {Sequence: 2, Cleared: true}}, false, 0},
+		{"back in cold start", []Event{{Sequence: 1, Stored: []uint64{prefix}}}, true, 0},
+		{"stored after a restart", []Event{{Sequence: 9, Cleared: true}, {Sequence: 10, Stored: []uint64{prefix}}}, false, confirmed},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			tab := table(one(4, 8))
+			for _, ev := range c.events {
+				tab.Event("e0000", ev)
+			}
+			if c.cold {
+				tab.SetCold("e0000", true)
+			}
+			got := 0.0
+			if entry, ok := tab.prefixes.entries.Get(prefix); ok && entry[0].e != nil {
+				got = tab.prefixes.confidence(entry[0])
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+// TestSameEndpointWithoutNews: VMs that heard nothing of a prefix still meet on one
+// endpoint, and on the same next one when it is full.
+func TestSameEndpointWithoutNews(t *testing.T) {
+	tabs := []*Table{table(one(12, 64)), table(one(12, 64))}
+	agree := 0
+	for i := range uint64(100) {
+		a, _ := tabs[0].Pick(start, rand.New(rand.NewPCG(seed, 1)), &Request{Pool: "v0", Prefix: []uint64{i}})
+		b, _ := tabs[1].Pick(start, rand.New(rand.NewPCG(seed, 2)), &Request{Pool: "v0", Prefix: []uint64{i}})
+		if a.Name == b.Name {
+			agree++
+		}
+	}
+	require.GreaterOrEqual(t, agree, 70)
+}
+
+// TestAllocations: a decision allocates no more in a large fleet than in a small one.
+func TestAllocations(t *testing.T) {
+	perPick := func(n int) float64 {
+		tab, rng := table(fleet(n, 19, 4)), newRand()
+		r := &Request{Pool: "v3", Prefix: []uint64{1, 2, 3, 4}, Exclude: []string{"e0003"}}
+		return testing.AllocsPerRun(1000, func() {
+			e, _ := tab.Pick(start, rng, r)
+			tab.Done(start, e, r, limit.Sample{Latency: time.Second, Size: 1})
+		})
+	}
+	require.LessOrEqual(t, perPick(2000), perPick(100))
+	require.LessOrEqual(t, perPick(2000), 1.0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{100, 500, 2000} {
+		for _, full := range []int{0, 95} {
+			b.Run(fmt.Sprintf("endpoints=%d/versions=19/full=%d%%", n, full), func(b *testing.B) {
+				specs := fleet(n, 19, 4)
+				tab, rng := table(specs), newRand()
+				for i, s := range specs {
+					tab.Report(s.Name, Report{InFlight: i % 5, At: start})
+					if i%100 < full {
+						tab.Update(s.Name, func(st *State) { st.Down = true })
+					}
+				}
+				requests := make([]Request, 19*50)
+				for i := range requests {
+					requests[i] = Request{Pool: fmt.Sprint("v", i%19), Prefix: []uint64{uint64(i), uint64(i) << 8, uint64(i) << 16, uint64(i) << 24}}
+				}
+				b.ReportAllocs()
+				i := 0
+				for b.Loop() {
+					r := &requests[i%len(requests)]
+					i++
+					if e, _ := tab.Pick(start, rng, r); e != nil {
+						tab.Done(start, e, r, limit.Sample{Latency: time.Second, Size: 1})
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSet is a change of configuration or membership.
+func BenchmarkSet(b *testing.B) {
+	for _, n := range []int{100, 500, 2000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			specs := fleet(n, 19, 4)
+			tab := table(specs)
+			b.ReportAllocs()
+			for b.Loop() {
+				tab.Set(specs)
+			}
+		})
+	}
+}
+
+func BenchmarkCapacity(b *testing.B) {
+	for _, n := range []int{100, 500, 2000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			tab := table(fleet(n, 19, 4))
+			for b.Loop() {
+				tab.Capacity("v3")
+			}
+		})
+	}
+}
--- a/policy/picker/table.go
+++ b/policy/picker/table.go
@@ -92,12 +92,14 @@
 	for _, p := range t.pools {
 		p.ring = newRing(p.members)
 	}
-	for _, e := range t.endpoints {
-		t.refresh(e)
+	for _, s := range specs {
+		// In the order of the specs, so that a run with the same seed is the same run.
+		t.refresh(t.endpoints[s.Name])
 	}
 }
 
 func (t *Table) join(e *Endpoint) {
+	e.counted, e.running = 0, 0
 	e.pools = make([]*pool, len(e.Pools))
 	e.position = make([]int, len(e.Pools))
 	for i, name := range e.Pools {
@@ -122,6 +124,7 @@
 		}
 	}
 	e.setOpen(open)
+	e.count()
 }
 
 // Update changes an endpoint's state; it is in force with the next Pick.
@@ -182,13 +185,7 @@
 	if p == nil {
 		return 0, 0
 	}
-	for _, e := range p.members {
-		if (TakesWork{}).Eligible(e) {
-			limit += e.Limit()
-		}
-		inFlight += e.InFlight()
-	}
-	return limit, inFlight
+	return p.capacity, p.inFlight
 }
 
 // Pick chooses an endpoint and takes a slot of it, to be given back by Done.
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -15,8 +15,8 @@
 //   - it takes crashes of Distinct different endpoints and Threshold units of blame;
 //   - a suspect runs apart from other suspects (Suspect, used as a filter when an
 //     endpoint is picked), so that one crash never falls on two of them;
-//   - a crash among other crashes that the request had no part in is a failure of
-//     the pool, and counts for less.
+//   - when other endpoints crash about the same time without the request, it is the
+//     pool that fails, and the request's blame counts for less, also in hindsight.
 //
 // The blame is kept by endpoint and merges by maximum, so that VMs may exchange
 // it in any order and repeatedly.
@@ -80,6 +80,8 @@
 	Blame map[string]float64 `cbor:"2,keyasint"`
 	// Survived counts the answers that it brought without a crash.
 	Survived int `cbor:"3,keyasint"`
+	// Unrelated counts the crashes about the same time that it had no part in.
+	Unrelated int `cbor:"5,keyasint,omitempty"`
 	// Age is the time since the last crash; a duration, since VMs' clocks differ.
 	Age time.Duration `cbor:"4,keyasint"`
 }
@@ -87,7 +89,9 @@
 type record struct {
 	blame    map[string]float64
 	survived int
-	last     time.Time
+	// unrelated is the number of crashes within window of its own that it had no part in.
+	unrelated int
+	last      time.Time
 }
 
 func (r *record) score() float64 {
@@ -95,7 +99,7 @@
 	for _, b := range r.blame {
 		sum += b
 	}
-	return sum / float64(1+r.survived)
+	return sum / float64((1+r.survived)*(1+r.unrelated))
 }
 
 type crash struct {
@@ -165,8 +169,12 @@
 		total += t.odds(f)
 	}
 	for _, f := range suspects {
-		share := t.odds(f) / total
-		t.blame(now, f, endpoint, share/float64(1+t.unrelated(f)))
+		t.blame(now, f, endpoint, t.odds(f)/total)
+	}
+	for f, r := range t.records {
+		if _, found := slices.BinarySearch(suspects, f); !found && now.Sub(r.last) <= window {
+			r.unrelated++
+		}
 	}
 	t.recent = append(t.recent, crash{at: now, suspects: suspects})
 }
@@ -199,7 +207,7 @@
 		for k, v := range r.blame {
 			blame[k] = v
 		}
-		out = append(out, Count{Fingerprint: f, Blame: blame, Survived: r.survived, Age: now.Sub(r.last)})
+		out = append(out, Count{Fingerprint: f, Blame: blame, Survived: r.survived, Unrelated: r.unrelated, Age: now.Sub(r.last)})
 	}
 	slices.SortFunc(out, func(a, b Count) int {
 		if a.Fingerprint < b.Fingerprint {
@@ -210,8 +218,8 @@
 	return out
 }
 
-// Merge takes another VM's counts in. It is commutative and idempotent: blame and
-// survivals merge by maximum.
+// Merge takes another VM's counts in. It is commutative and idempotent: all merge
+// by maximum.
 func (t *Tracker) Merge(now time.Time, counts []Count) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -231,6 +239,7 @@
 			r.blame[k] = max(r.blame[k], v)
 		}
 		r.survived = max(r.survived, c.Survived)
+		r.unrelated = max(r.unrelated, c.Unrelated)
 		if at := now.Add(-c.Age); at.After(r.last) {
 			r.last = at
 		}
@@ -250,7 +259,7 @@
 		if len(t.records) >= maxRecords {
 			return
 		}
-		r = &record{blame: make(map[string]float64)}
+		r = &record{blame: make(map[string]float64), unrelated: t.unrelated(f)}
 		t.records[f] = r
 	}
 	r.blame[endpoint] = max(r.blame[endpoint], units)
--- /dev/null
+++ b/policy/poison/poison_test.go
@@ -0,0 +1,127 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const culprit Fingerprint = 1
+
+var start = time.Unix(1_700_000_000, 0)
+
+// fresh returns n fingerprints never used before.
+func fresh(next *Fingerprint, n int) []Fingerprint {
+	out := make([]Fingerprint, n)
+	for i := range out {
+		*next++
+		out[i] = *next
+	}
+	return out
+}
+
+// TestFindsCulprit: one request crashes each endpoint that runs it, beside others
+// that run there by chance. It is refused after few crashes; the others never are,
+// though each of them is sent again and survives elsewhere.
+func TestFindsCulprit(t *testing.T) {
+	cases := []struct{ endpoints, beside, most int }{
+		{3, 0, 2}, {3, 3, 2}, {7, 7, 2}, {9, 0, 3}, {9, 7, 3}, {12, 15, 3}, {12, 40, 4},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprintf("%d endpoints, %d beside", c.endpoints, c.beside), func(t *testing.T) {
+			tracker, next, now := New(c.endpoints), culprit, start
+			crashes := 0
+			for ; !tracker.Quarantined(now, culprit); crashes++ {
+				others := fresh(&next, c.beside)
+				tracker.Crashed(now, fmt.Sprint("e", crashes), append(others, culprit), 0)
+				now = now.Add(300 * time.Millisecond)
+				for _, f := range others {
+					require.False(t, tracker.Quarantined(now, f))
+					tracker.Survived(f)
+				}
+			}
+			require.LessOrEqual(t, crashes, c.most)
+			require.False(t, tracker.Quarantined(now.Add(forget+1), culprit), "a mended engine gets it again")
+		})
+	}
+}
+
+// TestPoolDies: a data centre loses its power and all endpoints go down within a
+// second. What ran there is tried elsewhere, three times in all, and goes down
+// again; nobody is to blame.
+func TestPoolDies(t *testing.T) {
+	for _, each := range []int{1, 2, 8} {
+		tracker, next := New(12), Fingerprint(100)
+		rng := rand.New(rand.NewPCG(3, 0))
+		attempts := map[Fingerprint]int{}
+		var all []Fingerprint
+		for i := range 12 {
+			now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+			running := fresh(&next, each)
+			for _, f := range all {
+				if attempts[f] < 3 && rng.IntN(4) == 0 {
+					running = append(running, f)
+				}
+			}
+			for _, f := range running {
+				attempts[f]++
+			}
+			tracker.Crashed(now, fmt.Sprint("e", i), running, 0)
+			all = append(all, running[:each]...)
+		}
+		for _, f := range all {
+			require.False(t, tracker.Quarantined(start.Add(time.Second), f), "%d on each", each)
+		}
+	}
+}
+
+// TestOneBadEndpoint: an endpoint that goes down again and again by itself makes
+// nobody a culprit, whoever runs there.
+func TestOneBadEndpoint(t *testing.T) {
+	tracker := New(9)
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * 10 * time.Second)
+		tracker.Crashed(now, "e0", []Fingerprint{culprit}, 0)
+		require.False(t, tracker.Quarantined(now, culprit))
+		require.True(t, tracker.Suspect(now, culprit))
+	}
+	tracker.Release(culprit)
+	require.False(t, tracker.Suspect(start, culprit))
+}
+
+// TestMerge: VMs exchange counts in any order and repeatedly, and come to the same.
+func TestMerge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []*Tracker{New(9), New(9), New(9)}
+		for i := range rapid.IntRange(1, 12).Draw(t, "crashes") {
+			vm := vms[rapid.IntRange(0, 2).Draw(t, "vm")]
+			running := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Fingerprint {
+				return Fingerprint(rapid.IntRange(1, 5).Draw(t, "f"))
+			}), 1, 4).Draw(t, "running")
+			vm.Crashed(start.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i%4), running, 0)
+			if rapid.Bool().Draw(t, "survives") {
+				vm.Survived(running[0])
+			}
+		}
+		now := start.Add(time.Minute)
+		counts := [][]Count{vms[0].Counts(now), vms[1].Counts(now), vms[2].Counts(now)}
+		orders := [][]int{{0, 1, 2}, {2, 1, 0, 2, 1}, {1, 0, 2, 0, 0}}
+		for i, vm := range vms {
+			for _, j := range orders[i] {
+				vm.Merge(now, counts[j])
+			}
+		}
+		require.Equal(t, vms[0].Counts(now), vms[1].Counts(now))
+		require.Equal(t, vms[0].Counts(now), vms[2].Counts(now))
+	})
+}
+
+func TestFingerprint(t *testing.T) {
+	require.Equal(t, Of("a", "m", []byte("x")), Of("a", "m", []byte("x")))
+	require.NotEqual(t, Of("a", "m", []byte("x")), Of("b", "m", []byte("x")))
+	require.NotEqual(t, Of("ab", "m", nil), Of("a", "bm", nil))
+}
--- /dev/null
+++ b/policy/retry/retry_test.go
@@ -0,0 +1,79 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const seed = 5
+
+var start = time.Unix(1_700_000_000, 0)
+
+func attempt() Attempt {
+	return Attempt{Account: "a", Idempotent: true, Made: 1, Size: 1, Deadline: start.Add(time.Minute), Expected: time.Second}
+}
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Attempt)
+		want   Reason
+	}{
+		{"idempotent", func(*Attempt) {}, ReasonNone},
+		{"a refund", func(a *Attempt) { a.Idempotent = false }, ReasonNotIdempotent},
+		{"third attempt failed", func(a *Attempt) { a.Made = MaxAttempts }, ReasonAttempts},
+		{"forwarded too often", func(a *Attempt) { a.Hops = MaxHops + 1 }, ReasonHops},
+		{"no time left", func(a *Attempt) { a.Expected = time.Hour }, ReasonDeadline},
+		{"another account's credit", func(a *Attempt) { a.Account = "b" }, ReasonAccountBudget},
+		{"a hedge while the pool has little", func(a *Attempt) { a.Hedge = true }, ReasonPoolBudget},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := New(Ratio)
+			b.First("a", 1)
+			a := attempt()
+			c.change(&a)
+			d := b.Decide(start, rand.New(rand.NewPCG(seed, 0)), a)
+			require.Equal(t, c.want, d.Reason)
+			require.Equal(t, c.want == ReasonNone, d.Again)
+		})
+	}
+}
+
+// TestExtraWork: all attempts fail. However long that lasts and whoever sends, the
+// repeated work stays within a tenth of the first attempts, but for what the budget
+// starts with and one overdraft.
+func TestExtraWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Ratio)
+		rng := rand.New(rand.NewPCG(seed, 0))
+		first, extra, largest, top := 0.0, 0.0, 0.0, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			a := attempt()
+			a.Account = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")
+			a.Size = rapid.Float64Range(0.1, 10).Draw(t, "size")
+			b.First(a.Account, a.Size)
+			if first == 0 {
+				top = startBalance * a.Size
+			}
+			first += a.Size
+			largest = max(largest, a.Size)
+			for b.Decide(start, rng, a).Again {
+				extra += a.Size
+				a.Made++
+			}
+		}
+		require.LessOrEqual(t, extra, Ratio*first+top+largest)
+	})
+}
+
+func TestHedgeAfter(t *testing.T) {
+	require.Equal(t, 2*time.Second, HedgeAfter(time.Second, time.Minute))
+	require.Equal(t, 1500*time.Millisecond, HedgeAfter(time.Second, 2500*time.Millisecond), "in time for a second attempt")
+	require.Equal(t, time.Second, HedgeAfter(time.Second, time.Second), "not before the first had its time")
+	require.Equal(t, hedgeLeast, HedgeAfter(time.Millisecond, time.Minute))
+}
