Let each proof of the decisions fail without its safeguard

Cause: with floors, or the choice of two, taken out, the tests still passed: a lone flooding account loses its rank anyway, and own requests in flight already part the VMs. Change: the flood comes from ten accounts; the herd test believes reports blindly, and a second one checks that old reports fade.

--- a/policy/admission/queue_test.go
+++ b/policy/admission/queue_test.go
@@ -95,17 +95,20 @@
 	return it
 }
 
-// TestDeferrableFloor: immediate requests keep coming for longer than a deferrable
-// one may wait; it starts in time all the same.
+// TestDeferrableFloor: immediate requests of ten accounts, none above its share, keep
+// coming for longer than a deferrable one may wait; it starts in time all the same.
 func TestDeferrableFloor(t *testing.T) {
 	q := measured(1)
 	now := start
-	q.Offer(now, item(1, "flood", config.ClassImmediate, time.Hour))
+	flood := func(id uint64) Item {
+		return item(id, fmt.Sprint("flood", id%10), config.ClassImmediate, time.Hour)
+	}
+	running := flood(1)
+	q.Offer(now, running)
 	q.Offer(now, item(2, "weekly", config.ClassDeferrable, 30*time.Second))
-	running := item(1, "flood", config.ClassImmediate, time.Hour)
 	for id := uint64(3); id < 40; id++ {
 		now = now.Add(time.Second)
-		q.Offer(now, item(id, "flood", config.ClassImmediate, time.Hour))
+		q.Offer(now, flood(id))
 		q.Done(now, running, time.Second, 0)
 		require.Empty(t, q.Refused(now))
 		running, _ = q.Next(now)
@@ -149,6 +152,18 @@
 		q.Done(now, item(0, "a", config.ClassInteractive, 0), 10*time.Second, 0)
 		require.NotEmpty(t, q.Refused(now))
 	})
+	t.Run("it would push out what was accepted", func(t *testing.T) {
+		q := measured(1)
+		q.Offer(start, item(1, "a", config.ClassInteractive, time.Hour))
+		long := sized(item(2, "a", config.ClassInteractive, 25*time.Second), 20)
+		require.Equal(t, Queued, q.Offer(start, long).Outcome)
+		short := sized(item(3, "a", config.ClassInteractive, time.Minute), 8)
+		require.Equal(t, Refused, q.Offer(start, short).Outcome)
+	})
+	t.Run("an idle pool tries in spite of its estimate", func(t *testing.T) {
+		q := measured(1)
+		require.Equal(t, Run, q.Offer(start, sized(item(1, "a", 0, time.Second), 100)).Outcome)
+	})
 	t.Run("nothing is measured yet", func(t *testing.T) {
 		q := New(Config{}, rand.New(rand.NewPCG(seed, 0)))
 		q.SetCapacity(start, 1)
--- a/policy/picker/picker_test.go
+++ b/policy/picker/picker_test.go
@@ -126,13 +126,24 @@
 	require.Equal(t, a.Name, c.Name)
 }
 
+// reportOnly believes the report, however old.
+type reportOnly struct{}
+
+func (reportOnly) Score(_ time.Time, _ *Request, c Candidate) float64 {
+	return -float64(c.Report.InFlight)
+}
+
 // TestNoHerd: seven VMs hold the same stale report, in which one endpoint is idle and
-// the others are half full. Before the next report they send 84 requests; the idle
-// one must not get most of them.
+// the others are full. Before the next report they send 84 requests. Even if they all
+// believed it, the idle one must not get most of them: it is only compared where it
+// is drawn.
 func TestNoHerd(t *testing.T) {
 	got := map[string]int{}
+	cfg := DefaultConfig(WeightsCost)
+	cfg.Scorers = []Weighted{{reportOnly{}, 1}}
 	for vm := range 7 {
-		tab := table(one(12, 8))
+		tab := NewTable(cfg)
+		tab.Set(one(12, 8))
 		rng := rand.New(rand.NewPCG(seed, uint64(vm)))
 		for i, s := range one(12, 8) {
 			tab.Report(s.Name, Report{InFlight: 8 * min(i, 1), At: start})
@@ -146,6 +157,22 @@
 	require.Len(t, got, 12)
 }
 
+// TestOldReportsFade: a report that was right two seconds ago weighs less than this
+// VM's own requests, which it knows exactly.
+func TestOldReportsFade(t *testing.T) {
+	idle, busy := table(one(1, 8)).endpoints["e0000"], table(one(1, 8)).endpoints["e0000"]
+	idle.Report = Report{InFlight: 0, At: start}
+	busy.Report = Report{InFlight: 8, At: start}
+	for range 2 {
+		idle.limit.Acquire()
+	}
+	score := func(e *Endpoint, age time.Duration) float64 {
+		return LeastLoad{}.Score(start.Add(age), &Request{}, Candidate{Endpoint: e})
+	}
+	require.Greater(t, score(busy, 2*time.Second), score(idle, 2*time.Second))
+	require.Less(t, score(busy, 0), score(idle, 0), "a fresh one weighs more")
+}
+
 // TestAffinity: where a prefix goes, by what is known of it. Events are late, some
 // are lost, and a restart empties the cache.
 func TestAffinity(t *testing.T) {
