End a measurement when no caller waits any more

Cause: each run went on for 320 s of virtual time after the last request, ticking. Change: it ends once every try has its answer and nobody comes back.

--- a/policy/loadtest/callers.go
+++ b/policy/loadtest/callers.go
@@ -41,6 +41,7 @@
 
 // send makes one try: the caller waits for its patience and then hangs up.
 func (r *run) send(q *request) {
+	r.open++
 	q.tries++
 	q.sent = r.loop.now
 	q.deadline = q.sent.Add(q.patience)
@@ -52,6 +53,7 @@
 }
 
 func (r *run) completed(c *call) {
+	r.open--
 	if c.req.poison {
 		return
 	}
@@ -59,6 +61,7 @@
 }
 
 func (r *run) refused(c *call, after time.Duration) {
+	r.open--
 	c.over = true
 	if c.req.poison {
 		r.again(c.req, poisonPause)
@@ -71,6 +74,7 @@
 // quarantined refuses for good: its caller is told not to come back, and a poison
 // request's does so all the same.
 func (r *run) quarantined(c *call) {
+	r.open--
 	c.over = true
 	if c.req.poison {
 		r.again(c.req, poisonPause)
@@ -80,6 +84,7 @@
 }
 
 func (r *run) failed(c *call) {
+	r.open--
 	if c.req.poison {
 		r.again(c.req, poisonPause)
 		return
@@ -93,6 +98,7 @@
 }
 
 func (r *run) timedOut(c *call) {
+	r.open--
 	if c.req.poison {
 		r.again(c.req, poisonPause)
 		return
@@ -118,7 +124,11 @@
 	}
 	next := *q
 	next.id = q.id&firstID + uint64(q.tries)*(firstID+1)
-	r.loop.after(after, func() { r.send(&next) })
+	r.open++
+	r.loop.after(after, func() {
+		r.open--
+		r.send(&next)
+	})
 }
 
 // addFaults plans what happens to the endpoints, and the poison requests.
--- a/policy/loadtest/loop.go
+++ b/policy/loadtest/loop.go
@@ -54,13 +54,13 @@
 	})
 }
 
-func (l *loop) runUntil(end time.Time) {
-	for len(l.queue) > 0 && !l.queue[0].at.After(end) {
+// runUntil runs events until a time, or until done says that nothing matters any more.
+func (l *loop) runUntil(end time.Time, done func() bool) {
+	for len(l.queue) > 0 && !l.queue[0].at.After(end) && !done() {
 		e := heap.Pop(&l.queue).(event)
 		l.now = e.at
 		e.run()
 	}
-	l.now = end
 }
 
 // since is the virtual time since the start.
--- a/policy/loadtest/run.go
+++ b/policy/loadtest/run.go
@@ -35,7 +35,7 @@
 	probePatience = 10
 	// resend is after how long a caller sends again that got no time to come back.
 	resend = 200 * time.Millisecond
-	// tail is how long a run goes on for the answers to what was sent.
+	// tail is how long a run goes on at most for the answers to what was sent.
 	tail = 320 * time.Second
 )
 
@@ -51,6 +51,7 @@
 	engines map[string]*engine
 	order   []*engine
 	res     *Result
+	open    int // tries under way, and those that callers will make
 }
 
 // Run measures one scenario with one choice of modules. The same seed gives the
@@ -72,7 +73,7 @@
 	r.addVMs(m, seed)
 	r.addCallers()
 	r.addFaults()
-	r.loop.runUntil(epoch.Add(s.Length + tail))
+	r.loop.runUntil(epoch.Add(s.Length+tail), func() bool { return r.open == 0 && r.loop.since() > s.Length })
 	return r.res
 }
 
