--- a/control/rollouts/fake_test.go
+++ b/control/rollouts/fake_test.go
@@ -124,7 +124,7 @@
 	}
 	return []rollout.Counts{{
 		Source: "all", RollOut: r.Name, Epoch: r.Revision,
-		From: tally(1-r.Share(), 0), To: tally(r.Share(), bad),
+		From: tally(1-rollout.Share(&r), 0), To: tally(rollout.Share(&r), bad),
 	}}, !t.missing
 }
 
