--- a/router/entry/outcomes.go
+++ b/router/entry/outcomes.go
@@ -45,7 +45,7 @@
 	if r == nil || c.arm == rollout.ArmNone {
 		return
 	}
-	o.recorder.Rating(r, c.arm, rating < cmp.Or(c.Account.Quality, defaultTarget))
+	o.recorder.Rating(r, c.arm, c.key(), rating < cmp.Or(c.Account.Quality, defaultTarget))
 }
 
 // defaultTarget is the quality below which an answer counts as poor for an account
