Brake a bad version while the store is down

Cause: with the store down a roll-out can't be rolled back, so a version that turns bad kept its share until the outage ended: 2700 of its requests in ten minutes at 5 a second. Ruled out: braking sessions too, since a VM that hasn't heard of it would move them back; a write-ahead of the step by the VMs, which operators could not undo. Change: the controller judges without the lease where it has counts, and has the other VMs told; rollout.Brakes takes requests without a session to the old version for that epoch.

--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -43,6 +43,8 @@
 	Complete bool            `json:"complete"`
 	// Written tells what came of the last action: "in force", "lost a race", …
 	Written string `json:"written,omitempty"`
+	// Braked says that the other VMs were told to keep new work from the new version.
+	Braked bool `json:"braked,omitempty"`
 }
 
 // Controller runs the loop. Safe for concurrent use.
@@ -53,6 +55,7 @@
 	settings      rollout.Settings
 	metrics       metrics
 	log           zerolog.Logger
+	brake         func(rollOut string, epoch int64)
 
 	tick     sync.Mutex
 	monitors map[string]*rollout.Monitor
@@ -87,6 +90,13 @@
 	return ctl
 }
 
+// OnBad has brake called, each round, for a new version that should be rolled back
+// while that can't be written: the platform's store is down, or this VM doesn't
+// hold the lease. brake tells all VMs (rollout.Brakes). With it a VM that has
+// counts judges them without the lease too, since in an outage none holds it.
+// Call it before Run.
+func (c *Controller) OnBad(brake func(rollOut string, epoch int64)) { c.brake = brake }
+
 // Run does a round each Interval until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(Interval)
@@ -101,16 +111,18 @@
 	}
 }
 
-// Tick does one round, if this VM holds the lease.
+// Tick does one round, if this VM holds the lease or may brake.
 func (c *Controller) Tick(ctx context.Context) {
 	c.tick.Lock()
 	defer c.tick.Unlock()
-	if _, held := c.holder.Held(); !held {
-		clear(c.monitors)
+	_, held := c.holder.Held()
+	if !held && c.brake == nil {
 		c.keep(nil)
 		return
 	}
-	c.metrics.rounds.Inc()
+	if held {
+		c.metrics.rounds.Inc()
+	}
 	snapshot := c.configuration.Snapshot()
 	counts, complete := c.counter.Counts(ctx)
 	c.keep(snapshot.RollOuts)
@@ -140,6 +152,10 @@
 	if v.Action != rollout.Hold {
 		st.Written = c.write(ctx, r, v)
 	}
+	if v.Action == rollout.RollBack && c.brake != nil && st.Written != writtenInForce {
+		c.brake(r.Name, r.Revision)
+		st.Braked = true
+	}
 	c.mu.Lock()
 	c.status[r.Name] = st
 	c.mu.Unlock()
@@ -159,7 +175,7 @@
 // What came of a write.
 const (
 	writtenInForce     = "in force"
-	writtenLapsed      = "lease lapsed, not written"
+	writtenNotHeld     = "lease not held, not written"
 	writtenConflict    = "lost a race"
 	writtenUnknown     = "reply lost"
 	writtenUnavailable = "platform unavailable"
@@ -172,7 +188,7 @@
 // nothing is done but to look again: if the write took effect the roll-out has a
 // new revision, and a repeat on the old one, from a snapshot that lags, loses.
 func (c *Controller) write(ctx context.Context, r *config.RollOut, v rollout.Verdict) string {
-	written := writtenLapsed
+	written := writtenNotHeld
 	if until, held := c.holder.Held(); held {
 		ctx, cancel := context.WithDeadline(ctx, until)
 		defer cancel()
@@ -182,6 +198,9 @@
 		written = outcome(err)
 	}
 	c.metrics.actions.WithLabelValues(v.Action.String(), written).Inc()
+	if written == writtenNotHeld {
+		return written // each round of an outage comes by here: no change of state
+	}
 	c.log.Info().Str("rollOut", r.Name).Str("action", v.Action.String()).
 		Str("reason", v.Reason).Str("written", written).Msg("roll-out " + v.Action.String())
 	return written
--- a/control/rollouts/controller_test.go
+++ b/control/rollouts/controller_test.go
@@ -167,6 +167,45 @@
 	})
 }
 
+// The version turns bad while the platform's store is down and nobody holds the
+// lease. Callers without a session must be spared it within its 200 requests,
+// not at the end of the outage; the roll-out itself is rolled back then.
+func TestBrakeInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, s := newFakeStore(steps...), store.New()
+		l := lease.New(s, "roll-outs", "a", lease.DefaultSettings(), prometheus.NewRegistry(), zerolog.Nop())
+		const turnsBad = time.Minute
+		c := newController(l, &view{store: f}, &traffic{f, turnsBad, false, nil})
+		var brakes rollout.Brakes
+		c.OnBad(brakes.Set)
+		s.SetFaults(store.Faults{Down: true})
+		f.down = true
+		began := time.Now()
+		r := f.current()
+		for !brakes.On(&r) && time.Since(began) < 10*time.Minute {
+			l.Tick(t.Context())
+			c.Tick(t.Context())
+			time.Sleep(Interval)
+		}
+		exposed := 5 * (time.Since(began) - turnsBad).Seconds() // 5% of 100 a second
+		require.Positive(t, exposed)
+		require.LessOrEqual(t, exposed, 200.0)
+		require.True(t, c.Dump()[0].Braked)
+		choice, ok := brakes.Choose(&r, "request", func(string) bool { return true })
+		require.True(t, ok)
+		require.Equal(t, "v1", choice.Version)
+
+		s.SetFaults(store.Faults{})
+		f.down = false
+		for range 10 {
+			l.Tick(t.Context())
+			c.Tick(t.Context())
+			time.Sleep(Interval)
+		}
+		require.Equal(t, config.RollOutRolledBack, f.current().State)
+	})
+}
+
 // A roll-out stops halfway because its controller's VM is gone. Another VM takes
 // it up from the object alone, and the steps go on where they stood.
 func TestTakenUpHalfway(t *testing.T) {
--- /dev/null
+++ b/policy/rollout/brake_test.go
@@ -0,0 +1,35 @@
+package rollout
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config"
+)
+
+func TestBrakes(t *testing.T) {
+	var b Brakes
+	r := rollOut(3)
+	version := func(usable func(string) bool) string {
+		var at string // a key under the share
+		for _, key := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			if Point(r, key) < Share(r) {
+				at = key
+			}
+		}
+		c, ok := b.Choose(r, at, usable)
+		require.True(t, ok)
+		return c.Version
+	}
+	require.Equal(t, "v2", version(all))
+	b.Set("r", r.Revision)
+	b.Set("r", r.Revision-1)
+	require.Equal(t, "v1", version(all))
+	require.Equal(t, "v2", version(func(v string) bool { return v == "v2" }), "better than none")
+	r.Revision++
+	require.Equal(t, "v2", version(all), "a change of the roll-out ends the brake")
+	b.Set("r", r.Revision)
+	b.Forget(&config.Snapshot{})
+	require.False(t, b.On(r))
+}
