--- a/control/gather/gather.go
+++ b/control/gather/gather.go
@@ -19,13 +19,15 @@
 const Stale = 3 * Interval
 
 // Report is what one VM sends to its site's first VM each Interval while a
-// roll-out is under way.
+// roll-out is under way. The counts' Source is left out on the way; it is the VM.
 type Report struct {
+	// VM names the VM's incarnation.
 	VM     string           `cbor:"1,keyasint"`
 	Counts []rollout.Counts `cbor:"2,keyasint"`
 }
 
-// Digest is what a site's first VM sends to the lease's candidates.
+// Digest is what a site's first VM sends to the lease's candidates. The counts'
+// Source is left out on the way; it is the data centre.
 type Digest struct {
 	DataCentre string `cbor:"1,keyasint"`
 	// Heard of Expected VMs have reported lately.
@@ -34,6 +36,15 @@
 	Counts   []rollout.Counts `cbor:"4,keyasint"`
 }
 
+// NewReport returns a VM's report of its recorder's counts.
+func NewReport(vm string, counts []rollout.Counts) Report {
+	r := Report{VM: vm, Counts: slices.Clone(counts)}
+	for i := range r.Counts {
+		r.Counts[i].Source = ""
+	}
+	return r
+}
+
 // Site adds up one data centre's reports. Safe for concurrent use.
 type Site struct {
 	dataCentre string
@@ -54,6 +65,7 @@
 	defer s.mu.Unlock()
 	s.heard[r.VM] = now
 	for _, c := range r.Counts {
+		c.Source = r.VM
 		t, ok := s.totals[c.RollOut]
 		if !ok {
 			t = &rollout.Totals{}
@@ -66,7 +78,7 @@
 	}
 }
 
-// Digest adds up. vms are the live VMs of the data centre; rollOuts are the
+// Digest adds up. vms are the incarnations of the data centre's live VMs; rollOuts are the
 // names of those under way, the others are forgotten.
 func (s *Site) Digest(vms, rollOuts []string, now time.Time) Digest {
 	s.mu.Lock()
@@ -82,9 +94,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.totals)) {
 		t := s.totals[name]
 		from, to := t.Sum()
-		d.Counts = append(d.Counts, rollout.Counts{
-			Source: s.dataCentre, RollOut: name, Epoch: t.Epoch(), From: from, To: to,
-		})
+		d.Counts = append(d.Counts, rollout.Counts{RollOut: name, Epoch: t.Epoch(), From: from, To: to})
 	}
 	return d
 }
@@ -124,7 +134,10 @@
 	defer c.mu.Unlock()
 	complete = len(expected) > 0 && len(c.missing(expected, now)) == 0
 	for _, name := range slices.Sorted(maps.Keys(c.digests)) {
-		counts = append(counts, c.digests[name].digest.Counts...)
+		for _, n := range c.digests[name].digest.Counts {
+			n.Source = name
+			counts = append(counts, n)
+		}
 	}
 	return counts, complete
 }
--- a/policy/cascade/cascade_test.go
+++ b/policy/cascade/cascade_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -215,3 +216,20 @@
 		}
 	}
 }
+
+// BenchmarkMemory is what a Learner allocates for so many kinds of request.
+func BenchmarkMemory(b *testing.B) {
+	for _, kinds := range []int{512, 2048, 8192} {
+		b.Run(fmt.Sprint("kinds=", kinds), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				l := NewLearner(DefaultSettings())
+				for i := range kinds {
+					for _, version := range []string{"mini", "base"} {
+						l.learn(key{account: "cluj", label: fmt.Sprint(i)}, version, true)
+					}
+				}
+			}
+		})
+	}
+}
--- a/policy/rollout/counts.go
+++ b/policy/rollout/counts.go
@@ -35,7 +35,7 @@
 type Counts struct {
 	// Source names who counted: a VM's incarnation, or the data centre of an
 	// aggregate. Sources that are added up must count different requests.
-	Source string `cbor:"1,keyasint" json:"source"`
+	Source string `cbor:"1,keyasint,omitempty" json:"source"`
 	// RollOut is the roll-out's name, Epoch its configuration revision.
 	RollOut string `cbor:"2,keyasint" json:"rollOut"`
 	Epoch   int64  `cbor:"3,keyasint" json:"epoch"`
--- a/policy/rollout/evidence.go
+++ b/policy/rollout/evidence.go
@@ -20,9 +20,9 @@
 // fail in more than about a third of requests are told apart slowly.
 
 // allowedRatio is how much worse the new version's rate of bad events may be: not
-// at all. What is too little to matter is left out by Settings.MinDifference. An
-// allowance here of 1.2 cost a third more requests of a bad version in the play
-// of policy/versiontest and saved no false alarm.
+// at all. What is too little to matter is left out by Settings.MinDifference; an
+// allowance of 1.2 cost a third more requests of a bad version (trials in
+// docs/design/roll-out.md).
 const allowedRatio = 1.0
 
 // worseRatios are the alternatives, evenly weighted: from what takes thousands of
--- a/policy/rollout/rollout_test.go
+++ b/policy/rollout/rollout_test.go
@@ -229,3 +229,18 @@
 		m.Evaluate(r, now, true)
 	}
 }
+
+// BenchmarkMemory is what a Recorder allocates for so many keys with a bad event.
+func BenchmarkMemory(b *testing.B) {
+	for _, keys := range []int{256, 1024, maxBadKeys} {
+		b.Run(fmt.Sprint("keys=", keys), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				rec, r := NewRecorder("vm-1"), rollOut(1)
+				for i := range keys {
+					rec.Request(r, ArmTo, fmt.Sprint(i), Outcome{Failed: true})
+				}
+			}
+		})
+	}
+}
