Serve the operators' API and its client

Cause: operators drive the system by objects, labels and selectors on any VM, and an answer to a change must be true when replies are lost. Ruled out: a client that repeats only what certainly did not arrive, since an answer lost after the effect leaves the operator with a guess. Change: router/operator (read with a minimum revision, conditional changes, actions made on the object as it stands, in-force, bills) and a client that keeps one change id over all VMs and repeats. Conclusion: what became of a change is said as yes, no or unknown.

--- a/config/apply.go
+++ b/config/apply.go
@@ -40,8 +40,15 @@
 		s.remove(kind, name)
 	case OpLabel:
 		s.put(relabel(current, c, revision))
+	case OpEdit:
+		o := Clone(current)
+		if err := c.Edit(o); err != nil {
+			return err
+		}
+		o.meta().Revision = revision
+		s.put(o)
 	default:
-		return Problems{{Kind: kind, Name: name, Field: "op", Got: fmt.Sprint(c.Op), Want: "put, delete or label"}}
+		return Problems{{Kind: kind, Name: name, Field: "op", Got: fmt.Sprint(c.Op), Want: "put, delete, label or edit"}}
 	}
 	return nil
 }
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -134,6 +134,64 @@
 	}
 }
 
+func TestMarshalIsReadByParse(t *testing.T) {
+	s := small()
+	for _, kind := range Kinds {
+		for _, o := range s.List(kind, nil) {
+			text, err := Marshal(o)
+			require.NoError(t, err)
+			back, err := Parse("f", text)
+			require.NoError(t, err)
+			require.Equal(t, []Object{o}, back)
+		}
+	}
+}
+
+// Each row is an operator's step of a roll-out; a step that makes no sense is
+// refused with what the state takes.
+func TestRollOutActions(t *testing.T) {
+	rows := []struct {
+		from   RollOutState
+		action Action
+		to     RollOutState
+		step   int
+	}{
+		{RollOutRunning, ActionPause, RollOutPaused, 1},
+		{RollOutPaused, ActionResume, RollOutRunning, 1},
+		{RollOutPaused, ActionStart, RollOutRunning, 0},
+		{RollOutRunning, ActionRollBack, RollOutRolledBack, 1},
+		{RollOutRolledBack, ActionStart, RollOutRunning, 0},
+		{RollOutDone, ActionRollBack, RollOutRolledBack, 1},
+		{RollOutRunning, ActionStart, "", 1},
+		{RollOutDone, ActionPause, "", 1},
+		{RollOutRolledBack, ActionResume, "", 1},
+	}
+	for _, row := range rows {
+		s := small()
+		r := s.RollOuts["r1"]
+		r.State, r.Step = row.from, 1
+		c, err := NewAction(KindRollOut, "r1", row.action, "seen errors")
+		require.NoError(t, err)
+		err = applyAll(s, []Change{c})
+		if row.to == "" {
+			require.ErrorContains(t, err, "a state that takes")
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, row.to, s.RollOuts["r1"].State)
+		require.Equal(t, row.step, s.RollOuts["r1"].Step)
+		require.Equal(t, "operator: seen errors", s.RollOuts["r1"].Reason)
+	}
+	_, err := NewAction(KindDataCentre, "norte-a", ActionPause, "")
+	require.ErrorContains(t, err, "one of drain, take-back")
+}
+
+func TestCountInForce(t *testing.T) {
+	f := CountInForce(5, []string{"a", "b", "c"}, map[string]int64{"a": 5, "b": 4, "d": 7})
+	require.Equal(t, InForce{Revision: 5, At: 2, Of: 4, Behind: []string{"b"}, Silent: []string{"c"}}, f)
+	require.False(t, f.Everywhere())
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(goodObject))
 	f.Add([]byte(`{"kind":"service","calls":[{"method":1}],"labels":null}`))
--- a/config/editor.go
+++ b/config/editor.go
@@ -37,6 +37,8 @@
 	OpDelete
 	// OpLabel sets and removes labels and leaves the rest as it stands.
 	OpLabel
+	// OpEdit changes the object as it stands when the change is accepted.
+	OpEdit
 )
 
 // Conditions of a change on the object's revision; a positive value is the revision it must be at.
@@ -52,12 +54,14 @@
 	Op Op
 	// Object is what OpPut stores; its Meta.Revision is passed over.
 	Object Object
-	// Kind and Name say what OpDelete and OpLabel act on.
+	// Kind and Name say what the other operations act on.
 	Kind Kind
 	Name string
 	// Labels are set and Unlabel are removed by OpLabel.
 	Labels  map[string]string
 	Unlabel []string
+	// Edit is what OpEdit does to a copy of the object; it may be called several times.
+	Edit func(Object) error
 	// IfRevision is the condition: IfAny, IfAbsent or a revision.
 	IfRevision int64
 }
--- a/config/kinds.go
+++ b/config/kinds.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -74,6 +75,15 @@
 	return c
 }
 
+// Marshal writes an object as Parse reads it, with its kind.
+func Marshal(o Object) ([]byte, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return nil, err
+	}
+	return fmt.Appendf(nil, `{"kind":%q,%s`, KindOf(o), body[1:]), nil
+}
+
 // Get returns one object, or nil.
 func (s *Snapshot) Get(kind Kind, name string) Object {
 	switch kind {
--- /dev/null
+++ b/router/operator/handler.go
@@ -0,0 +1,147 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/alexedwards/flow"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/config"
+)
+
+// Headers of the API.
+const (
+	// HeaderRevision carries the configuration revision of an answer.
+	HeaderRevision = "Config-Revision"
+	// HeaderMinRevision makes a read wait until the VM has that revision.
+	HeaderMinRevision = "Min-Revision"
+	// HeaderChangeID and HeaderChangeSince name a change over its repeats: an id and
+	// a revision from before the first attempt.
+	HeaderChangeID    = "Change-Id"
+	HeaderChangeSince = "Change-Since"
+)
+
+// Bounds of a request.
+const (
+	// maxBody bounds the body of a change, in bytes; the root that results is bounded by the platform's 1 MB.
+	maxBody = 8 << 20
+	// changeBudget bounds the settling of a change: several of the platform's call
+	// timeouts (2 s), within an operator's patience.
+	changeBudget = 10 * time.Second
+	// waitBudget bounds the wait for a revision: the users' 16 s for a change to be in force.
+	waitBudget = 16 * time.Second
+)
+
+// Configuration is the configuration in force on this VM.
+type Configuration interface {
+	Snapshot() *config.Snapshot
+	WaitRevision(ctx context.Context, revision int64) (*config.Snapshot, error)
+}
+
+// Editor makes accepted changes.
+type Editor interface {
+	ApplyOnce(ctx context.Context, id string, since int64, changes []config.Change) (int64, *config.Snapshot, error)
+}
+
+// Fleet tells which VMs there are and which revision each has.
+type Fleet interface {
+	// VMs names those of the platform's list.
+	VMs() []string
+	// Revisions gives the revision of each VM heard lately, this one included.
+	Revisions() map[string]int64
+}
+
+// Bill sums what one client account used of one version in a day.
+type Bill struct {
+	Account      string `json:"account"`
+	Version      string `json:"version"`
+	Requests     int64  `json:"requests"`
+	InputTokens  int64  `json:"inputTokens"`
+	OutputTokens int64  `json:"outputTokens"`
+	// Micros is the price in micro-units.
+	Micros int64 `json:"micros"`
+}
+
+// Bills reads the bills of a day (UTC); an empty account means all.
+type Bills interface {
+	Bills(ctx context.Context, account string, day time.Time) ([]Bill, error)
+}
+
+// Options of the API.
+type Options struct {
+	Configuration Configuration
+	Editor        Editor
+	Fleet         Fleet
+	Bills         Bills
+	// KeyHashes are the hex SHA-256 sums of the operators' keys.
+	KeyHashes []string
+	// Registerer takes the metrics; nil for none.
+	Registerer prometheus.Registerer
+}
+
+type handler struct {
+	Options
+	hashes [][]byte
+	// answers is goldcrest_operator_answers_total by code.
+	answers *prometheus.CounterVec
+}
+
+// New returns the API's handler for paths below /v1/.
+func New(o Options) http.Handler {
+	h := &handler{Options: o, answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrest_operator_answers_total", Help: "Answers of the operator API by code.",
+	}, []string{"code"})}
+	if o.Registerer != nil {
+		o.Registerer.MustRegister(h.answers)
+	}
+	for _, text := range o.KeyHashes {
+		if sum, err := hex.DecodeString(text); err == nil && len(sum) == sha256.Size {
+			h.hashes = append(h.hashes, sum)
+		}
+	}
+	return h.routes()
+}
+
+func (h *handler) routes() http.Handler {
+	mux := flow.New()
+	mux.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.refuse(w, Problem{Status: http.StatusNotFound, Code: CodeNoSuchPath, Detail: "no such path: " + r.URL.Path})
+	})
+	mux.Use(h.authorize)
+	mux.HandleFunc("/v1/revision", h.revision, http.MethodGet)
+	mux.HandleFunc("/v1/in-force", h.inForce, http.MethodGet)
+	mux.HandleFunc("/v1/bills", h.bills, http.MethodGet)
+	mux.HandleFunc("/v1/apply", h.apply, http.MethodPost)
+	mux.HandleFunc("/v1/:kind", h.list, http.MethodGet)
+	mux.HandleFunc("/v1/:kind/:name", h.get, http.MethodGet)
+	mux.HandleFunc("/v1/:kind/:name", h.put, http.MethodPut)
+	mux.HandleFunc("/v1/:kind/:name", h.remove, http.MethodDelete)
+	mux.HandleFunc("/v1/:kind/:name/labels", h.label, http.MethodPatch)
+	mux.HandleFunc("/v1/:kind/:name/:action", h.act, http.MethodPost)
+	return mux
+}
+
+// authorize lets through who holds an operator's key. All hashes are compared in
+// constant time, so that the answer's delay tells nothing about them.
+func (h *handler) authorize(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		sum := sha256.Sum256([]byte(key))
+		match := 0
+		for _, hash := range h.hashes {
+			match |= subtle.ConstantTimeCompare(hash, sum[:])
+		}
+		if !ok || match != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			h.refuse(w, Problem{Status: http.StatusUnauthorized, Code: CodeUnauthorized, Detail: "an operator's key is needed as bearer token"})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
