--- a/policy/loadtest/run.go
+++ b/policy/loadtest/run.go
@@ -40,9 +40,9 @@
 	loop    *loop
 	w       *Workload
 	s       *Scenario
-	gen     *generator
-	callers *rand.Rand // which VM a caller uses
-	faults  *rand.Rand // lost events
+	gens    []*generator // by account
+	callers *rand.Rand   // which VM a caller uses
+	faults  *rand.Rand   // lost events
 	vms     []*vm
 	engines map[string]*engine
 	order   []*engine
@@ -56,12 +56,14 @@
 		loop:    &loop{now: epoch},
 		w:       &w,
 		s:       &s,
-		gen:     newGenerator(&w, &s, seed),
 		callers: rand.New(rand.NewPCG(seed, 2)),
 		faults:  rand.New(rand.NewPCG(seed, 3)),
 		engines: make(map[string]*engine),
 		res:     newResult(),
 	}
+	for account := range accountWeights {
+		r.gens = append(r.gens, newGenerator(&w, &s, seed, account))
+	}
 	r.addEngines()
 	r.addVMs(m, seed)
 	r.addCallers()
@@ -172,7 +174,7 @@
 		if e.down && v.mods.Poison {
 			v.blame(e)
 		}
-		if v.mods.Limit {
+		if v.mods.Cold {
 			v.table.SetCold(e.name, e.cold)
 		}
 		v.table.Update(e.name, func(s *picker.State) { s.Down = e.down })
@@ -210,6 +212,7 @@
 	for _, e := range r.order {
 		load := len(e.jobs)
 		r.loop.after(reportLag, func() {
+			e.reported = load
 			for _, v := range r.vms {
 				v.table.Report(e.name, picker.Report{InFlight: load, At: taken})
 			}
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -42,6 +42,10 @@
 	moved   string
 	// pinned is the token that the caller sent.
 	pinned string
+	// engineID is the request's id at the engines; each step of a cascade has its own.
+	engineID string
+	// task is the caller's label for the kind of request.
+	task string
 	// arm is the side of a roll-out's comparison that the outcome counts for.
 	arm rollout.Arm
 	// resume and from say which stream the request goes on with, and where.
@@ -162,7 +166,7 @@
 	if bad != nil {
 		return bad
 	}
-	c.pinned = r.Header.Get(HeaderPin)
+	c.pinned, c.task = r.Header.Get(HeaderPin), r.Header.Get(HeaderTask)
 	if bad = e.readResume(r, c); bad != nil {
 		return bad
 	}
@@ -175,7 +179,11 @@
 	if c.Key != "" {
 		return e.chatOnce(ctx, c, a)
 	}
-	fin := e.attempts(ctx, c, a)
+	plan, bad := e.plan(c)
+	if bad != nil {
+		return bad
+	}
+	fin := e.cascaded(ctx, c, a, plan)
 	e.bill(c, fin)
 	return a.finish(fin)
 }
@@ -192,6 +200,8 @@
 	version  string
 	endpoint string
 	attempts int
+	// cost is that of all steps, in micro-units.
+	cost int64
 }
 
 // attempts runs a request at one endpoint after the other until the answer is
@@ -216,6 +226,8 @@
 		after, again := e.dispatch.Again(n, t, dispatch.Failure{
 			NotRun:    notRun(o.Result),
 			Resumable: o.Result == engine.Cut,
+			NotSent:   o.Result == engine.NotSent,
+			Cold:      o.Result == engine.Cold,
 		})
 		if !again || !sleep(ctx, after) {
 			return fin
@@ -244,7 +256,7 @@
 	fin.endpoint = t.Endpoint
 	a.from(t.Endpoint)
 	o := e.engines.Stream(ctx, engine.Call{
-		RequestID: c.RequestID,
+		RequestID: c.engineID,
 		Address:   t.Address,
 		Version:   c.version,
 		Class:     int(c.Class),
@@ -252,6 +264,7 @@
 		Cold:      t.Cold,
 	}, fin.stream, a.frame)
 	t.Done(resultOf(o, fin.stream))
+	e.outcomes.ended(c, o)
 	if !notRun(o.Result) {
 		fin.ran = refusal.Unknown
 	}
@@ -259,13 +272,15 @@
 }
 
 // notRun says that an attempt certainly did not run.
-func notRun(r engine.Result) bool { return r == engine.NotSent || r == engine.Refused }
+func notRun(r engine.Result) bool {
+	return r == engine.NotSent || r == engine.Refused || r == engine.Cold
+}
 
 // resultOf tells the dispatcher what an attempt says about its endpoint.
 func resultOf(o engine.Outcome, s *engine.Stream) dispatch.Result {
 	r := dispatch.Result{
 		Failed:      o.Result == engine.Failed || o.Result == engine.WrongVersion || o.Result == engine.Cut,
-		Refused:     o.Result == engine.Refused,
+		Refused:     o.Result == engine.Refused || o.Result == engine.Cold,
 		Crashed:     o.Result == engine.Crashed,
 		Unreached:   o.Result == engine.NotSent,
 		Reported:    o.Reported,
@@ -325,7 +340,7 @@
 	switch {
 	case s.Next > 0:
 		return refusal.New(http.StatusBadGateway, refusal.AnswerCut, "the answer was cut after %d tokens: %v", s.Next, o.Err).WhichRan(refusal.DidRun)
-	case o.Result == engine.NotSent || o.Result == engine.Refused:
+	case notRun(o.Result):
 		return refusal.New(http.StatusServiceUnavailable, refusal.NoEndpoint, "no endpoint took the request: %v", o.Err).After(max(o.RetryAfter, comeBack))
 	default:
 		return refusal.New(http.StatusBadGateway, refusal.EndpointFailed, "the endpoint failed: %v", o.Err).WhichRan(refusal.Unknown).After(comeBack)
