--- /dev/null
+++ b/cmd/goldcrest/app.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"goldcrestfork/config"
+	"goldcrestfork/router/operator"
+	"goldcrestfork/router/operator/client"
+)
+
+// Exit codes.
+const (
+	exitDone = iota
+	exitFailed
+	exitRefused
+	exitConflict
+	exitNotAccepted
+	exitUnknown
+	exitNotFound
+	exitUnauthorized
+)
+
+// callTimeout bounds one call; the API itself ends a wait after 16 s.
+const callTimeout = 20 * time.Second
+
+// commands is the command line.
+type commands struct {
+	VM      []string      `env:"GOLDCREST_VM" placeholder:"IP:PORT" help:"Operator address of a VM, or a URL; several are tried in their order."`
+	Key     string        `env:"GOLDCREST_KEY" placeholder:"KEY" help:"The operator's key; better given in the environment."`
+	JSON    bool          `help:"Print JSON."`
+	Timeout time.Duration `default:"60s" help:"How long to go on, asking what became of a change included."`
+
+	CheckSettings checkSettings `cmd:"" help:"Check a daemon's settings file."`
+	CheckConfig   checkConfig   `cmd:"" help:"Check configuration files as a whole."`
+	Certificates  certificates  `cmd:"" help:"Make a set of peer certificates for a trial."`
+
+	Get  get  `cmd:"" help:"Show one object."`
+	List list `cmd:"" help:"List the objects of a kind."`
+
+	Apply    apply    `cmd:"" help:"Create or replace the objects in files, as one change."`
+	Delete   remove   `cmd:"" help:"Delete one object."`
+	Label    label    `cmd:"" help:"Set labels (key=value) and remove them (key-)."`
+	Withdraw withdraw `cmd:"" help:"Keep a model version from all new work."`
+	Serve    serve    `cmd:"" help:"Let a withdrawn model version take work again."`
+	Drain    drain    `cmd:"" help:"Take a data centre out."`
+	TakeBack takeBack `cmd:"" help:"Take a data centre back."`
+	RollOut  rollOut  `cmd:"" name:"roll-out" help:"Drive a roll-out."`
+
+	InForce inForce `cmd:"" name:"in-force" help:"Show on how many VMs a revision is in force."`
+	Bills   bills   `cmd:"" help:"Show the bills of a day."`
+	State   state   `cmd:"" help:"Show the state of each VM named."`
+}
+
+// app is what commands work with.
+type app struct {
+	context.Context
+	commands *commands
+	client   client.Client
+	out, err io.Writer
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	cli := new(commands)
+	parser := kong.Must(cli, kong.Name("goldcrest"), kong.Writers(out, errOut),
+		kong.Description("Operators' command line of goldcrestfork.\n\nExit codes: 0 done; 1 failed; 2 wrong usage or input refused; "+
+			"3 the object changed meanwhile; 4 not accepted; 5 unknown whether accepted; 6 no such object; 7 key refused."))
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "goldcrest:", err)
+		return exitRefused
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, cli.Timeout)
+	defer cancel()
+	a := &app{Context: ctx, commands: cli, out: out, err: errOut,
+		client: client.Client{VMs: urls(cli.VM), Key: cli.Key, HTTP: &http.Client{Timeout: callTimeout}}}
+	if err := parsed.Run(a); err != nil {
+		a.explain(err)
+		return exitCode(err)
+	}
+	return exitDone
+}
+
+// urls makes base URLs of "ip:port".
+func urls(vms []string) []string {
+	var all []string
+	for _, vm := range vms {
+		if !strings.Contains(vm, "://") {
+			vm = "http://" + vm
+		}
+		all = append(all, strings.TrimSuffix(vm, "/"))
+	}
+	return all
+}
+
+// errNoVM: a command that needs a VM was given none.
+var errNoVM = config.Problems{{Field: "--vm", Got: "nothing", Want: "the operator address of at least one VM, or GOLDCREST_VM"}}
+
+// explain prints an error so that an operator knows what to do.
+func (a *app) explain(err error) {
+	var p *operator.Problem
+	if !errors.As(err, &p) {
+		fmt.Fprintln(a.err, "goldcrest:", err)
+		return
+	}
+	if errors.Is(err, client.ErrUnknown) {
+		fmt.Fprintln(a.err, "goldcrest:", err)
+		return
+	}
+	fmt.Fprintf(a.err, "goldcrest: %s: %s\n", p.Code, p.Detail)
+	if p.Accepted == operator.AcceptedNo {
+		fmt.Fprintln(a.err, "The change was not accepted; nothing is changed.")
+	}
+	if p.Current != nil {
+		fmt.Fprintf(a.err, "The object now:\n%s\n", indent(p.Current))
+	}
+}
+
+// exitCode sorts an error.
+func exitCode(err error) int {
+	var problems config.Problems
+	var p *operator.Problem
+	switch {
+	case errors.Is(err, client.ErrUnknown):
+		return exitUnknown
+	case errors.As(err, &problems):
+		return exitRefused
+	case errors.As(err, &p):
+		return problemExit(p)
+	case errors.Is(err, client.ErrUnreachable):
+		return exitNotAccepted
+	}
+	return exitFailed
+}
+
+func problemExit(p *operator.Problem) int {
+	switch p.Code {
+	case operator.CodeInvalid, operator.CodeBadRequest, operator.CodeTooLarge:
+		return exitRefused
+	case operator.CodeConflict:
+		return exitConflict
+	case operator.CodeNotFound, operator.CodeNoSuchPath:
+		return exitNotFound
+	case operator.CodeUnauthorized:
+		return exitUnauthorized
+	}
+	if p.Accepted == operator.AcceptedNo {
+		return exitNotAccepted
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/config/assemble.go
@@ -0,0 +1,21 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Assemble makes a configuration of objects as they stand in files and checks it
+// as a whole, without any platform. An object given twice is a problem.
+func Assemble(objects []Object) (*Snapshot, []Problem) {
+	s := &Snapshot{}
+	var problems []Problem
+	for _, o := range objects {
+		kind, name := KindOf(o), o.meta().Name
+		if s.Get(kind, name) != nil {
+			problems = append(problems, Problem{Kind: kind, Name: name, Got: "a second one", Want: fmt.Sprintf("one %s of this name", kind)})
+		}
+		s.put(Clone(o))
+	}
+	return s, slices.Concat(problems, Validate(s))
+}
