Send peers what changed instead of the whole configuration

Ruled out: a longer spread, which delays the change, and a delta without proof, which would leave a missed object wrong for good. Change: objects above the peer's revision, deletions from the root's history, and a fingerprint of the result; one that does not fit is followed by the whole. Conclusion: the whole travels only to watchers and to VMs that start.

--- a/config/apply.go
+++ b/config/apply.go
@@ -77,3 +77,14 @@
 	m.Revision = revision
 	return o
 }
+
+// removed names what the changes delete.
+func removed(changes []Change) []ref {
+	var gone []ref
+	for i := range changes {
+		if changes[i].Op == OpDelete {
+			gone = append(gone, ref{changes[i].Kind, changes[i].Name})
+		}
+	}
+	return gone
+}
--- a/config/cache.go
+++ b/config/cache.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -38,10 +39,28 @@
 	Metrics *Metrics
 }
 
-// published is one configuration in force on this VM, with the bytes that peers are given.
+// published is one configuration in force on this VM, with the bytes that peers
+// are given; they are made when the first peer needs them.
 type published struct {
-	snapshot *Snapshot
-	encoded  []byte
+	root    *root
+	encoded func() []byte
+}
+
+// fromBytes is a configuration that came encoded. The bytes are passed on as they
+// are: a newer release's hold fields that this one does not know.
+func fromBytes(r *root, encoded []byte) *published {
+	return &published{root: r, encoded: func() []byte { return encoded }}
+}
+
+// fromDelta is a configuration that was made here; nil bytes if it can't be encoded.
+func fromDelta(r *root) *published {
+	return &published{root: r, encoded: sync.OnceValue(func() []byte {
+		encoded, err := r.encode()
+		if err != nil {
+			return nil
+		}
+		return encoded
+	})}
 }
 
 // Cache holds the configuration in force on this VM. It only ever moves to a
@@ -69,48 +88,72 @@
 	}
 	c := &Cache{opts: opts, changed: make(chan struct{}), mode: ModeStarting}
 	c.inquiry = inquiry{contacts: opts.Contacts, metrics: opts.Metrics, reports: make(map[string]staleness.Report)}
-	c.current.Store(&published{snapshot: &Snapshot{}})
+	c.current.Store(fromBytes(&root{Format: format, Snapshot: &Snapshot{}}, nil))
 	return c
 }
 
 // Snapshot returns the configuration in force; it is never nil and never changed.
-func (c *Cache) Snapshot() *Snapshot { return c.current.Load().snapshot }
+func (c *Cache) Snapshot() *Snapshot { return c.current.Load().root.Snapshot }
 
 // Revision returns the revision in force.
 func (c *Cache) Revision() int64 { return c.Snapshot().Revision }
 
-// Encoded returns the bytes for a peer that has revision have, or nil when it has as much.
+// Encoded returns the bytes that bring a peer from revision have to the one in
+// force here: a delta where the history reaches back, else the whole. It is nil
+// when the peer has as much. A have of 0 asks for the whole.
 func (c *Cache) Encoded(have int64) []byte {
 	p := c.current.Load()
-	if p.snapshot.Revision <= have {
+	if p.root.Snapshot.Revision <= have {
 		return nil
 	}
-	return p.encoded
+	if d, ok := p.root.delta(have); ok {
+		return d
+	}
+	return p.encoded()
 }
 
-// Offer takes an encoded configuration from the platform, a peer or an accepted
-// change. It is published only if its revision is higher than the one in force:
-// a stale list, a late watch event or a peer that lags would otherwise bring a
-// withdrawn version back.
+// Offer takes an encoded configuration or delta from the platform, a peer or an
+// accepted change, and reports whether it was put in force.
 func (c *Cache) Offer(encoded []byte) (bool, error) {
-	s, err := Decode(encoded)
-	if err != nil {
-		c.opts.Metrics.Undecodable.Inc()
-		return false, err
+	_, ok, err := c.take(encoded)
+	return ok, err
+}
+
+// take puts an encoded configuration or delta in force if it is newer, and returns
+// its revision.
+func (c *Cache) take(encoded []byte) (int64, bool, error) {
+	var p *published
+	if bytes.HasPrefix(encoded, deltaMagic) {
+		r, err := c.current.Load().root.apply(encoded)
+		if err != nil {
+			c.opts.Metrics.Misfits.Inc()
+			return 0, false, err
+		}
+		p = fromDelta(r)
+	} else {
+		r, err := decodeRoot(encoded)
+		if err != nil {
+			c.opts.Metrics.Undecodable.Inc()
+			return 0, false, err
+		}
+		p = fromBytes(r, encoded)
 	}
-	return c.publish(s, encoded), nil
+	return p.root.Snapshot.Revision, c.publish(p), nil
 }
 
-// publish puts a configuration in force if it is newer than the one that is.
-func (c *Cache) publish(s *Snapshot, encoded []byte) bool {
+// publish puts a configuration in force only if its revision is higher than the
+// one in force: a stale list, a late watch event or a peer that lags would
+// otherwise bring a withdrawn version back.
+func (c *Cache) publish(p *published) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.Revision <= c.Revision() {
+	revision := p.root.Snapshot.Revision
+	if revision <= c.Revision() {
 		c.opts.Metrics.Stale.Inc()
 		return false
 	}
-	c.current.Store(&published{snapshot: s, encoded: encoded})
-	c.opts.Metrics.Revision.Set(float64(s.Revision))
+	c.current.Store(p)
+	c.opts.Metrics.Revision.Set(float64(revision))
 	c.opts.Metrics.Published.Inc()
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -223,21 +266,20 @@
 	StoreFailing bool               `json:"storeFailing"`
 	Staleness    staleness.Decision `json:"staleness"`
 	Objects      map[Kind]int       `json:"objects"`
-	EncodedBytes int                `json:"encodedBytes"`
 }
 
 // Dump says what is in force here, where it came from and why work is taken or not.
 func (c *Cache) Dump(now time.Time) State {
-	p := c.current.Load()
+	s := c.Snapshot()
 	c.mu.Lock()
 	mode, failing := c.mode, c.failing
 	c.mu.Unlock()
 	counts := make(map[Kind]int)
 	for _, kind := range Kinds {
-		counts[kind] = len(p.snapshot.List(kind, nil))
+		counts[kind] = len(s.unsorted(kind))
 	}
 	return State{
-		Revision: p.snapshot.Revision, Mode: mode, StoreFailing: failing,
-		Staleness: c.Staleness(now), Objects: counts, EncodedBytes: len(p.encoded),
+		Revision: s.Revision, Mode: mode, StoreFailing: failing,
+		Staleness: c.Staleness(now), Objects: counts,
 	}
 }
--- a/config/editor.go
+++ b/config/editor.go
@@ -245,7 +245,7 @@
 	if err := applyAll(r.Snapshot, a.changes); err != nil {
 		return nil, err
 	}
-	r.accept(a.id)
+	r.accept(a.id, removed(a.changes))
 	return r, nil
 }
 
--- a/config/encode.go
+++ b/config/encode.go
@@ -35,6 +35,8 @@
 type accepted struct {
 	ID       string `cbor:"1,keyasint"`
 	Revision int64  `cbor:"2,keyasint"`
+	// Removed are the objects that the change deleted.
+	Removed []ref `cbor:"3,keyasint,omitempty"`
 }
 
 // root is the value of the one platform object that carries the configuration.
@@ -62,9 +64,14 @@
 }
 
 // accept adds a change at the next revision.
-func (r *root) accept(id string) {
+func (r *root) accept(id string, removed []ref) {
 	r.Snapshot.Revision++
-	r.History = append(r.History, accepted{ID: id, Revision: r.Snapshot.Revision})
+	r.History = append(r.History, accepted{ID: id, Revision: r.Snapshot.Revision, Removed: removed})
+	r.trim()
+}
+
+// trim forgets the oldest changes.
+func (r *root) trim() {
 	if excess := len(r.History) - historyLength; excess > 0 {
 		r.History = slices.Delete(r.History, 0, excess)
 	}
--- a/config/kinds.go
+++ b/config/kinds.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 
@@ -105,25 +104,31 @@
 
 // List returns the objects of a kind by name; with a selector, those that it matches.
 func (s *Snapshot) List(kind Kind, selector Selector) []Object {
-	var all []Object
+	all := s.unsorted(kind)
+	slices.SortFunc(all, func(a, b Object) int { return cmp.Compare(a.meta().Name, b.meta().Name) })
+	if len(selector) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(o Object) bool { return !selector.Matches(o.meta().Labels) })
+}
+
+// unsorted lists the objects of a kind in no order.
+func (s *Snapshot) unsorted(kind Kind) []Object {
 	switch kind {
 	case KindAccount:
-		all = objects(s.Accounts)
+		return objects(s.Accounts)
 	case KindVersion:
-		all = objects(s.Versions)
+		return objects(s.Versions)
 	case KindRollOut:
-		all = objects(s.RollOuts)
+		return objects(s.RollOuts)
 	case KindDataCentre:
-		all = objects(s.DataCentres)
+		return objects(s.DataCentres)
 	case KindEndpoint:
-		all = objects(s.Endpoints)
+		return objects(s.Endpoints)
 	case KindService:
-		all = objects(s.Services)
+		return objects(s.Services)
 	}
-	if len(selector) == 0 {
-		return all
-	}
-	return slices.DeleteFunc(all, func(o Object) bool { return !selector.Matches(o.meta().Labels) })
+	return nil
 }
 
 // put stores an object. Only an editor calls it, on a snapshot that is not published yet.
@@ -177,8 +182,8 @@
 
 func objects[T any, P object[T]](m map[string]P) []Object {
 	list := make([]Object, 0, len(m))
-	for _, name := range slices.Sorted(maps.Keys(m)) {
-		list = append(list, m[name])
+	for _, o := range m {
+		list = append(list, o)
 	}
 	return list
 }
--- a/config/metrics.go
+++ b/config/metrics.go
@@ -14,6 +14,8 @@
 	Reverted prometheus.Counter
 	// Undecodable is goldcrest_config_undecodable_total: values that were no configuration.
 	Undecodable prometheus.Counter
+	// Misfits is goldcrest_config_misfits_total: deltas that did not lead to the sender's configuration.
+	Misfits prometheus.Counter
 	// StoreErrors is goldcrest_config_store_errors_total: failed calls to the platform.
 	StoreErrors prometheus.Counter
 	// Relists is goldcrest_config_relists_total: gaps in the watch closed by a list.
@@ -38,6 +40,7 @@
 		Stale:        counter("stale_total", "Configurations passed over because they were not newer."),
 		Reverted:     counter("reverted_total", "Lists that showed an older root than the one in force."),
 		Undecodable:  counter("undecodable_total", "Values that were no configuration."),
+		Misfits:      counter("misfits_total", "Deltas that did not lead to the sender's configuration."),
 		StoreErrors:  counter("store_errors_total", "Failed calls to the platform."),
 		Relists:      counter("relists_total", "Gaps in the watch closed by a list."),
 		StoreCalls:   counters("store_calls_total", "Calls to the platform.", "call"),
@@ -47,7 +50,7 @@
 		ModeChanges:  counters("mode_changes_total", "Changes of the source of configuration.", "mode"),
 	}
 	if r != nil {
-		r.MustRegister(m.Revision, m.Published, m.Stale, m.Reverted, m.Undecodable, m.StoreErrors,
+		r.MustRegister(m.Revision, m.Published, m.Stale, m.Reverted, m.Undecodable, m.Misfits, m.StoreErrors,
 			m.Relists, m.StoreCalls, m.Fetches, m.Questions, m.FetchedBytes, m.ModeChanges)
 	}
 	return m
--- a/config/run.go
+++ b/config/run.go
@@ -121,7 +121,7 @@
 	seen := int64(0)
 	for _, o := range listing.Objects {
 		if o.Key == RootKey {
-			if seen, err = c.take(o.Value); err != nil {
+			if seen, _, err = c.take(o.Value); err != nil {
 				return 0, err
 			}
 		}
@@ -136,17 +136,6 @@
 	return listing.Revision, nil
 }
 
-// take publishes an encoded root if it is newer and returns its revision.
-func (c *Cache) take(encoded []byte) (int64, error) {
-	s, err := Decode(encoded)
-	if err != nil {
-		c.opts.Metrics.Undecodable.Inc()
-		return 0, err
-	}
-	c.publish(s, encoded)
-	return s.Revision, nil
-}
-
 // watch holds the platform's watch, opened anew each Rotation, while this VM ranks as a watcher.
 func (c *Cache) watch(ctx context.Context) error {
 	from, err := c.list(ctx)
@@ -198,7 +187,7 @@
 		if event.Key != RootKey || event.Deleted {
 			continue
 		}
-		if _, err := c.take(event.Value); err != nil {
+		if _, _, err := c.take(event.Value); err != nil {
 			return from, err
 		}
 	}
@@ -236,19 +225,27 @@
 // maxFetches bounds the peers asked in one round; the next round is lookPeriod away.
 const maxFetches = 2
 
-// fetch asks one peer and reports whether its answer was published.
+// fetch asks one peer and reports whether its answer was put in force. A delta
+// that does not fit is followed by the whole, unless another answer came first.
 func (c *Cache) fetch(ctx context.Context, vm string, have int64) bool {
+	ok, err := c.fetchOnce(ctx, vm, have)
+	if errors.Is(err, errNoDelta) && c.Revision() == have {
+		ok, _ = c.fetchOnce(ctx, vm, 0)
+	}
+	return ok
+}
+
+func (c *Cache) fetchOnce(ctx context.Context, vm string, have int64) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	encoded, err := c.opts.Peers.Fetch(ctx, vm, have)
 	if err != nil || encoded == nil {
 		c.opts.Metrics.Fetches.WithLabelValues("failed").Inc()
-		return false
+		return false, err
 	}
 	c.opts.Metrics.Fetches.WithLabelValues("answered").Inc()
 	c.opts.Metrics.FetchedBytes.Add(float64(len(encoded)))
-	ok, err := c.Offer(encoded)
-	return ok && err == nil
+	return c.Offer(encoded)
 }
 
 // newest lists the VMs above have that are at the highest revision heard.
