Let operators restore the configuration to a platform that was set back

Cause: with the platform's object lost or an old backup restored, VMs rightly keep what is in force, and every change was refused with no way out; a run with real processes and a restarted stand-in showed it. Ruled out: restoring without being asked, since no VM can know whether the backup was meant. Change: restore writes the configuration in force as the next revision, refused on a VM that knows of a later one or a platform that isn't older; a repeat with the same id returns the first result. Measured: go test -race -run 'Never|Restore' ./config passes; it fails without each of the two refusals and without a new revision. Conclusion: "never reverts" holds and the operator can go on.

--- a/cmd/goldcrest/app.go
+++ b/cmd/goldcrest/app.go
@@ -57,6 +57,8 @@
 	TakeBack takeBack `cmd:"" help:"Take a data centre back."`
 	RollOut  rollOut  `cmd:"" name:"roll-out" help:"Drive a roll-out."`
 
+	Restore restore `cmd:"" help:"Write the configuration in force back to a platform that holds an older one."`
+
 	InForce inForce `cmd:"" name:"in-force" help:"Show on how many VMs a revision is in force."`
 	Bills   bills   `cmd:"" help:"Show the bills of a day."`
 	State   state   `cmd:"" help:"Show the state of each VM named."`
--- a/cmd/goldcrest/change.go
+++ b/cmd/goldcrest/change.go
@@ -194,3 +194,15 @@
 func (c *rollBack) Run(a *app) error {
 	return c.act(a, config.KindRollOut, c.Name, config.ActionRollBack, c.Reason)
 }
+
+type restore struct{}
+
+// Run asks the first VM to write its configuration back. It is not tried on
+// others: which VM's configuration is restored is for the operator to say.
+func (c *restore) Run(a *app) error {
+	if len(a.client.VMs) == 0 {
+		return errNoVM
+	}
+	a.client.VMs = a.client.VMs[:1]
+	return (&changing{}).do(a, http.MethodPost, "/v1/restore", nil)
+}
--- a/config/cache.go
+++ b/config/cache.go
@@ -259,6 +259,17 @@
 	return staleness.MayAccept(c.view(now), now)
 }
 
+// held returns the root in force here, and whether a VM that was asked lately has a later one.
+func (c *Cache) held() (*root, bool) {
+	r := c.current.Load().root
+	for _, report := range c.inquiry.recent(time.Now()) {
+		if report.Revision > r.Snapshot.Revision {
+			return r, true
+		}
+	}
+	return r, false
+}
+
 // State is the cache's part of the state dump.
 type State struct {
 	Revision     int64              `json:"revision"`
--- a/config/cache_test.go
+++ b/config/cache_test.go
@@ -222,6 +222,46 @@
 		}
 		_, _, err = f.vms[1].editor.Apply(t.Context(), []Change{centre("norte-b")})
 		require.ErrorIs(t, err, ErrReverted)
+
+		// The operator puts it right, although the reply to that is lost.
+		f.store.SetFaults(store.Faults{LoseReplies: 1})
+		revision, _, err := f.vms[1].editor.Restore(t.Context(), "restore-1")
+		require.NoError(t, err)
+		require.EqualValues(t, 2, revision)
+		settle(20 * time.Second)
+		for _, v := range f.vms {
+			require.EqualValues(t, 2, v.cache.Revision())
+			require.Contains(t, v.cache.Snapshot().DataCentres, "norte-a")
+			require.Equal(t, staleness.Fresh, v.cache.Staleness(time.Now()).Verdict)
+		}
+		again, _, err := f.vms[1].editor.Restore(t.Context(), "restore-1")
+		require.NoError(t, err, "a repeat, since the answer was lost, must not read that nothing was accepted")
+		require.EqualValues(t, 2, again)
+		_, _, err = f.vms[0].editor.Restore(t.Context(), "")
+		require.ErrorIs(t, err, ErrNothingToRestore)
+		_, _, err = f.vms[1].editor.Apply(t.Context(), []Change{centre("norte-b")})
+		require.NoError(t, err)
+	})
+}
+
+// The platform was set back, and the VM that the operator asks to restore lags
+// behind another one. Its configuration must not replace the later one.
+func TestRestoreRefusesALaggingVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(store.New(), 4)
+		later, err := Encode(&Snapshot{Revision: 7})
+		require.NoError(t, err)
+		earlier, err := Encode(&Snapshot{Revision: 6})
+		require.NoError(t, err)
+		for i, v := range f.vms {
+			_, err := v.cache.Offer([][]byte{earlier, later}[i%2])
+			require.NoError(t, err)
+		}
+		_, _, err = f.vms[0].editor.Restore(t.Context(), "")
+		require.ErrorIs(t, err, ErrAhead)
+		revision, _, err := f.vms[1].editor.Restore(t.Context(), "")
+		require.NoError(t, err)
+		require.EqualValues(t, 8, revision)
 	})
 }
 
--- a/config/editor.go
+++ b/config/editor.go
@@ -93,6 +93,8 @@
 	Accepted func(encoded []byte)
 	// Gate says why this VM may accept no change now, as Cache.MayAccept; nil for none.
 	Gate func(context.Context) error
+	// held returns the root in force and whether another VM is known to have a later one.
+	held func() (*root, bool)
 }
 
 // NewEditor returns the editor of a VM whose configuration is in cache.
@@ -101,6 +103,7 @@
 		Store: store,
 		Floor: cache.Revision,
 		Gate:  cache.MayAccept,
+		held:  cache.held,
 		// The cache counts what it cannot take; an encoding made here can be decoded here.
 		Accepted: func(encoded []byte) { _, _ = cache.Offer(encoded) },
 	}
@@ -118,7 +121,11 @@
 // Errors: Problems (refused), *ConflictError (lost a race), ErrNotAccepted,
 // ErrNewer and ErrReverted (no effect), *UnknownError (the same call again settles it).
 func (e *Editor) ApplyOnce(ctx context.Context, id string, since int64, changes []Change) (int64, *Snapshot, error) {
-	a := attempt{editor: e, id: id, since: since, changes: changes}
+	return e.settle(ctx, attempt{editor: e, id: id, since: since, changes: changes})
+}
+
+// settle tries until the change's fate is known or ctx ends.
+func (e *Editor) settle(ctx context.Context, a attempt) (int64, *Snapshot, error) {
 	if e.Gate != nil {
 		if err := e.Gate(ctx); err != nil {
 			return 0, nil, a.final(err)
@@ -145,6 +152,8 @@
 	id      string
 	since   int64
 	changes []Change
+	// restore writes the configuration in force here back instead of making changes.
+	restore bool
 
 	// pending is the write whose reply was lost; nil when nothing is in flight.
 	pending *pending
@@ -234,7 +243,13 @@
 		a.tell(a.current.Value)
 		return nil, nil
 	}
-	if err := a.check(r); err != nil {
+	var err error
+	if a.restore {
+		r, err = a.restored(r)
+	} else {
+		err = a.check(r)
+	}
+	if err != nil {
 		return nil, err
 	}
 	// The id is not among the changes after the base, so the write in flight lost for good.
@@ -242,6 +257,10 @@
 	if a.since < 0 {
 		a.since = r.Snapshot.Revision
 	}
+	if a.restore {
+		r.accept(a.id, nil)
+		return r, nil
+	}
 	if err := applyAll(r.Snapshot, a.changes); err != nil {
 		return nil, err
 	}
--- a/router/operator/answer.go
+++ b/router/operator/answer.go
@@ -26,6 +26,8 @@
 	CodeMinority      Code = "too-few-data-centres"
 	CodeReverted      Code = "platform-holds-older-configuration"
 	CodeNewer         Code = "configuration-of-newer-release"
+	CodeNoRestore     Code = "nothing-to-restore"
+	CodeAhead         Code = "another-vm-is-ahead"
 	CodeUnknown       Code = "unknown"
 	CodeNotHere       Code = "revision-not-here"
 	CodeBillsNotRead  Code = "bills-not-read"
@@ -122,6 +124,10 @@
 		p.Code = CodeMinority
 	case errors.Is(err, config.ErrReverted):
 		p.Status, p.Code = http.StatusConflict, CodeReverted
+	case errors.Is(err, config.ErrNothingToRestore):
+		p.Status, p.Code = http.StatusConflict, CodeNoRestore
+	case errors.Is(err, config.ErrAhead):
+		p.Status, p.Code = http.StatusConflict, CodeAhead
 	case errors.Is(err, config.ErrNewer):
 		p.Status, p.Code = http.StatusConflict, CodeNewer
 	}
--- a/router/operator/change.go
+++ b/router/operator/change.go
@@ -212,3 +212,15 @@
 	change.IfRevision = condition
 	h.accept(w, r, []config.Change{change}, one(kind, name))
 }
+
+// restore writes the configuration in force here back to a platform that holds an older one.
+func (h *handler) restore(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), changeBudget)
+	defer cancel()
+	revision, s, err := h.Editor.Restore(ctx, r.Header.Get(HeaderChangeID))
+	if err != nil {
+		h.refuse(w, changeProblem(err))
+		return
+	}
+	h.answer(w, Answer{Revision: revision, Accepted: AcceptedYes, Warnings: config.Warnings(s)})
+}
--- a/router/operator/handler.go
+++ b/router/operator/handler.go
@@ -47,6 +47,7 @@
 // Editor makes accepted changes.
 type Editor interface {
 	ApplyOnce(ctx context.Context, id string, since int64, changes []config.Change) (int64, *config.Snapshot, error)
+	Restore(ctx context.Context, id string) (int64, *config.Snapshot, error)
 }
 
 // Fleet tells which VMs there are and which revision each has.
@@ -118,6 +119,7 @@
 	mux.HandleFunc("/v1/in-force", h.inForce, http.MethodGet)
 	mux.HandleFunc("/v1/bills", h.bills, http.MethodGet)
 	mux.HandleFunc("/v1/apply", h.apply, http.MethodPost)
+	mux.HandleFunc("/v1/restore", h.restore, http.MethodPost)
 	mux.HandleFunc("/v1/:kind", h.list, http.MethodGet)
 	mux.HandleFunc("/v1/:kind/:name", h.get, http.MethodGet)
 	mux.HandleFunc("/v1/:kind/:name", h.put, http.MethodPut)
--- a/router/operator/operator_test.go
+++ b/router/operator/operator_test.go
@@ -117,6 +117,7 @@
 		{"minimum no number", a, "GET", "/v1/revision", "", "Min-Revision: x", 400, operator.CodeBadRequest, "revision", ""},
 		{"day", a, "GET", "/v1/bills?day=1", "", "", 400, operator.CodeBadRequest, "2026-01-31", ""},
 		{"bills not read", a, "GET", "/v1/bills?day=2026-01-31&account=broken", "", "", 503, operator.CodeBillsNotRead, "store down", ""},
+		{"nothing to restore", a, "POST", "/v1/restore", "", "", 409, operator.CodeNoRestore, "not older", "no"},
 		{"platform down", down, "PUT", "/v1/data-centre/norte-a", centre, "", 503, operator.CodeStoreDown, "not accepted", "no"},
 	}
 	for _, row := range rows {
