--- /dev/null
+++ b/config/pages_test.go
@@ -0,0 +1,46 @@
+package config
+
+import (
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+// page reads one of the operators' pages.
+func page(t *testing.T, name string) string {
+	text, err := os.ReadFile("../docs/operators/" + name)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// A field or metric that the operators' pages leave out can't be relied on by
+// those who are on call.
+func TestPagesNameEveryFieldAndMetric(t *testing.T) {
+	objects := page(t, "objects.md")
+	for _, kind := range Kinds {
+		require.Contains(t, objects, "## `"+string(kind)+"`")
+		for name := range fieldsOf(reflect.TypeOf(New(kind)).Elem()) {
+			require.Contains(t, objects, "`"+name+"`", "%s", kind)
+		}
+	}
+	for name := range fieldsOf(reflect.TypeFor[Call]()) {
+		require.Contains(t, objects, "`calls[]."+name+"`")
+	}
+
+	metrics := page(t, "metrics.md")
+	registry := prometheus.NewRegistry()
+	m := NewMetrics(registry)
+	m.StoreCalls.WithLabelValues("list")
+	m.Fetches.WithLabelValues("answered")
+	m.Questions.WithLabelValues("answered")
+	m.ModeChanges.WithLabelValues("reading")
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	require.Len(t, families, 13)
+	for _, f := range families {
+		require.Contains(t, metrics, "`"+f.GetName())
+	}
+}
