--- a/config/apply.go
+++ b/config/apply.go
@@ -40,8 +40,15 @@
 		s.remove(kind, name)
 	case OpLabel:
 		s.put(relabel(current, c, revision))
+	case OpEdit:
+		o := Clone(current)
+		if err := c.Edit(o); err != nil {
+			return err
+		}
+		o.meta().Revision = revision
+		s.put(o)
 	default:
-		return Problems{{Kind: kind, Name: name, Field: "op", Got: fmt.Sprint(c.Op), Want: "put, delete or label"}}
+		return Problems{{Kind: kind, Name: name, Field: "op", Got: fmt.Sprint(c.Op), Want: "put, delete, label or edit"}}
 	}
 	return nil
 }
@@ -70,3 +77,14 @@
 	m.Revision = revision
 	return o
 }
+
+// removed names what the changes delete.
+func removed(changes []Change) []ref {
+	var gone []ref
+	for i := range changes {
+		if changes[i].Op == OpDelete {
+			gone = append(gone, ref{changes[i].Kind, changes[i].Name})
+		}
+	}
+	return gone
+}
--- a/config/kinds.go
+++ b/config/kinds.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 
@@ -74,6 +74,15 @@
 	return c
 }
 
+// Marshal writes an object as Parse reads it, with its kind.
+func Marshal(o Object) ([]byte, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return nil, err
+	}
+	return fmt.Appendf(nil, `{"kind":%q,%s`, KindOf(o), body[1:]), nil
+}
+
 // Get returns one object, or nil.
 func (s *Snapshot) Get(kind Kind, name string) Object {
 	switch kind {
@@ -95,25 +104,31 @@
 
 // List returns the objects of a kind by name; with a selector, those that it matches.
 func (s *Snapshot) List(kind Kind, selector Selector) []Object {
-	var all []Object
+	all := s.unsorted(kind)
+	slices.SortFunc(all, func(a, b Object) int { return cmp.Compare(a.meta().Name, b.meta().Name) })
+	if len(selector) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(o Object) bool { return !selector.Matches(o.meta().Labels) })
+}
+
+// unsorted lists the objects of a kind in no order.
+func (s *Snapshot) unsorted(kind Kind) []Object {
 	switch kind {
 	case KindAccount:
-		all = objects(s.Accounts)
+		return objects(s.Accounts)
 	case KindVersion:
-		all = objects(s.Versions)
+		return objects(s.Versions)
 	case KindRollOut:
-		all = objects(s.RollOuts)
+		return objects(s.RollOuts)
 	case KindDataCentre:
-		all = objects(s.DataCentres)
+		return objects(s.DataCentres)
 	case KindEndpoint:
-		all = objects(s.Endpoints)
+		return objects(s.Endpoints)
 	case KindService:
-		all = objects(s.Services)
+		return objects(s.Services)
 	}
-	if len(selector) == 0 {
-		return all
-	}
-	return slices.DeleteFunc(all, func(o Object) bool { return !selector.Matches(o.meta().Labels) })
+	return nil
 }
 
 // put stores an object. Only an editor calls it, on a snapshot that is not published yet.
@@ -167,8 +182,8 @@
 
 func objects[T any, P object[T]](m map[string]P) []Object {
 	list := make([]Object, 0, len(m))
-	for _, name := range slices.Sorted(maps.Keys(m)) {
-		list = append(list, m[name])
+	for _, o := range m {
+		list = append(list, o)
 	}
 	return list
 }
