--- a/policy/admission/bench_test.go
+++ b/policy/admission/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -54,3 +55,28 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the heap that waiting items hold, without what their
+// Value holds.
+func BenchmarkMemory(b *testing.B) {
+	for _, waiting := range []int{100, 1000, 4000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				q := measured(1)
+				for id := range uint64(waiting) {
+					q.Offer(start, item(id, "a", config.ClassInteractive, 1000*time.Hour))
+				}
+				b.ReportMetric(float64(heap()-before), "heap-B")
+				runtime.KeepAlive(q)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
