--- a/config/benchmark_test.go
+++ b/config/benchmark_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config/staleness"
+	"goldcrestfork/standin/store"
 )
 
 // BenchmarkRoot gives the root's size and the time to encode, decode and validate
@@ -15,7 +19,7 @@
 		s := sized(endpoints)
 		r := root{Format: format, Snapshot: s}
 		for range historyLength {
-			r.accept(fmt.Sprintf("0198c0de-%04x-7000-8000-%012x", s.Revision, s.Revision*7919))
+			r.accept(fmt.Sprintf("0198c0de-%04x-7000-8000-%012x", s.Revision, s.Revision*7919), nil)
 		}
 		raw, err := cbor.Marshal(&r)
 		require.NoError(b, err)
@@ -41,3 +45,47 @@
 		})
 	}
 }
+
+// BenchmarkDelta is what a VM pays to serve one change to a peer, and the peer to take it.
+func BenchmarkDelta(b *testing.B) {
+	for _, endpoints := range []int{500, 2000, 8000} {
+		r := &root{Format: format, Snapshot: sized(endpoints)}
+		r.Snapshot.Revision = 1_000_000
+		old := &root{Format: format, Snapshot: r.Snapshot.shallow()}
+		require.NoError(b, applyAll(r.Snapshot, []Change{centre("dc-00")}))
+		r.accept("0198c0de-0000-7000-8000-000000000000", nil)
+		encoded, ok := r.delta(1_000_000)
+		require.True(b, ok)
+		b.Run(fmt.Sprintf("make/endpoints=%d", endpoints), func(b *testing.B) {
+			for b.Loop() {
+				r.delta(1_000_000)
+			}
+			b.ReportMetric(float64(len(encoded)), "delta-bytes")
+		})
+		b.Run(fmt.Sprintf("apply/endpoints=%d", endpoints), func(b *testing.B) {
+			for b.Loop() {
+				_, err := old.apply(encoded)
+				require.NoError(b, err)
+			}
+		})
+	}
+}
+
+// BenchmarkLook is what a follower does each lookPeriod when nothing has changed.
+func BenchmarkLook(b *testing.B) {
+	for _, vms := range []int{7, 100, 400} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			m := newMesh(store.New(), vms, max(3, vms/21))
+			v := m.vms[vms-1]
+			for _, other := range m.vms {
+				v.heard[other.id] = 0
+				v.cache.inquiry.reports[other.id] = staleness.Report{VM: other.id, DataCentre: other.centre, Echoed: time.Now().Add(time.Hour)}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				v.cache.choose(time.Now())
+				v.cache.follow(b.Context())
+			}
+		})
+	}
+}
