--- a/policy/admission/estimate.go
+++ b/policy/admission/estimate.go
@@ -17,9 +17,9 @@
 )
 
 // estimator measures how long a unit of work takes while the pool is in use.
-// Until the first answer it knows nothing, takes every item for instant, and
-// refuses none for its deadline: a guess that is too high would refuse everything
-// and never be put right.
+// Until the first answer it knows nothing, unless an assumption was set, takes every
+// item for instant, and refuses none for its deadline. The first answer replaces
+// an assumption whole.
 type estimator struct {
 	answers   int
 	perUnit   float64 // running seconds per unit
@@ -34,7 +34,7 @@
 	off := perUnit - e.perUnit
 	e.perUnit += gain * off
 	if e.answers == 1 {
-		return
+		return // no deviation is known from one
 	}
 	if off < 0 {
 		off = -off
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -61,6 +61,7 @@
 		cfg:      cfg,
 		rng:      rng,
 		accounts: make(map[string]*account),
+		est:      estimator{perUnit: max(cfg.SecondsPerUnit, 0)},
 	}
 }
 
--- a/policy/admission/types.go
+++ b/policy/admission/types.go
@@ -66,6 +66,9 @@
 
 // Config sets a queue. The zero value of a field takes the default.
 type Config struct {
+	// SecondsPerUnit is the service time of one unit of work that is assumed until the
+	// first answer. Default 0: unknown, and no item is refused for its deadline.
+	SecondsPerUnit float64
 	// MaxItems bounds the queue. Default 4096: at 32 KB a request that is half of the
 	// 256 MB a node may use.
 	MaxItems int
