Link the VMs: membership, forwarded claims, counts, blame and addresses

Cause: the libraries of the fleet, the ledger, the configuration and the control loops each need the others' VMs. Ruled out: blame for crashes by heartbeats' digests: they count crashes without their endpoints, and an innocent request that was at two crashes of one endpoint would count twice. Change: the peer link carries configuration, the ledger's operations, roll-out counts, blame for crashes (three VMs a second, only while there is news) and bills of a VM that stops during an outage; address answers name all live VMs; the controller's lease is tried for by three VMs.

--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -43,6 +43,9 @@
 	Prefer string `json:"prefer,omitempty"`
 	// KeepAddresses is how long callers keep an address answer. Default "10s".
 	KeepAddresses Duration `json:"keepAddresses,omitempty"`
+	// SpreadLeaving is how long a planned stop reckons with other VMs that have not
+	// heard of it and still name this VM to callers. Default "15s".
+	SpreadLeaving Duration `json:"spreadLeaving,omitempty"`
 	// StopGrace is how long a planned stop waits for running streams once no caller
 	// should come any more. Default "15m"; what still runs then is cut.
 	StopGrace Duration `json:"stopGrace,omitempty"`
@@ -107,6 +110,9 @@
 	// DefaultKeepAddresses: short enough that a VM's end is felt for seconds only,
 	// long enough that 10,000 callers ask each of 6 VMs 170 times a second.
 	DefaultKeepAddresses = 10 * time.Second
+	// DefaultSpreadLeaving: word of a leaving VM reaches 400 VMs in some ten
+	// heartbeats of a second (docs/design/membership.md).
+	DefaultSpreadLeaving = 15 * time.Second
 	// DefaultStopGrace: half of the longest deadline a caller may name; growth reports run for minutes.
 	DefaultStopGrace = 15 * time.Minute
 	// minSecret is the least length of the secret, in bytes: that of the hash it keys.
@@ -144,6 +150,9 @@
 	if s.KeepAddresses == 0 {
 		s.KeepAddresses = Duration(DefaultKeepAddresses)
 	}
+	if s.SpreadLeaving == 0 {
+		s.SpreadLeaving = Duration(DefaultSpreadLeaving)
+	}
 	if s.StopGrace == 0 {
 		s.StopGrace = Duration(DefaultStopGrace)
 	}
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -16,11 +16,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config"
+	"goldcrestfork/fleet/peer"
 	"goldcrestfork/router/refusal"
 	"goldcrestfork/router/settings"
 	"goldcrestfork/standin/backend"
@@ -48,6 +50,7 @@
 	servers  []*httptest.Server
 	plain    *backend.Service
 	rating   *backend.Rating
+	trial    peer.TrialSet
 	// vm is the first VM, which requests go to where no other is named.
 	vm *VM
 }
@@ -61,6 +64,9 @@
 func newWorld(t *testing.T, n int) *world {
 	t.Helper()
 	w := &world{t: t, store: store.New(), plain: backend.NewService(), rating: backend.NewRating()}
+	trial, err := peer.NewTrialSet(time.Now(), "vm-1", "vm-2", "vm-3")
+	require.NoError(t, err)
+	w.trial = trial
 	w.platform = w.serve(store.Handler(w.store))
 	w.rater = w.serve(w.rating.Handler())
 	w.vm, _ = w.start("vm-1")
@@ -72,17 +78,17 @@
 func (w *world) start(name string) (v *VM, stop func()) {
 	w.t.Helper()
 	dir := w.t.TempDir()
-	for _, f := range []string{"ca", "cert", "key"} {
-		require.NoError(w.t, os.WriteFile(filepath.Join(dir, f), nil, 0o600))
+	for file, pem := range map[string][]byte{"ca": w.trial.CA, "cert": w.trial.VMs[name].Certificate, "key": w.trial.VMs[name].Key} {
+		require.NoError(w.t, os.WriteFile(filepath.Join(dir, file), pem, 0o600))
 	}
 	s, err := settings.Parse("test", fmt.Appendf(nil, `{
 		"vm": "%[5]s", "dataCentre": "norte-a", "region": "norte",
 		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
 		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key"},
-		"platform": {"url": "http://%[2]s"},
+		"platform": {"url": "http://%[2]s", "register": true},
 		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
 		"rating": {"url": "http://%[4]s/rate"},
-		"keepAddresses": "1ms",
+		"keepAddresses": "1ms", "spreadLeaving": "1ms",
 	}`, dir, w.platform, hash("secret"), w.rater, name))
 	require.NoError(w.t, err)
 	v, err = New(s, zerolog.Nop())
--- a/router/vm/operators.go
+++ b/router/vm/operators.go
@@ -9,6 +9,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"goldcrestfork/config"
+	"goldcrestfork/control/rollouts"
+	"goldcrestfork/fleet/member"
+	"goldcrestfork/fleet/peer"
+	"goldcrestfork/ledger"
+	"goldcrestfork/policy/cascade"
 	"goldcrestfork/router/dispatch"
 )
 
@@ -40,6 +45,15 @@
 	Running       int           `json:"running"`
 	Configuration config.State  `json:"configuration"`
 	Dispatch      dispatch.Dump `json:"dispatch"`
+	Fleet         member.Dump   `json:"fleet"`
+	Peers         peer.Dump     `json:"peers"`
+	Ledger        ledger.Dump   `json:"ledger"`
+	BillsHeld     int           `json:"billsHeld"`
+	Cascade       cascade.Dump  `json:"cascade"`
+	// RollOuts is filled on the VM that holds the controller's lease.
+	RollOuts []rollouts.Status `json:"rollOuts"`
+	// CountsMissing names the data centres whose roll-out counts are not complete here.
+	CountsMissing []string `json:"countsMissing"`
 }
 
 func (v *VM) state(w http.ResponseWriter, _ *http.Request) {
@@ -53,6 +67,13 @@
 		Running:       v.entry.Running(),
 		Configuration: v.cache.Dump(time.Now()),
 		Dispatch:      v.dispatch.Dump(),
+		Fleet:         v.fleet.members.Dump(time.Now()),
+		Peers:         v.fleet.link.Dump(),
+		Ledger:        v.ledger.Dump(),
+		BillsHeld:     v.bills.Held(),
+		Cascade:       v.entry.Cascade(),
+		RollOuts:      v.loops.rollOuts.Dump(),
+		CountsMissing: v.loops.collector.Missing(),
 	})
 }
 
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -8,8 +8,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -20,6 +18,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestfork/config"
+	"goldcrestfork/config/exchange"
+	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/ledger"
 	"goldcrestfork/ledger/bill"
 	"goldcrestfork/ledger/pin"
@@ -60,6 +60,9 @@
 	claims   *ledger.Claims
 	bills    *bill.Spool
 	recorder *rollout.Recorder
+	fleet    *fleet
+	slots    *slots
+	loops    *loops
 	// incarnation tells this start from an earlier one of the same VM.
 	incarnation uint64
 
@@ -75,26 +78,48 @@
 		registry: prometheus.NewRegistry(),
 		store:    httpstore.New(s.Platform.URL),
 
-		incarnation: rand.Uint64(),
+		// The clock's word is only for the process's name; a clock that went back is mended
+		// by membership.
+		incarnation: uint64(time.Now().UnixNano()),
 	}
-	v.cache = config.NewCache(config.Options{Store: v.store, Metrics: config.NewMetrics(v.registry)})
-	v.editor = &config.Editor{
-		Store:    v.store,
-		Floor:    v.cache.Revision,
-		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
+	if err := v.listen(); err != nil {
+		v.close()
+		return nil, err
 	}
 	if err := v.wire(); err != nil {
+		v.close()
 		return nil, trace.Wrap(err)
 	}
+	return v, nil
+}
+
+// listen opens all listeners, so that a port in use is known before anything starts.
+func (v *VM) listen() error {
 	var err error
-	if v.callers, err = net.Listen("tcp", s.Callers.Address); err != nil {
-		return nil, trace.ConvertSystemError(err)
+	if v.callers, err = net.Listen("tcp", v.settings.Callers.Address); err != nil {
+		return trace.ConvertSystemError(err)
 	}
-	if v.operators, err = net.Listen("tcp", s.Operators.Address); err != nil {
-		_ = v.callers.Close()
-		return nil, trace.ConvertSystemError(err)
+	if v.operators, err = net.Listen("tcp", v.settings.Operators.Address); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	advertised := v.settings.Callers.Advertise
+	if advertised == "" {
+		advertised = v.CallersAddress()
+	}
+	v.fleet, err = v.newFleet(advertised)
+	return trace.Wrap(err)
+}
+
+// close ends the listeners that are open.
+func (v *VM) close() {
+	for _, l := range []net.Listener{v.callers, v.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+	if v.fleet != nil {
+		_ = v.fleet.link.Close()
 	}
-	return v, nil
 }
 
 func (v *VM) wire() error {
@@ -107,15 +132,30 @@
 	if v.settings.Prefer == "latency" {
 		weights, learning = picker.WeightsLatency, cascade.LatencySettings()
 	}
-	v.recorder = rollout.NewRecorder(fmt.Sprintf("%s/%x", v.settings.VM, v.incarnation))
-	v.ledger = ledger.New(v.store, nil, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
-	v.claims = ledger.NewClaims(v.ledger, nil)
+	peers := exchange.New(exchange.Options{
+		Self: v.settings.VM, DataCentre: v.settings.DataCentre,
+		Fleet: v.fleet, Link: v.fleet, Rank: rendezvous.Rank,
+	})
+	v.cache = config.NewCache(config.Options{
+		Store: v.store, Peers: peers, Contacts: peers, DataCentre: v.settings.DataCentre,
+		VMs: v.fleet.perDataCentre, Metrics: config.NewMetrics(v.registry),
+	})
+	v.fleet.revision = v.cache.Revision
+	v.editor = &config.Editor{
+		Store:    v.store,
+		Floor:    v.cache.Revision,
+		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
+	}
+	v.recorder = rollout.NewRecorder(v.process())
+	v.slots = newSlots(v.fleet)
+	v.ledger = ledger.New(v.store, v.fleet, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
+	v.claims = ledger.NewClaims(v.ledger, v.fleet.living)
 	v.bills = bill.NewSpool(v.store, v.registry, bill.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.dispatch = dispatch.New(dispatch.Config{
 		DataCentre: v.settings.DataCentre,
 		Region:     v.settings.Region,
 		Weights:    weights,
-		Slots:      sole{},
+		Slots:      v.slots,
 		Registerer: v.registry,
 	})
 	v.engines = engine.NewClient(engine.NewMetrics(v.registry))
@@ -127,13 +167,15 @@
 		Claims:        claims{v.claims},
 		Sessions:      sessions{pin.New(v.ledger, signer)},
 		Bills:         v.bills,
-		Addresses:     ownAddress{v},
+		Addresses:     answers{v},
 		Rater:         newRater(v.settings.Rating.URL),
 		Cascade:       learning,
 		Outcomes:      v.recorder,
 		Metrics:       entry.NewMetrics(v.registry),
 		Secret:        secret,
 	})
+	v.loops = v.newLoops()
+	v.handlers()
 	return nil
 }
 
@@ -153,11 +195,16 @@
 	g, work := errgroup.WithContext(work)
 	callers := v.server(v.entry.Handler())
 	operators := v.server(v.operatorsHandler())
-	g.Go(func() error { v.cache.Run(work); return nil })
-	g.Go(func() error { v.cache.Subscribe(work, v.dispatch.Configure); return nil })
-	g.Go(func() error { v.dispatch.Run(work); return nil })
-	g.Go(func() error { v.bills.Run(work, bill.FlushInterval(1)); return nil })
-	g.Go(func() error { v.pollCold(work); return nil })
+	for _, loop := range []func(context.Context){
+		v.register, v.fleet.members.Run, v.tell,
+		v.cache.Run, func(ctx context.Context) { v.cache.Subscribe(ctx, v.dispatch.Configure) },
+		v.dispatch.Run, v.pollCold, v.spreadPoison,
+		func(ctx context.Context) { v.bills.Run(ctx, bill.FlushInterval(len(v.fleet.ids()))) },
+		func(ctx context.Context) { v.loops.lease.Run(ctx, v.candidate) },
+		v.gather, v.loops.rollOuts.Run,
+	} {
+		g.Go(func() error { loop(work); return nil })
+	}
 	g.Go(func() error { return serve(callers, v.callers) })
 	g.Go(func() error { return serve(operators, v.operators) })
 	g.Go(func() error {
@@ -167,11 +214,12 @@
 		}
 		v.drain(work)
 		v.settle(work)
+		v.fleet.members.Leave()
 		stop()
 		_ = callers.Close()
 		_ = operators.Close()
 		v.engines.Close()
-		return nil
+		return v.fleet.link.Close()
 	})
 	v.log.Info().Str("callers", v.CallersAddress()).Str("operators", v.OperatorsAddress()).Msg("serving")
 	return trace.Wrap(g.Wait())
@@ -193,7 +241,8 @@
 // older answer; and a stream that runs when the process ends is a cut answer.
 func (v *VM) drain(ctx context.Context) {
 	v.log.Info().Msg("leaving: no longer in address answers")
-	wait(ctx, time.Duration(v.settings.KeepAddresses))
+	v.fleet.members.Drain()
+	wait(ctx, time.Duration(v.settings.SpreadLeaving)+time.Duration(v.settings.KeepAddresses))
 	v.entry.Close()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(v.settings.StopGrace))
 	defer cancel()
@@ -202,22 +251,6 @@
 	v.log.Info().Int("cut", v.entry.Running()).Msg("stopped")
 }
 
-// settleTimeout bounds how long a planned stop keeps at the outcomes that the store
-// has not taken yet; an outage that is longer leaves their claims "unknown".
-const settleTimeout = time.Minute
-
-// settle hands to the store what this VM still owes it.
-func (v *VM) settle(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-	defer cancel()
-	if left := v.claims.Close(ctx); left > 0 {
-		v.log.Warn().Int("outcomes", left).Msg("stopped with outcomes unrecorded; their claims stay unknown")
-	}
-	if err := v.bills.Flush(ctx); err != nil {
-		v.log.Warn().Int("bills", v.bills.Held()).Err(err).Msg("stopped with bills unwritten; they are lost")
-	}
-}
-
 // wait sleeps for d; false when ctx ended before.
 func wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
