Refuse precisely under a busy owner and an overrun platform

Change: platform.ErrOverRate (an ErrUnavailable; 429), which is waited out; an owner says busy and its origin refuses; a call that leaves before a write carries it is refused without effect rather than as unknown; one pace for all shards of a VM.

--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -189,3 +189,34 @@
 	_, err = l.HandlePeer(t.Context(), body)
 	require.Error(t, err)
 }
+
+// The platform refuses calls over its rate for a while. That is no outage:
+// callers wait and are served, and the other shards are not refused.
+func TestOverRateIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		s.SetRates(1, 0)
+		a := testClaims(s, "a", nil)
+		ticket := mustBegin(t, a)
+		require.NoError(t, a.Finish(t.Context(), ticket, booked), "after a second's wait")
+		require.Positive(t, s.Counts().OverRate)
+		require.Zero(t, a.ledger.RetryAfter())
+	})
+}
+
+// The owner's queue is too long. Its origin must refuse rather than write past
+// it: otherwise every VM adds its own writes to the shard that has too many.
+func TestBusyOwnerIsNotOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		owner := testLedger(s, "b")
+		net := &network{peers: map[string]*Ledger{"b": owner}, owners: []string{"b"}}
+		a := NewClaims(New(s, link{net, "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
+		s.SetRates(0.01, 0)
+		decideAll(t, owner, keysOfShard(refund.digest().Shard(), 1), 24)
+		_, err := a.Begin(t.Context(), refund, refundBody)
+		require.ErrorIs(t, err, ErrUnavailable)
+		require.Empty(t, a.ledger.Dump().Shards, "nothing was tried here")
+		owner.Wait()
+	})
+}
--- a/ledger/doc.go
+++ b/ledger/doc.go
@@ -8,6 +8,6 @@
 // The VM that a Forwarder names gathers for a shard; that only saves conflicts.
 // Correctness is the conditional write: a VM may commit to any shard at any time.
 //
-// Lock order: Ledger.mu, then shard.mu. No lock is held across a call to the
+// Lock order: Ledger.mu, then shard.mu; the others are leaves. No lock is held across a call to the
 // platform, a peer or a caller.
 package ledger
--- a/ledger/forward.go
+++ b/ledger/forward.go
@@ -9,10 +9,13 @@
 	"github.com/gravitational/trace"
 )
 
-// forwardTimeout bounds the wait for a shard's owner. Grounds: the owner
-// gathers for up to 430 ms and writes in milliseconds; what is left of the
-// operation's time must suffice to commit here.
-const forwardTimeout = time.Second
+// Waits for a shard's owner. Grounds: the owner gathers for up to 430 ms and
+// writes in milliseconds; it must say "busy" before its origin stops waiting,
+// and what is left of the operation's time must suffice to commit here.
+const (
+	forwardTimeout = time.Second
+	forwardBudget  = 800 * time.Millisecond
+)
 
 // peerRequest is the body of a call to a shard's owner.
 type peerRequest struct {
@@ -29,10 +32,15 @@
 	Result result `cbor:"2,keyasint"`
 	// NoEffect: the operation was refused and will not be carried out.
 	NoEffect bool `cbor:"3,keyasint"`
+	// Busy: the operation's time ran out in the owner's queue.
+	Busy bool `cbor:"4,keyasint"`
 }
 
-// errOwnerFailed: the owner answered that it could not commit.
-var errOwnerFailed = errors.New("the shard's owner could not commit")
+// Answers of an owner that did not commit.
+var (
+	errOwnerFailed = errors.New("the shard's owner can't reach the store")
+	errOwnerBusy   = errors.New("the shard's owner is busy")
+)
 
 // atOwner lets the shard's owner carry out o. tried says that the owner may do
 // so, now or later, whatever the error: then the same operation, by its nonce,
@@ -45,7 +53,7 @@
 	if self || vm == "" {
 		return result{}, false, nil
 	}
-	body, err := cbor.Marshal(peerRequest{Op: o, Budget: forwardTimeout.Milliseconds()})
+	body, err := cbor.Marshal(peerRequest{Op: o, Budget: forwardBudget.Milliseconds()})
 	if err != nil {
 		return result{}, false, err
 	}
@@ -60,6 +68,10 @@
 	if err := cbor.Unmarshal(reply, &p); err != nil {
 		return result{}, true, err
 	}
+	if p.Busy {
+		l.metrics.forwards.WithLabelValues("busy").Inc()
+		return result{}, !p.NoEffect, errOwnerBusy
+	}
 	if !p.OK {
 		l.metrics.forwards.WithLabelValues("refused").Inc()
 		return result{}, !p.NoEffect, errOwnerFailed
@@ -86,7 +98,8 @@
 	}
 	results, err := l.shard(q.Op.Key.Shard()).submit(ctx, []op{q.Op})
 	if err != nil {
-		return cbor.Marshal(peerReply{NoEffect: errors.Is(err, ErrUnavailable)})
+		busy := ctx.Err() != nil
+		return cbor.Marshal(peerReply{NoEffect: errors.Is(err, ErrUnavailable), Busy: busy})
 	}
 	return cbor.Marshal(peerReply{OK: true, Result: results[0]})
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -9,7 +9,6 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/time/rate"
 
 	"goldcrestfork/platform"
 )
@@ -36,9 +35,6 @@
 	// DefaultTimeout of one operation: more than two calls to the platform, so
 	// that one lost reply can be settled within it.
 	DefaultTimeout = 5 * time.Second
-	// paceBurst writes of a shard go out at once after a quiet spell: a claim and
-	// its outcome. More would let all shards together go far over the rate.
-	paceBurst = 2
 	// finalsKept bounds the cache of decisions that can't change any more.
 	finalsKept = 16 << 10
 )
@@ -76,6 +72,7 @@
 	settings Settings
 	metrics  *metrics
 	gate     gate
+	pace     pacer
 	alone    bool
 	sealAt   int // sealBytes, but for tests
 	// jitter draws from [0, d): losers of a race that wait alike would meet again.
@@ -108,6 +105,7 @@
 		forward:  forward,
 		settings: s,
 		metrics:  newMetrics(r),
+		pace:     pacer{perShard: s.WritesPerSecond / ShardCount},
 		alone:    s.NoGroupCommit,
 		sealAt:   sealBytes,
 		jitter:   rand.N[time.Duration],
@@ -171,6 +169,11 @@
 	if tried && err == nil {
 		return r, nil
 	}
+	if errors.Is(err, errOwnerBusy) {
+		// Committing here as well would add writes and conflicts to a shard that
+		// has too many already: every VM would, and none would get through.
+		return result{}, refusal(tried)
+	}
 	results, err := l.here(ctx, number, o)
 	if err != nil && tried {
 		// The owner may still carry it out.
@@ -182,6 +185,15 @@
 	return results[0], nil
 }
 
+// refusal is what a caller is told when nothing is known to be decided; tried
+// says that something may yet be.
+func refusal(tried bool) error {
+	if tried {
+		return ErrUnknown
+	}
+	return ErrUnavailable
+}
+
 // here commits on this VM.
 func (l *Ledger) here(ctx context.Context, number int, o op) ([]result, error) {
 	if l.gate.wait() > 0 {
@@ -212,9 +224,6 @@
 	s := l.shards[number]
 	if s == nil {
 		s = &shard{l: l, number: number, key: platform.Key{Kind: kind, Name: headName(number)}}
-		if l.settings.WritesPerSecond > 0 {
-			s.pace = rate.NewLimiter(rate.Limit(l.settings.WritesPerSecond/ShardCount), paceBurst)
-		}
 		l.shards[number] = s
 	}
 	return s
--- a/ledger/ledgerbench/run.go
+++ b/ledger/ledgerbench/run.go
@@ -69,25 +69,29 @@
 	return &meter{latency: hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits)}
 }
 
+// retryAfter is how long a refused caller of a closed loop waits.
+const retryAfter = 250 * time.Millisecond
+
 // request claims and finishes one request; only the claim is waited for by a
 // caller before its request runs, so its time is what the latency shows.
-func (m *meter) request(c *ledger.Claims, id string) {
+func (m *meter) request(c *ledger.Claims, id string) (ok bool) {
 	ctx := context.Background()
 	begun := time.Now()
 	start, err := c.Begin(ctx, ledger.ClaimKey{Account: "bench", IdempotencyKey: id}, 1)
 	took := time.Since(begun)
 	if err != nil || start.Ticket == nil {
 		m.failed.Add(1)
-		return
+		return false
 	}
 	m.mu.Lock()
 	_ = m.latency.RecordValue(took.Microseconds())
 	m.mu.Unlock()
 	if c.Finish(ctx, start.Ticket, ledger.Outcome{Known: true, Status: 201, Answer: []byte(answer)}) != nil {
 		m.failed.Add(1)
-		return
+		return false
 	}
 	m.done.Add(1)
+	return true
 }
 
 // answer is of the length of a booking's.
@@ -148,7 +152,9 @@
 		for i := range callers {
 			wg.Go(func() {
 				for n := 0; !stopped(stop); n++ {
-					m.request(claims[i%len(claims)], strconv.Itoa(i)+"/"+strconv.Itoa(n))
+					if !m.request(claims[i%len(claims)], strconv.Itoa(i)+"/"+strconv.Itoa(n)) {
+						time.Sleep(retryAfter)
+					}
 				}
 			})
 		}
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -146,7 +146,7 @@
 	vm := m.vms[a.VM]
 	switch a.Kind {
 	case actDecide:
-		m.calls.Go(func() { m.decide(vm, MakeKey(SpacePin, "acct", fmt.Sprint(a.Key))) })
+		m.calls.Go(func() { m.decide(vm, MakeKey(SpacePin, "acct", fmt.Sprint(a.Key)), a) })
 	case actClaim:
 		m.calls.Go(func() { m.claim(vm, ClaimKey{"acct", fmt.Sprint(a.Key)}, a) })
 	case actFaults:
@@ -188,9 +188,14 @@
 	m.broken = append(m.broken, fmt.Sprintf(format, args...))
 }
 
-func (m *model) decide(vm *modelVM, k Key) {
+func (m *model) decide(vm *modelVM, k Key, a action) {
 	value := m.unique()
-	won, mine, err := vm.ledger.Decide(context.Background(), k, []byte(value), pinHours)
+	ctx, cancel := context.Background(), func() {}
+	if a.Flag { // an impatient caller
+		ctx, cancel = context.WithTimeout(ctx, a.Wait/50+1)
+	}
+	defer cancel()
+	won, mine, err := vm.ledger.Decide(ctx, k, []byte(value), pinHours)
 	if !vm.store.alive() {
 		return // its caller saw a cut connection
 	}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"goldcrestfork/platform"
 )
 
@@ -19,6 +17,11 @@
 	done chan reply // holds one
 	// tainted: a write with these operations had no reply and may yet take effect.
 	tainted bool
+
+	// The rest is guarded by shard.mu.
+
+	carried bool // a write with these operations is under way, or they are tainted
+	gone    bool // the caller has left, sure that nothing will happen
 }
 
 type reply struct {
@@ -41,7 +44,6 @@
 
 	// The rest belongs to the worker while it runs.
 
-	pace  *rate.Limiter
 	state *state // nil: read the head first
 	// unsettled: a write at the state's version had no reply. Until the head has
 	// moved on, that write may still take effect, so nothing may be answered
@@ -79,23 +81,46 @@
 // (measured: docs/design/ledger.md).
 const opOverhead = 128
 
-// abandon takes a call back whose caller no longer waits. Only a call that no
-// write has carried is sure to have no effect.
+// abandon takes a call back whose caller no longer waits. Unless a write
+// carries it, it is sure to have no effect from now on.
 func (s *shard) abandon(c *call) ([]result, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for i, q := range s.queue {
-		if q == c {
-			s.queue = append(s.queue[:i], s.queue[i+1:]...)
-			return nil, ErrUnavailable
-		}
-	}
 	select {
 	case r := <-c.done:
 		return r.results, r.err
 	default:
+	}
+	if c.carried {
 		return nil, ErrUnknown
 	}
+	c.gone = true
+	return nil, ErrUnavailable
+}
+
+// carry marks the calls that the next write takes along; false says that some
+// caller has left meanwhile, so that the write must be planned again without it.
+func (s *shard) carry(batch []*call) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range batch {
+		if c.gone {
+			return false
+		}
+	}
+	for _, c := range batch {
+		c.carried = true
+	}
+	return true
+}
+
+// release unmarks calls after a write that is known to have had no effect.
+func (s *shard) release(batch []*call) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range batch {
+		c.carried = c.tainted
+	}
 }
 
 // run commits until the queue is empty.
@@ -135,13 +160,15 @@
 type step int
 
 const (
-	stepDone     step = iota // all calls have their reply
-	stepPace                 // a write is due; wait for its turn
-	stepAgain                // the state is newer now
-	stepConflict             // another VM wrote first
-	stepUnknown              // a write's reply was lost
-	stepFailed               // the platform took nothing
-	stepBroken               // an object could not be read as what it should be
+	stepDone      step = iota // all calls have their reply
+	stepPace                  // a write is due; wait for its turn
+	stepReplan                // a caller left before the write
+	stepAgain                 // the state is newer now
+	stepConflict              // another VM wrote first
+	stepUnknown               // a write's reply was lost
+	stepFailed                // the platform took nothing
+	stepThrottled             // the platform has too many calls
+	stepBroken                // an object could not be read as what it should be
 )
 
 // Waits between attempts. Grounds: the platform answers in milliseconds, so a
@@ -167,11 +194,11 @@
 		batch = s.join(batch)
 		s.mu.Unlock()
 		read = read && len(batch) == before
-		if batch = present(batch); len(batch) == 0 {
+		if batch = s.present(batch); len(batch) == 0 {
 			return
 		}
 		outcome := s.attempt(batch, read, paced)
-		paced = outcome == stepPace
+		paced = outcome == stepPace || outcome == stepReplan
 		switch outcome {
 		case stepDone:
 			s.l.gate.opened()
@@ -179,6 +206,8 @@
 		case stepPace:
 			s.gather()
 			continue
+		case stepReplan:
+			continue
 		case stepAgain:
 			read = true
 			continue
@@ -197,31 +226,37 @@
 			}
 		}
 		time.Sleep(backoff/2 + s.l.jitter(backoff))
-		if backoff *= 2; outcome == stepConflict {
-			backoff = min(backoff, lastConflict)
-		}
-		backoff = min(backoff, lastBackoff)
+		backoff = min(2*backoff, longestWait(outcome))
+	}
+}
+
+// longestWait bounds the wait after a step.
+func longestWait(outcome step) time.Duration {
+	if outcome == stepConflict {
+		return lastConflict
 	}
+	return lastBackoff
 }
 
-// gather waits for the shard's share of the platform's writes; what arrives
-// meanwhile joins the batch. A quiet shard has its share at hand and waits for
+// gather waits for the VM's share of the platform's writes; what arrives
+// meanwhile joins the batch. A quiet VM has its share at hand and waits for
 // nothing. Without it the writes grow with the requests, and the platform
 // refuses the fleet's calls, configuration and leases among them.
 func (s *shard) gather() {
-	if s.pace == nil {
+	if s.l.settings.WritesPerSecond < 0 {
 		return
 	}
-	if d := s.pace.Reserve().Delay(); d > 0 {
-		time.Sleep(d)
-	}
+	now := time.Now()
+	time.Sleep(s.l.pace.turn(now, s.l.active(now.Add(-activeFor))))
 }
 
 // present drops the calls whose callers have left.
-func present(batch []*call) []*call {
+func (s *shard) present(batch []*call) []*call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var out []*call
 	for _, c := range batch {
-		if c.ctx.Err() == nil {
+		if c.ctx.Err() == nil && !c.gone {
 			out = append(out, c)
 			continue
 		}
@@ -281,6 +316,9 @@
 }
 
 func failedStep(err error) step {
+	if errors.Is(err, platform.ErrOverRate) {
+		return stepThrottled
+	}
 	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
 		return stepFailed
 	}
@@ -308,10 +346,16 @@
 	if err != nil {
 		return stepBroken
 	}
+	if !s.carry(batch) {
+		return stepReplan
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
 	defer cancel()
 	o, err := s.l.store.Put(ctx, s.key, value, s.state.version)
 	s.l.metrics.wrote(err)
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
+		s.release(batch)
+	}
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
@@ -323,7 +367,7 @@
 	case errors.As(err, &conflict):
 		return s.lost(conflict.Current)
 	case errors.Is(err, platform.ErrUnavailable):
-		return stepFailed
+		return failedStep(err)
 	case errors.Is(err, platform.ErrTooLarge):
 		return stepBroken
 	}
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"fmt"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -28,9 +27,6 @@
 	HistoryLost bool
 }
 
-// errOverRate is the platform's refusal of a call over its rate, before any effect.
-var errOverRate = fmt.Errorf("%w: over the rate", platform.ErrUnavailable)
-
 type heldWrite struct {
 	key       platform.Key
 	value     []byte
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -251,7 +251,7 @@
 	case errors.Is(err, platform.ErrUnknown):
 		// A lost reply: the connection ends without one.
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, errOverRate):
+	case errors.Is(err, platform.ErrOverRate):
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 	case errors.Is(err, platform.ErrNotFound):
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -97,7 +97,7 @@
 	if limit != nil && !limit.Allow() {
 		s.counts.OverRate++
 		s.mu.Unlock()
-		return errOverRate
+		return platform.ErrOverRate
 	}
 	delay, down := s.faults.Delay, s.faults.Down
 	s.mu.Unlock()
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -66,6 +66,7 @@
 		want   error
 	}{
 		{http.StatusTooManyRequests, platform.ErrUnavailable},
+		{http.StatusTooManyRequests, platform.ErrOverRate},
 		{http.StatusServiceUnavailable, platform.ErrUnavailable},
 		{http.StatusForbidden, platform.ErrUnavailable},
 		{http.StatusInternalServerError, platform.ErrUnknown},
@@ -111,7 +112,7 @@
 		o, err := s.Put(t.Context(), key, nil, 0)
 		require.NoError(t, err)
 		_, err = s.Put(t.Context(), key, nil, o.Version)
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, platform.ErrOverRate)
 		_, err = s.Get(t.Context(), key)
 		require.NoError(t, err, "reads are capped apart")
 		time.Sleep(100 * time.Millisecond)
