--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -23,11 +23,28 @@
 
 const (
 	modelVMs   = 3
-	modelKeys  = 3
-	modelSeal  = 300 // seal and merge every few entries
+	modelKeys  = 6
+	modelSeal  = 150 // seal and merge every few entries
 	modelSteps = 40
+	modelShard = 11
 )
 
+// All keys live in one shard, so that its head is sealed again and again.
+var (
+	modelPins   = keysOfShard(modelShard, modelKeys)
+	modelClaims = claimsOfShard(modelShard, modelKeys)
+)
+
+func claimsOfShard(shard, n int) []ClaimKey {
+	var out []ClaimKey
+	for i := 0; len(out) < n; i++ {
+		if k := (ClaimKey{"acct", fmt.Sprint(i)}); k.digest().Shard() == shard {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
 type action struct {
 	Kind  int
 	VM    int
@@ -146,9 +163,9 @@
 	vm := m.vms[a.VM]
 	switch a.Kind {
 	case actDecide:
-		m.calls.Go(func() { m.decide(vm, MakeKey(SpacePin, "acct", fmt.Sprint(a.Key)), a) })
+		m.calls.Go(func() { m.decide(vm, modelPins[a.Key], a) })
 	case actClaim:
-		m.calls.Go(func() { m.claim(vm, ClaimKey{"acct", fmt.Sprint(a.Key)}, a) })
+		m.calls.Go(func() { m.claim(vm, modelClaims[a.Key], a) })
 	case actFaults:
 		f := store.Faults{LoseReplies: a.Count, Delay: a.Wait / 100}
 		if a.Flag {
@@ -288,7 +305,7 @@
 // check reads the store as a VM does that has just started.
 func (m *model) check() {
 	for i := range modelKeys {
-		k := MakeKey(SpacePin, "acct", fmt.Sprint(i))
+		k := modelPins[i]
 		e := m.read(k)
 		if want := m.decided[k]; want != "" && (e == nil || string(e.Value) != want) {
 			m.fail("acknowledged value %s is lost: %v", want, e)
@@ -298,7 +315,7 @@
 				m.fail("refused value %s took effect", v)
 			}
 		}
-		k = ClaimKey{"acct", fmt.Sprint(i)}.digest()
+		k = modelClaims[i].digest()
 		e = m.read(k)
 		if m.runs[k] > 1 {
 			m.fail("a request ran %d times", m.runs[k])
