--- a/control/gather/gather.go
+++ b/control/gather/gather.go
@@ -10,13 +10,17 @@
 	"goldcrestfork/policy/rollout"
 )
 
-// Interval is the time between a VM's reports and between a site's digests.
-// One second, as the controller's rounds: a longer one would expose callers to
-// a bad version for as long.
+// Interval is the time between a VM's reports and between a site's digests, with
+// one roll-out under way. One second, as the controller's rounds: a longer one
+// would expose callers to a bad version for as long.
 const Interval = time.Second
 
-// Stale is the age from which a report counts as missing: three lost ones in a row.
-const Stale = 3 * Interval
+// Every is the time between reports and digests with so many roll-outs under way.
+// It grows with them, so that the bytes a second stay those of one.
+func Every(rollOuts int) time.Duration { return Interval * time.Duration(max(1, rollOuts)) }
+
+// stale is the age from which a report counts as missing: three lost ones in a row.
+func stale(rollOuts int) time.Duration { return 3 * Every(rollOuts) }
 
 // Report is what one VM sends to its site's first VM each Interval while a
 // roll-out is under way. The counts' Source is left out on the way; it is the VM.
@@ -83,13 +87,13 @@
 func (s *Site) Digest(vms, rollOuts []string, now time.Time) Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := Digest{DataCentre: s.dataCentre, Expected: len(vms)}
+	d, old := Digest{DataCentre: s.dataCentre, Expected: len(vms)}, stale(len(rollOuts))
 	for _, vm := range vms {
-		if at, ok := s.heard[vm]; ok && now.Sub(at) <= Stale {
+		if at, ok := s.heard[vm]; ok && now.Sub(at) <= old {
 			d.Heard++
 		}
 	}
-	maps.DeleteFunc(s.heard, func(_ string, at time.Time) bool { return now.Sub(at) > Stale })
+	maps.DeleteFunc(s.heard, func(_ string, at time.Time) bool { return now.Sub(at) > old })
 	maps.DeleteFunc(s.totals, func(name string, _ *rollout.Totals) bool { return !slices.Contains(rollOuts, name) })
 	for _, name := range slices.Sorted(maps.Keys(s.totals)) {
 		t := s.totals[name]
@@ -155,7 +159,7 @@
 	var out []string
 	for _, name := range expected {
 		r, ok := c.digests[name]
-		if !ok || now.Sub(r.at) > Stale || r.digest.Heard < r.digest.Expected {
+		if !ok || now.Sub(r.at) > stale(len(r.digest.Counts)) || r.digest.Heard < r.digest.Expected {
 			out = append(out, name)
 		}
 	}
--- a/control/gather/gather_test.go
+++ b/control/gather/gather_test.go
@@ -88,7 +88,7 @@
 		round(200, "n1", "n2", "s1")
 		_, complete = sum(c)
 		require.True(t, complete, "right again")
-		time.Sleep(Stale + Interval)
+		time.Sleep(stale(1) + Interval)
 		_, complete = sum(c)
 		require.False(t, complete, "old digests")
 	})
@@ -102,6 +102,10 @@
 	s.Add(Report{"n1", []rollout.Counts{old}}, now)
 	require.Equal(t, []rollout.Counts{counts("", 10)}, s.Digest([]string{"n1"}, []string{"r"}, now).Counts)
 	require.Empty(t, s.Digest([]string{"n1"}, nil, now).Counts)
+	later := now.Add(stale(1) + Interval)
+	require.Zero(t, s.Digest([]string{"n1"}, []string{"r"}, later).Heard)
+	s.Add(Report{"n1", nil}, now)
+	require.Equal(t, 1, s.Digest([]string{"n1"}, []string{"r", "q"}, later).Heard, "two roll-outs, half as many reports")
 }
 
 // BenchmarkRound is the CPU of a controller's gathering, by the number of VMs.
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -154,13 +154,17 @@
 }
 
 // Run keeps the lease while candidate says that this VM should try, and gives it
-// up when ctx ends. Few VMs should be candidates: each looks once each Renew.
+// up when it says so no more or ctx ends. Few VMs should be candidates: each looks
+// once each Renew. A holder that stayed on after others were ranked before it would
+// hold the lease without being sent what its loop works with.
 func (l *Lease) Run(ctx context.Context, candidate func() bool) {
 	ticker := time.NewTicker(l.settings.Renew)
 	defer ticker.Stop()
 	for {
-		if _, held := l.Held(); held || candidate() {
+		if candidate() {
 			l.Tick(ctx)
+		} else {
+			l.giveUp(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -271,7 +275,7 @@
 	}
 }
 
-// giveUp lets the next holder act at once after a planned stop.
+// giveUp lets the next holder act at once; nothing happens where the lease isn't held.
 func (l *Lease) giveUp(ctx context.Context) {
 	l.tick.Lock()
 	defer l.tick.Unlock()
--- a/control/lease/lease_test.go
+++ b/control/lease/lease_test.go
@@ -73,6 +73,27 @@
 	})
 }
 
+// The list of VMs grows and the holder is no longer among the candidates, so
+// nobody sends it counts any more. It must make room for one that has them.
+func TestNoLongerACandidate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		a, b := newLease(s, "a"), newLease(s, "b")
+		ctx, stop := context.WithCancel(t.Context())
+		began := time.Now()
+		first := func() bool { return time.Since(began) < time.Minute }
+		go a.Run(ctx, first)
+		go b.Run(ctx, func() bool { return !first() })
+		time.Sleep(time.Minute)
+		require.True(t, held(a))
+		time.Sleep(2*a.settings.Renew + time.Second)
+		require.False(t, held(a))
+		require.True(t, held(b))
+		stop()
+		synctest.Wait()
+	})
+}
+
 func TestGivenUpIsTakenAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
--- /dev/null
+++ b/control/loops/loops_test.go
@@ -0,0 +1,266 @@
+package loops
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"goldcrestfork/config"
+	"goldcrestfork/control"
+	"goldcrestfork/control/lease"
+	"goldcrestfork/control/orders"
+	"goldcrestfork/policy/rollout"
+	"goldcrestfork/standin/store"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	seedA = 501
+	seedB = 502
+)
+
+// fleet is seven VMs in two data centres over one platform, each with the real
+// editor, leases and loops, and with ten callers' requests a second.
+type fleet struct {
+	t     *testing.T
+	store *store.Store
+	rng   *rand.Rand
+
+	mu  sync.Mutex
+	vms []*testVM
+	// bad says that the new version fails one request in four; exposed counts its
+	// requests from then on.
+	bad     bool
+	exposed int
+	keys    int
+	// history holds the committed states of the roll-out, times when they came.
+	history []config.RollOut
+	times   []time.Time
+}
+
+type testVM struct {
+	VM
+	fleet    *fleet
+	loops    *Loops
+	cache    *config.Cache
+	recorder *rollout.Recorder
+	brakes   rollout.Brakes
+	stop     context.CancelFunc
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	f := &fleet{t: t, store: store.New(), rng: rand.New(rand.NewPCG(seed, 0))}
+	version := func(name string) config.Change {
+		return config.Change{Object: &config.ModelVersion{
+			Meta: config.Meta{Name: name}, Model: "m", State: config.VersionServing, Cost: 100, Quality: 0.8,
+		}}
+	}
+	_, _, err := (&config.Editor{Store: f.store}).Apply(t.Context(), []config.Change{version("v1"), version("v2"), {Object: &config.RollOut{
+		Meta: config.Meta{Name: "r"}, Model: "m", From: "v1", To: "v2", Steps: []float64{20, 100}, State: config.RollOutRunning,
+	}}})
+	require.NoError(t, err)
+	for i := range 7 {
+		f.start(fmt.Sprint("vm-", i), []string{"nord", "sud"}[i%2])
+	}
+	return f
+}
+
+func (f *fleet) start(id, dataCentre string) {
+	v := &testVM{VM: VM{id, dataCentre}, fleet: f, recorder: rollout.NewRecorder(id)}
+	v.cache = config.NewCache(config.Options{Store: f.store})
+	editor := config.NewEditor(f.store, v.cache)
+	editor.Gate = nil // whether a VM may accept changes is config's matter
+	settings := rollout.DefaultSettings()
+	settings.MinRated = 0
+	v.loops = New(Options{
+		Self: v.VM, Peers: v, Store: f.store, Configuration: control.NewEdited(v.cache, editor),
+		Recorder: v.recorder, Brakes: &v.brakes,
+		Lease: lease.DefaultSettings(), RollOuts: settings, Orders: orders.DefaultSettings(),
+		Registerer: prometheus.NewRegistry(), Log: zerolog.Nop(),
+	})
+	ctx, stop := context.WithCancel(f.t.Context())
+	v.stop = stop
+	f.mu.Lock()
+	f.vms = append(f.vms, v)
+	f.mu.Unlock()
+	go v.loops.Run(ctx)
+}
+
+// VMs implements Peers.
+func (v *testVM) VMs() []VM {
+	v.fleet.mu.Lock()
+	defer v.fleet.mu.Unlock()
+	var out []VM
+	for _, vm := range v.fleet.vms {
+		out = append(out, vm.VM)
+	}
+	return out
+}
+
+// Send implements Peers.
+func (v *testVM) Send(ctx context.Context, to string, m Message) {
+	v.fleet.mu.Lock()
+	var target *testVM
+	for _, vm := range v.fleet.vms {
+		if vm.ID == to {
+			target = vm
+		}
+	}
+	v.fleet.mu.Unlock()
+	if target != nil {
+		target.loops.Receive(ctx, m)
+	}
+}
+
+// second plays one second of callers, and brings the caches up to date if the store is up.
+func (f *fleet) second() {
+	o, err := f.store.Get(f.t.Context(), config.RootKey)
+	for _, v := range f.vms {
+		if err == nil {
+			_, offered := v.cache.Offer(o.Value)
+			require.NoError(f.t, offered)
+		}
+		if r := v.cache.Snapshot().RollOuts["r"]; r != nil {
+			f.callers(v, r)
+		}
+	}
+	if r := f.vms[0].cache.Snapshot().RollOuts["r"]; r != nil {
+		if n := len(f.history); n == 0 || f.history[n-1].Revision != r.Revision {
+			f.history, f.times = append(f.history, *r), append(f.times, time.Now())
+		}
+	}
+	time.Sleep(time.Second)
+}
+
+func (f *fleet) callers(v *testVM, r *config.RollOut) {
+	for range 10 {
+		f.keys++
+		key := strconv.Itoa(f.keys)
+		choice, ok := v.brakes.Choose(r, key, func(string) bool { return true })
+		require.True(f.t, ok)
+		bad := f.bad && choice.Version == "v2"
+		if bad {
+			f.exposed++
+		}
+		rate := 0.01
+		if bad {
+			rate = 0.25
+		}
+		v.recorder.Request(r, choice.Arm, key, rollout.Outcome{Failed: f.rng.Float64() < rate})
+	}
+}
+
+// replace kills a VM without a word and starts another one in its data centre.
+func (f *fleet) replace(i int) {
+	f.mu.Lock()
+	v := f.vms[i]
+	f.vms = append(f.vms[:i:i], f.vms[i+1:]...)
+	f.mu.Unlock()
+	f.store.SetFaults(store.Faults{Down: true}) // so that it can't give its leases up
+	v.stop()
+	synctest.Wait()
+	f.store.SetFaults(store.Faults{})
+	f.start(v.ID+"'", v.DataCentre)
+}
+
+func (f *fleet) holder() int {
+	for i, v := range f.vms {
+		if _, ok := v.loops.leases[leaseRollOuts].Held(); ok {
+			return i
+		}
+	}
+	return -1
+}
+
+func (f *fleet) state() config.RollOutState { return f.history[len(f.history)-1].State }
+
+func (f *fleet) stop() {
+	for _, v := range f.vms {
+		v.stop()
+	}
+	synctest.Wait()
+}
+
+// A good roll-out goes its way while the holder of the lease is killed every
+// minute, replies are lost and the store has short outages. Callers see
+// each share once, in order, each for its time.
+func TestGoodRollOutUnderFaults(t *testing.T) {
+	for _, seed := range []uint64{seedA, seedB} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, seed)
+				defer f.stop()
+				killed := 0
+				for i := 0; i < 3600 && (i == 0 || f.state() != config.RollOutDone); i++ {
+					f.second()
+					if i%60 == 59 && f.holder() >= 0 {
+						f.replace(f.holder())
+						killed++
+					}
+					if i%20 == 0 {
+						f.store.SetFaults(store.Faults{LoseReplies: f.rng.IntN(3), Down: f.rng.IntN(8) == 0})
+					}
+				}
+				require.Greater(t, killed, 3)
+				require.Len(t, f.history, 3, "%v", f.history)
+				require.Equal(t, 1, f.history[1].Step)
+				require.Equal(t, config.RollOutDone, f.history[2].State)
+				for i := range 2 {
+					require.GreaterOrEqual(t, f.times[i+1].Sub(f.times[i]), rollout.DefaultSettings().MinTime)
+				}
+			})
+		})
+	}
+}
+
+// The new version turns bad while the store is down and nobody holds the lease, or
+// with its holder killed in the same moment. Its callers are few: the VMs brake it, or the
+// next holder rolls it back.
+func TestBadVersionUnderFaults(t *testing.T) {
+	for name, fault := range map[string]func(f *fleet){
+		"none": func(*fleet) {},
+		"store down": func(f *fleet) {
+			f.store.SetFaults(store.Faults{Down: true})
+			for range 20 { // the lease lapses
+				f.second()
+			}
+		},
+		"replies lost":  func(f *fleet) { f.store.SetFaults(store.Faults{LoseReplies: 5}) },
+		"holder killed": func(f *fleet) { f.replace(f.holder()) },
+	} {
+		for _, seed := range []uint64{seedA, seedB} {
+			t.Run(fmt.Sprint(name, "/", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t, seed)
+					defer f.stop()
+					for range 60 {
+						f.second()
+					}
+					require.GreaterOrEqual(t, f.holder(), 0)
+					fault(f)
+					f.bad = true
+					for range 600 {
+						f.second()
+					}
+					require.LessOrEqual(t, f.exposed, 200)
+					f.store.SetFaults(store.Faults{})
+					for range 30 {
+						f.second()
+					}
+					require.Equal(t, config.RollOutRolledBack, f.state())
+				})
+			})
+		}
+	}
+}
--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -55,7 +55,8 @@
 	settings      rollout.Settings
 	metrics       metrics
 	log           zerolog.Logger
-	brake         func(rollOut string, epoch int64)
+	brakes        *rollout.Brakes
+	tell          func(rollOut string, epoch int64)
 
 	tick     sync.Mutex
 	monitors map[string]*rollout.Monitor
@@ -90,12 +91,15 @@
 	return ctl
 }
 
-// OnBad has brake called, each round, for a new version that should be rolled back
-// while that can't be written: the platform's store is down, or this VM doesn't
-// hold the lease. brake tells all VMs (rollout.Brakes). With it a VM that has
-// counts judges them without the lease too, since in an outage none holds it.
-// Call it before Run.
-func (c *Controller) OnBad(brake func(rollOut string, epoch int64)) { c.brake = brake }
+// UseBrakes sets a brake on a new version that should be rolled back while that
+// can't be written, since the platform's store is down or this VM doesn't hold the
+// lease, and calls tell each round to have the other VMs set it. A VM that has
+// counts then judges them without the lease too: in an outage nobody holds it.
+// The holder rolls back what another VM braked: braked, the version gets too few
+// requests for the holder to find out by itself. Call it before Run.
+func (c *Controller) UseBrakes(b *rollout.Brakes, tell func(rollOut string, epoch int64)) {
+	c.brakes, c.tell = b, tell
+}
 
 // Run does a round each Interval until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
@@ -116,15 +120,19 @@
 	c.tick.Lock()
 	defer c.tick.Unlock()
 	_, held := c.holder.Held()
-	if !held && c.brake == nil {
+	if !held && c.brakes == nil {
 		c.keep(nil)
 		return
 	}
+	snapshot := c.configuration.Snapshot()
+	counts, complete := c.counter.Counts(ctx)
+	if !held && len(counts) == 0 {
+		c.keep(nil) // not a candidate: it knows nothing to judge by
+		return
+	}
 	if held {
 		c.metrics.rounds.Inc()
 	}
-	snapshot := c.configuration.Snapshot()
-	counts, complete := c.counter.Counts(ctx)
 	c.keep(snapshot.RollOuts)
 	for _, name := range slices.Sorted(maps.Keys(snapshot.RollOuts)) {
 		if r := snapshot.RollOuts[name]; rollout.UnderWay(r) {
@@ -146,14 +154,15 @@
 			m.Add(n)
 		}
 	}
-	v := verdict(s, r, m, complete)
+	v := c.verdict(s, r, m, complete)
 	st := Status{RollOut: r.Name, Epoch: r.Revision, Verdict: v, Complete: complete}
 	st.From, st.To = m.Sum()
 	if v.Action != rollout.Hold {
 		st.Written = c.write(ctx, r, v)
 	}
-	if v.Action == rollout.RollBack && c.brake != nil && st.Written != writtenInForce {
-		c.brake(r.Name, r.Revision)
+	if v.Action == rollout.RollBack && c.brakes != nil && st.Written != writtenInForce {
+		c.brakes.Set(r.Name, r.Revision)
+		c.tell(r.Name, r.Revision)
 		st.Braked = true
 	}
 	c.mu.Lock()
@@ -162,7 +171,7 @@
 }
 
 // verdict puts the operators' word before the comparison, whose findings are kept for the dump.
-func verdict(s *config.Snapshot, r *config.RollOut, m *rollout.Monitor, complete bool) rollout.Verdict {
+func (c *Controller) verdict(s *config.Snapshot, r *config.RollOut, m *rollout.Monitor, complete bool) rollout.Verdict {
 	v := m.Evaluate(r, time.Now(), complete)
 	if r.State == config.RollOutPaused && !strings.HasPrefix(r.Reason, ReasonPrefix) {
 		return rollout.Verdict{Action: rollout.Hold, Reason: "paused by an operator", Findings: v.Findings}
@@ -170,6 +179,9 @@
 	if to, ok := s.Versions[r.To]; !ok || to.State == config.VersionWithdrawn {
 		return rollout.Verdict{Action: rollout.RollBack, Reason: r.To + " is withdrawn", Findings: v.Findings}
 	}
+	if c.brakes != nil && c.brakes.On(r) && v.Action != rollout.RollBack {
+		return rollout.Verdict{Action: rollout.RollBack, Reason: "braked for another VM's finding", Findings: v.Findings}
+	}
 	return v
 }
 
--- a/control/rollouts/controller_test.go
+++ b/control/rollouts/controller_test.go
@@ -177,7 +177,7 @@
 		const turnsBad = time.Minute
 		c := newController(l, &view{store: f}, &traffic{f, turnsBad, false, nil})
 		var brakes rollout.Brakes
-		c.OnBad(brakes.Set)
+		c.UseBrakes(&brakes, brakes.Set)
 		s.SetFaults(store.Faults{Down: true})
 		f.down = true
 		began := time.Now()
@@ -206,6 +206,21 @@
 	})
 }
 
+// Another VM finds the version bad a round before the holder does and has it
+// braked. Without requests the holder would never find out; it must follow, or the
+// roll-out would neither go on nor back.
+func TestHolderFollowsABrake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeStore(steps...)
+		c := newController(always{}, &view{store: f}, &traffic{f, neverBad, false, nil})
+		var brakes rollout.Brakes
+		c.UseBrakes(&brakes, brakes.Set)
+		brakes.Set("r", f.current().Revision)
+		c.Tick(t.Context())
+		require.Equal(t, config.RollOutRolledBack, f.current().State)
+	})
+}
+
 // A roll-out stops halfway because its controller's VM is gone. Another VM takes
 // it up from the object alone, and the steps go on where they stood.
 func TestTakenUpHalfway(t *testing.T) {
--- a/policy/rollout/counts.go
+++ b/policy/rollout/counts.go
@@ -22,6 +22,15 @@
 	Poor  uint64 `cbor:"5,keyasint" json:"poor"`
 }
 
+// raise takes the larger of each count.
+func (t *Tally) raise(o Tally) {
+	t.Requests = max(t.Requests, o.Requests)
+	t.Errors = max(t.Errors, o.Errors)
+	t.Slow = max(t.Slow, o.Slow)
+	t.Rated = max(t.Rated, o.Rated)
+	t.Poor = max(t.Poor, o.Poor)
+}
+
 func (t *Tally) add(o Tally) {
 	t.Requests += o.Requests
 	t.Errors += o.Errors
@@ -30,8 +39,7 @@
 	t.Poor += o.Poor
 }
 
-// Counts are one source's tallies of one roll-out's epoch. They only grow, so
-// the larger of two from one source is the newer.
+// Counts are one source's tallies of one roll-out's epoch.
 type Counts struct {
 	// Source names who counted: a VM's incarnation, or the data centre of an
 	// aggregate. Sources that are added up must count different requests.
@@ -43,13 +51,12 @@
 	To      Tally  `cbor:"5,keyasint" json:"to"`
 }
 
-// size orders reports of one source.
-func (c Counts) size() uint64 {
-	return c.From.Requests + c.From.Rated + c.To.Requests + c.To.Rated
-}
-
-// Totals adds up reports by source. A source's last report stays when the
-// source is gone, since its requests did take place. Not safe for concurrent use.
+// Totals adds up reports by source. Of one source's reports the larger of each
+// count is taken: a VM's only grow, and of a data centre's, which shrink where its
+// first VM was replaced and the counts of VMs that are gone went with it, each is
+// a part of what took place. So no total ever shrinks; a window of the comparison
+// that began before would otherwise hold fewer than no events. A source's
+// reports stay when it is gone. Not safe for concurrent use.
 type Totals struct {
 	epoch   int64
 	reports map[string]Counts
@@ -69,9 +76,10 @@
 	if c.Epoch != t.epoch {
 		return
 	}
-	if c.size() > t.reports[c.Source].size() {
-		t.reports[c.Source] = c
-	}
+	known := t.reports[c.Source]
+	c.From.raise(known.From)
+	c.To.raise(known.To)
+	t.reports[c.Source] = c
 }
 
 // Sum returns the totals of both versions.
--- a/policy/rollout/rollout_test.go
+++ b/policy/rollout/rollout_test.go
@@ -169,6 +169,34 @@
 	})
 }
 
+// The first VM of a data centre is replaced; its successor lacks the counts of the
+// VMs that are gone, and passes them in requests before it does in errors. No
+// count may shrink: a window begun before would wrap around and show a good
+// version as endlessly bad.
+func TestTotalsNeverShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		m, r, now := NewMonitor(DefaultSettings()), rollOut(1), time.Unix(0, 0)
+		m.Begin(r.Revision, now)
+		scale := uint64(1)
+		for range 40 {
+			scale += rng.Uint64N(30)
+			part := 1 + rng.Uint64N(2) // half of the VMs' counts, or all
+			share := func(n uint64) uint64 { return scale * n / part / 100 }
+			m.Add(Counts{
+				Source: "nord", Epoch: r.Revision,
+				From: tally(share(9500), share(95+rng.Uint64N(5)), share(190), share(9500), share(950)),
+				To:   tally(share(500), share(5), share(10), share(500), share(50)),
+			})
+			v := m.Evaluate(r, now, true)
+			require.Equal(t, Hold, v.Action, v.Reason)
+			for _, f := range v.Findings {
+				require.LessOrEqual(t, max(f.From, f.To), 1.0)
+			}
+		}
+	})
+}
+
 // One caller sends a request that crashes its endpoint again and again, and a
 // session goes wrong as a whole; their keys fall on the new version each time.
 // These callers fail either way, but the version must not be rolled back for it.
