Run the control loops on every VM and bring data centres back by a ramp

Cause: roll-outs, orders to endpoints and counts had libraries and no VM that ran them. Ruled out: loops of the daemon's own beside control/loops, which stood for half an hour and said the same twice; they are gone. Change: control/loops runs over the peer link; orders go to the engines' order API; brakes keep new work from versions found bad while the store is down; an endpoint that answered as another version is told to the loops; slots of a data centre that came back grow over its ramp, and a VM's shares are worked out when the fleet changes, not at each look. Measured: go test -race -count=3 ./router/vm passes; demo/run passes. Conclusion: what is left of the wiring are the exact cold slots.

--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/policy/admission"
+	"goldcrestfork/policy/datacentre"
 	"goldcrestfork/policy/limit"
 	"goldcrestfork/policy/outlier"
 	"goldcrestfork/policy/picker"
@@ -62,6 +64,9 @@
 	rng       *rand.Rand
 	lines     map[string]*line
 	endpoints map[string]*endpoint
+	centres   *datacentre.Tracker
+	// ramping are the data centres that came back and don't have their full weight yet.
+	ramping map[string]bool
 }
 
 // endpoint is what is known of an endpoint beside the picker's table.
@@ -71,6 +76,8 @@
 	incarnation string
 	cold        bool
 	running     map[uint64]poison.Fingerprint
+	// share and coldShare are this VM's slots of it.
+	share, coldShare int
 }
 
 // line is the queue and the budgets of one pool.
@@ -99,6 +106,7 @@
 		rng:       rand.New(rand.NewPCG(seed, 0)),
 		lines:     make(map[string]*line),
 		endpoints: make(map[string]*endpoint),
+		centres:   datacentre.NewTracker(datacentre.DefaultSettings()),
 	}
 }
 
@@ -107,6 +115,12 @@
 func (d *Dispatcher) Configure(s *config.Snapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
+	d.centres.Observe(s.DataCentres, now)
+	d.ramping = make(map[string]bool)
+	for name, dc := range s.DataCentres {
+		d.ramping[name] = dc.State == config.DataCentreIn && d.centres.Weight(name, now) < 1
+	}
 	specs := make([]picker.Spec, 0, len(s.Endpoints))
 	members := make(map[string][]string)
 	for name, e := range s.Endpoints {
@@ -117,7 +131,8 @@
 			d.endpoints[name] = own
 		}
 		own.spec, own.pools = e, pools
-		specs = append(specs, d.specOf(s, e, pools))
+		d.deal(own)
+		specs = append(specs, d.specOf(s, own))
 		for _, p := range pools {
 			members[p] = append(members[p], name)
 		}
@@ -145,21 +160,31 @@
 	return e.Versions
 }
 
-func (d *Dispatcher) specOf(s *config.Snapshot, e *config.Endpoint, pools []string) picker.Spec {
-	tier := picker.TierFar
+func (d *Dispatcher) specOf(s *config.Snapshot, own *endpoint) picker.Spec {
+	e, tier := own.spec, picker.TierFar
 	if dc := s.DataCentres[e.DataCentre]; e.DataCentre == d.cfg.DataCentre {
 		tier = picker.TierLocal
 	} else if dc != nil && dc.Region == d.cfg.Region {
 		tier = picker.TierRegion
 	}
-	return picker.Spec{Name: e.Name, Pools: pools, DataCentre: e.DataCentre, Tier: tier, Bounds: d.bounds(e)}
+	return picker.Spec{Name: e.Name, Pools: own.pools, DataCentre: e.DataCentre, Tier: tier, Bounds: d.bounds(own)}
+}
+
+// deal asks for this VM's slots of an endpoint. Callers hold d.mu.
+func (d *Dispatcher) deal(e *endpoint) {
+	e.share = d.cfg.Slots.Share(e.spec.Name, e.spec.Slots)
+	e.coldShare = d.cfg.Slots.ColdShare(e.spec.Name, e.spec.ColdSlots)
 }
 
-func (d *Dispatcher) bounds(e *config.Endpoint) limit.Bounds {
-	return limit.Bounds{
-		Slots: d.cfg.Slots.Share(e.Name, e.Slots),
-		Cold:  d.cfg.Slots.ColdShare(e.Name, e.ColdSlots),
+// bounds are this VM's slots of an endpoint. In a data centre that has just come
+// back they grow over its ramp: its endpoints have empty caches, and the whole
+// load at once would meet them as a burst.
+func (d *Dispatcher) bounds(e *endpoint) limit.Bounds {
+	weight := 1.0
+	if d.ramping[e.spec.DataCentre] {
+		weight = d.centres.Weight(e.spec.DataCentre, time.Now())
 	}
+	return limit.Bounds{Slots: int(math.Ceil(float64(e.share) * weight)), Cold: e.coldShare}
 }
 
 // setLines makes one line for each pool. Callers hold d.mu.
@@ -197,7 +222,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, e := range d.endpoints {
-		d.table.SetBounds(name, d.bounds(e.spec))
+		d.deal(e)
+		d.table.SetBounds(name, d.bounds(e))
+	}
+}
+
+// ramp lets the slots of data centres that came back grow. Callers hold d.mu.
+func (d *Dispatcher) ramp(now time.Time) {
+	for dc, on := range d.ramping {
+		if !on {
+			continue
+		}
+		for name, e := range d.endpoints {
+			if e.spec.DataCentre == dc {
+				d.table.SetBounds(name, d.bounds(e))
+			}
+		}
+		d.ramping[dc] = d.centres.Weight(dc, now) < 1
 	}
 }
 
@@ -219,6 +260,7 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.ramp(now)
 	for _, l := range d.lines {
 		for _, c := range l.detector.Due(now) {
 			d.apply(c)
--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -45,7 +45,7 @@
 		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: l.size})
 	}
 	for name, e := range d.endpoints {
-		b := d.bounds(e.spec)
+		b := d.bounds(e)
 		row := EndpointDump{
 			Endpoint: name, DataCentre: e.spec.DataCentre, Pools: e.pools, State: string(e.spec.State),
 			Cold: e.cold, Incarnation: e.incarnation, Running: len(e.running),
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -45,7 +45,7 @@
 	defer d.mu.Unlock()
 	slots, running := 0, 0
 	for _, e := range d.endpoints {
-		slots += d.bounds(e.spec).Slots
+		slots += d.bounds(e).Slots
 		running += len(e.running)
 	}
 	if slots == 0 {
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -268,7 +268,7 @@
 	defer d.mu.Unlock()
 	var out []Place
 	for name, e := range d.endpoints {
-		if e.cold && d.bounds(e.spec).Slots > 0 {
+		if e.cold && d.bounds(e).Slots > 0 {
 			out = append(out, Place{Endpoint: name, Address: e.spec.Address})
 		}
 	}
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -265,6 +265,9 @@
 	}, fin.stream, a.frame)
 	t.Done(resultOf(o, fin.stream))
 	e.outcomes.ended(c, o)
+	if o.Result == engine.WrongVersion {
+		e.wrongVersion(t.Endpoint)
+	}
 	if !notRun(o.Result) {
 		fin.ran = refusal.Unknown
 	}
--- a/router/entry/choose.go
+++ b/router/entry/choose.go
@@ -37,7 +37,7 @@
 		c.version = c.resume.Version
 		return nil
 	}
-	first, bad := c.first(s, usable)
+	first, bad := e.first(c, s, usable)
 	if bad != nil {
 		return bad
 	}
@@ -49,10 +49,13 @@
 }
 
 // first is the version for a request that has none yet.
-func (c *chat) first(s *config.Snapshot, usable func(string) bool) (rollout.Choice, *refusal.Refusal) {
+func (e *Entry) first(c *chat, s *config.Snapshot, usable func(string) bool) (rollout.Choice, *refusal.Refusal) {
 	if r := rollout.Of(s, c.body.Model); r != nil {
-		key := cmp.Or(c.Session, c.RequestID)
-		if choice, ok := rollout.Choose(r, key, usable); ok {
+		choose := rollout.Choose
+		if c.Session == "" {
+			choose = e.brakes.Choose
+		}
+		if choice, ok := choose(r, c.key(), usable); ok {
 			return choice, nil
 		}
 	}
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -75,7 +75,11 @@
 	Cascade cascade.Settings
 	// Outcomes counts for the comparison of roll-outs.
 	Outcomes *rollout.Recorder
-	Metrics  *Metrics
+	// Brakes keeps new work from versions found bad while the store is down.
+	Brakes *rollout.Brakes
+	// WrongVersion is told of an endpoint that answered as another version than asked.
+	WrongVersion func(endpoint string)
+	Metrics      *Metrics
 	// Secret signs resume tokens; the same on all VMs, at least 32 bytes.
 	Secret []byte
 }
@@ -96,6 +100,8 @@
 	learner       *cascade.Learner
 	ratingTimeout time.Duration
 	outcomes      outcomes
+	brakes        *rollout.Brakes
+	wrongVersion  func(endpoint string)
 
 	running atomic.Int64
 	closed  atomic.Bool
@@ -117,6 +123,8 @@
 		rater:         c.Rater,
 		learner:       cascade.NewLearner(c.Cascade),
 		ratingTimeout: c.Cascade.RatingTimeout,
+		brakes:        c.Brakes,
+		wrongVersion:  c.WrongVersion,
 		outcomes:      outcomes{recorder: c.Outcomes, configuration: c.Configuration},
 	}
 }
--- a/router/vm/fleet.go
+++ b/router/vm/fleet.go
@@ -190,8 +190,7 @@
 	v.fleet.link.Register(methodBills, func(_ context.Context, _ string, body []byte) ([]byte, error) {
 		return nil, v.bills.Accept(body)
 	})
-	v.fleet.link.Register(methodCounts, v.takeCounts)
-	v.fleet.link.Register(methodDigest, v.takeDigest)
+	v.fleet.link.Register(methodControl, v.takeControl)
 	v.fleet.link.Register(methodPoison, v.takePoison)
 }
 
--- a/router/vm/operators.go
+++ b/router/vm/operators.go
@@ -9,7 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"goldcrestfork/config"
-	"goldcrestfork/control/rollouts"
+	"goldcrestfork/control/loops"
 	"goldcrestfork/fleet/member"
 	"goldcrestfork/fleet/peer"
 	"goldcrestfork/ledger"
@@ -50,10 +50,7 @@
 	Ledger        ledger.Dump   `json:"ledger"`
 	BillsHeld     int           `json:"billsHeld"`
 	Cascade       cascade.Dump  `json:"cascade"`
-	// RollOuts is filled on the VM that holds the controller's lease.
-	RollOuts []rollouts.Status `json:"rollOuts"`
-	// CountsMissing names the data centres whose roll-out counts are not complete here.
-	CountsMissing []string `json:"countsMissing"`
+	Control       loops.Dump    `json:"control"`
 }
 
 func (v *VM) state(w http.ResponseWriter, _ *http.Request) {
@@ -72,8 +69,7 @@
 		Ledger:        v.ledger.Dump(),
 		BillsHeld:     v.bills.Held(),
 		Cascade:       v.entry.Cascade(),
-		RollOuts:      v.loops.rollOuts.Dump(),
-		CountsMissing: v.loops.collector.Missing(),
+		Control:       v.loops.Dump(),
 	})
 }
 
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -19,6 +19,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/config/exchange"
+	"goldcrestfork/control/loops"
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/ledger"
 	"goldcrestfork/ledger/bill"
@@ -62,7 +63,8 @@
 	recorder *rollout.Recorder
 	fleet    *fleet
 	slots    *slots
-	loops    *loops
+	loops    *loops.Loops
+	brakes   *rollout.Brakes
 	// incarnation tells this start from an earlier one of the same VM.
 	incarnation uint64
 
@@ -146,7 +148,8 @@
 		Floor:    v.cache.Revision,
 		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
 	}
-	v.recorder = rollout.NewRecorder(v.process())
+	v.recorder = rollout.NewRecorder(process(v.settings.VM, v.incarnation))
+	v.brakes = &rollout.Brakes{}
 	v.slots = newSlots(v.fleet)
 	v.ledger = ledger.New(v.store, v.fleet, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.claims = ledger.NewClaims(v.ledger, v.fleet.living)
@@ -171,6 +174,8 @@
 		Rater:         newRater(v.settings.Rating.URL),
 		Cascade:       learning,
 		Outcomes:      v.recorder,
+		Brakes:        v.brakes,
+		WrongVersion:  func(endpoint string) { v.loops.Suspect(context.Background(), endpoint) },
 		Metrics:       entry.NewMetrics(v.registry),
 		Secret:        secret,
 	})
@@ -200,8 +205,7 @@
 		v.cache.Run, func(ctx context.Context) { v.cache.Subscribe(ctx, v.dispatch.Configure) },
 		v.dispatch.Run, v.pollCold, v.spreadPoison,
 		func(ctx context.Context) { v.bills.Run(ctx, bill.FlushInterval(len(v.fleet.ids()))) },
-		func(ctx context.Context) { v.loops.lease.Run(ctx, v.candidate) },
-		v.gather, v.loops.rollOuts.Run,
+		v.loops.Run,
 	} {
 		g.Go(func() error { loop(work); return nil })
 	}
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -48,6 +48,8 @@
 type Engine struct {
 	mu          sync.Mutex
 	versions    []string
+	role        string
+	fence       int64
 	incarnation int
 	cold        bool
 	running     int
@@ -120,6 +122,8 @@
 	mux := flow.New()
 	mux.HandleFunc("/v1/chat/completions", e.complete, http.MethodPost)
 	mux.HandleFunc("/load", e.load, http.MethodGet)
+	mux.HandleFunc("/order", e.obey, http.MethodPost)
+	mux.HandleFunc("/order", e.report, http.MethodGet)
 	mux.HandleFunc("/faults", setFaults(e.SetFaults), http.MethodPost)
 	mux.HandleFunc("/restart", func(http.ResponseWriter, *http.Request) { e.Restart() }, http.MethodPost)
 	mux.HandleFunc("/warm", func(http.ResponseWriter, *http.Request) { e.Warm() }, http.MethodPost)
