Let the limit of an endpoint go below one request a VM

Cause: where an endpoint's memory held fewer requests than there were VMs, each VM's limit of one kept it thrashing.

--- a/policy/limit/limit.go
+++ b/policy/limit/limit.go
@@ -37,9 +37,12 @@
 	// change (longer prompts, a new adapter) is the new best after some minutes. At 1%
 	// an overload of a minute became the new best and the limit rose into it.
 	baseRise = 0.002
-	// minWarm is the least limit of a warm endpoint to which any slot was dealt:
-	// with none, no sample would ever raise it again.
-	minWarm = 1.0
+	// minWarm is the least limit of a warm endpoint to which any slot was dealt: one
+	// request, and a pause of three times its latency after it. With none, no sample
+	// would ever raise it again.
+	minWarm = 0.25
+	// smallStep is the rise for an answer while the limit is below one request.
+	smallStep = 0.1
 )
 
 // Bounds are this VM's part of the endpoint's slots.
@@ -133,7 +136,19 @@
 	case l.cfg.Fixed:
 		return l.bounds.Slots
 	}
-	return int(l.current)
+	if l.bounds.Slots == 0 {
+		return 0
+	}
+	return max(int(l.current), 1)
+}
+
+// Pause is how long to leave the endpoint alone after the last request, when the
+// limit is below one: several VMs with one request each may be more than it holds.
+func (l *Limit) Pause() time.Duration {
+	if l.cold || l.cfg.Fixed || l.inFlight > 0 || l.current >= 1 || l.current <= 0 {
+		return 0
+	}
+	return time.Duration((1/l.current - 1) * float64(l.lastLat))
 }
 
 // InFlight is the number of requests that hold a slot.
@@ -177,7 +192,11 @@
 	if full {
 		// One more for each limit's worth of answers while the limit is what holds
 		// work back; an idle endpoint proves nothing about a higher limit.
-		l.current += 1 / max(l.current, minWarm)
+		if l.current < 1 {
+			l.current += smallStep
+		} else {
+			l.current += 1 / l.current
+		}
 	}
 }
 
--- a/policy/picker/endpoint.go
+++ b/policy/picker/endpoint.go
@@ -60,6 +60,8 @@
 	limit    *limit.Limit
 	// sinceReport counts own dispatches since the report was taken.
 	sinceReport int
+	// paused is until when the limit leaves it alone; the zero time when it doesn't.
+	paused time.Time
 	// counted is what it adds to the capacity of each of its pools, running what it
 	// adds to their load.
 	counted, running int
@@ -89,6 +91,35 @@
 	capacity, inFlight int
 }
 
+// pause leaves the endpoint alone for as long as its limit says.
+func (t *Table) pause(now time.Time, e *Endpoint) {
+	pause := e.limit.Pause()
+	if pause == 0 {
+		return
+	}
+	if e.paused.IsZero() {
+		t.paused = append(t.paused, e)
+	}
+	e.paused = now.Add(pause)
+}
+
+// resume ends the pauses that are over. There are none on most days.
+func (t *Table) resume(now time.Time) {
+	kept := t.paused[:0]
+	for _, e := range t.paused {
+		if now.Before(e.paused) {
+			kept = append(kept, e)
+			continue
+		}
+		e.paused = time.Time{}
+		if e.pools != nil {
+			t.refresh(e)
+		}
+	}
+	clear(t.paused[len(kept):])
+	t.paused = kept
+}
+
 // count brings the sums of its pools up to date.
 func (e *Endpoint) count() {
 	limit, running := 0, e.InFlight()
--- a/policy/picker/table.go
+++ b/policy/picker/table.go
@@ -55,6 +55,7 @@
 	pools     map[string]*pool
 	prefixes  *prefixIndex
 	cands     []Candidate // scratch of Pick
+	paused    []*Endpoint
 }
 
 // NewTable returns an empty table.
@@ -123,7 +124,7 @@
 
 // refresh runs the state filters and files the endpoint accordingly.
 func (t *Table) refresh(e *Endpoint) {
-	open := true
+	open := e.paused.IsZero()
 	for _, f := range t.cfg.State {
 		if !f.Eligible(e) {
 			open = false
@@ -203,6 +204,7 @@
 	if p == nil || len(p.members) == 0 {
 		return nil, MissUnknown
 	}
+	t.resume(now)
 	t.cands = t.cands[:0]
 	if t.cfg.Affinity && len(r.Prefix) > 0 {
 		t.addHolders(p, r)
@@ -246,6 +248,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e.limit.Release(now, s)
+	t.pause(now, e)
 	if r.Suspect && e.Suspects > 0 {
 		e.Suspects--
 	}
