--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -42,17 +42,6 @@
 	Nonce uint64 `cbor:"2,keyasint"`
 }
 
-// The states and triggers of a lease.
-const (
-	stateWaiting = "waiting"
-	stateHeld    = "held"
-
-	triggerTaken  = "taken"
-	triggerLost   = "lost"
-	triggerLapsed = "lapsed"
-	triggerGiven  = "given up"
-)
-
 // Lease is one VM's view of one lease. Safe for concurrent use.
 type Lease struct {
 	store    platform.Store
@@ -78,29 +67,14 @@
 	sent map[uint64]time.Time
 }
 
-type metrics struct {
-	changes *prometheus.CounterVec
-	held    prometheus.Gauge
-}
-
 // New returns a Lease on the object named name. holder names this incarnation of
 // the VM; a replaced VM must use another one.
 func New(store platform.Store, name, holder string, s Settings, reg prometheus.Registerer, log zerolog.Logger) *Lease {
-	labels := prometheus.Labels{"lease": name}
 	l := &Lease{
 		store: store, key: platform.Key{Kind: Kind, Name: name}, holder: holder, settings: s,
-		sent: make(map[uint64]time.Time),
-		metrics: metrics{
-			// lease_changes_total counts changes of state by their cause.
-			changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-				Name: "lease_changes_total", Help: "Changes of a lease's state on this VM, by cause.", ConstLabels: labels,
-			}, []string{"cause"}),
-			held: prometheus.NewGauge(prometheus.GaugeOpts{
-				Name: "lease_held", Help: "1 while this VM holds the lease.", ConstLabels: labels,
-			}),
-		},
+		sent:    make(map[uint64]time.Time),
+		metrics: newMetrics(name, reg),
 	}
-	reg.MustRegister(l.metrics.changes, l.metrics.held)
 	l.machine = newMachine(func(cause, to string) {
 		l.metrics.changes.WithLabelValues(cause).Inc()
 		l.metrics.held.Set(0)
@@ -112,22 +86,6 @@
 	return l
 }
 
-func newMachine(changed func(cause, to string)) *stateless.StateMachine {
-	m := stateless.NewStateMachine(stateWaiting)
-	m.Configure(stateWaiting).
-		Permit(triggerTaken, stateHeld).
-		Ignore(triggerLost).Ignore(triggerLapsed).Ignore(triggerGiven)
-	m.Configure(stateHeld).
-		Ignore(triggerTaken).
-		Permit(triggerLost, stateWaiting).
-		Permit(triggerLapsed, stateWaiting).
-		Permit(triggerGiven, stateWaiting)
-	m.OnTransitioned(func(_ context.Context, t stateless.Transition) {
-		changed(t.Trigger.(string), t.Destination.(string))
-	})
-	return m
-}
-
 // Held says whether this VM holds the lease, and until when by its own clock.
 // Ask right before each act: a process that was paused finds out here.
 func (l *Lease) Held() (until time.Time, ok bool) {
