Take no answer that varies by milliseconds for congestion

Cause: a benchmark of requests of half a millisecond came to a stand: their time varied by more than the limit's tolerance, the limit fell to a quarter of a request, and the endpoint was left alone between requests until the next look, 100 ms. An idle plain service would have answered ten callers a second. Ruled out: a higher tolerance (it would miss real congestion of long answers), waking at each pause's end (the pause itself is wrong here). Change: congestion needs an excess of 20 ms an answer.

--- a/policy/limit/limit.go
+++ b/policy/limit/limit.go
@@ -41,6 +41,11 @@
 	// request, and a pause of three times its latency after it. With none, no sample
 	// would ever raise it again.
 	minWarm = 0.25
+	// noticeable is the least extra time an answer that counts as congestion. Answers
+	// of a millisecond vary by more than the tolerance for want of a processor; taken
+	// as congestion, that throttled an idle service to ten calls a second. 20 ms is
+	// half of the letter's 42 ms between tokens, and beyond what scheduling adds.
+	noticeable = 20 * time.Millisecond
 	// smallStep is the rise for an answer while the limit is below one request.
 	smallStep = 0.1
 )
@@ -215,7 +220,8 @@
 	l.base *= 1 + baseRise*now.Sub(l.baseAt).Seconds()
 	l.baseAt = now
 	l.base = min(l.base, l.short)
-	return l.short > l.cfg.Tolerance*l.base
+	excess := seconds((l.short - l.base) * s.Size)
+	return l.short > l.cfg.Tolerance*l.base && excess > noticeable
 }
 
 // down lowers the limit once for a latency's worth of time: the answers that were
@@ -237,3 +243,5 @@
 	}
 	l.current = max(l.current, min(minWarm, top))
 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/policy/limit/limit_test.go
+++ b/policy/limit/limit_test.go
@@ -117,3 +117,22 @@
 		}
 	})
 }
+
+// Calls of a plain service take a millisecond, some of them five. Nobody notices;
+// but taken for congestion, the limit fell to its least within seconds, and an idle
+// service answered ten callers a second.
+func TestShortAnswersThatVaryAreNoCongestion(t *testing.T) {
+	l := New(DefaultConfig, Bounds{Slots: 8}, false)
+	now := time.Unix(0, 0)
+	for i := range 2000 {
+		require.True(t, l.Acquire())
+		latency := time.Millisecond
+		if i%100 > 60 {
+			latency = 5 * time.Millisecond
+		}
+		now = now.Add(latency)
+		l.Release(now, Sample{Latency: latency, Size: 1})
+	}
+	require.Equal(t, 8, l.Current())
+	require.Zero(t, l.Pause())
+}
--- /dev/null
+++ b/router/vm/bench_test.go
@@ -0,0 +1,132 @@
+package vm
+
+import (
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config"
+	"goldcrestfork/standin/backend"
+)
+
+// benchWorld is a VM before one engine with many slots.
+func benchWorld(b *testing.B) *world {
+	w := newWorld(b, 1)
+	e := *w.vm.cache.Snapshot().Endpoints["runner-0"]
+	e.Slots = 2000
+	w.put(&e)
+	return w
+}
+
+// urls are the same engine's, asked directly and by way of the VM.
+func (w *world) urls() map[string]string {
+	return map[string]string{
+		"direct": "http://" + w.vm.cache.Snapshot().Endpoints["runner-0"].Address + chatPath,
+		"routed": "http://" + w.vm.CallersAddress() + chatPath,
+	}
+}
+
+// post sends a completion for n tokens and returns the open response.
+func post(b *testing.B, url string, n int) *http.Response {
+	body := chatBody(b, v1, prompt, n, true)
+	req, err := http.NewRequestWithContext(b.Context(), http.MethodPost, url, strings.NewReader(body))
+	require.NoError(b, err)
+	req.Header.Set("Authorization", "Bearer "+bakerKey)
+	req.Header.Set("X-Model-Version", v1)
+	req.Header.Set("X-Request-Id", "bench")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(b, err)
+	require.Equal(b, http.StatusOK, resp.StatusCode)
+	return resp
+}
+
+func drain(b *testing.B, resp *http.Response) {
+	_, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(b, err)
+	require.NoError(b, resp.Body.Close())
+}
+
+// BenchmarkRequest is one request of one token, one after the other: what the
+// router adds is the difference of the two.
+func BenchmarkRequest(b *testing.B) {
+	w := benchWorld(b)
+	for _, way := range []string{"direct", "routed"} {
+		b.Run(way, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				drain(b, post(b, w.urls()[way], 1))
+			}
+		})
+	}
+}
+
+// BenchmarkRequestsPerCore is many callers at once, stand-in and client included.
+func BenchmarkRequestsPerCore(b *testing.B) {
+	w := benchWorld(b)
+	for _, way := range []string{"direct", "routed"} {
+		b.Run(way, func(b *testing.B) {
+			b.RunParallel(func(p *testing.PB) {
+				for p.Next() {
+					drain(b, post(b, w.urls()[way], 1))
+				}
+			})
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds()/float64(runtime.GOMAXPROCS(0)), "requests/s/core")
+		})
+	}
+}
+
+// BenchmarkToken is one stream of many tokens.
+func BenchmarkToken(b *testing.B) {
+	const tokens = 1000
+	w := benchWorld(b)
+	for _, way := range []string{"direct", "routed"} {
+		b.Run(way, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				drain(b, post(b, w.urls()[way], tokens))
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/tokens, "µs/token")
+		})
+	}
+}
+
+// BenchmarkOpenStreams is the memory of 1000 streams that are open at once; the
+// stand-in's and the client's are in both ways, so that the difference is the router's.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 1000
+	w := benchWorld(b)
+	account := *w.vm.cache.Snapshot().Accounts["baker"]
+	account.Class = config.ClassImmediate
+	w.put(&account)
+	w.engines[0].SetFaults(backend.EngineFaults{TokenDelay: 300 * time.Millisecond})
+	for _, way := range []string{"direct", "routed"} {
+		b.Run(way, func(b *testing.B) {
+			for b.Loop() {
+				before := inUse()
+				open := make([]*http.Response, streams)
+				for i := range open {
+					open[i] = post(b, w.urls()[way], 100)
+				}
+				b.ReportMetric(float64(inUse()-before)/streams/1024, "KB/stream")
+				for _, resp := range open {
+					_ = resp.Body.Close()
+				}
+				until(b, func() bool { return w.vm.entry.Running() == 0 })
+			}
+		})
+	}
+}
+
+// inUse is the memory of heap and stacks in use, in bytes.
+func inUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -42,7 +42,7 @@
 
 // world is VMs with stand-ins around them.
 type world struct {
-	t        *testing.T
+	t        testing.TB
 	store    *store.Store
 	platform string
 	rater    string
@@ -61,7 +61,7 @@
 }
 
 // newWorld starts a VM before n engines that serve both versions.
-func newWorld(t *testing.T, n int) *world {
+func newWorld(t testing.TB, n int) *world {
 	t.Helper()
 	w := &world{t: t, store: store.New(), plain: backend.NewService(), rating: backend.NewRating()}
 	trial, err := peer.NewTrialSet(time.Now(), "vm-1", "vm-2", "vm-3")
@@ -216,7 +216,7 @@
 
 const chatPath = "/v1/chat/completions"
 
-func chatBody(t *testing.T, model, prompt string, n int, stream bool) string {
+func chatBody(t testing.TB, model, prompt string, n int, stream bool) string {
 	t.Helper()
 	body, err := json.Marshal(map[string]any{
 		"model": model, "stream": stream, "max_tokens": n,
--- a/router/vm/promises_test.go
+++ b/router/vm/promises_test.go
@@ -99,7 +99,7 @@
 }
 
 // until polls for a state; the bound only ends a test that would hang.
-func until(t *testing.T, state func() bool) {
+func until(t testing.TB, state func() bool) {
 	t.Helper()
 	require.Eventually(t, state, 30*time.Second, time.Millisecond)
 }
