--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"strings"
 
@@ -30,7 +31,11 @@
 		if !ok || named[o.Name] || versions[shard] <= sealed {
 			continue
 		}
-		if err := l.store.Delete(ctx, o.Key, o.Version); err != nil {
+		err := l.store.Delete(ctx, o.Key, o.Version)
+		if errors.Is(err, platform.ErrNotFound) {
+			continue // another VM was first
+		}
+		if err != nil {
 			return swept, err
 		}
 		swept++
