--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -106,7 +106,8 @@
 	return &Budget{ratio: ratio, accounts: make(map[string]float64)}
 }
 
-// First pays in for a first attempt.
+// First pays in for a first attempt, when it is dispatched: one that was refused
+// before did no work that a tenth could be taken of.
 func (b *Budget) First(account string, size float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
