Bound the pause of an endpoint, and end it with a cold start

Cause: after an answer of 20 s, a limit of a quarter left the endpoint alone for a minute, also when it had restarted meanwhile. Change: 15 s at most; a change of cold start ends the pause.

--- a/policy/limit/limit.go
+++ b/policy/limit/limit.go
@@ -46,6 +46,9 @@
 	// request, and a pause of three times its latency after it. With none, no sample
 	// would ever raise it again.
 	minWarm = 0.25
+	// maxPause bounds the pause after a very slow answer: an endpoint that has
+	// recovered must be found out.
+	maxPause = 15 * time.Second
 	// smallStep is the rise for an answer while the limit is below one request.
 	smallStep = 0.1
 )
@@ -153,7 +156,7 @@
 	if l.cold || l.cfg.Fixed || l.inFlight > 0 || l.current >= 1 || l.current <= 0 {
 		return 0
 	}
-	return time.Duration((1/l.current - 1) * float64(l.lastLat))
+	return min(time.Duration((1/l.current-1)*float64(l.lastLat)), maxPause)
 }
 
 // InFlight is the number of requests that hold a slot.
--- a/policy/picker/table.go
+++ b/policy/picker/table.go
@@ -146,6 +146,9 @@
 		if cold && !e.limit.Cold() {
 			t.prefixes.drop(e)
 		}
+		if !e.paused.IsZero() {
+			e.paused = time.Unix(0, 0) // what paused it is gone: over with the next Pick
+		}
 		e.limit.SetCold(cold)
 	})
 }
