--- a/policy/admission/doc.go
+++ b/policy/admission/doc.go
@@ -5,11 +5,12 @@
 // that sends twenty times its share; long jobs among short ones; an overload of
 // twice the capacity for minutes, and its end; a pool that loses its endpoints.
 //
-// Without it: a first-in-first-out queue fills until each request waits for about
-// its whole deadline, starts too late to finish, and the endpoints work on answers
-// nobody waits for any more. Goodput falls to nothing while every endpoint is busy,
-// and stays there after the load has gone, since callers send again what timed out.
-// One account's flood is everybody's queue, and a till lookup waits for reports.
+// Without it: a first-in-first-out queue fills until each request waits for longer
+// than a short deadline. At twice the capacity every endpoint is busy, but with
+// requests whose deadlines are long: 7% of immediate ones are completed, the others
+// are told nothing until they hang up, and their callers send them again
+// (docs/DECISIONS.md). One account's flood is everybody's queue, and a till lookup
+// waits for reports.
 //
 // How it decides:
 //
@@ -23,8 +24,8 @@
 //     work). An account that has more than its share leaves some slots free while
 //     others are active, so that theirs need not wait for its flood; with nobody else
 //     active it gets all there is.
-//   - Within an account, a short item passes longer ones that came up to a few of
-//     its own lengths earlier; long items may not hold the last slots.
+//   - Within an account, an item lets shorter ones pass that come within its own
+//     expected length.
 //
 // The queue counts slots (SetCapacity, Next, Done) but doesn't know endpoints.
 //
