--- a/control/lease/machine.go
+++ b/control/lease/machine.go
@@ -42,12 +42,12 @@
 func newMetrics(name string, reg prometheus.Registerer) metrics {
 	labels := prometheus.Labels{"lease": name}
 	m := metrics{
-		// lease_changes_total counts changes of state by their cause.
+		// goldcrest_lease_changes_total counts changes of state by their cause.
 		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "lease_changes_total", Help: "Changes of a lease's state on this VM, by cause.", ConstLabels: labels,
+			Name: "goldcrest_lease_changes_total", Help: "Changes of a lease's state on this VM, by cause.", ConstLabels: labels,
 		}, []string{"cause"}),
 		held: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "lease_held", Help: "1 while this VM holds the lease.", ConstLabels: labels,
+			Name: "goldcrest_lease_held", Help: "1 while this VM holds the lease.", ConstLabels: labels,
 		}),
 	}
 	reg.MustRegister(m.changes, m.held)
--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -96,13 +96,13 @@
 		holder: h, source: src, store: store, endpoints: e, settings: s, log: log,
 		status: make(map[string]Status), suspects: make(map[string]bool),
 		metrics: metrics{
-			// endpoint_orders_total counts orders by outcome.
+			// goldcrest_endpoint_orders_total counts orders by outcome.
 			orders: prometheus.NewCounterVec(prometheus.CounterOpts{
-				Name: "endpoint_orders_total", Help: "Orders sent to endpoints, by outcome.",
+				Name: "goldcrest_endpoint_orders_total", Help: "Orders sent to endpoints, by outcome.",
 			}, []string{"outcome"}),
-			// endpoint_differences_total counts reports that were not as wanted.
+			// goldcrest_endpoint_differences_total counts reports that were not as wanted.
 			differences: prometheus.NewCounter(prometheus.CounterOpts{
-				Name: "endpoint_differences_total", Help: "Endpoint reports that differed from the configuration.",
+				Name: "goldcrest_endpoint_differences_total", Help: "Endpoint reports that differed from the configuration.",
 			}),
 		},
 	}
--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -77,13 +77,13 @@
 		monitors: make(map[string]*rollout.Monitor),
 		status:   make(map[string]Status),
 		metrics: metrics{
-			// roll_out_rounds_total counts rounds in which this VM held the lease.
+			// goldcrest_roll_out_rounds_total counts rounds in which this VM held the lease.
 			rounds: prometheus.NewCounter(prometheus.CounterOpts{
-				Name: "roll_out_rounds_total", Help: "Rounds of the roll-out loop with the lease held.",
+				Name: "goldcrest_roll_out_rounds_total", Help: "Rounds of the roll-out loop with the lease held.",
 			}),
-			// roll_out_actions_total counts actions by what came of the write.
+			// goldcrest_roll_out_actions_total counts actions by what came of the write.
 			actions: prometheus.NewCounterVec(prometheus.CounterOpts{
-				Name: "roll_out_actions_total", Help: "Actions on roll-outs, by action and what came of the write.",
+				Name: "goldcrest_roll_out_actions_total", Help: "Actions on roll-outs, by action and what came of the write.",
 			}, []string{"action", "written"}),
 		},
 	}
--- a/control/rollouts/controller_test.go
+++ b/control/rollouts/controller_test.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,71 +139,58 @@
 	})
 }
 
-// The platform's store goes down for ten minutes, and the version turns bad
-// meanwhile. Nothing can change then; once it is back the version is rolled back
-// within the time of taking the lease anew.
+// The platform's store goes down for ten minutes, nobody holds the lease, and the
+// version turns bad meanwhile. Nothing can be written then. With brakes callers
+// without a session are spared it within its 200 requests; either way it is rolled
+// back within the time of taking the lease anew once the store is back.
 func TestStoreOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f, s := newFakeStore(steps...), store.New()
-		l := lease.New(s, "roll-outs", "a", lease.DefaultSettings(), prometheus.NewRegistry(), zerolog.Nop())
-		c := newController(l, &view{store: f}, &traffic{f, time.Minute, false, nil})
-		run := func(d time.Duration) {
-			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(Interval) {
-				l.Tick(t.Context())
-				c.Tick(t.Context())
-			}
-		}
-		run(30 * time.Second)
-		require.Len(t, c.Dump(), 1)
-		s.SetFaults(store.Faults{Down: true})
-		f.down = true
-		run(10 * time.Minute)
-		require.Empty(t, f.history)
-		require.Empty(t, c.Dump(), "the lease has lapsed")
-		s.SetFaults(store.Faults{})
-		f.down = false
-		run(10 * time.Second)
-		require.Equal(t, config.RollOutRolledBack, f.current().State)
-	})
+	for _, braking := range []bool{true, false} {
+		t.Run(fmt.Sprint("brakes=", braking), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runOutage(t, braking) })
+		})
+	}
 }
 
-// The version turns bad while the platform's store is down and nobody holds the
-// lease. Callers without a session must be spared it within its 200 requests,
-// not at the end of the outage; the roll-out itself is rolled back then.
-func TestBrakeInAnOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f, s := newFakeStore(steps...), store.New()
-		l := lease.New(s, "roll-outs", "a", lease.DefaultSettings(), prometheus.NewRegistry(), zerolog.Nop())
-		const turnsBad = time.Minute
-		c := newController(l, &view{store: f}, &traffic{f, turnsBad, false, nil})
-		var brakes rollout.Brakes
+func runOutage(t *testing.T, braking bool) {
+	f, s := newFakeStore(steps...), store.New()
+	l := lease.New(s, "roll-outs", "a", lease.DefaultSettings(), prometheus.NewRegistry(), zerolog.Nop())
+	const turnsBad = time.Minute
+	c := newController(l, &view{store: f}, &traffic{f, turnsBad, false, nil})
+	var brakes rollout.Brakes
+	if braking {
 		c.UseBrakes(&brakes, brakes.Set)
-		s.SetFaults(store.Faults{Down: true})
-		f.down = true
-		began := time.Now()
-		r := f.current()
-		for !brakes.On(&r) && time.Since(began) < 10*time.Minute {
+	}
+	began, r, braked := time.Now(), f.current(), time.Duration(0)
+	run := func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(Interval) {
 			l.Tick(t.Context())
 			c.Tick(t.Context())
-			time.Sleep(Interval)
+			if braked == 0 && brakes.On(&r) {
+				braked = time.Since(began)
+			}
 		}
-		exposed := 5 * (time.Since(began) - turnsBad).Seconds() // 5% of 100 a second
+	}
+	run(30 * time.Second)
+	require.Len(t, c.Dump(), 1)
+	s.SetFaults(store.Faults{Down: true})
+	f.down = true
+	run(10 * time.Minute)
+	require.Empty(t, f.history)
+	if braking {
+		exposed := 5 * (braked - turnsBad).Seconds() // 5% of 100 a second
 		require.Positive(t, exposed)
 		require.LessOrEqual(t, exposed, 200.0)
 		require.True(t, c.Dump()[0].Braked)
 		choice, ok := brakes.Choose(&r, "request", func(string) bool { return true })
 		require.True(t, ok)
 		require.Equal(t, "v1", choice.Version)
-
-		s.SetFaults(store.Faults{})
-		f.down = false
-		for range 10 {
-			l.Tick(t.Context())
-			c.Tick(t.Context())
-			time.Sleep(Interval)
-		}
-		require.Equal(t, config.RollOutRolledBack, f.current().State)
-	})
+	} else {
+		require.Empty(t, c.Dump(), "the lease has lapsed")
+	}
+	s.SetFaults(store.Faults{})
+	f.down = false
+	run(10 * time.Second)
+	require.Equal(t, config.RollOutRolledBack, f.current().State)
 }
 
 // Another VM finds the version bad a round before the holder does and has it
