Wait two minutes for orders on their way

Cause: the ground given for 60 s was a limit that no client sets. The kernel sends what a closed connection still holds for about 100 s.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -24,8 +24,9 @@
 	// in well under a second and loads in the background.
 	Timeout time.Duration
 	// Flight is how long after its sender gave up an order may still take effect.
-	// Default 60 s: longer than TCP keeps trying to deliver to an endpoint that
-	// doesn't read (twice the 30 s that the endpoint client sets as its limit).
+	// Default 2 min: the kernel goes on sending what a closed connection still holds
+	// for 8 retries (Linux, tcp_orphan_retries), about 100 s from the least timeout
+	// of 200 ms; the rest is for the endpoint to read and act (estimated).
 	Flight time.Duration
 	// Recheck is the time until the report of an endpoint that is right is read
 	// again. Default 5 min: at 2,000 endpoints under seven reports a second.
@@ -39,7 +40,7 @@
 
 // DefaultSettings returns the defaults.
 func DefaultSettings() Settings {
-	return Settings{Timeout: 5 * time.Second, Flight: time.Minute, Recheck: 5 * time.Minute, Workers: 16, PerRound: 40}
+	return Settings{Timeout: 5 * time.Second, Flight: 2 * time.Minute, Recheck: 5 * time.Minute, Workers: 16, PerRound: 40}
 }
 
 // Holder says whether this VM should run the loop; see lease.Lease.
