Let the daemon's editor refuse changes on a minority, and prove peers on daemons

Cause: the daemon built its editor without the gate on which the verdict of staleness rests, and without what restore needs.

--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -51,6 +51,8 @@
 	plain    *backend.Service
 	rating   *backend.Rating
 	trial    peer.TrialSet
+	// seeds are the peers that VMs started from now on find in their settings.
+	seeds []string
 	// vm is the first VM, which requests go to where no other is named.
 	vm *VM
 }
@@ -84,12 +86,12 @@
 	s, err := settings.Parse("test", fmt.Appendf(nil, `{
 		"vm": "%[5]s", "dataCentre": "norte-a", "region": "norte",
 		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
-		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key"},
+		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key", "seeds": [%[6]s]},
 		"platform": {"url": "http://%[2]s", "register": true},
 		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
 		"rating": {"url": "http://%[4]s/rate"},
 		"keepAddresses": "1ms", "spreadLeaving": "1ms",
-	}`, dir, w.platform, hash("secret"), w.rater, name))
+	}`, dir, w.platform, hash("secret"), w.rater, name, strings.Join(w.seeds, ",")))
 	require.NoError(w.t, err)
 	v, err = New(s, zerolog.Nop())
 	require.NoError(w.t, err)
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -141,11 +141,7 @@
 		VMs: v.fleet.perDataCentre, Metrics: config.NewMetrics(v.registry),
 	})
 	v.fleet.revision = v.cache.Revision
-	v.editor = &config.Editor{
-		Store:    v.store,
-		Floor:    v.cache.Revision,
-		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
-	}
+	v.editor = config.NewEditor(v.store, v.cache)
 	v.recorder = rollout.NewRecorder(v.process())
 	v.slots = newSlots(v.fleet)
 	v.ledger = ledger.New(v.store, v.fleet, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
