--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -143,11 +143,7 @@
 		VMs: v.fleet.perDataCentre, Metrics: config.NewMetrics(v.registry),
 	})
 	v.fleet.revision = v.cache.Revision
-	v.editor = &config.Editor{
-		Store:    v.store,
-		Floor:    v.cache.Revision,
-		Accepted: func(encoded []byte) { _, _ = v.cache.Offer(encoded) },
-	}
+	v.editor = config.NewEditor(v.store, v.cache)
 	v.recorder = rollout.NewRecorder(process(v.settings.VM, v.incarnation))
 	v.brakes = &rollout.Brakes{}
 	v.slots = newSlots(v.fleet)
