Bound what waiting requests weigh, and judge roll-outs by sampled ratings

Cause: queues bounded their items, not the bytes of their bodies; refused requests filled the retry budget; a roll-out whose requests run no cascade got no ratings and would never go on; outcomes counted for the roll-out in force at their end, not at their choice. Ruled out: rating every answer (the service would be asked as often as the engines). Change: 64 MB of bodies at once, the budget is paid at the first dispatch, limits learn by the work an answer took, answers of a comparison are rated in the background, eight at once, and outcomes carry the roll-out they were chosen by.

--- a/router/dispatch/need.go
+++ b/router/dispatch/need.go
@@ -33,6 +33,7 @@
 	tried   []string
 	resumed string
 	made    int
+	paid    bool
 }
 
 // ServicePool is the pool of a plain service. No version's name holds a '/'.
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -93,9 +93,6 @@
 	if l.detector.Broken(now) {
 		return nil, d.refusal(admission.ReasonBroken, l.queue.RetryAfter(now, it, admission.ReasonBroken))
 	}
-	if n.made == 0 {
-		l.budget.First(it.Account, n.Size)
-	}
 	v := l.queue.Offer(now, it)
 	switch v.Outcome {
 	case admission.Refused:
@@ -151,6 +148,12 @@
 	}
 	e.running[it.ID] = n.Fingerprint
 	n.made++
+	if !n.paid {
+		// Refused requests pay nothing in: in an overload they would fill the budget
+		// for retries that the endpoints have no room for.
+		n.paid = true
+		l.budget.First(it.Account, n.Size)
+	}
 	return t, picker.Picked
 }
 
@@ -190,8 +193,14 @@
 	defer d.mu.Unlock()
 	took := now.Sub(t.start)
 	bad := r.Failed || r.Crashed || r.Unreached
+	size := t.need.Size
+	if r.Work > 0 {
+		// By what the answer took, not by what was expected of it: a short answer to a
+		// request with a high bound is no sign of a fast endpoint.
+		size = r.Work
+	}
 	d.table.Done(now, t.picked, t.request, limit.Sample{
-		Latency: took, Size: t.need.Size, Refused: r.Refused, Failed: bad || !used,
+		Latency: took, Size: size, Refused: r.Refused, Failed: bad || !used,
 	})
 	elapsed := took
 	if bad || r.Refused || !used {
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"goldcrestfork/config"
 	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/rollout"
 	"goldcrestfork/router/dispatch"
@@ -48,23 +49,37 @@
 	task string
 	// arm is the side of a roll-out's comparison that the outcome counts for.
 	arm rollout.Arm
+	// rollOut is the one that the arm was chosen by, at the revision of the choice.
+	rollOut *config.RollOut
+	// rated says that the answer's rating is recorded.
+	rated bool
 	// resume and from say which stream the request goes on with, and where.
 	resume *resumeToken
 	from   int
 	sign   func(resumeToken) string
 }
 
-// readBody reads a whole body within the bound.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
+// maxBuffered bounds the bodies held at once, in bytes: a quarter of the 256 MB a
+// node may use. Queues bound their items; this bounds what those weigh together.
+const maxBuffered = 64 << 20
+
+// readBody reads a whole body within the bounds; done frees it.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (raw []byte, done func(), bad *refusal.Refusal) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "a body takes at most %d bytes", MaxBody)
+		return nil, nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "a body takes at most %d bytes", MaxBody)
 	case err != nil:
-		return nil, refusal.New(http.StatusBadRequest, refusal.BadRequest, "the body did not arrive whole")
+		return nil, nil, refusal.New(http.StatusBadRequest, refusal.BadRequest, "the body did not arrive whole")
+	}
+	size := int64(len(raw))
+	done = func() { e.buffered.Add(-size) }
+	if e.buffered.Add(size) > maxBuffered {
+		done()
+		return nil, nil, refusal.New(http.StatusServiceUnavailable, refusal.Overloaded, "the VM holds as many bodies as it may").After(comeBack)
 	}
-	return raw, nil
+	return raw, done, nil
 }
 
 // parseChat reads a completion request.
@@ -151,8 +166,9 @@
 		return
 	}
 	w.Header().Set(HeaderRequestID, caller.RequestID)
-	raw, bad := readBody(w, r)
+	raw, done, bad := e.readBody(w, r)
 	if bad == nil {
+		defer done()
 		bad = e.chatBody(w, r, raw, caller)
 	}
 	if bad != nil {
@@ -185,6 +201,7 @@
 	}
 	fin := e.cascaded(ctx, c, a, plan)
 	e.bill(c, fin)
+	e.sample(ctx, c, fin)
 	return a.finish(fin)
 }
 
--- a/router/entry/choose.go
+++ b/router/entry/choose.go
@@ -41,7 +41,7 @@
 	if bad != nil {
 		return bad
 	}
-	c.version, c.arm = first.Version, first.Arm
+	c.version, c.arm, c.rollOut = first.Version, first.Arm, rollout.Of(s, c.body.Model)
 	if c.Session == "" {
 		return nil
 	}
--- a/router/entry/entry.go
+++ b/router/entry/entry.go
@@ -103,8 +103,11 @@
 	brakes        *rollout.Brakes
 	wrongVersion  func(endpoint string)
 
-	running atomic.Int64
-	closed  atomic.Bool
+	running  atomic.Int64
+	buffered atomic.Int64
+	closed   atomic.Bool
+	// sampling admits the ratings that no answer waits for.
+	sampling chan struct{}
 }
 
 // New returns an entry.
@@ -121,11 +124,12 @@
 		metrics:       c.Metrics,
 		signer:        signer{secret: c.Secret},
 		rater:         c.Rater,
+		sampling:      make(chan struct{}, maxSampling),
 		learner:       cascade.NewLearner(c.Cascade),
 		ratingTimeout: c.Cascade.RatingTimeout,
 		brakes:        c.Brakes,
 		wrongVersion:  c.WrongVersion,
-		outcomes:      outcomes{recorder: c.Outcomes, configuration: c.Configuration},
+		outcomes:      outcomes{recorder: c.Outcomes},
 	}
 }
 
--- a/router/entry/outcomes.go
+++ b/router/entry/outcomes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"goldcrestfork/policy/rollout"
@@ -13,10 +14,7 @@
 const slowFirstToken = 1100 * time.Millisecond
 
 // outcomes tells the roll-outs' comparison how requests ended.
-type outcomes struct {
-	recorder      *rollout.Recorder
-	configuration Configuration
-}
+type outcomes struct{ recorder *rollout.Recorder }
 
 // key is what the roll-out's choice was made by.
 func (c *chat) key() string { return cmp.Or(c.Session, c.RequestID) }
@@ -29,11 +27,10 @@
 		// Full, cold or unreached endpoints and callers that left are not the version's doing.
 		return
 	}
-	r := rollout.Of(o.configuration.Snapshot(), c.body.Model)
-	if r == nil || c.arm == rollout.ArmNone {
+	if c.rollOut == nil || c.arm == rollout.ArmNone {
 		return
 	}
-	o.recorder.Request(r, c.arm, c.key(), rollout.Outcome{
+	o.recorder.Request(c.rollOut, c.arm, c.key(), rollout.Outcome{
 		Failed: out.Result != engine.Complete,
 		Slow:   out.FirstToken > slowFirstToken,
 	})
@@ -41,13 +38,36 @@
 
 // rated records an answer's rating.
 func (o outcomes) rated(c *chat, rating float64) {
-	r := rollout.Of(o.configuration.Snapshot(), c.body.Model)
-	if r == nil || c.arm == rollout.ArmNone {
+	c.rated = true
+	if c.rollOut == nil || c.arm == rollout.ArmNone {
 		return
 	}
-	o.recorder.Rating(r, c.arm, c.key(), rating < cmp.Or(c.Account.Quality, defaultTarget))
+	o.recorder.Rating(c.rollOut, c.arm, c.key(), rating < cmp.Or(c.Account.Quality, defaultTarget))
 }
 
 // defaultTarget is the quality below which an answer counts as poor for an account
 // without a target: the middle of the scale.
 const defaultTarget = 0.5
+
+// maxSampling bounds the ratings asked for at once that no answer waits for. A
+// rating service that is slow costs a roll-out some samples, never a request's time.
+const maxSampling = 8
+
+// sample has a whole answer of a roll-out's comparison rated that no cascade had
+// rated, without making its caller wait. A roll-out can't go on without ratings.
+func (e *Entry) sample(ctx context.Context, c *chat, fin end) {
+	if e.rater == nil || c.rated || c.arm == rollout.ArmNone || fin.refusal != nil {
+		return
+	}
+	select {
+	case e.sampling <- struct{}{}:
+	default:
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	go func() {
+		defer func() { <-e.sampling }()
+		// Without a rating there is one sample less.
+		_, _ = e.rate(ctx, c, fin)
+	}()
+}
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -40,9 +40,12 @@
 	if bad != nil {
 		return bad
 	}
-	if p.body, bad = readBody(w, r); bad != nil {
+	body, done, bad := e.readBody(w, r)
+	if bad != nil {
 		return bad
 	}
+	defer done()
+	p.body = body
 	ctx, cancel := context.WithDeadline(r.Context(), p.Deadline)
 	defer cancel()
 	if !p.idempotent || p.Key != "" {
--- a/router/vm/loops.go
+++ b/router/vm/loops.go
@@ -24,6 +24,11 @@
 )
 
 func (v *VM) newLoops() *loops.Loops {
+	comparison := rollout.DefaultSettings()
+	if v.settings.Rating.URL == "" {
+		// Without a rating service no rating ever comes, and none can be waited for.
+		comparison.MinRated = 0
+	}
 	return loops.New(loops.Options{
 		Self:          loops.VM{ID: process(v.settings.VM, v.incarnation), DataCentre: v.settings.DataCentre},
 		Peers:         controlPeers{v},
@@ -33,7 +38,7 @@
 		Recorder:      v.recorder,
 		Brakes:        v.brakes,
 		Lease:         lease.DefaultSettings(),
-		RollOuts:      rollout.DefaultSettings(),
+		RollOuts:      comparison,
 		Orders:        orders.DefaultSettings(),
 		Registerer:    v.registry,
 		Log:           v.log,
