Leave a bad version's endpoints to the good one

Cause: the errors of a version that turned bad ejected the endpoints that have it loaded, up to a third of a pool, and with them the old version's capacity. Ruled out: ejecting by endpoint and version (the picker files endpoints, not pairs), no ejection during roll-outs (a broken endpoint would stay). Change: an endpoint on which another version answered well in the last 5 s is not ejected; the bad version's own circuit refuses its requests, and its roll-out is rolled back.

--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -76,6 +76,10 @@
 	incarnation string
 	cold        bool
 	running     map[uint64]poison.Fingerprint
+	// detected is the detectors' decision in force.
+	detected outlier.State
+	// answered is when each of its pools last had a good answer from it.
+	answered map[string]time.Time
 	// share and coldShare are this VM's slots of it.
 	share, coldShare int
 }
@@ -127,7 +131,7 @@
 		pools := poolsOf(e)
 		own := d.endpoints[name]
 		if own == nil {
-			own = &endpoint{running: make(map[uint64]poison.Fingerprint)}
+			own = &endpoint{running: make(map[uint64]poison.Fingerprint), answered: make(map[string]time.Time)}
 			d.endpoints[name] = own
 		}
 		own.spec, own.pools = e, pools
@@ -263,7 +267,7 @@
 	d.ramp(now)
 	for _, l := range d.lines {
 		for _, c := range l.detector.Due(now) {
-			d.apply(c)
+			d.apply(now, l, c)
 		}
 		d.refresh(l, now)
 	}
@@ -276,15 +280,43 @@
 	d.pump(l, now)
 }
 
+// otherAnswer is how recent another version's good answer must be to clear an
+// endpoint: about the time in which a detector sees the failures that condemn it.
+const otherAnswer = 5 * time.Second
+
 // apply passes a detector's decision on to the picker. Callers hold d.mu.
-func (d *Dispatcher) apply(c outlier.Change) {
+func (d *Dispatcher) apply(now time.Time, l *line, c outlier.Change) {
+	if c.State == outlier.Ejected && d.cleared(now, l.name, c.Endpoint) {
+		d.metrics.ejections.WithLabelValues("cleared").Inc()
+		return
+	}
 	d.metrics.ejections.WithLabelValues(stateNames[c.State]).Inc()
+	if e := d.endpoints[c.Endpoint]; e != nil {
+		e.detected = c.State
+	}
 	d.table.Update(c.Endpoint, func(s *picker.State) {
 		s.Ejected = c.State == outlier.Ejected
 		s.Probation = c.State == outlier.Probation
 	})
 }
 
+// cleared says that an endpoint which fails one version serves another one well.
+// A version that turns bad fails on every endpoint that has it loaded; ejecting
+// them would take a third of the good version's endpoints away with it. The bad
+// version's own circuit and its roll-out deal with it.
+func (d *Dispatcher) cleared(now time.Time, pool, endpoint string) bool {
+	e := d.endpoints[endpoint]
+	if e == nil {
+		return false
+	}
+	for other, at := range e.answered {
+		if other != pool && now.Sub(at) < otherAnswer {
+			return true
+		}
+	}
+	return false
+}
+
 // pump starts waiting requests while there is room. Callers hold d.mu.
 func (d *Dispatcher) pump(l *line, now time.Time) {
 	for {
--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -49,10 +49,7 @@
 		row := EndpointDump{
 			Endpoint: name, DataCentre: e.spec.DataCentre, Pools: e.pools, State: string(e.spec.State),
 			Cold: e.cold, Incarnation: e.incarnation, Running: len(e.running),
-			Slots: b.Slots, ColdSlots: b.Cold,
-		}
-		if len(e.pools) > 0 && d.lines[e.pools[0]] != nil {
-			row.Detector = stateNames[d.lines[e.pools[0]].detector.State(name)]
+			Slots: b.Slots, ColdSlots: b.Cold, Detector: stateNames[e.detected],
 		}
 		out.Endpoints = append(out.Endpoints, row)
 	}
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -230,12 +230,13 @@
 		bad := r.Failed || r.Crashed || r.Unreached
 		c, changed := t.line.detector.Record(now, outlier.Result{Endpoint: t.Endpoint, Failed: bad})
 		if changed {
-			d.apply(c)
+			d.apply(now, t.line, c)
 		}
 	}
 	if r.Crashed {
 		d.crashed(now, t, e)
 	} else if !r.Failed && !r.Refused && !r.Unreached {
+		e.answered[t.line.name] = now
 		t.line.tracker.Survived(t.need.Fingerprint)
 	}
 	if r.Reported {
--- a/router/vm/promises_test.go
+++ b/router/vm/promises_test.go
@@ -232,3 +232,42 @@
 		require.Equal(t, before, w.engines[1].Stats().Started, name)
 	}
 }
+
+// A roll-out's new version fails every request. It must be rolled back without an
+// operator, after few requests; and it must not take the endpoints, which serve the
+// old version well, away from that one.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	w := newWorld(t, 3)
+	for _, e := range w.engines {
+		e.SetFaults(backend.EngineFaults{FailVersion: v2})
+	}
+	w.rollOut(30, w.vm)
+	sent, exposed := 0, 0
+	until(t, func() bool {
+		r := w.ask(clerkOrBaker(sent), "asistente", fmt.Sprint(prompt, sent), 2, false, nil)
+		sent++
+		if r.status != http.StatusOK && r.problem(t).Ran != refusal.NotRun {
+			exposed++
+		}
+		return w.vm.cache.Snapshot().RollOuts["to-2"].State == config.RollOutRolledBack
+	})
+	require.Positive(t, exposed)
+	require.Less(t, exposed, 200)
+	for _, e := range w.vm.dispatch.Dump().Endpoints {
+		require.Equal(t, "healthy", e.Detector, e.Endpoint)
+	}
+	for i := range 6 {
+		r := w.ask(bakerKey, "asistente", fmt.Sprint(prompt, -i), 2, false, nil)
+		require.Equal(t, http.StatusOK, r.status, r.body)
+		require.Equal(t, v1, r.header.Get("X-Model-Version"))
+	}
+}
+
+// clerkOrBaker spreads requests over an account that may use both versions and one
+// that may use the old one alone.
+func clerkOrBaker(i int) string {
+	if i%4 == 0 {
+		return clerkKey
+	}
+	return bakerKey
+}
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -38,6 +38,8 @@
 	Refuse bool `json:"refuse"`
 	// Fail answers 500 at once.
 	Fail bool `json:"fail"`
+	// FailVersion answers 500 at once when this version is asked for.
+	FailVersion string `json:"failVersion"`
 	// CrashOn drops the connection when the prompt holds this text, and starts anew, cold.
 	CrashOn string `json:"crashOn"`
 	// TokenDelay is the time between tokens, in nanoseconds in JSON.
@@ -206,7 +208,7 @@
 		return 0
 	case s.faults.Refuse:
 		return http.StatusServiceUnavailable
-	case s.faults.Fail:
+	case s.faults.Fail || s.faults.FailVersion != "" && s.faults.FailVersion == s.version:
 		return http.StatusInternalServerError
 	case s.faults.AnswersAs == "" && !contains(e.versions, s.version):
 		return http.StatusConflict
