Keep a shard's list of segments in its newest segment

Ruled out: an object for the list (one more write and deletion a seal); shorter names (halves it only). Change: a head names the newest segment, whose value holds the list; its content is still a function of what its name says. An entry's expiry never falls, also when its committers' clocks differ by an hour.

--- a/ledger/objects.go
+++ b/ledger/objects.go
@@ -29,7 +29,7 @@
 }
 
 func (p proposal) encode() ([]byte, error) {
-	return cbor.Marshal(head{Segments: p.segments, Entries: sorted(p.entries)})
+	return cbor.Marshal(head{Newest: newest(p.segments), Entries: sorted(p.entries)})
 }
 
 // load reads the head and the segments that are not at hand.
@@ -63,12 +63,12 @@
 	if err := cbor.Unmarshal(o.Value, &h); err != nil {
 		return err
 	}
-	next := proposal{segments: h.Segments, entries: make(map[Key]Entry, len(h.Entries))}
+	next := proposal{entries: make(map[Key]Entry, len(h.Entries))}
 	for _, e := range h.Entries {
 		next.entries[e.Key] = e
 	}
 	var err error
-	if next.added, err = s.fetch(h.Segments); err != nil {
+	if next.segments, next.added, err = s.fetch(h.Newest); err != nil {
 		return err
 	}
 	if s.state == nil {
@@ -78,28 +78,46 @@
 	return nil
 }
 
-// fetch reads the segments that are not at hand. One that is gone was merged
-// or has expired since the head was read; the error makes the worker read again.
-func (s *shard) fetch(refs []segmentRef) (map[string][]Entry, error) {
-	added := map[string][]Entry{}
-	for _, ref := range refs {
+// fetch gives the list of segments that the newest one holds, and reads those
+// that are not at hand. One that is gone was merged or has expired since the
+// head was read; the error makes the worker read again.
+func (s *shard) fetch(last string) ([]segmentRef, map[string][]Entry, error) {
+	if last == "" {
+		return nil, nil, nil
+	}
+	if s.state != nil && newest(s.state.segments) == last {
+		return s.state.segments, nil, nil
+	}
+	x, size, err := s.read(last)
+	if err != nil {
+		return nil, nil, err
+	}
+	added := map[string][]Entry{last: x.Entries}
+	for _, ref := range x.Older {
 		if s.state != nil && s.state.sealed[ref.Name] != nil {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
-		s.l.metrics.reads.Inc()
-		o, err := s.l.store.Get(ctx, platform.Key{Kind: kind, Name: ref.Name})
-		cancel()
+		older, _, err := s.read(ref.Name)
 		if err != nil {
-			return nil, err
-		}
-		var entries []Entry
-		if err := cbor.Unmarshal(o.Value, &entries); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
-		added[ref.Name] = entries
+		added[ref.Name] = older.Entries
+	}
+	return x.list(last, size), added, nil
+}
+
+// read gets one segment and its stored size.
+func (s *shard) read(name string) (segment, int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	s.l.metrics.reads.Inc()
+	o, err := s.l.store.Get(ctx, platform.Key{Kind: kind, Name: name})
+	if err != nil {
+		return segment{}, 0, err
 	}
-	return added, nil
+	var x segment
+	err = cbor.Unmarshal(o.Value, &x)
+	return x, len(o.Value), err
 }
 
 // adopt makes a head that is in the store the shard's state.
@@ -114,14 +132,11 @@
 		s.indexedAt = hour
 		s.state.reindex()
 	}
-	s.state.size = size - segmentRefSize*len(p.segments)
+	s.state.size = size
 	s.discard(p.drop)
 	s.describe()
 }
 
-// segmentRefSize is the encoded size of a segmentRef, in bytes, rounded.
-const segmentRefSize = 40
-
 // seal writes the segment that takes over the head's entries and gives the head
 // that follows. A segment that is there already has the same content (see planSeal).
 func (s *shard) seal(p plan, hour uint32) (proposal, error) {
@@ -131,17 +146,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
 	defer cancel()
-	_, err = s.l.store.Put(ctx, platform.Key{Kind: kind, Name: x.ref.Name}, x.value, 0)
+	_, err = s.l.store.Put(ctx, platform.Key{Kind: kind, Name: x.name}, x.value, 0)
 	s.l.metrics.sealed(err)
 	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		return proposal{}, err
 	}
-	keep, drop := s.state.sealedBy(x, hour)
 	return proposal{
-		segments: keep,
+		segments: x.list,
 		entries:  p.changes,
-		added:    map[string][]Entry{x.ref.Name: x.entries},
-		drop:     drop,
+		added:    map[string][]Entry{x.name: x.entries},
+		drop:     x.drop,
 	}, nil
 }
 
--- a/ledger/op.go
+++ b/ledger/op.go
@@ -49,7 +49,8 @@
 	Entry   Entry   `cbor:"2,keyasint"`
 }
 
-// apply gives the entry after o, whether it differs from e, and the result.
+// apply gives the entry after o, whether it differs from e, and the result. An
+// entry's expiry never falls, even if VMs' clocks differ: see planSeal.
 // e is nil when the key has no live entry; hour is now.
 func apply(e *Entry, o op, hour uint32) (next Entry, changed bool, r result) {
 	switch o.Kind {
@@ -103,7 +104,9 @@
 	case e.Fingerprint != o.Fingerprint:
 		return *e, false, result{Verdict: verdictOtherBody}
 	case e.State == StateNotRun:
-		return claimed(o, hour, e.Generation+1), true, result{Verdict: verdictMine}
+		next := claimed(o, hour, e.Generation+1)
+		next.Expire = max(e.Expire, next.Expire)
+		return next, true, result{Verdict: verdictMine}
 	}
 	return *e, false, result{Verdict: verdictOther}
 }
@@ -131,7 +134,7 @@
 	}
 	next := *e
 	next.State, next.Status, next.Value, next.Omitted = o.State, o.Status, o.Value, o.Omitted
-	next.Expire = hour + o.Hours
+	next.Expire = max(e.Expire, hour+o.Hours)
 	return next, true, result{Verdict: verdictMine}
 }
 
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -23,19 +23,39 @@
 	mergeRun = 4
 )
 
-// segmentRef is what a head says of a segment.
+// segmentRef is what is known of a segment without reading it.
 type segmentRef struct {
 	Name   string `cbor:"1,keyasint"`
 	Size   int    `cbor:"2,keyasint"`
 	Expire uint32 `cbor:"3,keyasint"` // the latest of its entries
 }
 
-// head is the value of a shard's head object.
+// head is the value of a shard's head object. It names the newest segment
+// alone: every write carries the head, and a day's list of segments would be
+// most of its bytes.
 type head struct {
-	Segments []segmentRef `cbor:"1,keyasint"` // oldest first
-	Entries  []Entry      `cbor:"2,keyasint"` // by key
+	Newest  string  `cbor:"1,keyasint,omitempty"`
+	Entries []Entry `cbor:"2,keyasint"` // by key
 }
 
+// segment is the value of a segment. The newest one's list is the shard's.
+type segment struct {
+	Older   []segmentRef `cbor:"1,keyasint"` // oldest first
+	Entries []Entry      `cbor:"2,keyasint"` // by key
+}
+
+// list gives all segments of a shard whose newest this is, stored as name in size bytes.
+func (s segment) list(name string, size int) []segmentRef {
+	ref := segmentRef{Name: name, Size: size - segmentRefSize*len(s.Older)}
+	for _, e := range s.Entries {
+		ref.Expire = max(ref.Expire, e.Expire)
+	}
+	return append(slices.Clone(s.Older), ref)
+}
+
+// segmentRefSize is the encoded size of a segmentRef, in bytes, rounded.
+const segmentRefSize = 40
+
 // state is a shard as of one version of its head.
 type state struct {
 	version  int64
@@ -112,9 +132,12 @@
 
 // seal is a segment to be written before the head that names it.
 type seal struct {
-	ref     segmentRef
-	entries []Entry
+	name    string
 	value   []byte
+	entries []Entry
+	// list is that of the shard afterwards; drop are the segments not in it any more.
+	list []segmentRef
+	drop []string
 	// from is the first of the segments that the new one replaces.
 	from int
 }
@@ -136,22 +159,32 @@
 	for k, e := range s.head {
 		merged[k] = e
 	}
-	var latest uint32
 	for k, e := range merged {
 		if expired(e.Expire, hour) {
 			delete(merged, k)
-			continue
 		}
-		latest = max(latest, e.Expire)
 	}
-	entries := sorted(merged)
-	value, err := cbor.Marshal(entries)
+	older, drop := s.kept(from, hour)
+	next := segment{Older: older, Entries: sorted(merged)}
+	value, err := cbor.Marshal(next)
 	if err != nil {
 		return seal{}, err
 	}
 	name := fmt.Sprintf("%s.%d.%d.%d", headName(shard), s.version, from, hour)
-	ref := segmentRef{Name: name, Size: len(value), Expire: latest}
-	return seal{ref: ref, entries: entries, value: value, from: from}, nil
+	list := next.list(name, len(value))
+	return seal{name: name, value: value, entries: next.Entries, list: list, drop: drop, from: from}, nil
+}
+
+// kept parts the segments into those before from that have not expired, and the rest.
+func (s *state) kept(from int, hour uint32) (older []segmentRef, drop []string) {
+	for i, ref := range s.segments {
+		if i >= from || expired(ref.Expire, hour) {
+			drop = append(drop, ref.Name)
+			continue
+		}
+		older = append(older, ref)
+	}
+	return older, drop
 }
 
 // mergeFrom gives the index of the first segment to merge with a new one of size.
@@ -170,19 +203,6 @@
 	}
 }
 
-// sealedBy gives the state's segments after a seal, without expired ones, and
-// the names that are no longer needed.
-func (s *state) sealedBy(x seal, hour uint32) (keep []segmentRef, drop []string) {
-	for i, ref := range s.segments {
-		if i >= x.from || expired(ref.Expire, hour) {
-			drop = append(drop, ref.Name)
-			continue
-		}
-		keep = append(keep, ref)
-	}
-	return append(keep, x.ref), drop
-}
-
 func sorted(m map[Key]Entry) []Entry {
 	out := make([]Entry, 0, len(m))
 	for _, e := range m {
@@ -227,4 +247,12 @@
 	}
 }
 
+// newest names the newest segment, if there is one.
+func newest(list []segmentRef) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[len(list)-1].Name
+}
+
 func headName(shard int) string { return fmt.Sprintf("%03d", shard) }
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -166,7 +166,7 @@
 	late, err := s.planSeal(0, 12)
 	require.NoError(t, err)
 	require.NotEqual(t, early.value, late.value)
-	require.NotEqual(t, early.ref.Name, late.ref.Name)
+	require.NotEqual(t, early.name, late.name)
 	for range mergeRun {
 		s.segments = append(s.segments, segmentRef{Size: 100, Expire: 20})
 	}
@@ -176,7 +176,7 @@
 	s.segments = s.segments[:mergeRun-2]
 	unmerged, err := s.planSeal(0, 10)
 	require.NoError(t, err)
-	require.NotEqual(t, merged.ref.Name, unmerged.ref.Name)
+	require.NotEqual(t, merged.name, unmerged.name)
 }
 
 // The platform loses a head. Its keys can't be known any more: the shard
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 
@@ -43,7 +44,8 @@
 	return swept, nil
 }
 
-// headsIn gives the version of each shard's head and the segments that heads name.
+// headsIn gives the version of each shard's head and the segments in use. The
+// list is consistent, so that a head's newest segment is in it.
 func headsIn(objects []platform.Object) (versions map[string]int64, named map[string]bool, err error) {
 	versions, named = map[string]int64{}, map[string]bool{}
 	for _, o := range objects {
@@ -55,7 +57,18 @@
 			return nil, nil, err
 		}
 		versions[o.Name] = o.Version
-		for _, ref := range h.Segments {
+		named[h.Newest] = true
+	}
+	heads := maps.Clone(named)
+	for _, o := range objects {
+		if !heads[o.Name] {
+			continue
+		}
+		var x segment
+		if err := cbor.Unmarshal(o.Value, &x); err != nil {
+			return nil, nil, err
+		}
+		for _, ref := range x.Older {
 			named[ref.Name] = true
 		}
 	}
