--- a/policy/limit/limit_test.go
+++ b/policy/limit/limit_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+// TestBelowOne: an endpoint holds fewer requests than there are VMs. Each VM lowers
+// its limit below one, which is a pause after each request, and no more than a quarter.
+func TestBelowOne(t *testing.T) {
+	l := New(DefaultConfig, Bounds{Slots: 1, Cold: 1}, false)
+	now, latency := start, time.Second
+	for range 30 {
+		require.True(t, l.Acquire())
+		require.Zero(t, l.Pause(), "while one runs")
+		now = now.Add(latency)
+		l.Release(now, ok(latency))
+		latency = 4 * time.Second
+	}
+	require.Equal(t, 12*time.Second, l.Pause())
+	for range 30 {
+		l.Acquire()
+		l.Release(now, ok(time.Second))
+	}
+	require.Zero(t, l.Pause())
+	l.Release(now, Sample{Refused: true})
+	l.SetCold(true)
+	require.Zero(t, l.Pause(), "a cold endpoint has its own limit")
+}
+
 func lower(t *testing.T, before, after int)  { require.Less(t, after, before) }
 func higher(t *testing.T, before, after int) { require.Greater(t, after, before) }
 func same(t *testing.T, before, after int)   { require.GreaterOrEqual(t, after, before) }
@@ -117,3 +140,22 @@
 		}
 	})
 }
+
+// Calls of a plain service take a millisecond, some of them five. Nobody notices;
+// but taken for congestion, the limit fell to its least within seconds, and an idle
+// service answered ten callers a second.
+func TestShortAnswersThatVaryAreNoCongestion(t *testing.T) {
+	l := New(DefaultConfig, Bounds{Slots: 8}, false)
+	now := time.Unix(0, 0)
+	for i := range 2000 {
+		require.True(t, l.Acquire())
+		latency := time.Millisecond
+		if i%100 > 60 {
+			latency = 5 * time.Millisecond
+		}
+		now = now.Add(latency)
+		l.Release(now, Sample{Latency: latency, Size: 1})
+	}
+	require.Equal(t, 8, l.Current())
+	require.Zero(t, l.Pause())
+}
