Take cold slots exactly over all VMs, and tell a dead endpoint from a cold one

Cause: the dispatcher dealt cold slots by its own view of the fleet, which differs from VM to VM while it changes. Ruled out: asking for a slot under the table's lock (other VMs may have to be asked), taking a pool whose cold slots are other VMs' for one without endpoints (three VMs, one engine: most of 24 requests were refused). Change: a ticket for a cold endpoint gets its slot from fleet/slot before it is handed out, else its request goes on waiting at its place; a slot whose request was cut off stays taken until the endpoint's time limit; the slot is checked again after the connect; an endpoint that can't be reached is down, not cold, and gets nothing until it answers. Measured by go test -race -count=2 ./router/vm: 3 VMs, 1 engine of 2 cold slots, 24 callers: at most 2 at once, all answers whole; a dead pool refuses at once.

--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -31,11 +31,18 @@
 type Slots interface {
 	// Share returns how many of an endpoint's warm slots this VM may use.
 	Share(endpoint string, slots int) int
-	// TakeCold takes one of this VM's cold slots of an endpoint, to be given back by
-	// release when the endpoint has certainly ended the request.
-	TakeCold(endpoint string, coldSlots int) (release func(), ok bool)
-	// ColdShare returns how many cold slots this VM may use at most.
-	ColdShare(endpoint string, coldSlots int) int
+	// TakeCold takes one of an endpoint's cold slots, which are counted over all VMs;
+	// it may ask other VMs for it.
+	TakeCold(ctx context.Context, endpoint string, coldSlots int) (ColdSlot, bool)
+}
+
+// ColdSlot is the right to run one request on an endpoint in cold start.
+type ColdSlot interface {
+	// MayStart says whether the request may still be sent; ask right before its first byte.
+	MayStart() bool
+	// Release gives the slot back. ended says that the endpoint certainly runs the
+	// request no more; otherwise the slot stays taken until it must have ended.
+	Release(ended bool)
 }
 
 // Config sets a dispatcher.
@@ -75,13 +82,19 @@
 	pools       []string
 	incarnation string
 	cold        bool
-	running     map[uint64]poison.Fingerprint
+	// down says that it can't be reached; out that operators keep work from it.
+	down, out bool
+	running   map[uint64]poison.Fingerprint
 	// detected is the detectors' decision in force.
 	detected outlier.State
 	// answered is when each of its pools last had a good answer from it.
 	answered map[string]time.Time
-	// share and coldShare are this VM's slots of it.
-	share, coldShare int
+	// share is this VM's part of its warm slots.
+	share int
+	// granted is the number of its cold slots that this VM holds; until blocked passes
+	// no more are asked for, since none was to be had.
+	granted int
+	blocked time.Time
 }
 
 // line is the queue and the budgets of one pool.
@@ -135,7 +148,7 @@
 			d.endpoints[name] = own
 		}
 		own.spec, own.pools = e, pools
-		d.deal(own)
+		own.share = d.cfg.Slots.Share(name, e.Slots)
 		specs = append(specs, d.specOf(s, own))
 		for _, p := range pools {
 			members[p] = append(members[p], name)
@@ -148,11 +161,11 @@
 	}
 	d.table.Set(specs)
 	for _, e := range s.Endpoints {
-		d.table.Update(e.Name, func(st *picker.State) {
-			st.Leaving = e.State == config.EndpointLeaving
-			dc := s.DataCentres[e.DataCentre]
-			st.DataCentreOut = dc != nil && dc.State == config.DataCentreOut
-		})
+		leaving := e.State == config.EndpointLeaving
+		dc := s.DataCentres[e.DataCentre]
+		out := dc != nil && dc.State == config.DataCentreOut
+		d.endpoints[e.Name].out = leaving || out
+		d.table.Update(e.Name, func(st *picker.State) { st.Leaving, st.DataCentreOut = leaving, out })
 	}
 	d.setLines(members)
 }
@@ -174,21 +187,22 @@
 	return picker.Spec{Name: e.Name, Pools: own.pools, DataCentre: e.DataCentre, Tier: tier, Bounds: d.bounds(own)}
 }
 
-// deal asks for this VM's slots of an endpoint. Callers hold d.mu.
-func (d *Dispatcher) deal(e *endpoint) {
-	e.share = d.cfg.Slots.Share(e.spec.Name, e.spec.Slots)
-	e.coldShare = d.cfg.Slots.ColdShare(e.spec.Name, e.spec.ColdSlots)
-}
-
 // bounds are this VM's slots of an endpoint. In a data centre that has just come
 // back they grow over its ramp: its endpoints have empty caches, and the whole
-// load at once would meet them as a burst.
+// load at once would meet them as a burst. In cold start they are the cold slots
+// held, and one more while it makes sense to ask for one.
 func (d *Dispatcher) bounds(e *endpoint) limit.Bounds {
-	weight := 1.0
+	now, weight, cold := time.Now(), 1.0, e.granted
 	if d.ramping[e.spec.DataCentre] {
-		weight = d.centres.Weight(e.spec.DataCentre, time.Now())
+		weight = d.centres.Weight(e.spec.DataCentre, now)
+	}
+	if !now.Before(e.blocked) {
+		cold++
+	}
+	return limit.Bounds{
+		Slots: int(math.Ceil(float64(e.share) * weight)),
+		Cold:  min(cold, e.spec.ColdSlots),
 	}
-	return limit.Bounds{Slots: int(math.Ceil(float64(e.share) * weight)), Cold: e.coldShare}
 }
 
 // setLines makes one line for each pool. Callers hold d.mu.
@@ -226,7 +240,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, e := range d.endpoints {
-		d.deal(e)
+		e.share = d.cfg.Slots.Share(name, e.spec.Slots)
 		d.table.SetBounds(name, d.bounds(e))
 	}
 }
@@ -265,6 +279,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ramp(now)
+	d.unblock(now)
 	for _, l := range d.lines {
 		for _, c := range l.detector.Due(now) {
 			d.apply(now, l, c)
@@ -276,10 +291,25 @@
 // refresh sets a line's capacity and starts what fits. Callers hold d.mu.
 func (d *Dispatcher) refresh(l *line, now time.Time) {
 	slots, _ := d.table.Capacity(l.name)
+	if slots == 0 && d.coldLater(l.name) {
+		slots = 1
+	}
 	l.queue.SetCapacity(now, slots)
 	d.pump(l, now)
 }
 
+// coldLater says that a pool without room has an endpoint in cold start whose slots
+// are other VMs' for the moment. Taken for a pool without endpoints, its requests
+// would be refused, although waiting is what helps.
+func (d *Dispatcher) coldLater(pool string) bool {
+	for _, e := range d.endpoints {
+		if e.cold && !e.down && !e.out && slices.Contains(e.pools, pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // otherAnswer is how recent another version's good answer must be to clear an
 // endpoint: about the time in which a detector sees the failures that condemn it.
 const otherAnswer = 5 * time.Second
--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -21,6 +21,7 @@
 	Pools       []string `json:"pools"`
 	State       string   `json:"state"`
 	Cold        bool     `json:"cold"`
+	Down        bool     `json:"down"`
 	Incarnation string   `json:"incarnation,omitempty"`
 	Running     int      `json:"running"`
 	Slots       int      `json:"slots"`
@@ -48,7 +49,7 @@
 		b := d.bounds(e)
 		row := EndpointDump{
 			Endpoint: name, DataCentre: e.spec.DataCentre, Pools: e.pools, State: string(e.spec.State),
-			Cold: e.cold, Incarnation: e.incarnation, Running: len(e.running),
+			Cold: e.cold, Down: e.down, Incarnation: e.incarnation, Running: len(e.running),
 			Slots: b.Slots, ColdSlots: b.Cold, Detector: stateNames[e.detected],
 		}
 		out.Endpoints = append(out.Endpoints, row)
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -32,17 +32,17 @@
 	// Endpoint and Address say where.
 	Endpoint string
 	Address  string
-	// Cold says that the endpoint is in cold start and the ticket holds one of its cold slots.
-	Cold bool
+	// Cold is the endpoint's cold slot that the ticket holds; nil for a warm endpoint.
+	Cold ColdSlot
 
-	d        *Dispatcher
-	line     *line
-	need     *Need
-	item     admission.Item
-	picked   *picker.Endpoint
-	request  *picker.Request
-	start    time.Time
-	freeCold func()
+	d       *Dispatcher
+	line    *line
+	need    *Need
+	item    admission.Item
+	picked  *picker.Endpoint
+	request *picker.Request
+	start   time.Time
+	cold    bool
 }
 
 // Acquire waits for an endpoint. It returns a refusal that is final: queued
@@ -64,10 +64,18 @@
 	if bad != nil {
 		return nil, bad
 	}
-	select {
-	case g := <-w.done:
-		return g.ticket, g.refusal
-	case <-ctx.Done():
+	for {
+		select {
+		case g := <-w.done:
+			if g.ticket == nil || !g.ticket.cold || d.takeCold(ctx, g.ticket) {
+				return g.ticket, g.refusal
+			}
+			// No cold slot was to be had; the request waits at its place.
+			g.ticket.putBack()
+			continue
+		case <-ctx.Done():
+		}
+		break
 	}
 	if !l.queue.Remove(it) {
 		// It was granted or refused at the same moment; a granted slot goes back.
@@ -135,17 +143,9 @@
 	}
 	e := d.endpoints[p.Name]
 	t := &Ticket{
-		Endpoint: p.Name, Address: e.spec.Address, Cold: e.cold,
+		Endpoint: p.Name, Address: e.spec.Address, cold: e.cold,
 		d: d, line: l, need: n, item: it, picked: p, request: r, start: now,
 	}
-	if e.cold {
-		free, ok := d.cfg.Slots.TakeCold(p.Name, e.spec.ColdSlots)
-		if !ok {
-			d.table.Done(now, p, r, limit.Sample{Failed: true})
-			return nil, picker.MissFull
-		}
-		t.freeCold = free
-	}
 	e.running[it.ID] = n.Fingerprint
 	n.made++
 	if !n.paid {
@@ -157,6 +157,74 @@
 	return t, picker.Picked
 }
 
+// coldRetry is how long no cold slot of an endpoint is asked for after none was to
+// be had. Grounds: a cold engine runs its few requests for a second or more, so that
+// asking sooner finds them still running; a fifth of that loses little.
+const coldRetry = 200 * time.Millisecond
+
+// takeCold gets the cold slot that a ticket needs. It may ask other VMs, so that no
+// lock is held.
+func (d *Dispatcher) takeCold(ctx context.Context, t *Ticket) bool {
+	d.mu.Lock()
+	e := d.endpoints[t.Endpoint]
+	limit := 0
+	if e != nil {
+		limit = e.spec.ColdSlots
+	}
+	d.mu.Unlock()
+	slot, ok := d.cfg.Slots.TakeCold(ctx, t.Endpoint, limit)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e = d.endpoints[t.Endpoint]; e == nil {
+		if ok {
+			slot.Release(true)
+		}
+		return false
+	}
+	if ok {
+		t.Cold = slot
+		e.granted++
+	} else {
+		e.blocked = time.Now().Add(coldRetry)
+	}
+	d.table.SetBounds(t.Endpoint, d.bounds(e))
+	d.pumpAll(e, time.Now())
+	return ok
+}
+
+// unblock lets cold slots be asked for again. Callers hold d.mu.
+func (d *Dispatcher) unblock(now time.Time) {
+	for name, e := range d.endpoints {
+		if e.cold && !e.blocked.IsZero() && !now.Before(e.blocked) {
+			e.blocked = time.Time{}
+			d.table.SetBounds(name, d.bounds(e))
+		}
+	}
+}
+
+// pumpAll starts what fits in the pools of an endpoint. Callers hold d.mu.
+func (d *Dispatcher) pumpAll(e *endpoint, now time.Time) {
+	for _, pool := range e.pools {
+		if l := d.lines[pool]; l != nil {
+			d.refresh(l, now)
+		}
+	}
+}
+
+// putBack gives a ticket back whose request goes on waiting.
+func (t *Ticket) putBack() {
+	d, now := t.d, time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.Done(now, t.picked, t.request, limit.Sample{Failed: true})
+	if e := d.endpoints[t.Endpoint]; e != nil {
+		delete(e.running, t.item.ID)
+	}
+	t.need.made--
+	t.line.queue.PutBack(now, t.item)
+	d.refresh(t.line, now)
+}
+
 // Result is what an attempt tells about its endpoint.
 type Result struct {
 	// Failed: the endpoint did not give the answer it should have.
@@ -173,6 +241,8 @@
 	Cold        bool
 	// Running is the endpoint's number of requests; -1 when it didn't say.
 	Running int
+	// Ended: the endpoint certainly runs the request no more.
+	Ended bool
 	// Work is what the request took, 0 if not known.
 	Work float64
 }
@@ -186,8 +256,8 @@
 func (t *Ticket) release(r Result, used bool) {
 	d := t.d
 	now := time.Now()
-	if t.freeCold != nil {
-		t.freeCold()
+	if t.Cold != nil {
+		t.Cold.Release(r.Ended || !used)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -212,11 +282,11 @@
 	}
 	if e := d.endpoints[t.Endpoint]; e != nil {
 		delete(e.running, t.item.ID)
-		for _, pool := range e.pools {
-			if l := d.lines[pool]; l != nil {
-				d.refresh(l, now)
-			}
+		if t.Cold != nil {
+			e.granted--
+			d.table.SetBounds(t.Endpoint, d.bounds(e))
 		}
+		d.pumpAll(e, now)
 	}
 }
 
@@ -247,6 +317,29 @@
 		// it bears no more than an endpoint in cold start.
 		d.setCold(t.Endpoint, e, true)
 	}
+	if r.Unreached && e.spec.Service == "" {
+		d.setDown(t.Endpoint, e, true)
+	}
+}
+
+// setDown keeps work from an endpoint that can't be reached, until it answers the
+// question for its state. Callers hold d.mu.
+func (d *Dispatcher) setDown(name string, e *endpoint, down bool) {
+	if e.down == down {
+		return
+	}
+	e.down = down
+	d.table.Update(name, func(s *picker.State) { s.Down = down })
+}
+
+// Unreachable tells that an endpoint did not answer the question for its state.
+func (d *Dispatcher) Unreachable(endpoint string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e := d.endpoints[endpoint]; e != nil {
+		d.setDown(endpoint, e, true)
+		d.pumpAll(e, time.Now())
+	}
 }
 
 // crashed blames an endpoint's crash on what ran there. Callers hold d.mu.
@@ -262,6 +355,7 @@
 // reported takes an endpoint's word on itself. Callers hold d.mu.
 func (d *Dispatcher) reported(now time.Time, name string, e *endpoint, r Result) {
 	e.incarnation = r.Incarnation
+	d.setDown(name, e, false)
 	d.setCold(name, e, r.Cold)
 	if r.Running >= 0 {
 		d.table.Report(name, picker.Report{InFlight: r.Running, At: now})
@@ -295,9 +389,7 @@
 		return
 	}
 	d.reported(now, endpoint, e, r)
-	for _, pool := range e.pools {
-		d.refresh(d.lines[pool], now)
-	}
+	d.pumpAll(e, now)
 }
 
 // setCold changes an endpoint's state of start. Callers hold d.mu.
--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -23,6 +23,9 @@
 	// DialTimeout bounds the connect to an endpoint. Grounds: endpoints are in the
 	// same or a close data centre (brief); a second is many round trips.
 	DialTimeout = time.Second
+	// ColdTimeLimit is how long an endpoint in cold start may run a request; it ends
+	// the request by itself then. Cold slots are reckoned by it (slot.Defaults.Job).
+	ColdTimeLimit = time.Minute
 	// maxFrame bounds one event, in bytes; a token's frame takes some hundred.
 	maxFrame = 256 << 10
 	// idlePerHost keeps connections to one endpoint open between requests; an endpoint bears a few dozen at once.
@@ -45,8 +48,9 @@
 	Version string
 	// Class is the priority class the engine is told.
 	Class int
-	// Cold says that the caller holds one of the endpoint's cold slots.
-	Cold bool
+	// MayStart is set when the caller holds one of the endpoint's cold slots, and says
+	// whether it still does; it is asked right before the first byte.
+	MayStart func() bool
 	// Body is the caller's request.
 	Body *Body
 }
@@ -129,7 +133,7 @@
 			DisableCompression:  true,
 		}},
 		cold: &http.Client{Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dialer.dialCold,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 		}},
@@ -165,13 +169,16 @@
 }
 
 func (c *Client) stream(ctx context.Context, call Call, s *Stream, emit func(Frame) error) Outcome {
+	if call.MayStart != nil {
+		ctx = context.WithValue(ctx, mayStartKey{}, call.MayStart)
+	}
 	req, err := newRequest(ctx, call, s)
 	if err != nil {
 		return Outcome{Result: NotSent, Err: err}
 	}
 	start := time.Now()
 	client := c.warm
-	if call.Cold {
+	if call.MayStart != nil {
 		client = c.cold
 	}
 	resp, err := client.Do(req)
@@ -213,6 +220,9 @@
 	h.Set("X-Request-Id", call.RequestID)
 	h.Set("X-Model-Version", call.Version)
 	h.Set("X-Priority", strconv.Itoa(call.Class))
+	if call.MayStart != nil {
+		h.Set("X-Time-Limit-Ms", strconv.FormatInt(ColdTimeLimit.Milliseconds(), 10))
+	}
 	if s.Next > 0 {
 		h.Set("X-Resume-From", strconv.Itoa(s.Next))
 	}
--- a/router/engine/warm.go
+++ b/router/engine/warm.go
@@ -45,6 +45,26 @@
 	return conn, nil
 }
 
+// mayStartKey carries a cold slot's MayStart to the dial.
+type mayStartKey struct{}
+
+// errSlotLost: the cold slot ran out while the connection was made.
+var errSlotLost = errors.New("the cold slot is no longer this VM's")
+
+// dialCold connects for a request that holds a cold slot. A process that was paused
+// after it got the slot finds here that the slot may be another VM's by now.
+func (d *warmDialer) dialCold(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if mayStart, ok := ctx.Value(mayStartKey{}).(func() bool); !ok || !mayStart() {
+		_ = conn.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errSlotLost}
+	}
+	return conn, nil
+}
+
 // probe asks the process at the end of a connection for its state.
 func probe(conn net.Conn, address string) (Report, error) {
 	if err := conn.SetDeadline(time.Now().Add(DialTimeout)); err != nil {
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -272,14 +272,17 @@
 	fin.attempts++
 	fin.endpoint = t.Endpoint
 	a.from(t.Endpoint)
-	o := e.engines.Stream(ctx, engine.Call{
+	call := engine.Call{
 		RequestID: c.engineID,
 		Address:   t.Address,
 		Version:   c.version,
 		Class:     int(c.Class),
 		Body:      c.body,
-		Cold:      t.Cold,
-	}, fin.stream, a.frame)
+	}
+	if t.Cold != nil {
+		call.MayStart = t.Cold.MayStart
+	}
+	o := e.engines.Stream(ctx, call, fin.stream, a.frame)
 	t.Done(resultOf(o, fin.stream))
 	e.outcomes.ended(c, o)
 	if o.Result == engine.WrongVersion {
@@ -308,8 +311,11 @@
 		Cold:        o.Report.Cold,
 		Running:     o.Report.Running,
 	}
-	if o.Result == engine.Complete {
-		r.Work = float64(s.Next)
+	switch o.Result {
+	case engine.Complete:
+		r.Work, r.Ended = float64(s.Next), true
+	case engine.NotSent, engine.Refused, engine.Failed, engine.Cold, engine.Forgotten:
+		r.Ended = true
 	}
 	return r
 }
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -127,6 +127,7 @@
 			Failed:    result == service.Unknown || answer.Status >= http.StatusInternalServerError,
 			Unreached: result == service.NotSent,
 			Running:   -1,
+			Ended:     result != service.Unknown,
 		})
 		if result == service.Answered {
 			return answer, t.Endpoint, nil
--- a/router/vm/fleet.go
+++ b/router/vm/fleet.go
@@ -201,7 +201,7 @@
 func (v *VM) tell(ctx context.Context) {
 	var last []string
 	for wait(ctx, telling) {
-		v.fleet.members.Update(v.cache.Revision(), v.slots.Epoch(), v.dispatch.Load())
+		v.fleet.members.Update(v.cache.Revision(), v.slots.cold.Epoch(), v.dispatch.Load())
 		if ids := v.fleet.ids(); !slices.Equal(ids, last) {
 			last = ids
 			v.dispatch.Rebalance()
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -23,6 +23,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/fleet/peer"
+	"goldcrestfork/fleet/slot"
 	"goldcrestfork/router/refusal"
 	"goldcrestfork/router/settings"
 	"goldcrestfork/standin/backend"
@@ -93,7 +94,7 @@
 		"keepAddresses": "1ms", "spreadLeaving": "1ms",
 	}`, dir, w.platform, hash("secret"), w.rater, name, strings.Join(w.seeds, ",")))
 	require.NoError(w.t, err)
-	v, err = New(s, zerolog.Nop())
+	v, err = newVM(s, zerolog.Nop(), slot.Params{Evidence: 3 * time.Second, Start: 2 * time.Second, Job: time.Minute, Drift: slot.Defaults.Drift})
 	require.NoError(w.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/router/vm/operators.go
+++ b/router/vm/operators.go
@@ -12,6 +12,7 @@
 	"goldcrestfork/control/loops"
 	"goldcrestfork/fleet/member"
 	"goldcrestfork/fleet/peer"
+	"goldcrestfork/fleet/slot"
 	"goldcrestfork/ledger"
 	"goldcrestfork/policy/cascade"
 	"goldcrestfork/router/dispatch"
@@ -47,6 +48,7 @@
 	Dispatch      dispatch.Dump `json:"dispatch"`
 	Fleet         member.Dump   `json:"fleet"`
 	Peers         peer.Dump     `json:"peers"`
+	ColdSlots     slot.Dump     `json:"coldSlots"`
 	Ledger        ledger.Dump   `json:"ledger"`
 	BillsHeld     int           `json:"billsHeld"`
 	Cascade       cascade.Dump  `json:"cascade"`
@@ -66,6 +68,7 @@
 		Dispatch:      v.dispatch.Dump(),
 		Fleet:         v.fleet.members.Dump(time.Now()),
 		Peers:         v.fleet.link.Dump(),
+		ColdSlots:     v.slots.cold.Dump(time.Now()),
 		Ledger:        v.ledger.Dump(),
 		BillsHeld:     v.bills.Held(),
 		Cascade:       v.entry.Cascade(),
--- a/router/vm/poll.go
+++ b/router/vm/poll.go
@@ -35,7 +35,8 @@
 func (v *VM) ask(ctx context.Context, p dispatch.Place) {
 	r, err := v.engines.State(ctx, p.Address)
 	if err != nil {
-		// It is down; the next round asks again.
+		// The next round asks again.
+		v.dispatch.Unreachable(p.Endpoint)
 		return
 	}
 	v.dispatch.Reported(p.Endpoint, dispatch.Result{
--- a/router/vm/promises_test.go
+++ b/router/vm/promises_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config"
@@ -271,3 +273,56 @@
 	}
 	return bakerKey
 }
+
+// Three VMs have work for one engine that has just started and bears two requests.
+// Whichever VM sends them, never more than two may run at once, and every caller
+// gets its answer: slots are one VM's at a time, and a VM without one borrows it.
+func TestColdSlotsAreExactOverThreeVMs(t *testing.T) {
+	w := newWorld(t, 1)
+	vms := []*VM{w.vm}
+	for _, name := range []string{"vm-2", "vm-3"} {
+		v, _ := w.start(name)
+		vms = append(vms, v)
+	}
+	e := *w.vm.cache.Snapshot().Endpoints["runner-0"]
+	e.ColdSlots, e.Slots = 2, 24
+	w.put(&e)
+	for _, v := range vms {
+		w.inForce(v, w.vm.cache.Revision())
+		until(t, func() bool { return len(v.fleet.live()) == 2 && v.slots.cold.Dump(time.Now()).Members == 3 })
+	}
+	w.restart(0)
+	w.engines[0].SetFaults(backend.EngineFaults{TokenDelay: 2 * time.Millisecond})
+	var callers sync.WaitGroup
+	for i := range 24 {
+		callers.Go(func() {
+			r := w.askAt(vms[i%len(vms)], bakerKey, v1, fmt.Sprint(prompt, i), 5, true, nil)
+			assert.Equal(t, http.StatusOK, r.status, r.body)
+			text, whole := r.text(t)
+			assert.True(t, whole)
+			assert.Equal(t, backend.Answer(fmt.Sprint(prompt, i), 5), text)
+		})
+	}
+	callers.Wait()
+	require.LessOrEqual(t, w.engines[0].Stats().MaxCold, 2)
+	require.Positive(t, w.engines[0].Stats().MaxCold)
+}
+
+// All engines of a pool die under waiting requests. The callers must be told at
+// once that their requests were not run and when to come back: nobody knows when
+// there will be an engine again. When the engines are back, requests run.
+func TestDeadPoolRefusesAtOnce(t *testing.T) {
+	w := newWorld(t, 1)
+	good := *w.vm.cache.Snapshot().Endpoints["runner-0"]
+	bad := good
+	bad.Address = closedAddress(t)
+	w.put(&bad)
+	for range 3 {
+		r := w.ask(bakerKey, v1, prompt, 2, false, map[string]string{"X-Deadline-Ms": "1800000"})
+		require.Equal(t, http.StatusServiceUnavailable, r.status, r.body)
+		require.Equal(t, refusal.NotRun, r.problem(t).Ran)
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+	}
+	w.put(&good)
+	until(t, func() bool { return w.ask(bakerKey, v1, prompt, 2, false, nil).status == http.StatusOK })
+}
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -21,6 +21,7 @@
 	"goldcrestfork/config/exchange"
 	"goldcrestfork/control/loops"
 	"goldcrestfork/fleet/rendezvous"
+	"goldcrestfork/fleet/slot"
 	"goldcrestfork/ledger"
 	"goldcrestfork/ledger/bill"
 	"goldcrestfork/ledger/pin"
@@ -63,6 +64,7 @@
 	recorder *rollout.Recorder
 	fleet    *fleet
 	slots    *slots
+	bounds   slot.Params
 	loops    *loops.Loops
 	brakes   *rollout.Brakes
 	// incarnation tells this start from an earlier one of the same VM.
@@ -74,7 +76,13 @@
 
 // New opens the listeners and wires a VM; Run serves.
 func New(s *settings.Settings, log zerolog.Logger) (*VM, error) {
+	return newVM(s, log, slot.Defaults)
+}
+
+// newVM is New with bounds of the cold slots that tests can shorten.
+func newVM(s *settings.Settings, log zerolog.Logger, bounds slot.Params) (*VM, error) {
 	v := &VM{
+		bounds:   bounds,
 		settings: s,
 		log:      log.With().Str("vm", s.VM).Logger(),
 		registry: prometheus.NewRegistry(),
@@ -146,7 +154,10 @@
 	v.editor = config.NewEditor(v.store, v.cache)
 	v.recorder = rollout.NewRecorder(process(v.settings.VM, v.incarnation))
 	v.brakes = &rollout.Brakes{}
-	v.slots = newSlots(v.fleet)
+	v.slots = &slots{fleet: v.fleet, bounds: v.bounds, cold: slot.NewService(slot.Options{
+		Params: v.bounds, Store: v.store, Link: v.fleet.link, Membership: v.fleet.members,
+		Limit: v.coldLimit, Registerer: v.registry, Log: v.log,
+	})}
 	v.ledger = ledger.New(v.store, v.fleet, v.registry, ledger.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
 	v.claims = ledger.NewClaims(v.ledger, v.fleet.living)
 	v.bills = bill.NewSpool(v.store, v.registry, bill.Settings{VM: v.settings.VM, Incarnation: v.incarnation})
@@ -180,6 +191,15 @@
 	return nil
 }
 
+// coldLimit is what an endpoint bears cold by this VM's configuration.
+func (v *VM) coldLimit(endpoint string) int {
+	e := v.cache.Snapshot().Endpoints[endpoint]
+	if e == nil {
+		return 0
+	}
+	return e.ColdSlots
+}
+
 // CallersAddress is where callers connect.
 func (v *VM) CallersAddress() string { return v.callers.Addr().String() }
 
@@ -197,7 +217,7 @@
 	callers := v.server(v.entry.Handler())
 	operators := v.server(v.operatorsHandler())
 	for _, loop := range []func(context.Context){
-		v.register, v.fleet.members.Run, v.tell,
+		v.register, v.fleet.members.Run, v.slots.cold.Run, v.tell,
 		v.cache.Run, func(ctx context.Context) { v.cache.Subscribe(ctx, v.dispatch.Configure) },
 		v.dispatch.Run, v.pollCold, v.spreadPoison,
 		func(ctx context.Context) { v.bills.Run(ctx, bill.FlushInterval(len(v.fleet.ids()))) },
@@ -214,6 +234,7 @@
 		}
 		v.drain(work)
 		v.settle(work)
+		v.slots.cold.Close()
 		v.fleet.members.Leave()
 		stop()
 		_ = callers.Close()
@@ -242,6 +263,7 @@
 func (v *VM) drain(ctx context.Context) {
 	v.log.Info().Msg("leaving: no longer in address answers")
 	v.fleet.members.Drain()
+	v.slots.cold.Drain()
 	wait(ctx, time.Duration(v.settings.SpreadLeaving)+time.Duration(v.settings.KeepAddresses))
 	v.entry.Close()
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(v.settings.StopGrace))
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -6,6 +6,7 @@
 package backend
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -273,6 +274,11 @@
 }
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, s *stream) {
+	if limit, err := strconv.Atoi(r.Header.Get("X-Time-Limit-Ms")); err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(limit)*time.Millisecond)
+		defer cancel()
+		r = r.WithContext(ctx)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	cut := e.takeCut(s)
