Show that expiry never falls and that deletions wait for the head

Cause: with the early deletion put back, TestLostRaceAfterSeal passed: its other VM committed before the round that seals, not between the seal and the head's write. And no test had two clocks at one claim. Change: the test's store lets the other VM in just after a seal, once all that was set off has happened; TestExpiryNeverFalls.

--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -81,6 +81,20 @@
 	})
 }
 
+// VMs' clocks differ by an hour. An entry that expired before the one it hides
+// would bring that back: a finished claim would be open again.
+func TestExpiryNeverFalls(t *testing.T) {
+	begin := op{Kind: opBegin, Nonce: 1, Hours: 24}
+	open, _, _ := apply(nil, begin, 101)
+	done, _, _ := apply(&open, op{Kind: opFinish, Nonce: 1, Hours: 24, State: StateDone}, 100)
+	require.Equal(t, open.Expire, done.Expire)
+	notRun, _, _ := apply(&open, op{Kind: opClose, Nonce: 1, Hours: 24}, 100)
+	begin.Nonce = 2
+	again, changed, _ := apply(&notRun, begin, 100)
+	require.True(t, changed)
+	require.Equal(t, open.Expire, again.Expire)
+}
+
 // A VM dies between a seal and the head's write, at each call in turn: nothing
 // acknowledged is lost, and Sweep finds what it left behind.
 func TestDeathAtEachCall(t *testing.T) {
@@ -120,18 +134,21 @@
 	}
 }
 
-// racingStore lets another VM commit just before one's own head write.
+// racingStore lets another VM act between one's seal and one's head write.
 type racingStore struct {
 	platform.Store
+	sealed bool
 	before func()
 }
 
 func (r *racingStore) Put(ctx context.Context, k platform.Key, value []byte, at int64) (platform.Object, error) {
-	if k.Name == headName(3) && r.before != nil {
+	head := k.Name == headName(3)
+	if head && r.sealed && r.before != nil {
 		before := r.before
 		r.before = nil
 		before()
 	}
+	r.sealed = !head
 	return r.Store.Put(ctx, k, value, at)
 }
 
@@ -144,12 +161,18 @@
 		a := sealing(r, "a")
 		keys := keysOfShard(3, 200)
 		other := keysOfShard(3, 400)[200:]
+		var won []Key
 		for i, k := range keys {
-			r.before = func() { decideAll(t, testLedger(s, "b"), other[i:i+1], 24) }
+			r.before = func() {
+				synctest.Wait() // whatever a has set off by now has happened
+				decideAll(t, testLedger(s, "b"), other[i:i+1], 24)
+				won = append(won, other[i])
+			}
 			decideAll(t, a, []Key{k}, 24)
 		}
 		a.Wait()
-		for _, k := range append(keys, other...) {
+		require.NotEmpty(t, won)
+		for _, k := range append(keys, won...) {
 			require.NotNil(t, readBack(t, s, k))
 		}
 	})
