Say when a VM's verdict on its configuration changes

Cause: a VM that stops taking work since it is cut off said so only when asked. Ruled out: a line for each judgement. Change: a counter and a log line for each change of the verdict and of the source of configuration. Measured: go test -race ./config/... ./router/vm passes; the test of a cut VM counts one change to "cut". Conclusion: those on call can alert on it.

--- a/config/cache.go
+++ b/config/cache.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"goldcrestfork/config/staleness"
 	"goldcrestfork/platform"
 )
@@ -37,6 +39,8 @@
 	VMs func() map[string]int
 	// Metrics counts; nil counts nowhere.
 	Metrics *Metrics
+	// Log takes a line for each change of the verdict or of the source.
+	Log zerolog.Logger
 }
 
 // published is one configuration in force on this VM, with the bytes that peers
@@ -81,6 +85,8 @@
 	proof time.Time
 	// failing says that this VM's last call to the platform failed.
 	failing bool
+	// verdict is the last one that was given.
+	verdict staleness.Verdict
 	// mode is where the configuration comes from now.
 	mode Mode
 }
@@ -266,10 +272,16 @@
 func (c *Cache) judge(now time.Time) staleness.Decision {
 	d := staleness.Judge(c.view(now), now)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if d.Confirmed.After(c.proof) {
 		c.proof = d.Confirmed
 	}
+	changed := d.Verdict != c.verdict
+	c.verdict = d.Verdict
+	c.mu.Unlock()
+	if changed {
+		c.opts.Metrics.Verdicts.WithLabelValues(string(d.Verdict)).Inc()
+		c.opts.Log.Info().Str("verdict", string(d.Verdict)).Str("reason", d.Reason).Bool("takesWork", d.TakesWork()).Msg("configuration's staleness judged anew")
+	}
 	return d
 }
 
--- a/config/cache_test.go
+++ b/config/cache_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config/staleness"
@@ -335,6 +336,7 @@
 		cutOff.storeCut.Store(true)
 		settle(staleness.Bound + Rotation)
 		require.Equal(t, staleness.Cut, cutOff.cache.Staleness(time.Now()).Verdict)
+		require.EqualValues(t, 1, testutil.ToFloat64(cutOff.cache.opts.Metrics.Verdicts.WithLabelValues("cut")), "those on call must see it")
 		_, _, err = cutOff.editor.Apply(t.Context(), []Change{centre("norte-b")})
 		require.ErrorIs(t, err, staleness.ErrMinority)
 		require.Equal(t, staleness.Fresh, f.vms[1].cache.Staleness(time.Now()).Verdict)
--- a/config/metrics.go
+++ b/config/metrics.go
@@ -30,6 +30,8 @@
 	Notices *prometheus.CounterVec
 	// FetchedBytes is goldcrest_config_fetched_bytes_total: configuration taken from peers.
 	FetchedBytes prometheus.Counter
+	// Verdicts is goldcrest_config_verdict_changes_total by the verdict entered: starting, fresh, store down, cut.
+	Verdicts *prometheus.CounterVec
 	// ModeChanges is goldcrest_config_mode_changes_total by the mode entered.
 	ModeChanges *prometheus.CounterVec
 }
@@ -50,11 +52,12 @@
 		Questions:    counters("questions_total", "Questions to other VMs for their evidence.", "outcome"),
 		Notices:      counters("notices_total", "Notices of a new revision to other VMs.", "outcome"),
 		FetchedBytes: counter("fetched_bytes_total", "Bytes of configuration taken from peers."),
+		Verdicts:     counters("verdict_changes_total", "Changes of the verdict on staleness.", "verdict"),
 		ModeChanges:  counters("mode_changes_total", "Changes of the source of configuration.", "mode"),
 	}
 	if r != nil {
 		r.MustRegister(m.Revision, m.Published, m.Stale, m.Reverted, m.Undecodable, m.Misfits, m.StoreErrors,
-			m.Relists, m.StoreCalls, m.Fetches, m.Questions, m.Notices, m.FetchedBytes, m.ModeChanges)
+			m.Relists, m.StoreCalls, m.Fetches, m.Questions, m.Notices, m.FetchedBytes, m.Verdicts, m.ModeChanges)
 	}
 	return m
 }
--- a/config/pages_test.go
+++ b/config/pages_test.go
@@ -37,10 +37,11 @@
 	m.Fetches.WithLabelValues("answered")
 	m.Questions.WithLabelValues("answered")
 	m.Notices.WithLabelValues("told")
+	m.Verdicts.WithLabelValues("cut")
 	m.ModeChanges.WithLabelValues("reading")
 	families, err := registry.Gather()
 	require.NoError(t, err)
-	require.Len(t, families, 14)
+	require.Len(t, families, 15)
 	for _, f := range families {
 		require.Contains(t, metrics, "`"+f.GetName())
 	}
--- a/config/run.go
+++ b/config/run.go
@@ -101,10 +101,12 @@
 		mode = ModeReading
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.mode != mode {
-		c.mode = mode
+	changed := c.mode != mode
+	c.mode = mode
+	c.mu.Unlock()
+	if changed {
 		c.opts.Metrics.ModeChanges.WithLabelValues(string(mode)).Inc()
+		c.opts.Log.Info().Str("mode", string(mode)).Msg("source of configuration changed")
 	}
 	return mode
 }
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -140,7 +140,7 @@
 	})
 	v.cache = config.NewCache(config.Options{
 		Store: v.store, Peers: peers, Contacts: peers, DataCentre: v.settings.DataCentre,
-		VMs: v.fleet.perDataCentre, Metrics: config.NewMetrics(v.registry),
+		VMs: v.fleet.perDataCentre, Metrics: config.NewMetrics(v.registry), Log: v.log,
 	})
 	v.fleet.revision = v.cache.Revision
 	v.editor = config.NewEditor(v.store, v.cache)
