Prove kill, freeze and planned stop with the built daemons

Cause: these promises stood on in-process tests alone. Change: cmd/processtest builds the daemons, runs a deployment over loopback and kills, freezes and stops VMs; the service's stand-in holds an answer on request and the engine's tells its starts apart and can begin cold.

--- /dev/null
+++ b/cmd/processtest/world_test.go
@@ -0,0 +1,258 @@
+package processtest
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config"
+	"goldcrestfork/fleet/peer"
+	"goldcrestfork/router/operator"
+	"goldcrestfork/router/operator/client"
+	"goldcrestfork/standin/backend"
+)
+
+const (
+	callerKey   = "baker-key"
+	operatorKey = "operator-key"
+	version     = "asistente-4"
+	other       = "asistente-5"
+	// spare certificates are for VMs that start in the course of a test.
+	spare = 2
+)
+
+// world is a deployment in processes.
+type world struct {
+	t        testing.TB
+	platform *process
+	rating   *process
+	service  *process
+	engines  []*process
+	vms      []*process
+	dir      string
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// newWorld starts VMs before engines and a plain service, configured and ready.
+func newWorld(t testing.TB, vms, engines int) *world {
+	t.Helper()
+	w := &world{t: t, dir: t.TempDir()}
+	w.platform = run(t, "platform", "platformd", "--listen", "127.0.0.1:0", "--vm-lag", "0s")
+	w.rating = run(t, "rating", "standin", "rating")
+	w.service = run(t, "service", "standin", "service")
+	for i := range engines {
+		w.engines = append(w.engines, run(t, fmt.Sprint("engine-", i), "standin", "engine", version, other))
+	}
+	w.certify(vms + spare)
+	var seeds []string
+	for i := range vms {
+		vm := w.start(vmName(i), seeds...)
+		w.vms = append(w.vms, vm)
+		seeds = append(seeds, peerAddress(t, vm))
+	}
+	w.configure()
+	for _, vm := range w.vms {
+		until(t, vm.name+" ready", func() bool { return ready(vm) })
+		until(t, vm.name+" knows the others", func() bool { return len(w.addresses(vm)) == vms })
+	}
+	return w
+}
+
+func vmName(i int) string { return fmt.Sprint("vm-", i+1) }
+
+func (w *world) certify(n int) {
+	var names []string
+	for i := range n {
+		names = append(names, vmName(i))
+	}
+	set, err := peer.NewTrialSet(time.Now(), names...)
+	require.NoError(w.t, err)
+	files := map[string][]byte{"ca": set.CA}
+	for name, vm := range set.VMs {
+		files[name+".pem"], files[name+".key"] = vm.Certificate, vm.Key
+	}
+	for name, data := range files {
+		require.NoError(w.t, os.WriteFile(filepath.Join(w.dir, name), data, 0o600))
+	}
+}
+
+// start starts a VM; seeds are peers' addresses to start from.
+func (w *world) start(name string, seeds ...string) *process {
+	w.t.Helper()
+	list, err := json.Marshal(seeds)
+	require.NoError(w.t, err)
+	if seeds == nil {
+		list = []byte("[]")
+	}
+	file := filepath.Join(w.dir, name+".jsonc")
+	require.NoError(w.t, os.WriteFile(file, fmt.Appendf(nil, `{
+		"vm": "%[1]s", "dataCentre": "norte-a", "region": "norte",
+		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
+		"peers": {"address": "127.0.0.1:0", "ca": "%[2]s/ca", "certificate": "%[2]s/%[1]s.pem", "key": "%[2]s/%[1]s.key", "seeds": %[3]s},
+		"platform": {"url": "http://%[4]s", "register": true},
+		"secret": "%[5]s", "operatorKeyHashes": ["%[6]s"], "rating": {"url": "http://%[7]s/rate"},
+		"keepAddresses": "1s", "spreadLeaving": "2s",
+	}`, name, w.dir, list, w.platform.serving["address"], hash("secret"), hash(operatorKey), w.rating.serving["address"]), 0o600))
+	return run(w.t, name, "goldcrestd", file)
+}
+
+// peerAddress is where a VM's peers reach it.
+func peerAddress(t testing.TB, vm *process) string {
+	var state struct{ Peers struct{ Address string } }
+	require.True(t, control(http.MethodGet, vm.serving["operators"], "/state", nil, &state))
+	return state.Peers.Address
+}
+
+func ready(vm *process) bool {
+	return control(http.MethodGet, vm.serving["operators"], "/readyz", nil, nil)
+}
+
+func (w *world) configure() {
+	selector := config.Selector{"use": {"test"}}
+	meta := func(name string) config.Meta {
+		return config.Meta{Name: name, Labels: map[string]string{"use": "test"}}
+	}
+	objects := []config.Object{
+		&config.DataCentre{Meta: meta("norte-a"), Region: "norte", State: config.DataCentreIn},
+		&config.ModelVersion{Meta: meta(version), Model: "asistente", State: config.VersionServing, Cost: 100, Quality: 0.6},
+		&config.ModelVersion{Meta: meta(other), Model: "asistente", State: config.VersionServing, Cost: 900, Quality: 0.9},
+		&config.Service{Meta: meta("conector"), Calls: []config.Call{{Method: "POST", Path: "/refunds"}}},
+		&config.Endpoint{Meta: meta("conector-1"), Address: w.service.serving["address"], DataCentre: "norte-a", Service: "conector", Slots: 30, ColdSlots: 1, State: config.EndpointServing},
+		&config.ClientAccount{Meta: meta("baker"), KeyHashes: []string{hash(callerKey)}, Class: config.ClassInteractive, Versions: selector, Services: selector},
+	}
+	for i, e := range w.engines {
+		objects = append(objects, &config.Endpoint{Meta: meta(fmt.Sprint("runner-", i)), Address: e.serving["address"], DataCentre: "norte-a",
+			Versions: []string{version, other}, Slots: 30, ColdSlots: 3, State: config.EndpointServing})
+	}
+	var texts []json.RawMessage
+	for _, o := range objects {
+		text, err := config.Marshal(o)
+		require.NoError(w.t, err)
+		texts = append(texts, text)
+	}
+	body, err := json.Marshal(texts)
+	require.NoError(w.t, err)
+	w.change(w.vms[0], "/v1/apply", body)
+}
+
+// operators is the operators' client at the VMs given.
+func operators(vms ...*process) *client.Client {
+	c := &client.Client{Key: operatorKey, HTTP: &http.Client{Timeout: 20 * time.Second}}
+	for _, vm := range vms {
+		c.VMs = append(c.VMs, "http://"+vm.serving["operators"])
+	}
+	return c
+}
+
+// change makes a change at a VM and returns its revision.
+func (w *world) change(vm *process, path string, body []byte) int64 {
+	w.t.Helper()
+	a, err := operators(vm).Do(w.t.Context(), client.Change{Method: http.MethodPost, Path: path, Body: body})
+	require.NoError(w.t, err)
+	return a.Revision
+}
+
+// bills gives the requests billed by version, as one VM reads them.
+func (w *world) bills(vm *process) map[string]int64 {
+	w.t.Helper()
+	requests := make(map[string]int64)
+	// A test may run over midnight.
+	for _, day := range []time.Time{time.Now().UTC().Add(-time.Hour), time.Now().UTC()} {
+		text, err := operators(vm).Read(w.t.Context(), "/v1/bills?day="+day.Format(time.DateOnly), 0)
+		require.NoError(w.t, err)
+		var rows []operator.Bill
+		require.NoError(w.t, json.Unmarshal(text, &rows))
+		for _, r := range rows {
+			requests[r.Version] = max(requests[r.Version], r.Requests)
+		}
+	}
+	return requests
+}
+
+// state is what the tests read of a VM's state dump.
+type state struct {
+	Running   int
+	BillsHeld int
+}
+
+// settled waits until VMs have no request under way and no bill unwritten.
+func (w *world) settled(vms ...*process) {
+	w.t.Helper()
+	for _, vm := range vms {
+		until(w.t, vm.name+" settled", func() bool {
+			var s state
+			return control(http.MethodGet, vm.serving["operators"], "/state", nil, &s) && s.Running == 0 && s.BillsHeld == 0
+		})
+	}
+}
+
+// addresses is what a VM tells callers.
+func (w *world) addresses(vm *process) []string {
+	var list struct{ Addresses []struct{ Address string } }
+	req, err := http.NewRequest(http.MethodGet, "http://"+vm.serving["callers"]+"/v1/addresses", nil)
+	require.NoError(w.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := controls.Do(req)
+	if err != nil {
+		return nil
+	}
+	defer resp.Body.Close()
+	if json.NewDecoder(resp.Body).Decode(&list) != nil {
+		return nil
+	}
+	var out []string
+	for _, a := range list.Addresses {
+		out = append(out, a.Address)
+	}
+	return out
+}
+
+// stats is what an engine saw.
+func stats(t testing.TB, e *process) (s backend.EngineStats) {
+	t.Helper()
+	require.True(t, control(http.MethodGet, e.serving["address"], "/stats", nil, &s))
+	return s
+}
+
+// started is the number of streams that began on all engines.
+func (w *world) started() (n int) {
+	for _, e := range w.engines {
+		n += stats(w.t, e).Started
+	}
+	return n
+}
+
+// booked lists what the service booked.
+func (w *world) booked() map[string]int {
+	w.t.Helper()
+	var all []string
+	require.True(w.t, control(http.MethodGet, w.service.serving["address"], "/booked", nil, &all))
+	times := make(map[string]int)
+	for _, body := range all {
+		times[body]++
+	}
+	return times
+}
+
+// faults sets a stand-in's faults.
+func (w *world) faults(p *process, f any) {
+	w.t.Helper()
+	require.True(w.t, control(http.MethodPost, p.serving["address"], "/faults", f, nil))
+}
+
+// freeze pauses a process; thaw lets it go on.
+func freeze(p *process) { p.signal(syscall.SIGSTOP) }
+func thaw(p *process)   { p.signal(syscall.SIGCONT) }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -18,6 +18,7 @@
 	Engine struct {
 		Versions   []string      `arg:"" help:"Model versions that it serves."`
 		TokenDelay time.Duration `default:"5ms" help:"Time between tokens."`
+		Cold       bool          `help:"Begin in cold start, which ends with a POST of /warm."`
 	} `cmd:"" help:"A model engine's runner."`
 	Service struct{} `cmd:"" help:"A plain service that books each POST."`
 	Rating  struct{} `cmd:"" help:"The rating service."`
@@ -36,6 +37,8 @@
 		h = backend.NewRating().Handler()
 	default:
 		e := backend.NewEngine(cli.Engine.Versions...)
+		// The clock tells this start from an earlier one at the same address.
+		e.Begin(int(time.Now().UnixNano()), cli.Engine.Cold)
 		e.SetFaults(backend.EngineFaults{TokenDelay: cli.Engine.TokenDelay})
 		h = e.Handler()
 	}
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -83,6 +83,13 @@
 	e.faults = f
 }
 
+// Begin tells a process's engine which start of it this is, and whether it is cold.
+func (e *Engine) Begin(incarnation int, cold bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation, e.cold = incarnation, cold
+}
+
 // Restart puts the engine into cold start under a new incarnation.
 func (e *Engine) Restart() {
 	e.mu.Lock()
--- a/standin/backend/service.go
+++ b/standin/backend/service.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/alexedwards/flow"
 )
@@ -15,6 +16,8 @@
 	LoseReplies int `json:"loseReplies"`
 	// Refuse answers 503 before doing anything.
 	Refuse bool `json:"refuse"`
+	// Hold is the time between a call's effect and its answer, in nanoseconds in JSON.
+	Hold time.Duration `json:"hold"`
 }
 
 // Service is a stand-in for a plain service: it books each POST and answers each GET.
@@ -63,8 +66,8 @@
 	if err != nil {
 		return
 	}
-	number, status, lose := s.take(r.Method, string(body))
-	if lose {
+	number, status, hold, lose := s.take(r.Method, string(body))
+	if !pause(r, hold) || lose {
 		panic(http.ErrAbortHandler)
 	}
 	if status != http.StatusOK {
@@ -74,11 +77,11 @@
 	writeJSON(w, map[string]any{"path": r.URL.Path, "number": number})
 }
 
-func (s *Service) take(method, body string) (number, status int, lose bool) {
+func (s *Service) take(method, body string) (number, status int, hold time.Duration, lose bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Refuse {
-		return 0, http.StatusServiceUnavailable, false
+		return 0, http.StatusServiceUnavailable, 0, false
 	}
 	if method == http.MethodGet {
 		s.reads++
@@ -89,9 +92,9 @@
 	}
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
-		return number, http.StatusOK, true
+		return number, http.StatusOK, s.faults.Hold, true
 	}
-	return number, http.StatusOK, false
+	return number, http.StatusOK, s.faults.Hold, false
 }
 
 // RatingFaults is what goes wrong on the rating service.
