--- a/cmd/processtest/world_test.go
+++ b/cmd/processtest/world_test.go
@@ -186,6 +186,17 @@
 type state struct {
 	Running   int
 	BillsHeld int
+	Dispatch  struct{ Pools []struct{ Quarantined int } }
+}
+
+// quarantines is the number of requests that a VM refuses as poison.
+func (w *world) quarantines(vm *process) (n int) {
+	var s state
+	require.True(w.t, control(http.MethodGet, vm.serving["operators"], "/state", nil, &s))
+	for _, p := range s.Dispatch.Pools {
+		n += p.Quarantined
+	}
+	return n
 }
 
 // settled waits until VMs have no request under way and no bill unwritten.
--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // PoolDump is one pool in the state dump.
@@ -12,6 +13,8 @@
 	Running   int    `json:"running"`
 	Capacity  int    `json:"capacity"`
 	Endpoints int    `json:"endpoints"`
+	// Quarantined is the number of requests refused because they crash what runs them.
+	Quarantined int `json:"quarantined"`
 }
 
 // EndpointDump is one endpoint in the state dump: why it gets work or not.
@@ -38,11 +41,12 @@
 func (d *Dispatcher) Dump() Dump {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	var out Dump
 	for name, l := range d.lines {
 		waiting, running := l.queue.Len()
 		slots, _ := d.table.Capacity(name)
-		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: l.size})
+		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: l.size, Quarantined: l.quarantined(now)})
 	}
 	for name, e := range d.endpoints {
 		b := d.bounds(e)
@@ -58,6 +62,15 @@
 	return out
 }
 
+func (l *line) quarantined(now time.Time) (n int) {
+	for _, c := range l.tracker.Counts(now) {
+		if l.tracker.Quarantined(now, c.Fingerprint) {
+			n++
+		}
+	}
+	return n
+}
+
 // Waiting is the number of requests that wait in a pool.
 func (d *Dispatcher) Waiting(pool string) int {
 	d.mu.Lock()
