--- /dev/null
+++ b/router/dispatch/dump.go
@@ -0,0 +1,85 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// PoolDump is one pool in the state dump.
+type PoolDump struct {
+	Pool      string `json:"pool"`
+	Waiting   int    `json:"waiting"`
+	Running   int    `json:"running"`
+	Capacity  int    `json:"capacity"`
+	Endpoints int    `json:"endpoints"`
+	// Quarantined is the number of requests refused because they crash what runs them.
+	Quarantined int `json:"quarantined"`
+}
+
+// EndpointDump is one endpoint in the state dump: why it gets work or not.
+type EndpointDump struct {
+	Endpoint    string   `json:"endpoint"`
+	DataCentre  string   `json:"dataCentre"`
+	Pools       []string `json:"pools"`
+	State       string   `json:"state"`
+	Cold        bool     `json:"cold"`
+	Down        bool     `json:"down"`
+	Incarnation string   `json:"incarnation,omitempty"`
+	Running     int      `json:"running"`
+	Slots       int      `json:"slots"`
+	ColdSlots   int      `json:"coldSlots"`
+	Detector    string   `json:"detector"`
+}
+
+// Dump is the dispatcher's part of the state dump.
+type Dump struct {
+	Pools     []PoolDump     `json:"pools"`
+	Endpoints []EndpointDump `json:"endpoints"`
+}
+
+// Dump tells how the queues stand and why each endpoint gets work or not.
+func (d *Dispatcher) Dump() Dump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	var out Dump
+	for name, l := range d.lines {
+		waiting, running := l.queue.Len()
+		slots, _ := d.table.Capacity(name)
+		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: l.size, Quarantined: l.quarantined(now)})
+	}
+	for name, e := range d.endpoints {
+		b := d.bounds(e)
+		row := EndpointDump{
+			Endpoint: name, DataCentre: e.spec.DataCentre, Pools: e.pools, State: string(e.spec.State),
+			Cold: e.cold, Down: e.down, Incarnation: e.incarnation, Running: len(e.running),
+			Slots: b.Slots, ColdSlots: b.Cold, Detector: stateNames[e.detected],
+		}
+		out.Endpoints = append(out.Endpoints, row)
+	}
+	slices.SortFunc(out.Pools, func(a, b PoolDump) int { return strings.Compare(a.Pool, b.Pool) })
+	slices.SortFunc(out.Endpoints, func(a, b EndpointDump) int { return strings.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+func (l *line) quarantined(now time.Time) (n int) {
+	for _, c := range l.tracker.Counts(now) {
+		if l.tracker.Quarantined(now, c.Fingerprint) {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting is the number of requests that wait in a pool.
+func (d *Dispatcher) Waiting(pool string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.lines[pool]
+	if l == nil {
+		return 0
+	}
+	waiting, _ := l.queue.Len()
+	return waiting
+}
--- /dev/null
+++ b/router/vm/adapters.go
@@ -0,0 +1,30 @@
+package vm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"goldcrestfork/config"
+	"goldcrestfork/ledger/pin"
+)
+
+// inForce is the configuration with the verdict whether new work may be taken under it.
+type inForce struct{ *config.Cache }
+
+// Fresh implements entry.Configuration.
+func (f inForce) Fresh() error {
+	d := f.Staleness(time.Now())
+	if d.TakesWork() {
+		return nil
+	}
+	return errors.New(d.Reason)
+}
+
+// sessions keeps sessions on the version that the roll-out gives them first.
+type sessions struct{ *pin.Pins }
+
+// Version implements entry.Sessions.
+func (s sessions) Version(ctx context.Context, id pin.Session, token, choice string, usable func(string) bool, now time.Time) (pin.Pin, error) {
+	return s.Pins.Version(ctx, id, token, []pin.Share{{Version: choice, Weight: 1}}, usable, now)
+}
