fleet/peer: end a deadlock between a new target and a starting dial

Cause: conn swept gone connections under Link.mu and took conn.mu, while start held conn.mu and took Link.mu to start its dial. Ruled out: a slow machine (the stress test stops on the old code each time tried). Change: starting a task has its own leaf lock; the lock order is in doc.go. Seen failing first: TestManyNewTargetsAtOnce on the old code, timed out after 15 s. Measured: go test -race -count=3 ./peer green in 10.4 s; go test -race ./... green. Conclusion: the link's locks have one order.

--- a/fleet/peer/doc.go
+++ b/fleet/peer/doc.go
@@ -5,5 +5,5 @@
 // that it did not, ErrOutcomeUnknown that it may have, *RemoteError that it
 // ran and answered with an error.
 //
-// Lock order: Link.mu, then conn.mu. Neither is held over the network.
+// Lock order: Link.mu, conn.mu, Link.tasksMu. None is held over the network.
 package peer
--- a/fleet/peer/link.go
+++ b/fleet/peer/link.go
@@ -70,10 +70,13 @@
 	handlers    chan struct{}
 	ctx         context.Context
 	stop        context.CancelFunc
-	tasks       sync.WaitGroup
+
+	// tasksMu guards closed and is a leaf: tasks are started under conn.mu.
+	tasksMu sync.Mutex
+	closed  bool
+	tasks   sync.WaitGroup
 
 	mu         sync.RWMutex
-	closed     bool
 	methods    map[string]Handler
 	onDatagram DatagramHandler
 	conns      map[Target]*conn
@@ -156,13 +159,13 @@
 
 // Close ends all connections and waits for the handlers.
 func (l *Link) Close() error {
-	l.mu.Lock()
+	l.tasksMu.Lock()
 	if l.closed {
-		l.mu.Unlock()
+		l.tasksMu.Unlock()
 		return nil
 	}
 	l.closed = true
-	l.mu.Unlock()
+	l.tasksMu.Unlock()
 	l.stop()
 	_ = l.listener.Close()
 	err := l.transport.Close()
@@ -173,8 +176,8 @@
 
 // spawn runs f unless the link is closed.
 func (l *Link) spawn(f func()) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.tasksMu.Lock()
+	defer l.tasksMu.Unlock()
 	if l.closed {
 		return false
 	}
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -224,3 +226,21 @@
 	b.ReportMetric(float64(stats.BytesReceived)/float64(b.N), "quic-B-in/op")
 	b.ReportMetric(float64(stats.PacketsSent)/float64(b.N), "packets-out/op")
 }
+
+// Heartbeats go to many new VMs at a time: each new target sweeps the gone ones
+// while others start their dials. The link once stood still here, since the two
+// took its locks in opposite order; callers saw a VM that answered nobody.
+func TestManyNewTargetsAtOnce(t *testing.T) {
+	a, _, _ := pair(t)
+	address := freeAddress(t)
+	var senders sync.WaitGroup
+	for i := range 8 {
+		senders.Go(func() {
+			for j := range 200 {
+				a.Send(Target{ID: fmt.Sprintf("vm-%d-%d", i, j), Address: address}, []byte("x"))
+			}
+		})
+	}
+	senders.Wait()
+	require.Positive(t, len(a.conns))
+}
