--- a/router/vm/bench_test.go
+++ b/router/vm/bench_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,9 +110,11 @@
 			for b.Loop() {
 				before := inUse()
 				open := make([]*http.Response, streams)
+				var opening sync.WaitGroup
 				for i := range open {
-					open[i] = post(b, w.urls()[way], 100)
+					opening.Go(func() { open[i] = post(b, w.urls()[way], 1000) })
 				}
+				opening.Wait()
 				b.ReportMetric(float64(inUse()-before)/streams/1024, "KB/stream")
 				for _, resp := range open {
 					_ = resp.Body.Close()
