--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -122,7 +122,7 @@
 		s := store.New()
 		net := &network{peers: map[string]*Ledger{"b": testLedger(s, "b")}, owners: []string{"b"}}
 		net.faults = []netFault{netLateRequest}
-		a := NewClaims(New(s, link{net, "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
+		a := NewClaims(New(s, link{net: net, self: "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
 		s.SetFaults(store.Faults{Down: true})
 		_, err := a.Begin(t.Context(), refund, refundBody)
 		require.ErrorIs(t, err, ErrUnknown, "the owner may still commit")
@@ -168,7 +168,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
 		net := &network{peers: map[string]*Ledger{"b": testLedger(s, "b")}, owners: []string{"b"}}
-		a := NewClaims(New(s, link{net, "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
+		a := NewClaims(New(s, link{net: net, self: "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
 		s.SetFaults(store.Faults{Down: true})
 		for range 3 {
 			_, err := a.Begin(t.Context(), refund, refundBody)
@@ -213,7 +213,7 @@
 		s := store.New()
 		owner := testLedger(s, "b")
 		net := &network{peers: map[string]*Ledger{"b": owner}, owners: []string{"b"}}
-		a := NewClaims(New(s, link{net, "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
+		a := NewClaims(New(s, link{net: net, self: "a"}, nil, Settings{VM: "a", Incarnation: 1}), nil)
 		s.SetRates(0.01, 0)
 		decideAll(t, owner, keysOfShard(refund.digest().Shard(), 1), 24)
 		_, err := a.Begin(t.Context(), refund, refundBody)
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -143,10 +143,11 @@
 type link struct {
 	net  *network
 	self string
+	view int // VMs with different views disagree on every owner
 }
 
 func (l link) Owner(shard int) (string, bool) {
-	vm := l.net.owners[shard%len(l.net.owners)]
+	vm := l.net.owners[(shard+l.view)%len(l.net.owners)]
 	return vm, vm == l.self
 }
 
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -137,7 +137,7 @@
 func (m *model) start(i int) {
 	vm := &modelVM{name: fmt.Sprintf("vm%d", i), store: &vmStore{Store: m.store}}
 	s := Settings{VM: vm.name, Incarnation: uint64(len(m.every)), WritesPerSecond: -1}
-	vm.ledger = New(vm.store, link{m.net, vm.name}, nil, s)
+	vm.ledger = New(vm.store, link{m.net, vm.name, m.rand.IntN(modelVMs)}, nil, s)
 	vm.ledger.sealAt = modelSeal
 	vm.ledger.jitter = func(d time.Duration) time.Duration { return d / 2 }
 	vm.claims = NewClaims(vm.ledger, nil)
