--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -6,6 +6,7 @@
 package backend
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -85,6 +86,13 @@
 	e.faults = f
 }
 
+// Begin tells a process's engine which start of it this is, and whether it is cold.
+func (e *Engine) Begin(incarnation int, cold bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.incarnation, e.cold = incarnation, cold
+}
+
 // Restart puts the engine into cold start under a new incarnation.
 func (e *Engine) Restart() {
 	e.mu.Lock()
@@ -273,6 +281,11 @@
 }
 
 func (e *Engine) run(w http.ResponseWriter, r *http.Request, s *stream) {
+	if limit, err := strconv.Atoi(r.Header.Get("X-Time-Limit-Ms")); err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(limit)*time.Millisecond)
+		defer cancel()
+		r = r.WithContext(ctx)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	cut := e.takeCut(s)
