--- a/cmd/goldcrest/goldcrest_test.go
+++ b/cmd/goldcrest/goldcrest_test.go
@@ -16,7 +16,7 @@
 	"goldcrestfork/standin/store"
 )
 
-const examples = "../../examples"
+var examples = mustAbs("../../examples")
 
 // goldcrest runs one command line and returns its exit code and what it printed.
 func goldcrest(args ...string) (int, string) {
@@ -85,8 +85,8 @@
 	}
 }
 
-// vm serves the operator API of one VM on a platform in memory.
-func vm(t *testing.T, s *store.Store) string {
+// serveVM serves the operator API of one VM on a platform in memory.
+func serveVM(t *testing.T, s *store.Store) string {
 	cache := config.NewCache(config.Options{Store: s})
 	sum := sha256.Sum256([]byte("trial-operator"))
 	h := operator.New(operator.Options{Configuration: cache, Editor: config.NewEditor(s, cache), Fleet: alone{cache}, KeyHashes: []string{hex.EncodeToString(sum[:])}})
@@ -106,7 +106,7 @@
 // code and the words that its reader relies on.
 func TestOperatorsDay(t *testing.T) {
 	s := store.New()
-	url := vm(t, s)
+	url := serveVM(t, s)
 	t.Setenv("GOLDCREST_VM", url)
 	t.Setenv("GOLDCREST_KEY", "trial-operator")
 	bad := filepath.Join(t.TempDir(), "bad.jsonc")
@@ -149,3 +149,12 @@
 	require.Contains(t, out, "not accepted; nothing is changed")
 	require.Equal(t, 8, s.Counts().Puts-s.Counts().Conflicts)
 }
+
+// mustAbs makes a path that holds after a change of directory.
+func mustAbs(path string) string {
+	abs, err := filepath.Abs(path)
+	if err != nil {
+		panic(err)
+	}
+	return abs
+}
