--- a/router/engine/frame.go
+++ b/router/engine/frame.go
@@ -70,7 +70,7 @@
 }
 
 // Body is the JSON body of a completion request with the fields the router reads
-// and sets; all others are passed through unchanged.
+// and sets; all others are passed through unchanged, but for "resume".
 type Body struct {
 	fields map[string]json.RawMessage
 	// Model is the model or model version the caller asks for.
@@ -117,6 +117,9 @@
 	out["model"] = version
 	out["stream"] = true
 	out["stream_options"] = map[string]bool{"include_usage": true}
+	// A caller's own "resume" would have the engine go on from a text that it never
+	// generated, as if the answer had begun with it. Only the router knows what was.
+	delete(out, "resume")
 	if p != nil {
 		out["resume"] = p
 	}
