--- /dev/null
+++ b/router/engine/client_test.go
@@ -0,0 +1,141 @@
+package engine
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/standin/backend"
+)
+
+const callVersion = "version-1"
+
+// engineServer serves an engine and returns its address.
+func engineServer(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func chat(t *testing.T, tokens int) *Body {
+	t.Helper()
+	b, err := ParseBody(fmt.Appendf(nil, `{"model":"m","max_tokens":%d,"messages":[{"role":"user","content":"x"}]}`, tokens))
+	require.NoError(t, err)
+	return b
+}
+
+// An engine fails in each way that the stand-in knows. The client must name the
+// result for what it is, since dispatch decides by it whether to send the request
+// again; and the caller's text is never more than the beginning of the answer.
+func TestEngineFaults(t *testing.T) {
+	const tokens = 6
+	truth := backend.Answer("x", tokens)
+	for name, row := range map[string]struct {
+		faults backend.EngineFaults
+		result Result
+		text   string
+	}{
+		"none":            {backend.EngineFaults{}, Complete, truth},
+		"doubles":         {backend.EngineFaults{Double: true}, Complete, truth},
+		"crosses":         {backend.EngineFaults{Cross: true}, Complete, truth},
+		"skips":           {backend.EngineFaults{Skip: 2}, Cut, backend.Answer("x", 2)},
+		"cuts":            {backend.EngineFaults{CutAfter: 3}, Cut, backend.Answer("x", 3)},
+		"refuses":         {backend.EngineFaults{Refuse: true}, Refused, ""},
+		"fails":           {backend.EngineFaults{Fail: true}, Failed, ""},
+		"crashes":         {backend.EngineFaults{CrashOn: "x"}, Crashed, ""},
+		"another version": {backend.EngineFaults{AnswersAs: "version-0"}, WrongVersion, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := backend.NewEngine(callVersion)
+			e.SetFaults(row.faults)
+			m := NewMetrics(prometheus.NewRegistry())
+			c := NewClient(m)
+			defer c.Close()
+			s, got := &Stream{}, ""
+			o := c.Stream(t.Context(), Call{RequestID: requestID, Address: engineServer(t, e.Handler()), Version: callVersion, Body: chat(t, tokens)}, s,
+				func(f Frame) error { got += f.Text; return nil })
+			require.Equal(t, row.result, o.Result, "%v", o.Err)
+			require.Equal(t, row.text, got)
+			require.Equal(t, 1.0, testutil.ToFloat64(m.attempts.WithLabelValues(row.result.String())))
+			if row.faults.Refuse {
+				require.Equal(t, time.Second, o.RetryAfter)
+			}
+		})
+	}
+}
+
+// A stream is cut and goes on: at the engine that ran it by position, at another by
+// the text so far. An engine that has forgotten it says so, and nothing of it runs.
+func TestResumeAtEngines(t *testing.T) {
+	const tokens, cut = 8, 3
+	for name, row := range map[string]struct {
+		same, forget bool
+		result       Result
+	}{
+		"same engine":                      {same: true, result: Complete},
+		"same engine, which has forgotten": {same: true, forget: true, result: Forgotten},
+		"another engine":                   {result: Complete},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := backend.NewEngine(callVersion), backend.NewEngine(callVersion)
+			first.SetFaults(backend.EngineFaults{CutAfter: cut, Cuts: 1, Forget: row.forget})
+			addresses := [2]string{engineServer(t, first.Handler()), engineServer(t, second.Handler())}
+			c := NewClient(NewMetrics(prometheus.NewRegistry()))
+			defer c.Close()
+			s, got := &Stream{}, ""
+			emit := func(f Frame) error { got += f.Text; return nil }
+			call := Call{RequestID: requestID, Address: addresses[0], Version: callVersion, Body: chat(t, tokens)}
+			require.Equal(t, Cut, c.Stream(t.Context(), call, s, emit).Result)
+			if !row.same {
+				call.Address = addresses[1]
+			}
+			require.Equal(t, row.result, c.Stream(t.Context(), call, s, emit).Result)
+			if row.result == Complete {
+				require.Equal(t, backend.Answer("x", tokens), got)
+				return
+			}
+			require.Equal(t, backend.Answer("x", cut), got)
+		})
+	}
+}
+
+// The caller leaves in the middle. The engine must see it go, so that it stops
+// generating, and the attempt says nothing against the endpoint.
+func TestCallerGoneCancelsTheEngine(t *testing.T) {
+	e := backend.NewEngine(callVersion)
+	e.SetFaults(backend.EngineFaults{TokenDelay: time.Millisecond})
+	c := NewClient(NewMetrics(prometheus.NewRegistry()))
+	defer c.Close()
+	o := c.Stream(t.Context(), Call{RequestID: requestID, Address: engineServer(t, e.Handler()), Version: callVersion, Body: chat(t, 100000)},
+		&Stream{}, func(Frame) error { return http.ErrHandlerTimeout })
+	require.Equal(t, CallerGone, o.Result)
+	require.Eventually(t, func() bool { return e.Stats().Cancelled == 1 }, 30*time.Second, time.Millisecond)
+}
+
+// A cold engine is met on a new connection. Without a cold slot no byte of the
+// request may leave; with one the request runs.
+func TestColdEngineIsAskedFirst(t *testing.T) {
+	e := backend.NewEngine(callVersion)
+	e.Restart()
+	address := engineServer(t, e.Handler())
+	c := NewClient(NewMetrics(prometheus.NewRegistry()))
+	defer c.Close()
+	call := Call{RequestID: requestID, Address: address, Version: callVersion, Body: chat(t, 2)}
+	o := c.Stream(t.Context(), call, &Stream{}, func(Frame) error { return nil })
+	require.Equal(t, Cold, o.Result)
+	require.True(t, o.Report.Cold)
+	require.Zero(t, e.Stats().Started)
+	call.Cold = true
+	require.Equal(t, Complete, c.Stream(t.Context(), call, &Stream{}, func(Frame) error { return nil }).Result)
+	require.Equal(t, 1, e.Stats().MaxCold)
+}
