Bound the arrival of bodies, count bad heads, prove bad input refused

Cause: a body that stops coming held its request for ever, since reading knows no context and the server has no read timeout; heads that net/http refuses by itself were counted nowhere.

--- a/cmd/processtest/kill_test.go
+++ b/cmd/processtest/kill_test.go
@@ -139,7 +139,7 @@
 // it leaves the address answers first and waits for what runs.
 func TestPlannedStop(t *testing.T) {
 	t.Parallel()
-	const streams, tokens = 8, 600
+	const streams, tokens = 8, 2000
 	w := newWorld(t, 3, 2)
 	ctx, cancel := context.WithTimeout(t.Context(), guard)
 	defer cancel()
@@ -163,11 +163,7 @@
 			return len(list) == 2 && !strings.Contains(strings.Join(list, " "), w.vms[0].serving["callers"])
 		})
 	}
-	select {
-	case <-w.vms[0].ended:
-		require.Fail(t, "it ended with streams on it", w.vms[0].text())
-	default:
-	}
+	require.Less(t, sum(readers), int64(streams*tokens), "it is named until its streams have ended")
 	work.Wait()
 	<-w.vms[0].ended
 	require.NoError(t, w.vms[0].err)
--- a/router/engine/client_test.go
+++ b/router/engine/client_test.go
@@ -123,7 +123,7 @@
 }
 
 // A cold engine is met on a new connection. Without a cold slot no byte of the
-// request may leave; with one the request runs.
+// request may leave; with one that is still the caller's the request runs.
 func TestColdEngineIsAskedFirst(t *testing.T) {
 	e := backend.NewEngine(callVersion)
 	e.Restart()
@@ -135,7 +135,10 @@
 	require.Equal(t, Cold, o.Result)
 	require.True(t, o.Report.Cold)
 	require.Zero(t, e.Stats().Started)
-	call.Cold = true
+	call.MayStart = func() bool { return false }
+	require.Equal(t, NotSent, c.Stream(t.Context(), call, &Stream{}, func(Frame) error { return nil }).Result)
+	require.Zero(t, e.Stats().Started)
+	call.MayStart = func() bool { return true }
 	require.Equal(t, Complete, c.Stream(t.Context(), call, &Stream{}, func(Frame) error { return nil }).Result)
 	require.Equal(t, 1, e.Stats().MaxCold)
 }
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -64,10 +65,15 @@
 const maxBuffered = 64 << 20
 
 // readBody reads a whole body within the bounds; done frees it.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (raw []byte, done func(), bad *refusal.Refusal) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, c *Caller) (raw []byte, done func(), bad *refusal.Refusal) {
+	free := limitArrival(w, c)
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		free()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, nil, refusal.New(http.StatusRequestTimeout, refusal.BadRequest, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return nil, nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, "a body takes at most %d bytes", MaxBody)
 	case err != nil:
@@ -166,7 +172,7 @@
 		return
 	}
 	w.Header().Set(HeaderRequestID, caller.RequestID)
-	raw, done, bad := e.readBody(w, r)
+	raw, done, bad := e.readBody(w, r, caller)
 	if bad == nil {
 		defer done()
 		bad = e.chatBody(w, r, raw, caller)
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -40,7 +40,7 @@
 	if bad != nil {
 		return bad
 	}
-	body, done, bad := e.readBody(w, r)
+	body, done, bad := e.readBody(w, r, caller)
 	if bad != nil {
 		return bad
 	}
--- /dev/null
+++ b/router/settings/fuzz_test.go
@@ -0,0 +1,59 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/config"
+)
+
+// Whatever a settings file holds, it is refused with the field and what is expected,
+// or what comes out is whole: addresses by number, a secret of full length, defaults
+// filled in; and written out it is read again as the same.
+func FuzzParse(f *testing.F) {
+	file := filepath.Join(f.TempDir(), "peer.pem")
+	require.NoError(f, os.WriteFile(file, nil, 0o600))
+	hash := strings.Repeat("ab", minSecret)
+	good := `{ // as an operator writes it
+		"vm": "vm-1", "dataCentre": "a", "region": "r",
+		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "[::1]:7"},
+		"peers": {"address": "127.0.0.1:0", "ca": "FILE", "certificate": "FILE", "key": "FILE", "seeds": ["192.0.2.1:7"]},
+		"platform": {"url": "http://127.0.0.1:7"}, "secret": "` + hash + `", "operatorKeyHashes": ["` + hash + `"],
+		"keepAddresses": "1s", "prefer": "latency",
+	}`
+	good = strings.ReplaceAll(good, "FILE", file)
+	_, err := Parse("good", []byte(good))
+	require.NoError(f, err)
+	for _, seed := range []string{
+		good, `{}`, `null`, `[`, `{"vm": 1}`, `{"vmm": "x"}`, strings.Replace(good, "127.0.0.1:0", "localhost:1", 1),
+		strings.Replace(good, `"1s"`, `"-1s"`, 1), strings.Replace(good, "http://", "ftp://", 1), strings.Replace(good, hash, hash[1:], 1), good + "}",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Parse("fuzz", data)
+		if err != nil {
+			var problems config.Problems
+			require.True(t, errors.As(err, &problems) && len(problems) > 0, "%T", err)
+			return
+		}
+		for _, address := range []string{s.Callers.Address, s.Operators.Address, s.Peers.Address} {
+			_, err := netip.ParseAddrPort(address)
+			require.NoError(t, err)
+		}
+		require.GreaterOrEqual(t, len(s.SecretBytes()), minSecret)
+		require.Positive(t, min(s.KeepAddresses, s.SpreadLeaving, s.StopGrace))
+		text, err := json.Marshal(s)
+		require.NoError(t, err)
+		again, err := Parse("again", text)
+		require.NoError(t, err)
+		require.Equal(t, s, again)
+	})
+}
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -67,6 +67,7 @@
 	bounds   slot.Params
 	loops    *loops.Loops
 	brakes   *rollout.Brakes
+	heads    *heads
 	// incarnation tells this start from an earlier one of the same VM.
 	incarnation uint64
 
@@ -154,6 +155,7 @@
 	v.editor = config.NewEditor(v.store, v.cache)
 	v.recorder = rollout.NewRecorder(process(v.settings.VM, v.incarnation))
 	v.brakes = &rollout.Brakes{}
+	v.heads = newHeads(v.registry)
 	v.slots = &slots{fleet: v.fleet, bounds: v.bounds, cold: slot.NewService(slot.Options{
 		Params: v.bounds, Store: v.store, Link: v.fleet.link, Membership: v.fleet.members,
 		Limit: v.coldLimit, Registerer: v.registry, Log: v.log,
@@ -247,7 +249,9 @@
 }
 
 func (v *VM) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	v.heads.watch(s)
+	return s
 }
 
 func serve(s *http.Server, l net.Listener) error {
