fleet/member: say the last word by calls to those that are pinged

Cause: Leave sent a datagram to every VM. At 400 that meant some 390 new connections from a process about to end, and datagrams still in the socket at its end were lost. Ruled out: waiting a fixed time after the datagrams.

--- a/fleet/member/service.go
+++ b/fleet/member/service.go
@@ -21,6 +21,12 @@
 	lonelyInterval = 2 * time.Second
 )
 
+// methodLeave is the peer method that takes a VM's last message.
+const methodLeave = "member.leave"
+
+// leaveTimeout bounds the last words, so that peers that are gone don't hold up a stop.
+const leaveTimeout = 2 * time.Second
+
 // Link is the part of peer.Link that heartbeats use.
 type Link interface {
 	Send(peer.Target, []byte)
@@ -64,6 +70,7 @@
 	s.register(o.Registerer)
 	o.Link.OnDatagram(s.receive)
 	o.Link.Register(methodSync, s.serveSync)
+	o.Link.Register(methodLeave, s.serveLeave)
 	return s
 }
 
@@ -178,12 +185,43 @@
 	}
 }
 
-// Leave tells the others that this VM is gone after this; it is for the last moment of a planned stop.
+// Leave tells the others that this VM is gone after this; it is for the last
+// moment of a planned stop. The word goes by calls, since a
+// datagram may still wait in the socket when the process ends, and callers would
+// be sent here until the silence shows. It returns when all have answered, or
+// after leaveTimeout.
 func (s *Service) Leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
 	s.mu.Lock()
 	out := s.table.Leave()
 	s.mu.Unlock()
-	s.send(out)
+	var calls sync.WaitGroup
+	for _, o := range out {
+		data, err := o.Message.Encode()
+		if err != nil {
+			panic("member: own message does not encode: " + err.Error())
+		}
+		calls.Go(func() {
+			if _, err := s.link.Call(ctx, o.To, methodLeave, data); err != nil {
+				s.log.Info().Err(err).Str("vm", o.To.ID).Msg("not told that this VM leaves")
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// serveLeave takes a VM's last word.
+func (s *Service) serveLeave(_ context.Context, from string, body []byte) ([]byte, error) {
+	m, err := Decode(body)
+	if err != nil {
+		s.malformed.Inc()
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Receive(time.Now(), from, m)
+	return nil, nil
 }
 
 // Drain tells the others, from the next tick on, that this VM takes no new callers.
--- a/fleet/member/service_test.go
+++ b/fleet/member/service_test.go
@@ -58,6 +58,7 @@
 	list := store.New()
 	list.SetFaults(store.Faults{Down: true})
 	var seeds []peer.Target
+	var stop context.CancelFunc
 	services := map[string]*Service{}
 	for i, id := range ids {
 		c, err := set.Credentials(id)
@@ -71,7 +72,11 @@
 		})
 		seeds = []peer.Target{{Address: l.Addr()}}
 		services[id] = s
-		running.Go(func() { s.Run(ctx) })
+		run := ctx
+		if id == "c" {
+			run, stop = context.WithCancel(ctx)
+		}
+		running.Go(func() { s.Run(run) })
 	}
 	eventually(ctx, t, func() bool {
 		for _, s := range services {
@@ -82,6 +87,7 @@
 		}
 		return true
 	})
+	stop()
 	services["c"].Leave()
 	eventually(ctx, t, func() bool { return services["a"].Dump(time.Now()).States["left"] == 1 })
 }
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -106,14 +106,14 @@
 // Drain tells the others that this VM takes no new callers.
 func (t *Table) Drain() { t.self.Draining = true }
 
-// Leave gives the last messages of this VM, to all that it knows to be there.
-// It is the one send that grows with the fleet: one datagram a VM, once in a life.
+// Leave gives the last messages of this VM, to those it pings. They pass it on as
+// news, so that leaving costs no more in a large fleet than in a small one.
 func (t *Table) Leave() []Outgoing {
 	t.self.Draining, t.self.Left = true, true
 	t.self.Beat++
 	var out []Outgoing
-	for _, r := range t.rows {
-		if r.state == Alive || r.state == Suspect {
+	for _, id := range t.targets {
+		if r := t.rows[id]; r != nil {
 			out = append(out, Outgoing{To: target(r), Message: Message{From: t.self}})
 		}
 	}
--- a/fleet/member/table_test.go
+++ b/fleet/member/table_test.go
@@ -149,7 +149,8 @@
 	goer := f.tables[vmID(1)]
 	late := goer.self
 	late.Beat += 100
-	f.cut = func(from, to string) bool { return from == vmID(1) && to != vmID(4) }
+	heardBy := goer.targets[0]
+	f.cut = func(from, to string) bool { return from == vmID(1) && to != heardBy }
 	for _, o := range goer.Leave() {
 		f.deliver(vmID(1), o)
 	}
