fleet/slot: keep the confirmation in an outage within a VM's budget

Cause: each member asked each other every 10 s while the platform is away. The peer link drops a connection after 5 s of silence, so each call was a first one: 6.2 KB and 2.1 ms, both sides (go test -run xxx -bench FirstCall -benchtime 300x -cpu 1 ./peer); at 400 VMs some 80 a second a VM, made and answered. Ruled out: a longer silence on all connections (dead ones would be found later). Change: rounds each 4 s while the platform can't be read, and no confirmation in an epoch of over 32 members. Measured: go test -run xxx -bench Outage -benchtime 5x ./slot: 3.0 calls/s a VM at 7 members, 13.5 at 28, none at 112. go test -race ./fleet/... green. Conclusion: over 32 VMs cold endpoints get nothing from 30 s into an outage; the pages say so and what would carry on.

--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -244,3 +244,32 @@
 	senders.Wait()
 	require.Positive(t, len(a.conns))
 }
+
+// BenchmarkFirstCall measures a call over a new connection, both sides in this process.
+func BenchmarkFirstCall(b *testing.B) {
+	set, err := NewTrialSet(time.Now(), "a", "b")
+	require.NoError(b, err)
+	credentials := func(id string) Credentials {
+		c, err := set.Credentials(id)
+		require.NoError(b, err)
+		return c
+	}
+	server, err := Listen(Options{Listen: "127.0.0.1:0", Credentials: credentials("b")})
+	require.NoError(b, err)
+	defer func() { _ = server.Close() }()
+	server.Register("echo", func(_ context.Context, _ string, body []byte) ([]byte, error) { return body, nil })
+	client, err := Listen(Options{Listen: "127.0.0.1:0", Credentials: credentials("a")})
+	require.NoError(b, err)
+	defer func() { _ = client.Close() }()
+	var out, in uint64
+	for b.Loop() {
+		_, err := client.Call(context.Background(), target(server), "echo", []byte("x"))
+		require.NoError(b, err)
+		q := client.conns[target(server)].current
+		out += q.ConnectionStats().BytesSent
+		in += q.ConnectionStats().BytesReceived
+		_ = q.CloseWithError(0, "")
+	}
+	b.ReportMetric(float64(out)/float64(b.N), "quic-B-out/op")
+	b.ReportMetric(float64(in)/float64(b.N), "quic-B-in/op")
+}
--- a/fleet/slot/follow.go
+++ b/fleet/slot/follow.go
@@ -24,6 +24,14 @@
 	listLimit = time.Minute
 	// readsPerLife is the number of reads in the life of evidence, so that two may fail.
 	readsPerLife = 3
+	// outageInterval is the time between two rounds while the platform can't be
+	// read. 4 s: below the 5 s after which the peer link drops a silent connection; a
+	// call over a new one takes 6 KB and 2 ms (BenchmarkFirstCall in package peer).
+	outageInterval = 4 * time.Second
+	// confirmLimit is the largest epoch that is kept by confirmation. 32: every
+	// member asks every other, which makes 13.5 calls a second a VM at 28 members
+	// (BenchmarkOutage); at 400 it would be 200, far more than control may take.
+	confirmLimit = 32
 	// maxConfirms bounds the calls of one confirmation under way at a time.
 	maxConfirms = 32
 )
@@ -34,9 +42,12 @@
 // Run keeps the epoch and the evidence until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	for {
-		s.round(ctx)
+		wait := s.o.Params.Evidence / readsPerLife
+		if !s.round(ctx) {
+			wait = min(wait, outageInterval)
+		}
 		select {
-		case <-time.After(s.o.Params.Evidence / readsPerLife):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
@@ -44,17 +55,17 @@
 }
 
 // round reads the epoch, or has it confirmed while the platform is away, and
-// proposes the next one if it is this VM's turn.
-func (s *Service) round(ctx context.Context) {
+// proposes the next one if it is this VM's turn. It says whether the platform answered.
+func (s *Service) round(ctx context.Context) bool {
 	if err := s.read(ctx); err != nil {
 		s.metrics.epochs.WithLabelValues("read", "failed").Inc()
 		s.confirmAll(ctx)
-		return
+		return false
 	}
 	s.metrics.epochs.WithLabelValues("read", "ok").Inc()
 	now := time.Now()
 	if !s.o.Membership.Fresh(now) {
-		return
+		return true
 	}
 	members := s.o.Membership.Members(now)
 	s.mu.Lock()
@@ -69,6 +80,7 @@
 	if turn && len(wanted) > 0 {
 		s.propose(ctx, wanted, s.goneBy(now, members))
 	}
+	return true
 }
 
 // read takes the epoch from the platform. No object yet is no failure.
@@ -209,7 +221,7 @@
 	s.mu.Lock()
 	epoch, self := s.table.epoch, s.table.self
 	s.mu.Unlock()
-	if !slices.Contains(epoch.Members, self) {
+	if len(epoch.Members) > confirmLimit || !slices.Contains(epoch.Members, self) {
 		return
 	}
 	var asks []Ask
--- a/fleet/slot/params.go
+++ b/fleet/slot/params.go
@@ -6,7 +6,8 @@
 type Params struct {
 	// Evidence is how long a process may use its slots after it asked for the
 	// epoch. 30 s: three reads of the platform, and the time that cold slots go
-	// on in an outage without a word from all other members.
+	// on in an outage without a word from all other members (in a fleet of over
+	// confirmLimit, at all).
 	Evidence time.Duration
 	// Start is how long after a grant its request may still reach the endpoint:
 	// half of it to begin sending, half to arrive.
--- a/fleet/slot/service_test.go
+++ b/fleet/slot/service_test.go
@@ -249,3 +249,35 @@
 		})
 	}
 }
+
+// BenchmarkOutage counts, by the number of members, the peer calls that a VM makes
+// and answers in a second while the platform is away, and their bodies' bytes.
+func BenchmarkOutage(b *testing.B) {
+	for _, n := range []int{7, 28, 112} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			platform := store.New()
+			bus, all := newServices(n, platform)
+			for all[0].Epoch() == 0 || len(all[0].table.epoch.Members) < n {
+				for _, s := range all {
+					s.round(context.Background())
+				}
+			}
+			for _, s := range all {
+				s.round(context.Background())
+			}
+			platform.SetFaults(store.Faults{Down: true})
+			bus.calls, bus.bytes = 0, 0
+			rounds := 0
+			for b.Loop() {
+				for _, s := range all {
+					s.round(context.Background())
+				}
+				rounds++
+			}
+			seconds := float64(rounds) * outageInterval.Seconds()
+			b.ReportMetric(2*float64(bus.calls)/float64(n)/seconds, "calls/VM/s")
+			b.ReportMetric(2*float64(bus.bytes)/float64(n)/seconds, "body-B/VM/s")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
