--- a/ledger/bill/spool.go
+++ b/ledger/bill/spool.go
@@ -55,10 +55,10 @@
 }
 
 type metrics struct {
-	written prometheus.Counter // bills_written_total: bills that the store has
-	lost    prometheus.Counter // bills_lost_total: bills dropped, the spool being full or they too late
-	batches prometheus.Counter // bill_batches_total: objects written
-	spooled prometheus.Gauge   // bills_spooled: bills in memory
+	written prometheus.Counter // goldcrest_bills_written_total: bills that the store has
+	lost    prometheus.Counter // goldcrest_bills_lost_total: bills dropped, the spool being full or they too late
+	batches prometheus.Counter // goldcrest_bill_batches_total: objects written
+	spooled prometheus.Gauge   // goldcrest_bills_spooled: bills in memory
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -66,10 +66,10 @@
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 	}
 	m := &metrics{
-		written: counter("bills_written_total", "Bills that the store has."),
-		lost:    counter("bills_lost_total", "Bills dropped since the spool was full or they came too late."),
-		batches: counter("bill_batches_total", "Batches of bills written."),
-		spooled: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bills_spooled", Help: "Bills in memory."}),
+		written: counter("goldcrest_bills_written_total", "Bills that the store has."),
+		lost:    counter("goldcrest_bills_lost_total", "Bills dropped since the spool was full or they came too late."),
+		batches: counter("goldcrest_bill_batches_total", "Batches of bills written."),
+		spooled: prometheus.NewGauge(prometheus.GaugeOpts{Name: "goldcrest_bills_spooled", Help: "Bills in memory."}),
 	}
 	if r != nil {
 		r.MustRegister(m.written, m.lost, m.batches, m.spooled)
--- a/ledger/ledgerbench/run.go
+++ b/ledger/ledgerbench/run.go
@@ -128,7 +128,7 @@
 
 func (f *fleet) row(m *meter, before store.Counts, cpu time.Duration, seconds float64) row {
 	after := f.store.Counts()
-	written := f.counted("ledger_writes_total", "result", "ok")
+	written := f.counted("goldcrest_ledger_writes_total", "result", "ok")
 	decisions := 2 * float64(m.done.Load())
 	return row{
 		requests:  float64(m.done.Load()) / seconds,
@@ -136,7 +136,7 @@
 		puts:      float64(after.Writes()-before.Writes()) / seconds,
 		conflicts: float64(after.Conflicts-before.Conflicts) / seconds,
 		overRate:  float64(after.OverRate-before.OverRate) / seconds,
-		batch:     f.counted("ledger_batch_entries", "", "") / max(1, written),
+		batch:     f.counted("goldcrest_ledger_batch_entries", "", "") / max(1, written),
 		p50:       time.Duration(m.latency.ValueAtQuantile(50)) * time.Microsecond,
 		p99:       time.Duration(m.latency.ValueAtQuantile(99)) * time.Microsecond,
 		cpu:       time.Duration(float64(cpu) / max(1, decisions)),
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -12,32 +12,32 @@
 var batchBuckets = []float64{1, 2, 4, 8, 16, 32, 64, 128, 512, 2048}
 
 type metrics struct {
-	decides   *prometheus.CounterVec // ledger_decides_total{outcome}: operations by how they ended
-	writes    *prometheus.CounterVec // ledger_writes_total{result}: writes of heads
-	conflicts prometheus.Counter     // ledger_conflicts_total: head writes that another VM overtook
-	reads     prometheus.Counter     // ledger_reads_total: reads of heads and segments
-	batch     prometheus.Histogram   // ledger_batch_entries: operations in one committed write
-	segments  *prometheus.CounterVec // ledger_segments_total{event}: sealed, seal_failed, deleted
-	forwards  *prometheus.CounterVec // ledger_forwards_total{result}: operations sent to a shard's owner
-	pending   prometheus.Gauge       // ledger_settle_pending: outcomes not yet recorded
-	lost      prometheus.Counter     // ledger_settle_lost_total: outcomes given up; their claims stay unknown
+	decides   *prometheus.CounterVec // goldcrest_ledger_decides_total{outcome}: operations by how they ended
+	writes    *prometheus.CounterVec // goldcrest_ledger_writes_total{result}: writes of heads
+	conflicts prometheus.Counter     // goldcrest_ledger_conflicts_total: head writes that another VM overtook
+	reads     prometheus.Counter     // goldcrest_ledger_reads_total: reads of heads and segments
+	batch     prometheus.Histogram   // goldcrest_ledger_batch_entries: operations in one committed write
+	segments  *prometheus.CounterVec // goldcrest_ledger_segments_total{event}: sealed, seal_failed, deleted
+	forwards  *prometheus.CounterVec // goldcrest_ledger_forwards_total{result}: operations sent to a shard's owner
+	pending   prometheus.Gauge       // goldcrest_ledger_settle_pending: outcomes not yet recorded
+	lost      prometheus.Counter     // goldcrest_ledger_settle_lost_total: outcomes given up; their claims stay unknown
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		decides:   vec("ledger_decides_total", "Operations by outcome.", "outcome"),
-		writes:    vec("ledger_writes_total", "Writes of shard heads by result.", "result"),
-		conflicts: counter("ledger_conflicts_total", "Head writes that another VM overtook."),
-		reads:     counter("ledger_reads_total", "Reads of heads and segments."),
+		decides:   vec("goldcrest_ledger_decides_total", "Operations by outcome.", "outcome"),
+		writes:    vec("goldcrest_ledger_writes_total", "Writes of shard heads by result.", "result"),
+		conflicts: counter("goldcrest_ledger_conflicts_total", "Head writes that another VM overtook."),
+		reads:     counter("goldcrest_ledger_reads_total", "Reads of heads and segments."),
 		batch: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name: "ledger_batch_entries", Help: "Operations in one committed write.", Buckets: batchBuckets,
+			Name: "goldcrest_ledger_batch_entries", Help: "Operations in one committed write.", Buckets: batchBuckets,
 		}),
-		segments: vec("ledger_segments_total", "Segments by event.", "event"),
-		forwards: vec("ledger_forwards_total", "Operations sent to a shard's owner.", "result"),
+		segments: vec("goldcrest_ledger_segments_total", "Segments by event.", "event"),
+		forwards: vec("goldcrest_ledger_forwards_total", "Operations sent to a shard's owner.", "result"),
 		pending: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "ledger_settle_pending", Help: "Outcomes not yet recorded.",
+			Name: "goldcrest_ledger_settle_pending", Help: "Outcomes not yet recorded.",
 		}),
-		lost: counter("ledger_settle_lost_total", "Outcomes given up; their claims stay unknown."),
+		lost: counter("goldcrest_ledger_settle_lost_total", "Outcomes given up; their claims stay unknown."),
 	}
 	if r != nil {
 		r.MustRegister(m.decides, m.writes, m.conflicts, m.reads, m.batch,
--- a/router/dispatch/metrics.go
+++ b/router/dispatch/metrics.go
@@ -22,19 +22,19 @@
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_admission_refused_total",
+			Name: "goldcrest_admission_refused_total",
 			Help: "Requests refused by the queues, by reason.",
 		}, []string{"reason"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_retries_total",
+			Name: "goldcrest_retries_total",
 			Help: "Decisions after a failed attempt; an empty reason means that it was made again.",
 		}, []string{"refused_for"}),
 		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_endpoint_states_total",
+			Name: "goldcrest_endpoint_states_total",
 			Help: "Changes of endpoints' states by the outlier detector.",
 		}, []string{"state"}),
 		quarantined: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "goldcrestfork_quarantined_total",
+			Name: "goldcrest_quarantined_total",
 			Help: "Requests refused because they crashed the endpoints that ran them.",
 		}),
 	}
--- a/router/engine/metrics.go
+++ b/router/engine/metrics.go
@@ -13,16 +13,16 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_engine_attempts_total",
+			Name: "goldcrest_engine_attempts_total",
 			Help: "Attempts at model engines by result.",
 		}, []string{"result"}),
 		wrongVersion: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "goldcrestfork_engine_wrong_version_total",
+			Name: "goldcrest_engine_wrong_version_total",
 			Help: "Answers dropped because the engine ran another version than asked for.",
 		}),
 	}
 	frames := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "goldcrestfork_engine_frames_total",
+		Name: "goldcrest_engine_frames_total",
 		Help: "Frames of engines by what became of them.",
 	}, []string{"verdict"})
 	for v := range verdictCount {
--- a/router/entry/metrics.go
+++ b/router/entry/metrics.go
@@ -19,23 +19,23 @@
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_answers_total",
+			Name: "goldcrest_answers_total",
 			Help: "Whole answers by kind.",
 		}, []string{"kind"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_refusals_total",
+			Name: "goldcrest_refusals_total",
 			Help: "Final refusals by code and by what is known of the run.",
 		}, []string{"code", "ran"}),
 		pins: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_session_pins_total",
+			Name: "goldcrest_session_pins_total",
 			Help: "Sessions' versions by where they came from; hash means that the platform's store was down.",
 		}, []string{"source"}),
 		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_claims_total",
+			Name: "goldcrest_claims_total",
 			Help: "Requests with an Idempotency-Key by what became of their claim.",
 		}, []string{"outcome"}),
 		cascade: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_cascade_steps_total",
+			Name: "goldcrest_cascade_steps_total",
 			Help: "Cascade steps by decision and reason.",
 		}, []string{"action", "reason"}),
 	}
--- a/router/service/client.go
+++ b/router/service/client.go
@@ -83,7 +83,7 @@
 			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
 		}},
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "goldcrestfork_service_calls_total",
+			Name: "goldcrest_service_calls_total",
 			Help: "Calls to plain services by result.",
 		}, []string{"result"}),
 	}
--- a/router/vm/badinput_test.go
+++ b/router/vm/badinput_test.go
@@ -93,9 +93,9 @@
 		"endless headers":        {endless + "\r\n", 431, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			counter, labels := "goldcrestfork_refusals_total", map[string]string{"code": string(row.code), "ran": string(refusal.NotRun)}
+			counter, labels := "goldcrest_refusals_total", map[string]string{"code": string(row.code), "ran": string(refusal.NotRun)}
 			if row.code == "" {
-				counter, labels = "goldcrestfork_bad_heads_total", nil
+				counter, labels = "goldcrest_bad_heads_total", nil
 			}
 			before := count(t, w.vm, counter, labels)
 			status, body := say(t, address, row.text)
@@ -123,7 +123,7 @@
 	go func() { done <- serve(server, l) }()
 	status, _ := say(t, l.Addr().String(), "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\n")
 	require.Zero(t, status)
-	until(t, func() bool { return count(t, w.vm, "goldcrestfork_bad_heads_total", nil) == 1 })
+	until(t, func() bool { return count(t, w.vm, "goldcrest_bad_heads_total", nil) == 1 })
 	require.NoError(t, server.Close())
 	require.NoError(t, <-done)
 }
@@ -139,6 +139,6 @@
 	require.True(t, bufio.NewScanner(resp.Body).Scan())
 	vanish()
 	until(t, func() bool { return w.vm.entry.Running() == 0 && w.engines[0].Stats().Cancelled == 1 })
-	require.Equal(t, 1.0, count(t, w.vm, "goldcrestfork_engine_attempts_total", map[string]string{"result": "caller-gone"}))
+	require.Equal(t, 1.0, count(t, w.vm, "goldcrest_engine_attempts_total", map[string]string{"result": "caller-gone"}))
 	require.Equal(t, 1, w.vm.bills.Held())
 }
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -168,6 +168,8 @@
 	s, err := v.cache.WaitRevision(w.t.Context(), revision)
 	require.NoError(w.t, err)
 	v.dispatch.Configure(s)
+	// A VM that just started takes work once the platform has shown that nothing newer exists.
+	until(w.t, func() bool { return v.cache.Staleness(time.Now()).TakesWork() })
 }
 
 // reply is what a caller receives.
--- a/router/vm/heads.go
+++ b/router/vm/heads.go
@@ -25,7 +25,7 @@
 
 func newHeads(r prometheus.Registerer) *heads {
 	h := &heads{waiting: make(map[net.Conn]bool), bad: prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "goldcrestfork_bad_heads_total",
+		Name: "goldcrest_bad_heads_total",
 		Help: "Connections closed with a request's head that was malformed, too long or too slow.",
 	})}
 	r.MustRegister(h.bad)
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -223,7 +223,7 @@
 		v.cache.Run, func(ctx context.Context) { v.cache.Subscribe(ctx, v.dispatch.Configure) },
 		v.dispatch.Run, v.pollCold, v.spreadPoison,
 		func(ctx context.Context) { v.bills.Run(ctx, bill.FlushInterval(len(v.fleet.ids()))) },
-		v.loops.Run,
+		v.loops.Run, v.upkeep,
 	} {
 		g.Go(func() error { loop(work); return nil })
 	}
