Let a refund go on when its caller leaves

Cause: a call that may not be repeated was cut off with its caller's connection; its outcome was unknown from then on, though the service may have booked it. Ruled out: finishing calls whose caller left before they were sent (nobody waits for those; they are closed as not run). Change: once sent, the call goes on to its deadline and its answer is recorded. Measured: TestCallerLeavesAndRefundIsRecorded fails without (the repeat stays refused as unknown) and passes with it; one booking.

--- a/router/entry/once.go
+++ b/router/entry/once.go
@@ -142,7 +142,7 @@
 		writeAnswer(w, service.Answer{Status: earlier.Status, Header: earlier.Header, Body: earlier.Body})
 		return nil
 	}
-	answer, _, bad := e.callService(ctx, p)
+	answer, bad := e.callService(ctx, p)
 	keep := recorded{Status: answer.Status, Header: keptHeader(answer.Header), Body: answer.Body}
 	e.settle(ctx, claim, bad, &keep)
 	if bad != nil {
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -51,7 +51,7 @@
 	if !p.idempotent || p.Key != "" {
 		return e.plainOnce(ctx, w, p)
 	}
-	answer, _, bad := e.callService(ctx, p)
+	answer, bad := e.callService(ctx, p)
 	if bad != nil {
 		return bad
 	}
@@ -105,32 +105,17 @@
 
 // callService makes attempts until there is an answer. A call that may not be
 // repeated is sent to a second endpoint only when no byte left for the first.
-func (e *Entry) callService(ctx context.Context, p *plain) (service.Answer, string, *refusal.Refusal) {
+func (e *Entry) callService(ctx context.Context, p *plain) (service.Answer, *refusal.Refusal) {
 	n := p.need()
 	ran := refusal.NotRun
 	for {
-		t, bad := e.dispatch.Acquire(ctx, n)
-		if bad == nil {
-			bad = e.plainStillAllowed(p)
-			if bad != nil {
-				t.Cancel()
-			}
-		}
+		t, bad := e.acquirePlain(ctx, p, n)
 		if bad != nil {
-			bad.Ran = ran
-			return service.Answer{}, "", bad
+			return service.Answer{}, bad.WhichRan(ran)
 		}
-		answer, result, err := e.services.Do(ctx, service.Call{
-			Address: t.Address, Method: p.method, Path: p.path, Header: p.header, Body: p.body, Idempotent: p.idempotent,
-		})
-		t.Done(dispatch.Result{
-			Failed:    result == service.Unknown || answer.Status >= http.StatusInternalServerError,
-			Unreached: result == service.NotSent,
-			Running:   -1,
-			Ended:     result != service.Unknown,
-		})
+		answer, result, err := e.callOnce(ctx, p, t)
 		if result == service.Answered {
-			return answer, t.Endpoint, nil
+			return answer, nil
 		}
 		if result == service.Unknown {
 			ran = refusal.Unknown
@@ -139,15 +124,52 @@
 		if result == service.Unknown && !p.idempotent {
 			// It may have run; to send it again could run it twice.
 			bad.Code, bad.RetryAfter = refusal.OutcomeUnknown, 0
-			return service.Answer{}, t.Endpoint, bad
+			return service.Answer{}, bad
 		}
 		after, again := e.dispatch.Again(n, t, dispatch.Failure{NotSent: result == service.NotSent})
 		if !again || !sleep(ctx, after) {
-			return service.Answer{}, t.Endpoint, bad
+			return service.Answer{}, bad
 		}
 	}
 }
 
+// acquirePlain waits for an endpoint, for a caller that still waits itself.
+func (e *Entry) acquirePlain(ctx context.Context, p *plain, n *dispatch.Need) (*dispatch.Ticket, *refusal.Refusal) {
+	t, bad := e.dispatch.Acquire(ctx, n)
+	if bad != nil {
+		return nil, bad
+	}
+	if bad = e.plainStillAllowed(p); bad == nil && ctx.Err() != nil {
+		bad = refusal.New(statusClosed, refusal.DeadlineTooShort, "the caller left before the call was sent")
+	}
+	if bad != nil {
+		t.Cancel()
+		return nil, bad
+	}
+	return t, nil
+}
+
+// callOnce makes one call. One that may not be repeated goes on when its caller
+// leaves: cut off, its outcome would be unknown for good, while its answer, once
+// recorded, is there for the caller's next send.
+func (e *Entry) callOnce(ctx context.Context, p *plain, t *dispatch.Ticket) (service.Answer, service.Result, error) {
+	if !p.idempotent {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), p.Deadline)
+		defer cancel()
+	}
+	answer, result, err := e.services.Do(ctx, service.Call{
+		Address: t.Address, Method: p.method, Path: p.path, Header: p.header, Body: p.body, Idempotent: p.idempotent,
+	})
+	t.Done(dispatch.Result{
+		Failed:    result == service.Unknown || answer.Status >= http.StatusInternalServerError,
+		Unreached: result == service.NotSent,
+		Running:   -1,
+		Ended:     result != service.Unknown,
+	})
+	return answer, result, err
+}
+
 func (e *Entry) plainStillAllowed(p *plain) *refusal.Refusal {
 	if bad := e.takesWork(); bad != nil {
 		return bad
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -1,7 +1,9 @@
 package vm
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -202,3 +204,28 @@
 		})
 	}
 }
+
+// The caller of a refund leaves while the service is at it. The refund goes on, and
+// its answer is recorded: the caller's next send gets it, and nothing is booked twice.
+func TestCallerLeavesAndRefundIsRecorded(t *testing.T) {
+	w := newWorld(t, 0)
+	w.plain.SetFaults(backend.ServiceFaults{Hold: 2 * time.Second})
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.vm.CallersAddress()+"/v1/services/conector/refunds", strings.NewReader("3 EUR"))
+		assert.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+bakerKey)
+		req.Header.Set("Idempotency-Key", "r-6")
+		_, err = http.DefaultClient.Do(req)
+		assert.Error(t, err)
+	}()
+	until(t, func() bool { return len(w.plain.Booked()) == 1 })
+	require.Equal(t, refusal.InProgress, w.refund("r-6", "3 EUR", nil).problem(t).Code)
+	leave()
+	<-left
+	w.plain.SetFaults(backend.ServiceFaults{})
+	until(t, func() bool { return w.refund("r-6", "3 EUR", nil).status == http.StatusOK })
+	require.Equal(t, []string{"3 EUR"}, w.plain.Booked())
+}
