fleet/slot: hand on a slot that nobody wanted in between

Cause: a loser that had never wanted a slot was not entitled to it and could not hand it on, so a slot that moved twice within the wait stood idle: over three VMs started one after the other a cold endpoint had none for 65 s, and the router's TestColdSlotsAreExactOverThreeVMs failed in one of two and in one of three runs. Ruled out: the gainer asking all earlier holders (a new process doesn't know for how long it has to look back); eager handovers (nobody knows all cold endpoints). Change: the loser asks its own loser, and a yes counts for a tenure that is over. Seen failing first: the loser asks nobody; handover by an unsettled loser; a late answer that counts. Conclusion: as exact, without the idle slots of a rolling restart.

--- a/fleet/slot/model_test.go
+++ b/fleet/slot/model_test.go
@@ -389,6 +389,11 @@
 		m.send(p, q, func() {
 			if q.table.HandOver(m.clock(q), endpoint, a.Index, a.Epoch) {
 				m.send(q, p, func() { p.table.HandedOver(endpoint, a.Index, a.Epoch) })
+				return
+			}
+			before, ok := q.table.HandOverNeeds(m.clock(q), endpoint, a.Index, a.Epoch)
+			if r := m.find(before.Process); ok && r != nil && r != q {
+				m.ask(q, r, endpoint, before)
 			}
 		})
 		return
--- a/fleet/slot/service.go
+++ b/fleet/slot/service.go
@@ -67,6 +67,8 @@
 	table     *Table
 	endpoints *Endpoints
 	draining  bool
+	// asking: a handover for another is under way.
+	asking bool
 	// differs is the number of rounds that the epoch has not been as this VM would have it.
 	differs int
 }
@@ -121,7 +123,31 @@
 }
 
 func (s *Service) handOver(_ string, r handOverRequest) bool {
-	return s.table.HandOver(time.Now(), r.Endpoint, r.Index, r.Epoch)
+	now := time.Now()
+	if s.table.HandOver(now, r.Endpoint, r.Index, r.Epoch) {
+		return true
+	}
+	before, ok := s.table.HandOverNeeds(now, r.Endpoint, r.Index, r.Epoch)
+	if ok && !s.asking {
+		// One at a time is enough: whoever wants the slot asks again.
+		s.asking = true
+		s.tasks.Go(func() { s.askBefore(r.Endpoint, before) })
+	}
+	return false
+}
+
+// askBefore has a slot handed over that this process no longer holds, so that it can hand it on.
+func (s *Service) askBefore(endpoint string, a Ask) {
+	yes := false
+	if to, known := s.targets([]Ask{a})[a.Process]; known {
+		yes = s.call(context.Background(), to, methodHandOver, handOverRequest{Endpoint: endpoint, Index: a.Index, Epoch: a.Epoch})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asking = false
+	if yes {
+		s.table.HandedOver(endpoint, a.Index, a.Epoch)
+	}
 }
 
 func (s *Service) confirm(_ string, r confirmRequest) bool {
--- a/fleet/slot/share.go
+++ b/fleet/slot/share.go
@@ -59,11 +59,28 @@
 	return ok && t.settled(now, k, held)
 }
 
-// HandedOver takes a loser's yes. An answer about an earlier tenure is too late and counts for nothing.
+// HandOverNeeds gives whom to ask when a handover was refused only because this
+// process was not entitled to the slot itself yet. Without it a slot that moves on
+// before its holder ever wanted it would stand idle for Params.Wait, in a rolling
+// restart at each step.
+func (t *Table) HandOverNeeds(now time.Time, endpoint string, index int, epoch uint64) (Ask, bool) {
+	k := slotKey{endpoint: endpoint, index: index}
+	if t.epoch.Number < epoch || epoch < 2 {
+		return Ask{}, false
+	}
+	held, ok := t.tenureAt(k, epoch-1)
+	if !ok || !held.hasLoser || t.settled(now, k, held) {
+		return Ask{}, false
+	}
+	return Ask{Kind: Handover, Process: held.loser, Index: index, Epoch: held.first}, true
+}
+
+// HandedOver takes a loser's yes about the tenure that began with epoch. It says
+// nothing about a later tenure: the loser may have used the slot in between.
 func (t *Table) HandedOver(endpoint string, index int, epoch uint64) {
 	k := slotKey{endpoint: endpoint, index: index}
-	held, ok := t.tenureAt(k, t.epoch.Number)
-	if ok && held.first == epoch {
+	held, ok := t.tenureAt(k, epoch)
+	if ok && held.first == epoch && epoch > t.handed[k] {
 		t.handed[k] = epoch
 	}
 }
--- a/fleet/slot/table_test.go
+++ b/fleet/slot/table_test.go
@@ -57,6 +57,34 @@
 	require.False(t, e.Cold("e"))
 }
 
+// A slot goes from a to b and on to c, and b never wanted it. c must get it by
+// asking: b has it handed over by a first. Else it would stand idle for the wait.
+func TestSlotThatMovesTwiceIsHandedOn(t *testing.T) {
+	procs := []Process{{ID: "a", Incarnation: 1}, {ID: "b", Incarnation: 1}, {ID: "c", Incarnation: 1}}
+	now := time.Unix(1000, 0)
+	var tables []*Table
+	for _, p := range procs {
+		tables = append(tables, NewTable(p, Defaults))
+	}
+	e := Epoch{}
+	for _, p := range procs {
+		e = e.next([]Process{p})
+		for _, table := range tables {
+			table.Observe(now, now, e, int64(e.Number))
+		}
+	}
+	require.False(t, tables[1].HandOver(now, "e", 0, 3))
+	before, ok := tables[1].HandOverNeeds(now, "e", 0, 3)
+	require.True(t, ok)
+	require.Equal(t, Ask{Kind: Handover, Process: procs[0], Epoch: 2}, before)
+	require.True(t, tables[0].HandOver(now, "e", 0, 2))
+	tables[1].HandedOver("e", 0, 2)
+	require.True(t, tables[1].HandOver(now, "e", 0, 3))
+	tables[2].HandedOver("e", 0, 3)
+	_, ok, _ = tables[2].Acquire(now, "e", 1)
+	require.True(t, ok)
+}
+
 // BenchmarkSharing measures each way to share slots under the same churn (seeds
 // 1 to 20, seven VMs, two endpoints that bear 4): starts above the limit, requests run, and the
 // longest time an endpoint got nothing, mean over the seeds.
