Speak HTTPS where a listener's settings name a certificate

Cause: the settings took a certificate for callers and operators, and nothing used it: an account's key would have crossed the network in the clear, with settings that looked right. Ruled out: dropping the fields (keys must not travel in the clear between data centres). Measured: TestCallersOverTLS fails without (the server answers plain HTTP) and passes with it.

--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -186,7 +186,7 @@
 		c.address(fmt.Sprintf("peers.seeds[%d]", i), seed, false)
 	}
 	c.ports(s)
-	c.file3(s.Peers)
+	c.files(s)
 	c.url("platform.url", s.Platform.URL, true)
 	c.url("rating.url", s.Rating.URL, false)
 	if b, err := hex.DecodeString(s.Secret); err != nil || len(b) < minSecret {
@@ -238,8 +238,19 @@
 	}
 }
 
-func (c *checker) file3(p Peers) {
-	for _, f := range [...]struct{ field, path string }{{"peers.ca", p.CA}, {"peers.certificate", p.Certificate}, {"peers.key", p.Key}} {
+// files checks that the PEM files are there.
+func (c *checker) files(s *Settings) {
+	type file struct{ field, path string }
+	named := []file{
+		{"peers.ca", s.Peers.CA}, {"peers.certificate", s.Peers.Certificate}, {"peers.key", s.Peers.Key},
+	}
+	if s.Callers.Certificate != "" {
+		named = append(named, file{"callers.certificate", s.Callers.Certificate}, file{"callers.key", s.Callers.Key})
+	}
+	if s.Operators.Certificate != "" {
+		named = append(named, file{"operators.certificate", s.Operators.Certificate}, file{"operators.key", s.Operators.Key})
+	}
+	for _, f := range named {
 		if _, err := os.Stat(f.path); err != nil {
 			c.refuse(f.field, fmt.Sprintf("%q", f.path), "a PEM file that can be read")
 		}
--- a/router/vm/badinput_test.go
+++ b/router/vm/badinput_test.go
@@ -16,6 +16,7 @@
 
 	"goldcrestfork/router/entry"
 	"goldcrestfork/router/refusal"
+	"goldcrestfork/router/settings"
 	"goldcrestfork/standin/backend"
 )
 
@@ -120,7 +121,7 @@
 	server := w.vm.server(w.vm.entry.Handler())
 	server.ReadHeaderTimeout = 20 * time.Millisecond
 	done := make(chan error, 1)
-	go func() { done <- serve(server, l) }()
+	go func() { done <- serve(server, l, settings.Listener{}) }()
 	status, _ := say(t, l.Addr().String(), "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\n")
 	require.Zero(t, status)
 	until(t, func() bool { return count(t, w.vm, "goldcrest_bad_heads_total", nil) == 1 })
--- a/router/vm/fleet.go
+++ b/router/vm/fleet.go
@@ -152,10 +152,10 @@
 	view := address.View{Out: outOf(v.cache.Snapshot())}
 	if !self.Draining {
 		view.Candidates = append(view.Candidates, address.Candidate{
-			ID: self.ID, Address: v.CallersAddress(), DataCentre: self.DataCentre, Load: self.Load,
+			ID: self.ID, Address: self.CallerAddress, DataCentre: self.DataCentre, Load: self.Load,
 		})
 	}
-	places := map[string]string{v.CallersAddress(): self.DataCentre}
+	places := map[string]string{self.CallerAddress: self.DataCentre}
 	for _, m := range v.fleet.live() {
 		places[m.CallerAddress] = m.DataCentre
 		view.Candidates = append(view.Candidates, address.Candidate{
--- a/router/vm/harness_test.go
+++ b/router/vm/harness_test.go
@@ -79,6 +79,12 @@
 
 // start starts a VM; stop ends it as planned and waits.
 func (w *world) start(name string) (v *VM, stop func()) {
+	w.t.Helper()
+	return w.startWith(name, "")
+}
+
+// startWith is start with more settings of the callers' listener; DIR is the certificates'.
+func (w *world) startWith(name, callers string) (v *VM, stop func()) {
 	w.t.Helper()
 	dir := w.t.TempDir()
 	for file, pem := range map[string][]byte{"ca": w.trial.CA, "cert": w.trial.VMs[name].Certificate, "key": w.trial.VMs[name].Key} {
@@ -86,13 +92,13 @@
 	}
 	s, err := settings.Parse("test", fmt.Appendf(nil, `{
 		"vm": "%[5]s", "dataCentre": "norte-a", "region": "norte",
-		"callers": {"address": "127.0.0.1:0"}, "operators": {"address": "127.0.0.1:0"},
+		"callers": {"address": "127.0.0.1:0" %[7]s}, "operators": {"address": "127.0.0.1:0"},
 		"peers": {"address": "127.0.0.1:0", "ca": "%[1]s/ca", "certificate": "%[1]s/cert", "key": "%[1]s/key", "seeds": [%[6]s]},
 		"platform": {"url": "http://%[2]s", "register": true},
 		"secret": "%[3]s", "operatorKeyHashes": ["%[3]s"],
 		"rating": {"url": "http://%[4]s/rate"},
 		"keepAddresses": "1ms", "spreadLeaving": "1ms",
-	}`, dir, w.platform, hash("secret"), w.rater, name, strings.Join(w.seeds, ",")))
+	}`, dir, w.platform, hash("secret"), w.rater, name, strings.Join(w.seeds, ","), strings.ReplaceAll(callers, "DIR", dir)))
 	require.NoError(w.t, err)
 	v, err = newVM(s, zerolog.Nop(), slot.Params{Evidence: 3 * time.Second, Start: 2 * time.Second, Job: time.Minute, Drift: slot.Defaults.Drift})
 	require.NoError(w.t, err)
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -227,8 +227,8 @@
 	} {
 		g.Go(func() error { loop(work); return nil })
 	}
-	g.Go(func() error { return serve(callers, v.callers) })
-	g.Go(func() error { return serve(operators, v.operators) })
+	g.Go(func() error { return serve(callers, v.callers, v.settings.Callers) })
+	g.Go(func() error { return serve(operators, v.operators, v.settings.Operators) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -254,8 +254,15 @@
 	return s
 }
 
-func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+// serve speaks HTTPS where the settings name a certificate.
+func serve(s *http.Server, l net.Listener, at settings.Listener) error {
+	var err error
+	if at.Certificate != "" {
+		err = s.ServeTLS(l, at.Certificate, at.Key)
+	} else {
+		err = s.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net/http"
 	"strings"
 	"sync"
@@ -229,3 +231,30 @@
 	until(t, func() bool { return w.refund("r-6", "3 EUR", nil).status == http.StatusOK })
 	require.Equal(t, []string{"3 EUR"}, w.plain.Booked())
 }
+
+// A VM whose settings name a certificate for its callers speaks HTTPS, and nothing
+// that an account's key could be read from.
+func TestCallersOverTLS(t *testing.T) {
+	w := newWorld(t, 1)
+	v, _ := w.startWith("vm-2", `, "certificate": "DIR/cert", "key": "DIR/key"`)
+	w.inForce(v, w.vm.cache.Revision())
+	roots := x509.NewCertPool()
+	require.True(t, roots.AppendCertsFromPEM(w.trial.CA))
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{
+		// The trial's certificates name VMs, not addresses.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots})
+			return err
+		},
+	}}}
+	defer client.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+v.CallersAddress()+"/v1/models", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+bakerKey)
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, http.StatusBadRequest, w.sendTo(v, http.MethodGet, "/v1/models", bakerKey, nil, "").status)
+}
