Keep one account of crashes instead of two

Cause: heartbeats carried counts of crashes by request, and the peer link carries the blame of policy/poison; only the latter decides anything, since it keeps the endpoints apart and clears requests that survived. Ruled out: deciding by the heartbeats' counts (an innocent request at two crashes of one endpoint counts twice). Conclusion: a heartbeat has 24 bytes an entry more for digests.

--- a/fleet/member/message.go
+++ b/fleet/member/message.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -43,18 +42,6 @@
 	Beat        uint64
 }
 
-// Poison is one VM's count of endpoints that a request's fingerprint crashed.
-type Poison struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint uint64
-	// Origin is the VM that saw the crashes.
-	Origin  string
-	Crashes uint16
-	// Age is the time since the last crash, as far as the sender knows. A
-	// duration, since clocks of two VMs are never compared.
-	Age time.Duration
-}
-
 // Message is one heartbeat: a ping, or the answer to one.
 type Message struct {
 	_ struct{} `cbor:",toarray"`
@@ -67,7 +54,6 @@
 	From       Digest
 	Digests    []Digest
 	Suspicions []Suspicion
-	Poison     []Poison
 }
 
 const (
@@ -88,7 +74,6 @@
 
 const (
 	suspicionSize = 16 // without its id
-	poisonSize    = 24 // without its origin
 )
 
 var decoding = func() cbor.DecMode {
@@ -126,11 +111,6 @@
 			return Message{}, errors.New("suspicion without a proper id")
 		}
 	}
-	for _, p := range m.Poison {
-		if p.Origin == "" || len(p.Origin) > maxText || p.Age < 0 {
-			return Message{}, errors.New("poison entry out of bounds")
-		}
-	}
 	return m, nil
 }
 
--- a/fleet/member/receive.go
+++ b/fleet/member/receive.go
@@ -20,9 +20,6 @@
 	for _, s := range m.Suspicions {
 		t.suspect(now, s)
 	}
-	for _, p := range m.Poison {
-		t.poison.merge(now, p)
-	}
 	if !m.Ask {
 		return Message{}, false
 	}
--- a/fleet/member/service.go
+++ b/fleet/member/service.go
@@ -266,27 +266,12 @@
 	return s.table.ListAge(now)
 }
 
-// ReportCrash is Table.ReportCrash.
-func (s *Service) ReportCrash(now time.Time, fingerprint uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.ReportCrash(now, fingerprint)
-}
-
-// Crashes is Table.Crashes.
-func (s *Service) Crashes(now time.Time, fingerprint uint64) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Crashes(now, fingerprint)
-}
-
 // Dump is membership's part of the state dump.
 type Dump struct {
 	Self    Digest
 	Fresh   bool
 	States  map[string]int
 	Targets []string
-	Poison  int
 	Counts  Counts
 	Members []Member
 }
@@ -300,7 +285,6 @@
 		Fresh:   s.table.Fresh(now),
 		States:  make(map[string]int),
 		Targets: append([]string(nil), s.table.targets...),
-		Poison:  len(s.table.poison.rows),
 		Counts:  s.table.Counts,
 		Members: s.table.Members(now),
 	}
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -56,7 +56,6 @@
 	seeds   []peer.Target
 	rows    map[string]*member
 	machine machine
-	poison  poisonTable
 	// sentAt holds the times of the last pings, by beat.
 	sentAt [64]time.Time
 	// contact is when the newest ping that was answered left; listed is when the
@@ -89,7 +88,6 @@
 		seeds:   slices.Clone(s.Seeds),
 		rows:    make(map[string]*member),
 		machine: newMachine(),
-		poison:  newPoisonTable(),
 		ticked:  now,
 		stale:   true,
 	}
--- a/fleet/member/table_test.go
+++ b/fleet/member/table_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 
 	"goldcrestfork/fleet/peer"
 )
@@ -200,48 +199,8 @@
 	}), 40)
 }
 
-// Crash counts travel twice, late and crossed between VMs. The sum must be exact
-// whatever the order, and nothing may live on for ever by being passed around.
-func TestPoisonMergesInAnyOrder(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		now := time.Unix(1_000_000, 0)
-		a, b := NewTable(now, Self{ID: "a"}), NewTable(now, Self{ID: "b"})
-		var sent []Message
-		crashes := 0
-		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "wait")) * time.Second)
-			from, to := a, b
-			if rapid.Bool().Draw(t, "swap") {
-				from, to = b, a
-			}
-			if rapid.Bool().Draw(t, "crash") {
-				from.ReportCrash(now, 42)
-				crashes++
-			}
-			sent = append(sent, from.fill(now))
-			m := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
-			to.Receive(now, m.From.ID, m)
-		}
-		for _, pair := range [][2]*Table{{a, b}, {b, a}} {
-			pair[0].Receive(now, pair[1].self.ID, pair[1].fill(now))
-		}
-		require.Equal(t, crashes, a.Crashes(now, 42))
-		require.Equal(t, crashes, b.Crashes(now, 42))
-		for range int(PoisonLife/time.Minute) + 1 {
-			fromA, fromB := a.fill(now), b.fill(now)
-			now = now.Add(time.Minute)
-			a.Receive(now, "b", fromB)
-			b.Receive(now, "a", fromA)
-			a.Tick(now)
-			b.Tick(now)
-		}
-		require.Zero(t, a.Crashes(now, 42)+b.Crashes(now, 42)+len(a.poison.rows)+len(b.poison.rows))
-	})
-}
-
 func FuzzDecode(f *testing.F) {
 	table := NewTable(time.Unix(0, 0), Self{ID: "a", Address: "10.0.0.1:1", Incarnation: incarnation})
-	table.ReportCrash(time.Unix(0, 0), 7)
 	data, err := table.fill(time.Unix(0, 0)).Encode()
 	require.NoError(f, err)
 	f.Add(data)
--- a/fleet/member/tick.go
+++ b/fleet/member/tick.go
@@ -27,7 +27,6 @@
 	t.resume(now)
 	t.ticked = now
 	t.judge(now)
-	t.poison.expire(now)
 	t.self.Beat++
 	t.sentAt[t.self.Beat%uint64(len(t.sentAt))] = now
 	if t.stale {
@@ -171,7 +170,6 @@
 	m := Message{From: t.self}
 	room := maxMessage - t.self.size() - suspicionSize
 	room = t.fillSuspicions(&m, room)
-	m.Poison, room = t.poison.fill(now, room)
 	t.fillDigests(&m, room)
 	return m
 }
