--- a/router/service/client_test.go
+++ b/router/service/client_test.go
@@ -26,11 +26,17 @@
 	runs = new(atomic.Int64)
 	var conns sync.WaitGroup
 	conns.Go(func() {
+		var open []net.Conn
 		for {
 			c, err := l.Accept()
 			if err != nil {
+				// The test is over; a client may keep connections open.
+				for _, c := range open {
+					_ = c.Close()
+				}
 				return
 			}
+			open = append(open, c)
 			conns.Go(func() { converse(c, s, runs) })
 		}
 	})
@@ -66,6 +72,7 @@
 const (
 	good  = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 	short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+	other = "HTTP/1.1 303 See Other\r\nLocation: /refunds/1\r\nContent-Length: 0\r\n\r\n"
 	moved = "HTTP/1.1 307 Temporary Redirect\r\nLocation: /refunds\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -93,6 +100,7 @@
 		"closes within the answer":      {always(short, true), Unknown, 0},
 		"speaks no HTTP":                {always("hello\r\n\r\n", true), Unknown, 0},
 		"sends it elsewhere":            {always(moved, false), Answered, 307},
+		"sends its caller elsewhere":    {always(other, false), Answered, 303},
 		"answers with more than agreed": {always("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("x", MaxAnswer+1), true), Unknown, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
