--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -224,3 +226,50 @@
 	b.ReportMetric(float64(stats.BytesReceived)/float64(b.N), "quic-B-in/op")
 	b.ReportMetric(float64(stats.PacketsSent)/float64(b.N), "packets-out/op")
 }
+
+// Heartbeats go to many new VMs at a time: each new target sweeps the gone ones
+// while others start their dials. The link once stood still here, since the two
+// took its locks in opposite order; callers saw a VM that answered nobody.
+func TestManyNewTargetsAtOnce(t *testing.T) {
+	a, _, _ := pair(t)
+	address := freeAddress(t)
+	var senders sync.WaitGroup
+	for i := range 8 {
+		senders.Go(func() {
+			for j := range 200 {
+				a.Send(Target{ID: fmt.Sprintf("vm-%d-%d", i, j), Address: address}, []byte("x"))
+			}
+		})
+	}
+	senders.Wait()
+	require.Positive(t, len(a.conns))
+}
+
+// BenchmarkFirstCall measures a call over a new connection, both sides in this process.
+func BenchmarkFirstCall(b *testing.B) {
+	set, err := NewTrialSet(time.Now(), "a", "b")
+	require.NoError(b, err)
+	credentials := func(id string) Credentials {
+		c, err := set.Credentials(id)
+		require.NoError(b, err)
+		return c
+	}
+	server, err := Listen(Options{Listen: "127.0.0.1:0", Credentials: credentials("b")})
+	require.NoError(b, err)
+	defer func() { _ = server.Close() }()
+	server.Register("echo", func(_ context.Context, _ string, body []byte) ([]byte, error) { return body, nil })
+	client, err := Listen(Options{Listen: "127.0.0.1:0", Credentials: credentials("a")})
+	require.NoError(b, err)
+	defer func() { _ = client.Close() }()
+	var out, in uint64
+	for b.Loop() {
+		_, err := client.Call(context.Background(), target(server), "echo", []byte("x"))
+		require.NoError(b, err)
+		q := client.conns[target(server)].current
+		out += q.ConnectionStats().BytesSent
+		in += q.ConnectionStats().BytesReceived
+		_ = q.CloseWithError(0, "")
+	}
+	b.ReportMetric(float64(out)/float64(b.N), "quic-B-out/op")
+	b.ReportMetric(float64(in)/float64(b.N), "quic-B-in/op")
+}
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -1,7 +1,11 @@
 package vm
 
 import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -202,3 +206,55 @@
 		})
 	}
 }
+
+// The caller of a refund leaves while the service is at it. The refund goes on, and
+// its answer is recorded: the caller's next send gets it, and nothing is booked twice.
+func TestCallerLeavesAndRefundIsRecorded(t *testing.T) {
+	w := newWorld(t, 0)
+	w.plain.SetFaults(backend.ServiceFaults{Hold: 2 * time.Second})
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.vm.CallersAddress()+"/v1/services/conector/refunds", strings.NewReader("3 EUR"))
+		assert.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+bakerKey)
+		req.Header.Set("Idempotency-Key", "r-6")
+		_, err = http.DefaultClient.Do(req)
+		assert.Error(t, err)
+	}()
+	until(t, func() bool { return len(w.plain.Booked()) == 1 })
+	require.Equal(t, refusal.InProgress, w.refund("r-6", "3 EUR", nil).problem(t).Code)
+	leave()
+	<-left
+	w.plain.SetFaults(backend.ServiceFaults{})
+	until(t, func() bool { return w.refund("r-6", "3 EUR", nil).status == http.StatusOK })
+	require.Equal(t, []string{"3 EUR"}, w.plain.Booked())
+}
+
+// A VM whose settings name a certificate for its callers speaks HTTPS, and nothing
+// that an account's key could be read from.
+func TestCallersOverTLS(t *testing.T) {
+	w := newWorld(t, 1)
+	v, _ := w.startWith("vm-2", `, "certificate": "DIR/cert", "key": "DIR/key"`)
+	w.inForce(v, w.vm.cache.Revision())
+	roots := x509.NewCertPool()
+	require.True(t, roots.AppendCertsFromPEM(w.trial.CA))
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{
+		// The trial's certificates name VMs, not addresses.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			_, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: roots})
+			return err
+		},
+	}}}
+	defer client.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+v.CallersAddress()+"/v1/models", nil)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+bakerKey)
+	resp, err := client.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, http.StatusBadRequest, w.sendTo(v, http.MethodGet, "/v1/models", bakerKey, nil, "").status)
+}
