Measure overload on the whole path

Cause: the decisions were measured in virtual time; nothing showed that their wiring keeps what they promise. Change: a benchmark that floods one VM or three and reports what callers receive.

--- /dev/null
+++ b/router/vm/overload_test.go
@@ -0,0 +1,121 @@
+package vm
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"goldcrestfork/standin/backend"
+)
+
+// BenchmarkOverload sends twice what two engines bear to one VM or three, for some
+// seconds, and reports what callers receive. The engines bear 16 requests at once and take
+// 100 ms for each: 160 a second.
+func BenchmarkOverload(b *testing.B) {
+	const capacity, seconds, deadline = 160, 8, time.Second
+	for _, c := range []struct {
+		vms  int
+		load float64
+	}{{1, 0.8}, {1, 2}, {3, 0.8}, {3, 2}} {
+		b.Run(fmt.Sprintf("%dvms/%gx", c.vms, c.load), func(b *testing.B) {
+			for b.Loop() {
+				w := newWorld(b, 2)
+				vms := w.fleetOf(c.vms)
+				for _, e := range w.engines {
+					e.SetFaults(backend.EngineFaults{TokenDelay: 5 * time.Millisecond})
+				}
+				w.flood(b, vms, c.load*capacity, seconds*time.Second, deadline)
+			}
+		})
+	}
+}
+
+// fleetOf starts VMs until there are n that know each other.
+func (w *world) fleetOf(n int) []*VM {
+	vms := []*VM{w.vm}
+	for i := 2; i <= n; i++ {
+		v, _ := w.start(fmt.Sprint("vm-", i))
+		vms = append(vms, v)
+	}
+	for _, v := range vms {
+		w.inForce(v, w.vm.cache.Revision())
+		until(w.t, func() bool { return len(v.fleet.live()) == n-1 && len(*v.slots.live.Load()) == n })
+	}
+	return vms
+}
+
+// tally is what callers received.
+type tally struct {
+	mu               sync.Mutex
+	good, late       int
+	refused, untrue  int
+	took, refusedFor []time.Duration
+}
+
+// flood sends requests at a rate and reports.
+func (w *world) flood(b *testing.B, vms []*VM, rate float64, d, deadline time.Duration) {
+	var all tally
+	var callers sync.WaitGroup
+	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
+	defer tick.Stop()
+	end := time.Now().Add(d)
+	sent := 0
+	for now := range tick.C {
+		if now.After(end) {
+			break
+		}
+		sent++
+		callers.Go(func() { w.floodOne(b, vms[sent%len(vms)], &all, sent, deadline) })
+	}
+	callers.Wait()
+	b.ReportMetric(float64(all.good)/d.Seconds(), "good/s")
+	b.ReportMetric(float64(all.late), "late")
+	b.ReportMetric(float64(all.refused)/d.Seconds(), "refused/s")
+	b.ReportMetric(float64(all.untrue), "refused-not-notrun")
+	b.ReportMetric(quantile(all.took, 0.99), "p99-ms")
+	b.ReportMetric(quantile(all.refusedFor, 0.5), "refusal-p50-ms")
+	b.ReportMetric(quantile(all.refusedFor, 0.99), "refusal-p99-ms")
+}
+
+func (w *world) floodOne(b *testing.B, v *VM, all *tally, i int, deadline time.Duration) {
+	header := map[string]string{"X-Deadline-Ms": fmt.Sprint(deadline.Milliseconds())}
+	start := time.Now()
+	resp := w.open(context.Background(), v, http.MethodPost, chatPath, bakerKey, header, chatBody(b, v1, fmt.Sprint(prompt, i), 20, true))
+	defer resp.Body.Close()
+	whole := false
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		whole = whole || strings.Contains(lines.Text(), "[DONE]")
+	}
+	took := time.Since(start)
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	switch {
+	case whole && took <= deadline:
+		all.good++
+		all.took = append(all.took, took)
+	case resp.StatusCode != http.StatusOK:
+		all.refused++
+		all.refusedFor = append(all.refusedFor, took)
+		if resp.Header.Get("X-Ran") != "not run" {
+			all.untrue++
+		}
+	default:
+		all.late++
+	}
+}
+
+// quantile in milliseconds.
+func quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	slices.Sort(d)
+	return float64(d[int(q*float64(len(d)-1))].Microseconds()) / 1000
+}
