Count every completion's end, and claim no run that nobody saw

Cause: completions were not counted as answers, cut streams not as refusals; and a request whose deadline passed before its first token was told that it ran. Ruled out: counting cut streams apart (operators look at one counter of refusals). Change: both counted; such a request's run is unknown. Two fields that nothing read are gone.

--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -208,6 +208,20 @@
 	fin := e.cascaded(ctx, c, a, plan)
 	e.bill(c, fin)
 	e.sample(ctx, c, fin)
+	return e.finish(a, fin)
+}
+
+// finish ends a caller's answer and counts what it got. A refusal that it returns
+// has not been sent yet.
+func (e *Entry) finish(a *answer, fin end) *refusal.Refusal {
+	switch {
+	case fin.refusal == nil:
+		e.metrics.answers.WithLabelValues("completion").Inc()
+	case a.started:
+		// It goes out as the stream's last event; refusals that are answers are counted
+		// when they are sent.
+		e.metrics.refusals.WithLabelValues(string(fin.refusal.Code), string(fin.refusal.Ran)).Inc()
+	}
 	return a.finish(fin)
 }
 
@@ -219,10 +233,8 @@
 	stream *engine.Stream
 	// ran says that some endpoint ran it, at least in part, or may have.
 	ran refusal.Ran
-	// version and endpoint are of the last attempt.
-	version  string
-	endpoint string
-	attempts int
+	// version is that of the last attempt.
+	version string
 	// cost is that of all steps, in micro-units.
 	cost int64
 }
@@ -275,8 +287,6 @@
 
 // attempt is one run at one endpoint.
 func (e *Entry) attempt(ctx context.Context, c *chat, a *answer, t *dispatch.Ticket, fin *end) engine.Outcome {
-	fin.attempts++
-	fin.endpoint = t.Endpoint
 	a.from(t.Endpoint)
 	call := engine.Call{
 		RequestID: c.engineID,
@@ -360,6 +370,9 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r = refusal.New(http.StatusGatewayTimeout, refusal.DeadlineTooShort, "the deadline passed after %d tokens", s.Next)
 	}
+	if s.Next == 0 {
+		return r.WhichRan(refusal.Unknown)
+	}
 	return r.WhichRan(refusal.DidRun)
 }
 
--- a/router/entry/once.go
+++ b/router/entry/once.go
@@ -193,7 +193,7 @@
 	}
 	e.settle(ctx, claim, fin.refusal, &keep)
 	e.bill(c, fin)
-	return a.finish(fin)
+	return e.finish(a, fin)
 }
 
 // replay answers with what an earlier send got.
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -56,6 +56,7 @@
 		return bad
 	}
 	e.billPlain(p)
+	e.metrics.answers.WithLabelValues("plain").Inc()
 	writeAnswer(w, answer)
 	return nil
 }
