Hold no caller's impatience against an endpoint

Cause: a look-up whose caller hung up counted as the endpoint's failure, and a completion's as its success: impatient callers could open a sound service's circuit, and a request that hangs engines cleared itself of crashes. Ruled out: counting a passed deadline as a failure (deadlines are the callers' choice). Change: an attempt cut off by its caller or its deadline teaches nothing but what the endpoint said of itself. Measured: TestImpatientCallersDontCondemnAnEndpoint, 30 look-ups of 5 ms: without the change the next caller is refused with "nearly all answers of the pool fail", with it answered.

--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -117,7 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	took := now.Sub(t.start)
-	bad := r.Failed || r.Crashed || r.Unreached
+	bad := r.Failed || r.Crashed || r.Unreached || r.Abandoned
 	size := t.need.Size
 	if r.Work > 0 {
 		// By what the answer took, not by what was expected of it: a short answer to a
@@ -133,7 +133,7 @@
 	}
 	t.line.queue.Done(now, t.item, elapsed, r.Work)
 	if used {
-		t.learn(now, r, took)
+		t.learn(now, r)
 	}
 	if e := d.endpoints[t.Endpoint]; e != nil {
 		delete(e.running, t.item.ID)
@@ -155,6 +155,9 @@
 	Crashed bool
 	// Unreached: the connect failed.
 	Unreached bool
+	// Abandoned: the caller left or its deadline passed before the end, which tells
+	// nothing of the endpoint either way.
+	Abandoned bool
 	// Incarnation and Cold are the endpoint's own words, when Reported.
 	Reported    bool
 	Incarnation string
@@ -168,11 +171,17 @@
 }
 
 // learn passes on what an attempt told about its endpoint. Callers hold d.mu.
-func (t *Ticket) learn(now time.Time, r Result, took time.Duration) {
+func (t *Ticket) learn(now time.Time, r Result) {
 	d, e := t.d, t.d.endpoints[t.Endpoint]
 	if e == nil {
 		return
 	}
+	if r.Reported {
+		d.reported(now, t.Endpoint, e, r)
+	}
+	if r.Abandoned {
+		return
+	}
 	if !r.Refused {
 		bad := r.Failed || r.Crashed || r.Unreached
 		c, changed := t.line.detector.Record(now, outlier.Result{Endpoint: t.Endpoint, Failed: bad})
@@ -186,9 +195,6 @@
 		e.answered[t.line.name] = now
 		t.line.tracker.Survived(t.need.Fingerprint)
 	}
-	if r.Reported {
-		d.reported(now, t.Endpoint, e, r)
-	}
 	if (r.Crashed || r.Unreached) && e.spec.Service == "" {
 		// What comes back on this address has started anew: until it says otherwise
 		// it bears no more than an endpoint in cold start.
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -322,6 +322,7 @@
 		Refused:     o.Result == engine.Refused || o.Result == engine.Cold,
 		Crashed:     o.Result == engine.Crashed,
 		Unreached:   o.Result == engine.NotSent,
+		Abandoned:   o.Result == engine.CallerGone,
 		Reported:    o.Reported,
 		Incarnation: o.Report.Incarnation,
 		Cold:        o.Report.Cold,
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -162,8 +162,10 @@
 	answer, result, err := e.services.Do(ctx, service.Call{
 		Address: t.Address, Method: p.method, Path: p.path, Header: p.header, Body: p.body, Idempotent: p.idempotent,
 	})
+	abandoned := result == service.Unknown && ctx.Err() != nil
 	t.Done(dispatch.Result{
-		Failed:    result == service.Unknown || answer.Status >= http.StatusInternalServerError,
+		Abandoned: abandoned,
+		Failed:    result == service.Unknown && !abandoned || answer.Status >= http.StatusInternalServerError,
 		Unreached: result == service.NotSent,
 		Running:   -1,
 		Ended:     result != service.Unknown,
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -258,3 +258,18 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.Equal(t, http.StatusBadRequest, w.sendTo(v, http.MethodGet, "/v1/models", bakerKey, nil, "").status)
 }
+
+// Impatient callers hang up on look-ups, one after the other. The service is sound;
+// taken for its failures, they would get its only endpoint ejected or its circuit
+// opened, and a patient caller refused.
+func TestImpatientCallersDontCondemnAnEndpoint(t *testing.T) {
+	w := newWorld(t, 0)
+	w.plain.SetFaults(backend.ServiceFaults{Hold: time.Minute})
+	for range 30 {
+		r := w.send(http.MethodGet, "/v1/services/conector/till/7", bakerKey, map[string]string{"X-Deadline-Ms": "5"}, "")
+		require.NotEqual(t, http.StatusOK, r.status)
+	}
+	w.plain.SetFaults(backend.ServiceFaults{})
+	r := w.send(http.MethodGet, "/v1/services/conector/till/7", bakerKey, nil, "")
+	require.Equal(t, http.StatusOK, r.status, r.body)
+}
