Name field and line of a wrong unit, and charge a resumed stream what is left

Cause: a duration without its unit was refused without field and line; a folder passed for a PEM file; a stream cut near its end was charged its whole size in the retry budget. Ruled out: guessing the line from the decoder's error (it doesn't carry one). Change: values with a form of their own are checked while the text is read; files must be files; the budget is charged the tokens that the caller doesn't have yet. Measured: TestSettingsNameTheField, 11 rows, of which "unit missing" and "certificate is a folder" failed before; go test -race ./router/... passes.

--- a/config/parse.go
+++ b/config/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -151,6 +152,9 @@
 		p.refuse(v.StartOffset, path, "null", describeType(t)+", or the field left out")
 		return
 	}
+	if p.worded(v, t, path) {
+		return
+	}
 	if t.Kind() == reflect.Struct {
 		p.fields(v, t, path+".", "")
 		return
@@ -168,6 +172,20 @@
 	}
 }
 
+// worded checks a value that is written as a text of its own form, such as a
+// duration: encoding/json would not say where it stands.
+func (p *parser) worded(v *hujson.Value, t reflect.Type, path string) bool {
+	target, ok := reflect.New(t).Interface().(encoding.TextUnmarshaler)
+	lit, isLiteral := v.Value.(hujson.Literal)
+	if !ok || !isLiteral || lit.Kind() != '"' {
+		return ok
+	}
+	if err := target.UnmarshalText([]byte(lit.String())); err != nil {
+		p.refuse(v.StartOffset, path, fmt.Sprintf("%q", lit.String()), err.Error())
+	}
+	return true
+}
+
 // text returns a member's string, or "".
 func text(o *hujson.Object, name string) string {
 	for i := range o.Members {
--- a/router/dispatch/retry.go
+++ b/router/dispatch/retry.go
@@ -12,6 +12,9 @@
 	NotRun bool
 	// Resumable: the endpoint may still hold the stream, so that it may be tried once more.
 	Resumable bool
+	// Done is the work that the caller has already, in the need's units: a resumed
+	// stream costs what is left.
+	Done float64
 	// NotSent: no byte left; another endpoint may be tried at no cost to anyone.
 	NotSent bool
 	// Cold: no byte left, since the endpoint turned out to be in cold start; it may
@@ -45,7 +48,7 @@
 		Account:    n.Account.Name,
 		Idempotent: n.Idempotent || f.NotRun,
 		Made:       n.made,
-		Size:       n.Size,
+		Size:       max(n.Size-f.Done, 1),
 		Deadline:   n.Deadline,
 	})
 	d.metrics.retries.WithLabelValues(string(v.Reason)).Inc()
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -261,6 +261,7 @@
 		after, again := e.dispatch.Again(n, t, dispatch.Failure{
 			NotRun:    notRun(o.Result),
 			Resumable: o.Result == engine.Cut,
+			Done:      float64(fin.stream.Next),
 			NotSent:   o.Result == engine.NotSent,
 			Cold:      o.Result == engine.Cold,
 		})
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -96,7 +97,7 @@
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil || v <= 0 {
-		return fmt.Errorf("%q is not a positive duration with a unit, such as \"10s\"", text)
+		return errors.New("a positive duration with a unit, such as \"10s\"")
 	}
 	*d = Duration(v)
 	return nil
@@ -251,7 +252,7 @@
 		named = append(named, file{"operators.certificate", s.Operators.Certificate}, file{"operators.key", s.Operators.Key})
 	}
 	for _, f := range named {
-		if _, err := os.Stat(f.path); err != nil {
+		if info, err := os.Stat(f.path); err != nil || !info.Mode().IsRegular() {
 			c.refuse(f.field, fmt.Sprintf("%q", f.path), "a PEM file that can be read")
 		}
 	}
