Make two proofs able to fail

Cause: with its safeguard taken out, the test of a wrong version's answer passed, since both versions' texts were the same; and the test of a data centre that is out passed, since its endpoint was far and got no work anyway. Change: the stand-in names the version in its frames, and the test refuses any of another; the endpoint out is the only one of its version.

--- a/router/vm/promises_test.go
+++ b/router/vm/promises_test.go
@@ -211,28 +211,35 @@
 			require.True(t, whole)
 			require.Equal(t, backend.Answer(prompt, 4), text)
 		}
+		require.NotContains(t, r.body, `"model":"`+v2+`"`)
 	}
 }
 
-// Operators take a data centre out, an endpoint leaves, and both come back. From
-// the moment the change is in force no new work goes there.
+// Operators take a data centre out, or an endpoint leaves, and it comes back. The
+// only endpoint of a version is there. From the moment the change is in force its
+// requests are refused as not run, and none reaches it; back in, it serves again.
 func TestDataCentreOutAndEndpointLeaving(t *testing.T) {
 	w := newWorld(t, 2)
-	away := *w.vm.cache.Snapshot().Endpoints["runner-1"]
-	away.DataCentre = "norte-b"
-	w.put(&config.DataCentre{Meta: config.Meta{Name: "norte-b"}, Region: "norte", State: config.DataCentreIn}, &away)
-	gone := map[string]config.Object{
-		"data centre out":  &config.DataCentre{Meta: config.Meta{Name: "norte-b"}, Region: "norte", State: config.DataCentreOut},
-		"endpoint leaving": func() config.Object { e := away; e.State = config.EndpointLeaving; return &e }(),
-	}
-	for name, change := range gone {
-		w.put(change)
+	near, away := *w.vm.cache.Snapshot().Endpoints["runner-0"], *w.vm.cache.Snapshot().Endpoints["runner-1"]
+	near.Versions, away.Versions, away.DataCentre = []string{v1}, []string{v2}, "norte-b"
+	in := config.DataCentre{Meta: config.Meta{Name: "norte-b"}, Region: "norte", State: config.DataCentreIn}
+	out, leaving := in, away
+	out.State, leaving.State = config.DataCentreOut, config.EndpointLeaving
+	w.put(&in, &near, &away)
+	ask := func() reply { return w.ask(bakerKey, v2, prompt, 2, false, nil) }
+	for name, gone := range map[string]config.Object{"data centre out": &out, "endpoint leaving": &leaving} {
+		require.Equal(t, http.StatusOK, ask().status, name)
+		w.put(gone)
 		before := w.engines[1].Stats().Started
-		for range 8 {
-			require.Equal(t, http.StatusOK, w.ask(bakerKey, v1, prompt, 2, false, nil).status)
+		for range 4 {
+			p := ask().problem(t)
+			require.Equal(t, refusal.NoEndpoint, p.Code, name)
+			require.Equal(t, refusal.NotRun, p.Ran, name)
 		}
 		require.Equal(t, before, w.engines[1].Stats().Started, name)
+		w.put(&in, &away)
 	}
+	require.Equal(t, http.StatusOK, ask().status)
 }
 
 // A roll-out's new version fails every request. It must be rolled back without an
--- a/standin/backend/engine.go
+++ b/standin/backend/engine.go
@@ -258,11 +258,7 @@
 func (e *Engine) head(w http.ResponseWriter, s *stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	version := s.version
-	if s.faults.AnswersAs != "" {
-		version = s.faults.AnswersAs
-	}
-	w.Header().Set("X-Model-Version", version)
+	w.Header().Set("X-Model-Version", s.runs())
 	e.describe(w.Header())
 }
 
@@ -308,22 +304,30 @@
 	io.WriteString(w, "data: [DONE]\n\n")
 }
 
+// runs is the version that the engine runs, whatever was asked.
+func (s *stream) runs() string {
+	if s.faults.AnswersAs != "" {
+		return s.faults.AnswersAs
+	}
+	return s.version
+}
+
 // frame writes the token at position i, with the faults in force.
 func (s *stream) frame(w io.Writer, i int) {
 	if s.faults.Cross {
-		writeToken(w, "another-request", i, "CROSSED")
+		writeToken(w, "another-request", s.runs(), i, "CROSSED")
 	}
 	if s.faults.Skip != 0 && i == s.faults.Skip {
 		return
 	}
-	writeToken(w, s.id, i, Token(s.prompt, i))
+	writeToken(w, s.id, s.runs(), i, Token(s.prompt, i))
 	if s.faults.Double {
-		writeToken(w, s.id, i, Token(s.prompt, i))
+		writeToken(w, s.id, s.runs(), i, Token(s.prompt, i))
 	}
 }
 
-func writeToken(w io.Writer, id string, position int, text string) {
-	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"position\":%d,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, position, text)
+func writeToken(w io.Writer, id, version string, position int, text string) {
+	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"position\":%d,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, version, position, text)
 }
 
 // Token is the text that every engine generates at a position for a prompt, so that a test can tell a whole answer.
