Let one loop and one way of losing a call serve twice

Cause: two controllers had the same loop, and two ways of losing a call the same body. Change: control.Every, and lost in the harness.

--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"goldcrestfork/config"
+	"goldcrestfork/control"
 	"goldcrestfork/platform"
 )
 
@@ -112,18 +113,7 @@
 }
 
 // Run does a round each Interval until ctx ends.
-func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
-	for {
-		c.Tick(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
+func (c *Controller) Run(ctx context.Context) { control.Every(ctx, Interval, c.Tick) }
 
 // Suspect has an endpoint's report read in the next round, as when an answer
 // came from a version that it shouldn't have loaded.
--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -102,18 +102,7 @@
 }
 
 // Run does a round each Interval until ctx ends.
-func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(Interval)
-	defer ticker.Stop()
-	for {
-		c.Tick(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
+func (c *Controller) Run(ctx context.Context) { control.Every(ctx, Interval, c.Tick) }
 
 // Tick does one round, if this VM holds the lease or may brake.
 func (c *Controller) Tick(ctx context.Context) {
--- a/policy/loadtest/callers.go
+++ b/policy/loadtest/callers.go
@@ -83,28 +83,19 @@
 	r.res.refused(r.loop.now, c.req)
 }
 
-func (r *run) failed(c *call) {
-	r.open--
-	if c.req.poison {
-		r.again(c.req, poisonPause)
-		return
-	}
-	for _, t := range r.res.tallies(c.req) {
-		t.Failed++
-	}
-	if c.req.idempotent {
-		r.again(c.req, resend)
-	}
-}
+func (r *run) failed(c *call) { r.lost(c, func(t *Tally) { t.Failed++ }) }
+
+func (r *run) timedOut(c *call) { r.lost(c, func(t *Tally) { t.TimedOut++ }) }
 
-func (r *run) timedOut(c *call) {
+// lost counts a call without an answer; its caller sends it again if it may.
+func (r *run) lost(c *call, count func(*Tally)) {
 	r.open--
 	if c.req.poison {
 		r.again(c.req, poisonPause)
 		return
 	}
 	for _, t := range r.res.tallies(c.req) {
-		t.TimedOut++
+		count(t)
 	}
 	if c.req.idempotent {
 		r.again(c.req, resend)
