Charge a resumed stream only what it adds

Cause: a cut stream was charged what was left of it in the retry budget. What is left was to be done anyway; charged, the streams of an engine that died used up the budget of a VM that had just started, their answers were cut for good, and their callers asked for all of it again. Ruled out: no charge at all (the prompt and the tokens so far are read a second time), a larger first balance (it would pay for repeats of requests that never began, too). Change: a tenth of the tokens that the caller has.

--- a/router/dispatch/retry.go
+++ b/router/dispatch/retry.go
@@ -12,8 +12,7 @@
 	NotRun bool
 	// Resumable: the endpoint may still hold the stream, so that it may be tried once more.
 	Resumable bool
-	// Done is the work that the caller has already, in the need's units: a resumed
-	// stream costs what is left.
+	// Done is the work that the caller has already, in the need's units.
 	Done float64
 	// NotSent: no byte left; another endpoint may be tried at no cost to anyone.
 	NotSent bool
@@ -22,6 +21,21 @@
 	Cold bool
 }
 
+// resumeShare is the extra work of a resumed stream, as a share of the tokens that
+// its caller has: the next endpoint reads them again as a prompt. Estimated: engines
+// read prompts at least ten times as fast as they generate.
+const resumeShare = 0.1
+
+// extra is the work that another attempt adds. What is left of a cut stream was to
+// be done anyway; charged whole, the streams of an engine that died used up the
+// budget of a young VM, and their callers asked for everything again.
+func extra(n *Need, f Failure) float64 {
+	if f.Done == 0 {
+		return n.Size
+	}
+	return max(resumeShare*f.Done, 1)
+}
+
 // Again decides whether a request is attempted again, and after how long.
 func (d *Dispatcher) Again(n *Need, t *Ticket, f Failure) (time.Duration, bool) {
 	if f.Cold || f.NotSent {
@@ -48,7 +62,7 @@
 		Account:    n.Account.Name,
 		Idempotent: n.Idempotent || f.NotRun,
 		Made:       n.made,
-		Size:       max(n.Size-f.Done, 1),
+		Size:       extra(n, f),
 		Deadline:   n.Deadline,
 	})
 	d.metrics.retries.WithLabelValues(string(v.Reason)).Inc()
--- a/router/vm/promises_test.go
+++ b/router/vm/promises_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -333,3 +334,35 @@
 	w.put(&good)
 	until(t, func() bool { return w.ask(bakerKey, v1, prompt, 2, false, nil).status == http.StatusOK })
 }
+
+// An engine dies under twelve streams, soon after the VM started, when there is no
+// budget for retries yet. Every stream must go on at the other engine and end whole:
+// what is left of it was to be done anyway, and a caller whose stream is given up
+// would ask for all of it again.
+func TestEngineDiesUnderStreamsOfAYoungVM(t *testing.T) {
+	const streams, tokens = 12, 60
+	w := newWorld(t, 2)
+	for _, e := range w.engines {
+		e.SetFaults(backend.EngineFaults{TokenDelay: 5 * time.Millisecond})
+	}
+	// A response is there with its first token.
+	open := make([]*http.Response, streams)
+	var opening sync.WaitGroup
+	for i := range streams {
+		opening.Go(func() {
+			open[i] = w.open(t.Context(), w.vm, http.MethodPost, chatPath, bakerKey, nil, chatBody(t, v1, fmt.Sprint(prompt, i), tokens, true))
+		})
+	}
+	opening.Wait()
+	require.Greater(t, w.engines[0].Stats().Started, 2, "the test must meet streams")
+	w.restart(0)
+	w.engines[0].Warm()
+	for i, resp := range open {
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		text, whole := reply{header: resp.Header, body: string(body)}.text(t)
+		require.True(t, whole, string(body))
+		require.Equal(t, backend.Answer(fmt.Sprint(prompt, i), tokens), text)
+	}
+}
