Measure with processes by a benchmark, so that no test is skipped

Cause: the measurement was a test that skipped itself without a flag, and a skipped test looks like one that was left out. Conclusion: the test line skips nothing.

--- a/cmd/processtest/measure_test.go
+++ b/cmd/processtest/measure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"net/http"
 	"slices"
@@ -16,10 +15,6 @@
 	"goldcrestfork/config"
 )
 
-// measure turns the measurements on; what they print depends on the machine, so
-// that the tests leave them out.
-var measure = flag.Bool("measure", false, "measure with built daemons and print the figures")
-
 // look is how often a state is looked at, which is the error of each figure.
 const look = 2 * time.Millisecond
 
@@ -34,24 +29,24 @@
 }
 
 // figures prints the least, the median and the greatest of some times.
-func figures(t *testing.T, what string, all []time.Duration) {
+func figures(t testing.TB, what string, all []time.Duration) {
 	slices.Sort(all)
 	t.Logf("%s: least %v, median %v, greatest %v of %d", what, all[0].Round(time.Millisecond),
 		all[len(all)/2].Round(time.Millisecond), all[len(all)-1].Round(time.Millisecond), len(all))
 }
 
-// TestMeasure prints what docs/measurements.md holds.
-func TestMeasure(t *testing.T) {
-	if !*measure {
-		t.Skip("only with -measure")
-	}
+// BenchmarkProcesses prints what docs/measurements.md holds: one round, whose figures
+// are those that it logs and not its time.
+func BenchmarkProcesses(b *testing.B) {
 	for _, vms := range []int{3, 7} {
-		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
-			w := newWorld(t, vms, 2)
-			w.measureChanges(t)
-			w.measureDataCentreOut(t)
-			w.measureOutage(t)
-			w.measureKill(t)
+		b.Run(fmt.Sprint(vms, "VMs"), func(b *testing.B) {
+			for b.Loop() {
+				w := newWorld(b, vms, 2)
+				w.measureChanges(b)
+				w.measureDataCentreOut(b)
+				w.measureOutage(b)
+				w.measureKill(b)
+			}
 		})
 	}
 }
@@ -65,7 +60,7 @@
 }
 
 // measureChanges: from the answer to an accepted change to its being in force on all VMs.
-func (w *world) measureChanges(t *testing.T) {
+func (w *world) measureChanges(t testing.TB) {
 	var all []time.Duration
 	for i := range 20 {
 		action := []string{"withdraw", "serve"}[i%2]
@@ -80,7 +75,7 @@
 
 // measureDataCentreOut: from the acceptance of a data centre's drain to the last
 // stream that began on an engine in it, under traffic over all VMs.
-func (w *world) measureDataCentreOut(t *testing.T) {
+func (w *world) measureDataCentreOut(t testing.TB) {
 	meta := config.Meta{Name: "norte-b", Labels: map[string]string{"use": "test"}}
 	runner := config.Meta{Name: "runner-1", Labels: meta.Labels}
 	var texts []json.RawMessage
@@ -118,7 +113,7 @@
 }
 
 // measureOutage: from the platform's return after 10 s to the first order accepted.
-func (w *world) measureOutage(t *testing.T) {
+func (w *world) measureOutage(t testing.TB) {
 	ctx, cancel := context.WithTimeout(t.Context(), 3*guard)
 	defer cancel()
 	w.outage(true)
@@ -148,7 +143,7 @@
 
 // measureKill: from kill -9 of a VM to when those that named it in their address
 // answers no longer do.
-func (w *world) measureKill(t *testing.T) {
+func (w *world) measureKill(t testing.TB) {
 	names := func(vm, named *process) bool {
 		return strings.Contains(strings.Join(w.addresses(vm), " "), named.serving["callers"])
 	}
