Hedge slow look-ups that cannot wait

Cause: hedges were decided and measured in policy and not wired; a till look-up that met a slow instance waited for it. Ruled out: hedging completions (a second generation costs as much as the first) and classes that may wait. Change: a repeatable call of class immediate gets a second call beside a slow one, if the budget has it and there is room at once; the first answer wins, and the call cut off is held against nobody. Refunds are sent once all the same.

--- a/router/dispatch/cold.go
+++ b/router/dispatch/cold.go
@@ -7,6 +7,9 @@
 	"goldcrestfork/policy/limit"
 )
 
+// unused is the sample of a slot that was given back without a request.
+var unused = limit.Sample{Failed: true}
+
 // coldRetry is how long no cold slot of an endpoint is asked for after none was to
 // be had. Grounds: a cold engine runs its few requests for a second or more, so that
 // asking sooner finds them still running; a fifth of that loses little.
@@ -57,7 +60,7 @@
 	d, now := t.d, time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.Done(now, t.picked, t.request, limit.Sample{Failed: true})
+	d.table.Done(now, t.picked, t.request, unused)
 	if e := d.endpoints[t.Endpoint]; e != nil {
 		delete(e.running, t.item.ID)
 	}
--- a/router/dispatch/metrics.go
+++ b/router/dispatch/metrics.go
@@ -15,6 +15,7 @@
 type metrics struct {
 	refused     *prometheus.CounterVec
 	retries     *prometheus.CounterVec
+	hedges      *prometheus.CounterVec
 	ejections   *prometheus.CounterVec
 	quarantined prometheus.Counter
 }
@@ -29,6 +30,10 @@
 			Name: "goldcrest_retries_total",
 			Help: "Decisions after a failed attempt; an empty reason means that it was made again.",
 		}, []string{"refused_for"}),
+		hedges: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrest_hedges_total",
+			Help: "Decisions on a second attempt beside a slow one; an empty reason means that the budget had it.",
+		}, []string{"refused_for"}),
 		ejections: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrest_endpoint_states_total",
 			Help: "Changes of endpoints' states by the outlier detector.",
@@ -38,6 +43,6 @@
 			Help: "Requests refused because they crashed the endpoints that ran them.",
 		}),
 	}
-	r.MustRegister(m.refused, m.retries, m.ejections, m.quarantined)
+	r.MustRegister(m.refused, m.retries, m.hedges, m.ejections, m.quarantined)
 	return m
 }
--- a/router/entry/plain.go
+++ b/router/entry/plain.go
@@ -114,7 +114,7 @@
 		if bad != nil {
 			return service.Answer{}, bad.WhichRan(ran)
 		}
-		answer, result, err := e.callOnce(ctx, p, t)
+		answer, result, err := e.callHedged(ctx, p, t)
 		if result == service.Answered {
 			return answer, nil
 		}
--- a/router/vm/overload_test.go
+++ b/router/vm/overload_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"goldcrestfork/config"
 	"goldcrestfork/standin/backend"
 )
 
@@ -119,3 +120,44 @@
 	slices.Sort(d)
 	return float64(d[int(q*float64(len(d)-1))].Microseconds()) / 1000
 }
+
+// BenchmarkSlowLookup is look-ups at 50 a second while one of two instances takes
+// 400 ms instead of none: of a class that may wait, and of one that is hedged.
+func BenchmarkSlowLookup(b *testing.B) {
+	const lookups = 150
+	for _, class := range []config.Class{config.ClassInteractive, config.ClassImmediate} {
+		b.Run(class.String(), func(b *testing.B) {
+			for b.Loop() {
+				w := newWorld(b, 0)
+				sound := backend.NewService()
+				account := *w.vm.cache.Snapshot().Accounts["baker"]
+				account.Class = class
+				second := *w.vm.cache.Snapshot().Endpoints["conector-1"]
+				second.Name, second.Address = "conector-2", w.serve(sound.Handler())
+				w.put(&account, &second)
+				lookup := func() time.Duration {
+					start := time.Now()
+					w.send(http.MethodGet, "/v1/services/conector/till/7", bakerKey, nil, "")
+					return time.Since(start)
+				}
+				for range 200 {
+					lookup()
+				}
+				w.plain.SetFaults(backend.ServiceFaults{Hold: 400 * time.Millisecond})
+				took := make([]time.Duration, lookups)
+				var callers sync.WaitGroup
+				tick := time.NewTicker(20 * time.Millisecond)
+				for i := range took {
+					<-tick.C
+					callers.Go(func() { took[i] = lookup() })
+				}
+				callers.Wait()
+				tick.Stop()
+				b.ReportMetric(quantile(took, 0.5), "p50-ms")
+				b.ReportMetric(quantile(took, 0.9), "p90-ms")
+				b.ReportMetric(quantile(took, 0.99), "p99-ms")
+				b.ReportMetric(float64(w.plain.Reads()+sound.Reads()-200-lookups)/lookups*100, "extra-%")
+			}
+		})
+	}
+}
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/config"
 	"goldcrestfork/router/refusal"
 	"goldcrestfork/standin/backend"
 	"goldcrestfork/standin/store"
@@ -273,3 +275,31 @@
 	r := w.send(http.MethodGet, "/v1/services/conector/till/7", bakerKey, nil, "")
 	require.Equal(t, http.StatusOK, r.status, r.body)
 }
+
+// One of two instances of the connector hangs. Till look-ups, which can't wait, must
+// be answered by the other one meanwhile, all of them; what may not be repeated, a
+// refund, must not be sent a second time for being slow.
+func TestSlowLookupIsHedged(t *testing.T) {
+	w := newWorld(t, 0)
+	sound := backend.NewService()
+	account := *w.vm.cache.Snapshot().Accounts["baker"]
+	account.Class = config.ClassImmediate
+	second := *w.vm.cache.Snapshot().Endpoints["conector-1"]
+	second.Name, second.Address = "conector-2", w.serve(sound.Handler())
+	w.put(&account, &second)
+	lookup := func() reply { return w.send(http.MethodGet, "/v1/services/conector/till/7", bakerKey, nil, "") }
+	for range 200 {
+		require.Equal(t, http.StatusOK, lookup().status)
+	}
+	w.plain.SetFaults(backend.ServiceFaults{Hold: time.Hour})
+	// The budget has eight hedges after the quiet time before; four are asked of it.
+	for before := w.plain.Reads(); w.plain.Reads() < before+4; {
+		r := lookup()
+		require.Equal(t, http.StatusOK, r.status, r.body)
+	}
+	w.plain.SetFaults(backend.ServiceFaults{Hold: time.Second})
+	for i := range 4 {
+		require.Equal(t, http.StatusOK, w.refund(fmt.Sprint("slow-", i), "1 EUR", nil).status)
+	}
+	require.Len(t, append(w.plain.Booked(), sound.Booked()...), 4)
+}
