--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -28,6 +28,9 @@
 	ColdTimeLimit = time.Minute
 	// maxFrame bounds one event, in bytes; a token's frame takes some hundred.
 	maxFrame = 256 << 10
+	// connBuffer is each buffer of a connection, in bytes. A token's frame takes some
+	// 200; net/http's 4 KB would stand half empty in each open stream.
+	connBuffer = 1 << 10
 	// idlePerHost keeps connections to one endpoint open between requests; an endpoint bears a few dozen at once.
 	idlePerHost = 64
 	// StallTimeout ends an attempt whose next token does not come. Grounds: the
@@ -131,6 +134,8 @@
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+			ReadBufferSize:      connBuffer,
+			WriteBufferSize:     connBuffer,
 		}},
 		cold: &http.Client{Transport: &http.Transport{
 			DialContext:        dialer.dialCold,
