Take an endpoint's word by the time it was read

Cause: a stream's head says whether its engine is warm, and was taken at the stream's end: a head from before the engine started anew called it warm and up again, so that requests found out one by one. fleet/slot had the rule for late words, and nothing used it; the dispatcher had its own state without the rule. Ruled out: comparing incarnations (engines name them as they like; they have no order). Conclusion: cold limits were exact before too, since new connections ask; this spares the asking.

--- a/fleet/slot/service.go
+++ b/fleet/slot/service.go
@@ -57,16 +57,15 @@
 	Log        zerolog.Logger
 }
 
-// Service runs a Table and the endpoints' states for one process.
+// Service runs a Table for one process.
 type Service struct {
 	o       Options
 	metrics *metrics
 	tasks   sync.WaitGroup
 
-	mu        sync.Mutex
-	table     *Table
-	endpoints *Endpoints
-	draining  bool
+	mu       sync.Mutex
+	table    *Table
+	draining bool
 	// asking: a handover for another is under way.
 	asking bool
 	// differs is the number of rounds that the epoch has not been as this VM would have it.
@@ -77,10 +76,9 @@
 func NewService(o Options) *Service {
 	self := o.Membership.Self()
 	s := &Service{
-		o:         o,
-		metrics:   newMetrics(o.Registerer),
-		table:     NewTable(Process{ID: self.ID, Incarnation: self.Incarnation}, o.Params),
-		endpoints: NewEndpoints(),
+		o:       o,
+		metrics: newMetrics(o.Registerer),
+		table:   NewTable(Process{ID: self.ID, Incarnation: self.Incarnation}, o.Params),
 	}
 	handle(s, methodLend, s.lend)
 	handle(s, methodReturn, s.takeBack)
@@ -282,27 +280,6 @@
 	return found
 }
 
-// EndpointCold is Endpoints.EndpointCold.
-func (s *Service) EndpointCold(endpoint string, incarnation uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpoints.EndpointCold(endpoint, incarnation)
-}
-
-// EndpointWarm is Endpoints.EndpointWarm.
-func (s *Service) EndpointWarm(endpoint string, incarnation uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpoints.EndpointWarm(endpoint, incarnation)
-}
-
-// Cold is Endpoints.Cold.
-func (s *Service) Cold(endpoint string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.endpoints.Cold(endpoint)
-}
-
 // Drain takes this process out of the next epoch, so that its slots are handed over while it can still say so.
 func (s *Service) Drain() {
 	s.mu.Lock()
--- a/fleet/slot/table_test.go
+++ b/fleet/slot/table_test.go
@@ -42,21 +42,6 @@
 	require.Greater(t, m.started, 120)
 }
 
-// Word of endpoints' states comes late and crossed. A late "warm" must not lift
-// the limit of an endpoint that has come back cold since.
-func TestLateWordOfAnEndpoint(t *testing.T) {
-	e := NewEndpoints()
-	require.True(t, e.Cold("e"), "not known counts as cold")
-	e.EndpointWarm("e", 1)
-	e.EndpointCold("e", 1)
-	require.False(t, e.Cold("e"))
-	e.EndpointCold("e", 2)
-	e.EndpointWarm("e", 1)
-	require.True(t, e.Cold("e"))
-	e.EndpointWarm("e", 2)
-	require.False(t, e.Cold("e"))
-}
-
 // A slot goes from a to b and on to c, and b never wanted it. c must get it by
 // asking: b has it handed over by a first. Else it would stand idle for the wait.
 func TestSlotThatMovesTwiceIsHandedOn(t *testing.T) {
--- a/router/dispatch/endpoint.go
+++ b/router/dispatch/endpoint.go
@@ -17,6 +17,8 @@
 	pools       []string
 	incarnation string
 	cold        bool
+	// heard is when the words on its state that are in force were read.
+	heard time.Time
 	// down says that it can't be reached; out that operators keep work from it.
 	down, out bool
 	running   map[uint64]poison.Fingerprint
@@ -102,6 +104,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if e := d.endpoints[endpoint]; e != nil {
+		e.heard = time.Now()
 		d.setDown(endpoint, e, true)
 		d.pumpAll(e, time.Now())
 	}
@@ -127,12 +130,18 @@
 }
 
 // reported takes an endpoint's word on itself. Callers hold d.mu.
-func (d *Dispatcher) reported(now time.Time, name string, e *endpoint, r Result) {
+func (d *Dispatcher) reported(name string, e *endpoint, r Result) {
+	if r.At.Before(e.heard) {
+		// A stream's head came when it began. Taken at its end, a head from before the
+		// endpoint started anew would call it warm and up again.
+		return
+	}
+	e.heard = r.At
 	e.incarnation = r.Incarnation
 	d.setDown(name, e, false)
 	d.setCold(name, e, r.Cold)
 	if r.Running >= 0 {
-		d.table.Report(name, picker.Report{InFlight: r.Running, At: now})
+		d.table.Report(name, picker.Report{InFlight: r.Running, At: r.At})
 	}
 }
 
@@ -145,7 +154,7 @@
 	if e == nil {
 		return
 	}
-	d.reported(now, endpoint, e, r)
+	d.reported(endpoint, e, r)
 	d.pumpAll(e, now)
 }
 
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -164,6 +164,8 @@
 	Cold        bool
 	// Running is the endpoint's number of requests; -1 when it didn't say.
 	Running int
+	// At is when these words were read.
+	At time.Time
 	// Ended: the endpoint certainly runs the request no more.
 	Ended bool
 	// Work is what the request took, 0 if not known.
@@ -177,7 +179,7 @@
 		return
 	}
 	if r.Reported {
-		d.reported(now, t.Endpoint, e, r)
+		d.reported(t.Endpoint, e, r)
 	}
 	if r.Abandoned {
 		return
@@ -198,6 +200,7 @@
 	if (r.Crashed || r.Unreached) && e.spec.Service == "" {
 		// What comes back on this address has started anew: until it says otherwise
 		// it bears no more than an endpoint in cold start.
+		e.heard = now
 		d.setCold(t.Endpoint, e, true)
 	}
 	if r.Unreached && e.spec.Service == "" {
--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -98,6 +98,8 @@
 	Cold bool
 	// Running is its number of requests, as it saw it then; -1 when it didn't say.
 	Running int
+	// At is when it was read here: a stream ends long after its head came.
+	At time.Time
 }
 
 // Outcome is the end of one attempt.
@@ -257,6 +259,7 @@
 		Incarnation: h.Get("X-Incarnation"),
 		Cold:        h.Get("X-State") == "cold",
 		Running:     running,
+		At:          time.Now(),
 	}
 }
 
--- a/router/entry/chat.go
+++ b/router/entry/chat.go
@@ -328,6 +328,7 @@
 		Incarnation: o.Report.Incarnation,
 		Cold:        o.Report.Cold,
 		Running:     o.Report.Running,
+		At:          o.Report.At,
 	}
 	switch o.Result {
 	case engine.Complete:
--- a/router/vm/poll.go
+++ b/router/vm/poll.go
@@ -40,6 +40,6 @@
 		return
 	}
 	v.dispatch.Reported(p.Endpoint, dispatch.Result{
-		Reported: true, Incarnation: r.Incarnation, Cold: r.Cold, Running: r.Running,
+		Reported: true, Incarnation: r.Incarnation, Cold: r.Cold, Running: r.Running, At: r.At,
 	})
 }
