--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"goldcrestfork/config/staleness"
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 	"goldcrestfork/standin/store"
 )
 
@@ -38,16 +38,16 @@
 	vm *vm
 }
 
-func (l link) List(ctx context.Context, kind string) (platform.Listing, error) {
+func (l link) List(ctx context.Context, kind string) (objectstore.Listing, error) {
 	if l.vm.storeCut.Load() {
-		return platform.Listing{}, platform.ErrUnavailable
+		return objectstore.Listing{}, objectstore.ErrUnavailable
 	}
 	return l.Store.List(ctx, kind)
 }
 
-func (l link) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
+func (l link) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
 	if l.vm.storeCut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, objectstore.ErrUnavailable
 	}
 	w, err := l.Store.Watch(ctx, kind, revision)
 	return watchLink{w, l.vm}, err
@@ -55,15 +55,15 @@
 
 // watchLink delivers nothing while its VM is cut, like a connection that died unseen.
 type watchLink struct {
-	platform.Watch
+	objectstore.Watch
 	vm *vm
 }
 
-func (w watchLink) Next(ctx context.Context) (platform.Event, error) {
+func (w watchLink) Next(ctx context.Context) (objectstore.Event, error) {
 	e, err := w.Watch.Next(ctx)
 	if w.vm.storeCut.Load() && err == nil {
 		<-ctx.Done()
-		return platform.Event{}, ctx.Err()
+		return objectstore.Event{}, ctx.Err()
 	}
 	return e, err
 }
--- a/control/loops/loops.go
+++ b/control/loops/loops.go
@@ -16,7 +16,7 @@
 	"goldcrestfork/control/orders"
 	"goldcrestfork/control/rollouts"
 	"goldcrestfork/fleet/rendezvous"
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 	"goldcrestfork/policy/rollout"
 )
 
@@ -40,7 +40,7 @@
 type Options struct {
 	Self          VM
 	Peers         Peers
-	Store         platform.Store
+	Store         objectstore.Store
 	Configuration control.Configuration
 	Endpoints     orders.Endpoints
 	// Recorder holds this VM's outcomes, Brakes keeps its new work from bad versions.
--- /dev/null
+++ b/fleet/gossip/service.go
@@ -0,0 +1,148 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// Config sets a service.
+type Config struct {
+	Self  Member
+	Clock func() time.Duration
+	// Ready says whether callers may be sent here.
+	Ready func() bool
+	// Payload is what this VM adds to the fleet's sums; Take receives others'.
+	Payload func() []byte
+	Take    func(from string, life uint64, payload []byte)
+	Log     zerolog.Logger
+	// Registerer takes the metrics; required.
+	Registerer prometheus.Registerer
+}
+
+// Service sends and receives the datagrams of one VM.
+type Service struct {
+	cfg      Config
+	table    *Table
+	conn     *net.UDPConn
+	life     uint64
+	sequence atomic.Uint64
+	nudge    chan struct{}
+	received *prometheus.CounterVec
+}
+
+// largestDatagram fits one packet on each of the links between VMs.
+const largestDatagram = 1400
+
+// Listen opens the socket at Self.Peer.
+func Listen(cfg Config) (*Service, error) {
+	addr, err := net.ResolveUDPAddr("udp4", cfg.Self.Peer)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Service{
+		cfg: cfg, table: NewTable(cfg.Self), conn: conn, life: rand.Uint64(), nudge: make(chan struct{}, 1),
+		received: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrest_gossip_received_total", Help: "Datagrams from other VMs, by what became of them.",
+		}, []string{"result"}),
+	}
+	cfg.Registerer.MustRegister(s.received)
+	return s, nil
+}
+
+// Table is what the service knows.
+func (s *Service) Table() *Table { return s.table }
+
+// Nudge sends a round now, as when this VM stops being ready.
+func (s *Service) Nudge() {
+	select {
+	case s.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends rounds and receives until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
+	defer stop()
+	go s.receive(ctx)
+	rng := rand.New(rand.NewPCG(s.life, 0))
+	t := time.NewTicker(Interval)
+	defer t.Stop()
+	for {
+		s.send(rng)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-s.nudge:
+		}
+	}
+}
+
+func (s *Service) send(rng *rand.Rand) {
+	to, others := s.table.Round(s.cfg.Clock(), rng)
+	if len(to) == 0 {
+		return
+	}
+	m := Message{
+		From: s.cfg.Self, Life: s.life, Sequence: s.sequence.Add(1), Ready: s.cfg.Ready(),
+		Payload: s.cfg.Payload(), Others: others,
+	}
+	b, err := cbor.Marshal(&m)
+	if err != nil || len(b) > largestDatagram {
+		// A payload that grew too large must not cost the word that this VM lives.
+		s.cfg.Log.Warn().Err(err).Int("bytes", len(b)).Msg("datagram without its payload")
+		m.Payload = nil
+		if b, err = cbor.Marshal(&m); err != nil {
+			return
+		}
+	}
+	for _, peer := range to {
+		addr, err := net.ResolveUDPAddr("udp4", peer)
+		if err != nil {
+			s.cfg.Log.Warn().Err(err).Str("peer", peer).Msg("peer's address can't be read")
+			continue
+		}
+		// A datagram that can't be sent is as one that was lost: the next round follows.
+		_, _ = s.conn.WriteToUDP(b, addr)
+	}
+}
+
+func (s *Service) receive(ctx context.Context) {
+	buf := make([]byte, largestDatagram)
+	for ctx.Err() == nil {
+		n, _, err := s.conn.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.received.WithLabelValues("failed").Inc()
+			continue
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			s.received.WithLabelValues("unreadable").Inc()
+			continue
+		}
+		if !s.table.Heard(s.cfg.Clock(), &m) {
+			s.received.WithLabelValues("old").Inc()
+			continue
+		}
+		s.received.WithLabelValues("taken").Inc()
+		if len(m.Payload) > 0 {
+			s.cfg.Take(m.From.Name, m.Life, m.Payload)
+		}
+	}
+}
--- a/fleet/member/fleet_test.go
+++ b/fleet/member/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // seed of all random loss in this package's tests.
@@ -57,9 +57,9 @@
 
 // list gives every VM the platform's list as it is now.
 func (f *fleet) list() {
-	var vms []platform.VM
+	var vms []objectstore.VM
 	for id, t := range f.tables {
-		vms = append(vms, platform.VM{ID: id, Address: t.self.Address, DataCentre: t.self.DataCentre})
+		vms = append(vms, objectstore.VM{ID: id, Address: t.self.Address, DataCentre: t.self.DataCentre})
 	}
 	for _, t := range f.tables {
 		t.ObserveList(f.now, f.now, vms)
--- a/fleet/member/service.go
+++ b/fleet/member/service.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 const (
@@ -35,9 +35,9 @@
 	Call(ctx context.Context, t peer.Target, method string, body []byte) ([]byte, error)
 }
 
-// Lister is the part of platform.Store that membership uses.
+// Lister is the part of objectstore.Store that membership uses.
 type Lister interface {
-	VMs(ctx context.Context) ([]platform.VM, error)
+	VMs(ctx context.Context) ([]objectstore.VM, error)
 }
 
 // Options are the service's parts.
@@ -165,7 +165,7 @@
 func (s *Service) pollList(ctx context.Context) {
 	for {
 		asked := time.Now()
-		call, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+		call, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
 		vms, err := s.store.VMs(call)
 		cancel()
 		wait := listInterval
--- a/fleet/slot/service.go
+++ b/fleet/slot/service.go
@@ -11,7 +11,7 @@
 
 	"goldcrestfork/fleet/member"
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 const (
@@ -29,10 +29,10 @@
 	Call(ctx context.Context, t peer.Target, method string, body []byte) ([]byte, error)
 }
 
-// Store is the part of platform.Store that epochs use.
+// Store is the part of objectstore.Store that epochs use.
 type Store interface {
-	Get(ctx context.Context, key platform.Key) (platform.Object, error)
-	Put(ctx context.Context, key platform.Key, value []byte, ifVersion int64) (platform.Object, error)
+	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
+	Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error)
 }
 
 // Membership is the part of member.Service that epochs follow.
--- /dev/null
+++ b/gateway/forward/call.go
@@ -0,0 +1,323 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/placement"
+	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/sizing"
+	"goldcrestfork/router/refusal"
+)
+
+// call is one caller's request on its way.
+type call struct {
+	h     *Handler
+	w     http.ResponseWriter
+	r     *http.Request
+	start time.Time
+	id    string
+
+	conf     *catalog.Config
+	age      time.Duration // of the configuration's proof
+	route    *catalog.Route
+	account  *catalog.Account
+	priority int
+	whole    time.Duration
+	deadline time.Time
+	body     []byte
+	prompt   prompt
+	mark     uint64 // what the request asks, for package poison
+
+	service string
+	model   int
+	tried   []string // endpoints that it was sent to, or that refused the connection
+	sends   int      // endpoints that may have read it
+	dials   int      // connections that could not be made
+	paid    bool     // the budget has granted the next attempt
+	ran     refusal.Ran
+	trail   []step
+}
+
+// step is one attempt in the request's log line.
+type step struct {
+	endpoint string
+	model    string
+	result   string
+}
+
+// maxDials bounds the endpoints whose connection may fail: each costs up to the dial
+// timeout, and a crash of a whole data centre leaves the others.
+const maxDials = 4
+
+// verdict is what becomes of a request after an attempt.
+type verdict int
+
+const (
+	done  verdict = iota // the caller has its answer
+	again                // another endpoint may be tried
+	stop                 // no further attempt
+)
+
+// run tries endpoints until the caller has an answer.
+func (c *call) run() {
+	c.ran = refusal.NotRun
+	c.service = c.pickService()
+	c.mark = uint64(poison.Of(c.accountName(), c.r.RequestURI, c.body))
+	if c.h.cfg.Poison.Quarantined(c.mark) {
+		c.refuse(refusal.New(http.StatusServiceUnavailable, refusal.Quarantined, "this request crashed the endpoints that ran it"))
+		return
+	}
+	if c.prompt.wildcard {
+		c.model = sizing.First(c.route.Models)
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	for {
+		choice, bad := c.choose(ctx)
+		if bad != nil {
+			c.refuse(bad)
+			return
+		}
+		var v verdict
+		if c.route.Kind == catalog.Streaming {
+			v, bad = c.stream(ctx, choice)
+		} else {
+			v, bad = c.plain(ctx, choice)
+		}
+		switch v {
+		case done:
+			c.finish("answered", http.StatusOK)
+			return
+		case stop:
+			c.refuse(bad)
+			return
+		}
+	}
+}
+
+func (c *call) accountName() string {
+	if c.account == nil {
+		return ""
+	}
+	return c.account.Name
+}
+
+// pickService draws a branch of the route by weight.
+func (c *call) pickService() string {
+	s := c.route.Services
+	if len(s) == 1 {
+		return s[0].Service
+	}
+	sum := 0.0
+	for _, b := range s {
+		sum += b.Weight
+	}
+	at := newRand().Float64() * sum
+	for _, b := range s {
+		if at -= b.Weight; at < 0 {
+			return b.Service
+		}
+	}
+	return s[len(s)-1].Service
+}
+
+// need describes the request for package placement.
+func (c *call) need() *placement.Request {
+	only, not := c.h.cfg.Versions.Choose(c.service, c.session())
+	r := &placement.Request{
+		Service: c.service, Version: only, NotVersion: not, Regions: c.route.Regions,
+		Exclude: c.tried, Work: 1,
+	}
+	if c.prompt.affinity != "" {
+		r.Affinity = c.prompt.affinity + "/" + strconv.Itoa(c.model)
+		r.Saving = min(float64(c.prompt.shared)/savingTokens, mostSaving)
+	}
+	return r
+}
+
+const (
+	// savingTokens is the shared prompt that is worth one more request before ours:
+	// reading 1,000 tokens takes an engine some 20 ms, during which all others there wait.
+	savingTokens = 1000
+	// mostSaving bounds what an endpoint may have more than others for a shared prompt.
+	mostSaving = 6
+)
+
+// session is what ties requests of one conversation together: its prompt's parts.
+func (c *call) session() string {
+	if n := len(c.prompt.parts); n > 0 {
+		return c.prompt.parts[n-1].id
+	}
+	return ""
+}
+
+// choose picks an endpoint, or says why there is none.
+func (c *call) choose(ctx context.Context) (placement.Choice, *refusal.Refusal) {
+	if err := ctx.Err(); err != nil {
+		return placement.Choice{}, c.ended(err)
+	}
+	if c.sends >= max(c.route.MaxAttempts, 1) {
+		return placement.Choice{}, c.noMore("all attempts failed")
+	}
+	if c.dials > maxDials {
+		return placement.Choice{}, c.noMore("no endpoint could be reached")
+	}
+	if c.sends > 0 && !c.paid && !c.h.cfg.Budget.Again(c.service) {
+		return placement.Choice{}, c.noMore("too many requests are being tried again")
+	}
+	c.paid = false
+	choice, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need())
+	if miss != placement.Picked {
+		return choice, c.noMore(missText[miss])
+	}
+	if c.sends == 0 && c.dials == 0 {
+		c.h.cfg.Budget.First(c.service)
+	}
+	return choice, nil
+}
+
+var missText = map[placement.Miss]string{
+	placement.NoEndpoint: "no endpoint serves this now",
+	placement.AllCold:    "the endpoints are in cold start",
+	placement.AllTried:   "all endpoints were tried",
+}
+
+// noMore is the refusal when no attempt is left: true to what became of those before.
+func (c *call) noMore(why string) *refusal.Refusal {
+	if c.ran != refusal.NotRun {
+		return refusal.New(http.StatusBadGateway, refusal.EndpointFailed, "%s", why).WhichRan(c.ran)
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.Overloaded, "%s", why).After(c.comeBack())
+}
+
+// comeBack is when a refused caller should ask again: late enough for requests that
+// run now to end, early enough to be in time, spread so that those that were refused
+// together don't return together.
+func (c *call) comeBack() time.Duration {
+	left := time.Until(c.deadline)
+	return max(min(left/4, time.Second), 0)/2 + time.Duration(newRand().Float64()*float64(max(min(left/4, time.Second), 1))/2)
+}
+
+// ended is the final answer when the request's time is over or its caller left.
+func (c *call) ended(err error) *refusal.Refusal {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineTooShort, "no answer in time").WhichRan(c.ran)
+	}
+	return refusal.New(statusGone, refusal.DeadlineTooShort, "the caller left").WhichRan(c.ran)
+}
+
+// statusGone is logged for callers that left; nobody receives it.
+const statusGone = 499
+
+// send makes one attempt and returns the head of its answer.
+func (c *call) send(ctx context.Context, ch placement.Choice, lastEvent string) (*upstream.Answer, error) {
+	n := &c.h.cfg.Names
+	head := endToEnd(c.r.Header)
+	for _, name := range n.Owned {
+		head.Del(name)
+	}
+	head.Set(n.RequestID, c.id)
+	head.Set(n.ExpectInstance, ch.ID)
+	head.Set(n.Deadline, upstream.Budget(c.deadline, time.Now()))
+	if c.account != nil {
+		head.Set(n.Account, c.account.Name)
+	}
+	if c.prompt.wildcard {
+		head.Set(n.Model, c.route.Models[c.model])
+	}
+	if lastEvent != "" {
+		head.Set(n.LastEvent, lastEvent)
+	}
+	req := &upstream.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: head, Body: c.body,
+		ID: c.id, IDHeader: n.RequestID, Once: !c.repeatable(),
+	}
+	a, err := c.h.cfg.Pool.Send(ctx, ch.Address, req)
+	if err == nil {
+		c.learn(ch, a)
+	}
+	return a, err
+}
+
+// repeatable says that the request may run more than once.
+func (c *call) repeatable() bool {
+	return c.route.Kind == catalog.Idempotent || c.route.Kind == catalog.Streaming && c.route.Resume
+}
+
+// learn passes on what an answer's head says of its endpoint.
+func (c *call) learn(ch placement.Choice, a *upstream.Answer) {
+	n := &c.h.cfg.Names
+	now := time.Now()
+	if f := strings.Split(a.Header.Get(n.Load), ","); len(f) == 3 {
+		c.h.cfg.Table.Report(now, ch.ID, number(f[0]), number(f[1]), number(f[2]))
+	}
+	if ms := number(a.Header.Get(n.Cold)); ms > 0 {
+		c.h.cfg.Table.Cold(now, ch.ID, time.Duration(ms)*time.Millisecond)
+	}
+}
+
+// failed settles an attempt without an answer's head.
+func (c *call) failed(ctx context.Context, ch placement.Choice, err error) (verdict, *refusal.Refusal) {
+	var e *upstream.Error
+	sent := !errors.As(err, &e) || e.Sent
+	if !sent && ctx.Err() == nil {
+		c.settle(ch, placement.Broken, "unreached")
+		c.dials++
+		c.tried = append(c.tried, ch.ID)
+		return again, nil
+	}
+	if sent {
+		c.sends++
+		c.ran = refusal.Unknown
+		c.tried = append(c.tried, ch.ID)
+	}
+	if cause := ctx.Err(); cause != nil {
+		c.settle(ch, placement.Neutral, "ended")
+		return stop, c.ended(cause)
+	}
+	c.settle(ch, placement.Broken, "broken")
+	c.h.cfg.Poison.Crashed(c.mark, ch.ID)
+	return c.unknown("the connection broke")
+}
+
+// unknown settles an attempt that may have run, or ran to no good end.
+func (c *call) unknown(why string) (verdict, *refusal.Refusal) {
+	if c.repeatable() {
+		return again, nil
+	}
+	return stop, refusal.New(http.StatusBadGateway, refusal.OutcomeUnknown, "%s", why).WhichRan(c.ran)
+}
+
+// refused settles an attempt that the endpoint did not run; ok is false for other answers.
+func (c *call) refused(ch placement.Choice, a *upstream.Answer) bool {
+	n := &c.h.cfg.Names
+	switch {
+	case a.Status == http.StatusMisdirectedRequest:
+		c.settle(ch, placement.Gone, "misdirected")
+	case a.Header.Get(n.NotRun) != "" && a.Status >= 400:
+		c.settle(ch, placement.Full, "full")
+	default:
+		return false
+	}
+	c.sends++
+	c.tried = append(c.tried, ch.ID)
+	return true
+}
+
+// settle gives the endpoint's place back and notes the step.
+func (c *call) settle(ch placement.Choice, o placement.Outcome, result string) {
+	c.h.cfg.Table.Done(time.Now(), ch, o)
+	model := ""
+	if c.prompt.wildcard {
+		model = strconv.Itoa(c.model)
+	}
+	c.trail = append(c.trail, step{endpoint: ch.ID, model: model, result: result})
+	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
+}
--- /dev/null
+++ b/gateway/forward/finish.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/router/refusal"
+)
+
+// Metrics are the handler's counters and histograms.
+type Metrics struct {
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+}
+
+// NewMetrics registers the handler's metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	buckets := prometheus.ExponentialBuckets(0.005, 2, 14)
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrest_forward_requests_total",
+			Help: "Callers' requests, by kind and outcome.",
+		}, []string{"kind", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "goldcrest_forward_attempts_total",
+			Help: "Attempts at endpoints, by result.",
+		}, []string{"result"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "goldcrest_forward_seconds", Help: "Time from a request's head to its last byte.", Buckets: buckets,
+		}, []string{"kind"}),
+		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "goldcrest_forward_first_event_seconds", Help: "Time from a request's head to its answer's head.", Buckets: buckets,
+		}, []string{"kind"}),
+	}
+	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent)
+	return m
+}
+
+// refuse ends the request without an endpoint's answer.
+func (c *call) refuse(r *refusal.Refusal) {
+	r.RequestID = c.id
+	if r.Status != statusGone {
+		c.w.Header().Set(c.h.cfg.Names.RequestID, c.id)
+		if c.h.stopping.Load() {
+			c.w.Header().Set("Connection", "close")
+		}
+		r.WriteFine(c.w)
+	}
+	c.finish(string(r.Code), r.Status)
+}
+
+// finish writes the request's one log line and counts it.
+func (c *call) finish(outcome string, status int) {
+	took := time.Since(c.start)
+	kind := "none"
+	if c.route != nil {
+		kind = c.route.Kind.String()
+	}
+	c.h.cfg.Metrics.requests.WithLabelValues(kind, outcome).Inc()
+	c.h.cfg.Metrics.latency.WithLabelValues(kind).Observe(took.Seconds())
+	e := c.h.cfg.Log.Info().Str("request", c.id).Str("outcome", outcome).Int("status", status).Dur("took_ms", took)
+	if c.conf != nil {
+		e = e.Int64("config", c.conf.Version).Dur("config_age_ms", c.age)
+	}
+	if c.route != nil {
+		e = e.Str("route", c.route.Name).Str("account", c.accountName()).Str("service", c.service).
+			Dur("wait_ms", c.whole).Str("ran", string(c.ran))
+	}
+	if len(c.trail) > 0 {
+		e = e.Str("attempts", trailText(c.trail))
+	}
+	e.Msg("request")
+}
+
+// trailText lists attempts as "endpoint/model=result".
+func trailText(trail []step) string {
+	var b strings.Builder
+	for i, s := range trail {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(s.endpoint)
+		if s.model != "" {
+			b.WriteString("/" + s.model)
+		}
+		b.WriteString("=" + s.result)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/gateway/forward/request.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"goldcrestfork/gateway/catalog"
+)
+
+// part is one part of a prompt, shared by requests that have the same parts before it.
+type part struct {
+	id     string
+	tokens int
+}
+
+// prompt is what a request says of its prompt.
+type prompt struct {
+	parts     []part
+	in, out   int    // tokens to read, tokens to make at most
+	affinity  string // the longest part that others share
+	shared    int    // tokens of the parts that other requests share
+	wildcard  bool
+	hasModels bool
+}
+
+// anyModel is what a caller names when the system is to choose the model.
+const anyModel = "*"
+
+func readPrompt(h http.Header, n *Names, r *catalog.Route) prompt {
+	var p prompt
+	in, out, _ := strings.Cut(h.Get(n.Tokens), ",")
+	p.in, p.out = number(in), number(out)
+	for f := range strings.SplitSeq(h.Get(n.Parts), ",") {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(f), ":")
+		if ok {
+			p.parts = append(p.parts, part{id: id, tokens: number(tokens)})
+		}
+	}
+	// The last part is the request's or its session's own. The one before is the
+	// longest that others share.
+	if n := len(p.parts); n >= 2 {
+		p.affinity = p.parts[n-2].id
+		for _, s := range p.parts[:n-1] {
+			p.shared += s.tokens
+		}
+	}
+	p.hasModels = len(r.Models) > 0
+	p.wildcard = p.hasModels && h.Get(n.Model) == anyModel
+	return p
+}
+
+// number reads a count; what can't be read counts as 0, which only makes estimates worse.
+func number(s string) int {
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// callerTime reads the caller's patience; ok is false where it gave none.
+func callerTime(h http.Header, n *Names) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(strings.TrimSpace(h.Get(n.Deadline)), 10, 64)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return min(time.Duration(ms)*time.Millisecond, longest), true
+}
+
+// longest bounds a caller's patience, which is arithmetic on durations after all.
+const longest = time.Hour
+
+// pathOf is the path that routes match, as the caller wrote it.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- /dev/null
+++ b/gateway/forward/stream.go
@@ -0,0 +1,221 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"goldcrestfork/gateway/sse"
+	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/placement"
+	"goldcrestfork/policy/sizing"
+	"goldcrestfork/router/refusal"
+)
+
+// relay is the caller's side of a stream, over all endpoints that feed it.
+type relay struct {
+	started bool
+	last    int64 // id of the last event that went to the caller
+	any     bool  // an event with an id went to the caller
+}
+
+// errBroken: the endpoint's stream ended before its end.
+var errBroken = errors.New("the stream broke off")
+
+// errCaller: the caller's connection takes no more.
+var errCaller = errors.New("the caller left")
+
+// stream runs a request whose answer is a stream of events, over as many endpoints
+// as it takes and the route allows.
+func (c *call) stream(ctx context.Context, ch placement.Choice) (verdict, *refusal.Refusal) {
+	began := time.Now()
+	a, err := c.send(ctx, ch, "")
+	if err != nil {
+		return c.failed(ctx, ch, err)
+	}
+	defer a.Close()
+	if c.refused(ch, a) {
+		drain(a)
+		return again, nil
+	}
+	c.sends++
+	c.ran = refusal.DidRun
+	c.tried = append(c.tried, ch.ID)
+	if a.Status >= 300 {
+		body, err := readWhole(a)
+		if err != nil {
+			c.settle(ch, placement.Failed, "cut")
+			return c.unknown("the answer broke off")
+		}
+		return c.judge(ch, a, body, time.Since(began))
+	}
+	if !c.sound(a) {
+		c.settle(ch, placement.Failed, "unsound")
+		return c.unknown("the answer is not the endpoint's")
+	}
+	if next, up := c.larger(a); up && c.mayGoOn() {
+		c.settle(ch, placement.Good, "weak")
+		c.model = next
+		c.tried = nil // another model on the same endpoint is another run
+		return again, nil
+	}
+	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
+	c.relay(ctx, ch, a, began)
+	return done, nil
+}
+
+// larger decides by the answer's head whether another model is asked instead.
+func (c *call) larger(a *upstream.Answer) (int, bool) {
+	if !c.prompt.wildcard {
+		return 0, false
+	}
+	conf, err := strconv.Atoi(a.Header.Get(c.h.cfg.Names.Confidence))
+	u := c.h.cfg.Table.Usage(time.Now(), &placement.Request{Service: c.service})
+	use := 1.0
+	if u.Slots > 0 {
+		use = u.Load / u.Slots
+	}
+	now := time.Now()
+	return sizing.Next(sizing.Situation{
+		Models: c.route.Models, At: c.model, Confidence: conf, Known: err == nil, Use: use,
+		AttemptsLeft: c.route.MaxAttempts - c.sends, Left: c.deadline.Sub(now), Whole: c.whole,
+	})
+}
+
+// mayGoOn says that another attempt is allowed and there is time for it, and takes it
+// from the fleet's budget.
+func (c *call) mayGoOn() bool {
+	c.paid = c.sends < c.route.MaxAttempts && time.Until(c.deadline) > 0 && c.h.cfg.Budget.Again(c.service)
+	return c.paid
+}
+
+// relay passes a stream on, and resumes it elsewhere when its endpoint breaks off.
+// Once its head is with the caller there is no refusal any more: what can't be ended
+// whole is cut off so that it doesn't look complete.
+func (c *call) relay(ctx context.Context, ch placement.Choice, a *upstream.Answer, began time.Time) {
+	var r relay
+	c.copyHead(a)
+	c.w.Header().Del("Content-Length")
+	c.w.WriteHeader(a.Status)
+	err := c.pass(&r, a)
+	for {
+		a.Close()
+		switch {
+		case err == nil:
+			c.settle(ch, placement.Good, "ok")
+			c.h.cfg.Versions.Answered(c.service, ch.Version, true, time.Since(began))
+			return
+		case errors.Is(err, errCaller) || ctx.Err() != nil:
+			c.settle(ch, placement.Neutral, "ended")
+			c.abort("caller-left")
+		}
+		c.settle(ch, placement.Broken, "broken")
+		c.h.cfg.Poison.Crashed(c.mark, ch.ID)
+		c.h.cfg.Versions.Answered(c.service, ch.Version, false, time.Since(began))
+		if !c.route.Resume {
+			c.abort("not resumable")
+		}
+		if ch, a = c.resume(ctx, &r); a == nil {
+			c.abort("not resumed")
+		}
+		began = time.Now()
+		err = c.pass(&r, a)
+	}
+}
+
+// resume finds another endpoint that goes on after the last event.
+func (c *call) resume(ctx context.Context, r *relay) (placement.Choice, *upstream.Answer) {
+	last := ""
+	if r.any {
+		last = strconv.FormatInt(r.last, 10)
+	} else {
+		last = c.r.Header.Get(c.h.cfg.Names.LastEvent)
+	}
+	for {
+		ch, bad := c.choose(ctx)
+		if bad != nil {
+			return ch, nil
+		}
+		a, err := c.send(ctx, ch, last)
+		if err != nil {
+			if v, _ := c.failed(ctx, ch, err); v == stop {
+				return ch, nil
+			}
+			continue
+		}
+		if c.refused(ch, a) {
+			drain(a)
+			a.Close()
+			continue
+		}
+		c.sends++
+		c.tried = append(c.tried, ch.ID)
+		if a.Status < 300 && c.sound(a) {
+			return ch, a
+		}
+		a.Close()
+		c.settle(ch, placement.Failed, "error")
+	}
+}
+
+// abort cuts the caller's connection: the one way to say that the answer isn't whole.
+func (c *call) abort(why string) {
+	c.finish(why, http.StatusOK)
+	panic(http.ErrAbortHandler)
+}
+
+// pass copies whole events to the caller until the stream's end.
+func (c *call) pass(r *relay, a *upstream.Answer) error {
+	rc := http.NewResponseController(c.w)
+	var s sse.Splitter
+	buf := make([]byte, 4<<10)
+	for {
+		n, rerr := a.Read(buf)
+		if n > 0 {
+			if !s.Add(buf[:n]) {
+				return errBroken
+			}
+			wrote := false
+			for e := s.Next(); e != nil; e = s.Next() {
+				if !r.fresh(e) {
+					continue
+				}
+				if _, err := c.w.Write(e); err != nil {
+					return errCaller
+				}
+				wrote = true
+			}
+			if wrote || !r.started {
+				r.started = true
+				if err := rc.Flush(); err != nil {
+					return errCaller
+				}
+			}
+		}
+		if errors.Is(rerr, io.EOF) {
+			if len(s.Rest()) > 0 {
+				return errBroken
+			}
+			return nil
+		}
+		if rerr != nil {
+			return errBroken
+		}
+	}
+}
+
+// fresh says that the caller doesn't have the event yet, and notes it.
+func (r *relay) fresh(event []byte) bool {
+	id, ok := sse.ID(event)
+	if !ok {
+		return true
+	}
+	if r.any && id <= r.last {
+		return false
+	}
+	r.last, r.any = id, true
+	return true
+}
--- /dev/null
+++ b/gateway/node/budgets.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"goldcrestfork/policy/retry"
+)
+
+// budgets holds one window of extra attempts for each service.
+type budgets struct {
+	n       *Node
+	mu      sync.Mutex
+	windows map[string]*retry.Window
+}
+
+func newBudgets(n *Node) *budgets { return &budgets{n: n, windows: make(map[string]*retry.Window)} }
+
+func (b *budgets) window(service string) *retry.Window {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.windows[service]
+	if w == nil {
+		s := b.n.s.Bounds
+		w = retry.NewWindow(s.RetryWindow, s.RetryRatio, s.RetrySlack)
+		b.windows[service] = w
+	}
+	return w
+}
+
+// First implements forward.Budget.
+func (b *budgets) First(service string) { b.window(service).First(time.Now()) }
+
+// Again implements forward.Budget.
+func (b *budgets) Again(service string) bool {
+	return b.window(service).Again(time.Now(), b.n.gossip.Table().Alive(bootClock()))
+}
+
+// noPoison quarantines nothing.
+type noPoison struct{}
+
+func (noPoison) Quarantined(uint64) bool { return false }
+func (noPoison) Crashed(uint64, string)  {}
--- /dev/null
+++ b/gateway/node/node.go
@@ -0,0 +1,203 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/forward"
+	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/gateway/view"
+	"goldcrestfork/policy/placement"
+)
+
+// Platform is what the VM needs of the platform's store.
+type Platform interface {
+	Configs() view.Source[*catalog.Config]
+	Endpoints() view.Source[catalog.Endpoint]
+	RollOuts() view.Source[catalog.RollOut]
+	DataCentresOut() view.Source[struct{}]
+	VMs() view.Source[gossip.Member]
+	// Announce enters this VM where others find it; Withdraw takes the entry out.
+	Announce(ctx context.Context, m gossip.Member) error
+	Withdraw(ctx context.Context, name string) error
+	// RecordRollOut writes the decision on a roll-out, if its order is unchanged.
+	RecordRollOut(ctx context.Context, r catalog.RollOut, s catalog.RollOutState) error
+}
+
+// Edge is what callers and the platform's checks speak.
+type Edge struct {
+	Names forward.Names
+	// ReadyPath and DirectoryPath are the paths of those calls.
+	ReadyPath, DirectoryPath string
+	// DataCentreOf reads the data centre of a caller that asks for addresses.
+	DataCentreOf func(r *http.Request) string
+	// WriteAddresses answers such a caller.
+	WriteAddresses func(w http.ResponseWriter, addresses []string, ttl time.Duration)
+}
+
+const (
+	// configWait bounds the age of the configuration's proof; a call each. Keys are
+	// honoured up to Revocation after the last proof, which leaves two missed watches.
+	configWait = 2 * time.Second
+	// endpointWait and ordersWait bound how long a silent connection hides changes.
+	endpointWait = 3 * time.Second
+	ordersWait   = 4 * time.Second
+	// keyMargin is kept clear of the revocation bound: a request is judged when its
+	// head is read, at most some ms after it was sent.
+	keyMargin = 300 * time.Millisecond
+	// denyProof is the proof's age up to which a missing path or key is denied: one
+	// watch and its answer.
+	denyProof = configWait + 500*time.Millisecond
+	// readyProof is the proof's age up to which a VM says that it is ready: it is out
+	// of the directory before it must refuse keys.
+	readyProof = configWait + 1200*time.Millisecond
+	// holdMargin is kept clear of the drain bound by entries held after an outage.
+	holdMargin = 300 * time.Millisecond
+	// memoryShare of the limit is where the collector starts to work harder.
+	memoryShare = 0.7
+	// upkeep is the time between looks at held entries, idle connections and roll-outs.
+	upkeep = 250 * time.Millisecond
+)
+
+// Node is one VM.
+type Node struct {
+	s        Settings
+	p        Platform
+	edge     Edge
+	log      zerolog.Logger
+	view     *view.View
+	table    *placement.Table
+	pool     *upstream.Pool
+	handler  *forward.Handler
+	gossip   *gossip.Service
+	rollouts *rollouts
+	servers  []*http.Server
+	front    *http.Server
+	stopping atomic.Bool
+	orders   atomic.Bool // roll-outs and data centres out were listed
+	out      atomic.Bool
+	registry *prometheus.Registry
+	wg       sync.WaitGroup
+}
+
+// New wires a VM; Run serves.
+func New(s Settings, p Platform, edge Edge, registry *prometheus.Registry, log zerolog.Logger) (*Node, error) {
+	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	n := &Node{s: s, p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), pool: upstream.NewPool(registry)}
+	n.rollouts = newRollouts(n)
+	var err error
+	n.gossip, err = gossip.Listen(gossip.Config{
+		Self: n.self(), Clock: bootClock, Ready: n.Ready, Payload: n.rollouts.payload, Take: n.rollouts.take,
+		Log: log, Registerer: registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.view = view.New(view.Settings{
+		Table: n.table, Clock: bootClock, Log: log, Hold: s.Bounds.DrainTimeout - holdMargin,
+		Regions: s.Regions, ColdShare: n.coldShare, Gone: n.pool.Drop,
+	})
+	n.handler = forward.New(forward.Config{
+		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
+		Budget: newBudgets(n), Poison: noPoison{}, Metrics: forward.NewMetrics(registry), Log: log,
+		KeyProof: s.Bounds.Revocation - keyMargin, DenyProof: denyProof, Regions: s.Regions,
+	})
+	return n, nil
+}
+
+// self is this VM as others reach it.
+func (n *Node) self() gossip.Member {
+	return gossip.Member{
+		Name: n.s.VM, Peer: net.JoinHostPort(n.s.IP, strconv.Itoa(n.s.PortFirst)), Front: n.s.Front, DataCentre: n.s.DataCentre,
+	}
+}
+
+// Ready says whether callers may be sent here.
+func (n *Node) Ready() bool {
+	return !n.stopping.Load() && n.orders.Load() && n.out.Load() && n.view.Ready(readyProof)
+}
+
+// Run serves until the context ends, then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	n.follow(work)
+	n.spawn(func() { n.gossip.Run(work) })
+	n.spawn(func() { n.announce(work) })
+	n.spawn(func() { n.upkeep(work) })
+	n.log.Info().Str("vm", n.s.VM).Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
+	<-ctx.Done()
+	n.stop(work)
+	return nil
+}
+
+func (n *Node) spawn(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+func (n *Node) follow(ctx context.Context) {
+	configs := view.Follower[*catalog.Config]{
+		Kind: "configuration", Source: n.p.Configs(), Wait: configWait, Clock: bootClock, Apply: n.view.ApplyConfig, Log: n.log,
+	}
+	endpoints := view.Follower[catalog.Endpoint]{
+		Kind: "endpoints", Source: n.p.Endpoints(), Wait: endpointWait, Clock: bootClock, Apply: n.view.ApplyEndpoints, Log: n.log,
+	}
+	orders := view.Follower[catalog.RollOut]{
+		Kind: "roll-outs", Source: n.p.RollOuts(), Wait: ordersWait, Clock: bootClock, Log: n.log,
+		Apply: func(u view.Update[catalog.RollOut]) {
+			n.view.ApplyRollOuts(u)
+			n.rollouts.changed()
+			n.orders.Store(true)
+		},
+	}
+	out := view.Follower[struct{}]{
+		Kind: "data-centres-out", Source: n.p.DataCentresOut(), Wait: ordersWait, Clock: bootClock, Log: n.log,
+		Apply: func(u view.Update[struct{}]) {
+			n.view.ApplyOut(u)
+			n.out.Store(true)
+		},
+	}
+	n.spawn(func() { configs.Run(ctx) })
+	n.spawn(func() { endpoints.Run(ctx) })
+	n.spawn(func() { orders.Run(ctx) })
+	n.spawn(func() { out.Run(ctx) })
+}
+
+func (n *Node) upkeep(ctx context.Context) {
+	t := time.NewTicker(upkeep)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.view.Tick()
+			n.pool.Sweep()
+			n.rollouts.tick(ctx)
+		}
+	}
+}
+
+// coldShare deals a cold endpoint's rate to the VMs: a few of them by rank, so that
+// even one request at once from each stays within it, and the others none.
+func (n *Node) coldShare(endpoint string, rate float64) float64 {
+	return coldShare(n.gossip.Table().Names(bootClock()), n.s.VM, endpoint, rate)
+}
--- /dev/null
+++ b/gateway/node/state.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/policy/placement"
+)
+
+// Dump is the state of a VM, for a person who asks why it does what it does.
+type Dump struct {
+	VM       string `json:"vm"`
+	Ready    bool   `json:"ready"`
+	Stopping bool   `json:"stopping"`
+	Active   int64  `json:"active"`
+	Config   int64  `json:"configVersion"`
+	// ConfigAgeMs is the age of the proof that the configuration is the newest.
+	ConfigAgeMs int64             `json:"configAgeMs"`
+	VMs         []string          `json:"vms"`
+	Endpoints   []placement.Row   `json:"endpoints"`
+	RollOuts    []catalog.RollOut `json:"rollOuts"`
+	IdleConns   int               `json:"idleConnections"`
+}
+
+func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
+	d := Dump{
+		VM: n.s.VM, Ready: n.Ready(), Stopping: n.stopping.Load(), Active: n.handler.Active(),
+		ConfigAgeMs: n.view.ConfigAge().Milliseconds(), VMs: n.gossip.Table().Names(bootClock()),
+		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(),
+	}
+	if c := n.view.Config(); c != nil {
+		d.Config = c.Version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(d); err != nil {
+		n.log.Info().Err(err).Msg("state dump not taken")
+	}
+}
--- /dev/null
+++ b/gateway/view/follow.go
@@ -0,0 +1,180 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"goldcrestfork/objectstore"
+)
+
+// Item is one object of a kind as read from the platform.
+type Item[T any] struct {
+	Name string
+	// Revision is of the object's last change, Created of its creation.
+	Revision, Created int64
+	Value             T
+	// Err says why the object can't be read; Value is then not set.
+	Err error
+}
+
+// Listing is all objects of a kind at a revision.
+type Listing[T any] struct {
+	Items    []Item[T]
+	Revision int64
+}
+
+// Change is one change of an object.
+type Change[T any] struct {
+	Item[T]
+	Deleted bool
+}
+
+// Changes are what happened after a revision, up to Revision.
+type Changes[T any] struct {
+	Changes  []Change[T]
+	Revision int64
+}
+
+// Source reads one kind. Errors are those of package objectstore; objectstore.ErrGone
+// from Watch asks for a new listing.
+type Source[T any] interface {
+	List(ctx context.Context) (Listing[T], error)
+	// Watch waits up to wait for changes after a revision.
+	Watch(ctx context.Context, after int64, wait time.Duration) (Changes[T], error)
+}
+
+// Clock is the time since some start, which goes on while the VM is suspended.
+type Clock func() time.Duration
+
+// Update is one step of what is known of a kind.
+type Update[T any] struct {
+	// All says that Changes are the whole kind; what isn't among them is gone.
+	All     bool
+	Changes []Change[T]
+	// Proof is a time at which this was the newest state.
+	Proof time.Duration
+	// Outage is how long the kind could not be read before this update; 0 for no outage.
+	Outage time.Duration
+}
+
+// Follower keeps up with one kind.
+type Follower[T any] struct {
+	Kind   string
+	Source Source[T]
+	// Wait is how long one watch waits. It bounds the age of the proof and how long a
+	// connection that went silent goes unnoticed; each is a call.
+	Wait  time.Duration
+	Clock Clock
+	Apply func(Update[T])
+	Log   zerolog.Logger
+
+	lostAt time.Duration // 0 while in touch
+}
+
+const (
+	// answerTime is what the platform may take beyond the wait of a watch. It answers
+	// in 4 ms and up to 70 times as slowly when it is slow.
+	answerTime = time.Second
+	// firstPause and lastPause space calls that fail. A store that comes back is seen
+	// within the last; each call is billed, refused ones too.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+	// early is how much sooner than asked an empty answer may come and still count as waited out.
+	early = 100 * time.Millisecond
+	// probeWait is the wait of the first watch after a failure, so that a store that is
+	// back is known to be.
+	probeWait = 50 * time.Millisecond
+)
+
+// Run follows the kind until the context ends.
+func (f *Follower[T]) Run(ctx context.Context) {
+	var revision int64
+	pause := firstPause
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			revision, err = f.list(ctx)
+		} else {
+			revision, err = f.watch(ctx, revision)
+		}
+		switch {
+		case err == nil:
+			pause = firstPause
+		case errors.Is(err, objectstore.ErrGone):
+			f.Log.Info().Str("kind", f.Kind).Int64("revision", revision).Msg("history is gone, listing anew")
+			revision = 0
+		default:
+			f.lost(ctx, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, lastPause)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (f *Follower[T]) lost(ctx context.Context, err error) {
+	if f.lostAt == 0 && ctx.Err() == nil {
+		f.lostAt = f.Clock()
+		f.Log.Warn().Str("kind", f.Kind).Err(err).Msg("platform lost")
+	}
+}
+
+// regained ends an outage and returns how long it was.
+func (f *Follower[T]) regained() time.Duration {
+	if f.lostAt == 0 {
+		return 0
+	}
+	out := max(f.Clock()-f.lostAt, 1)
+	f.lostAt = 0
+	f.Log.Info().Str("kind", f.Kind).Dur("outage_ms", out).Msg("platform regained")
+	return out
+}
+
+func (f *Follower[T]) list(ctx context.Context) (int64, error) {
+	began := f.Clock()
+	cctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	defer cancel()
+	l, err := f.Source.List(cctx)
+	if err != nil {
+		return 0, err
+	}
+	u := Update[T]{All: true, Proof: began, Outage: f.regained()}
+	for _, it := range l.Items {
+		u.Changes = append(u.Changes, Change[T]{Item: it})
+	}
+	f.Apply(u)
+	return l.Revision, nil
+}
+
+func (f *Follower[T]) watch(ctx context.Context, revision int64) (int64, error) {
+	wait := f.Wait
+	if f.lostAt != 0 {
+		wait = probeWait
+	}
+	began := f.Clock()
+	cctx, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	c, err := f.Source.Watch(cctx, revision, wait)
+	if err != nil {
+		return revision, err
+	}
+	// An empty answer that waited its time was true when the platform gave it, which
+	// is no sooner than the wait after the question.
+	proof := began
+	if len(c.Changes) == 0 && f.Clock()-began >= wait-early {
+		proof = began + wait - early
+	}
+	f.Apply(Update[T]{Changes: c.Changes, Proof: proof, Outage: f.regained()})
+	return max(c.Revision, revision), nil
+}
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // step is how one attempt at a commit ended.
@@ -168,10 +168,10 @@
 }
 
 func failedStep(err error) step {
-	if errors.Is(err, platform.ErrOverRate) {
+	if errors.Is(err, objectstore.ErrOverRate) {
 		return stepThrottled
 	}
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, objectstore.ErrUnknown) {
 		return stepFailed
 	}
 	return stepBroken
@@ -201,14 +201,14 @@
 	if !s.carry(batch) {
 		return stepReplan
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
 	defer cancel()
 	o, err := s.l.store.Put(ctx, s.key, value, s.state.version)
 	s.l.metrics.wrote(err)
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) {
+	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrUnavailable) {
 		s.release(batch)
 	}
-	var conflict *platform.ConflictError
+	var conflict *objectstore.ConflictError
 	switch {
 	case err == nil:
 		s.writes++
@@ -218,9 +218,9 @@
 		return stepDone
 	case errors.As(err, &conflict):
 		return s.lost(conflict.Current)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return failedStep(err)
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectstore.ErrTooLarge):
 		return stepBroken
 	}
 	s.unsettled = true
@@ -232,7 +232,7 @@
 
 // lost takes the head that won; operations of ours that are in it after all
 // (an earlier write whose reply was lost) are found by their nonces.
-func (s *shard) lost(current platform.Object) step {
+func (s *shard) lost(current objectstore.Object) step {
 	if err := s.follow(current); err != nil {
 		return failedStep(err)
 	}
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // vmStore is the store as one VM reaches it: the VM may be frozen between any
 // two steps, and may die just before or just after any of its calls' effects.
 type vmStore struct {
-	platform.Store
+	objectstore.Store
 
 	mu     sync.Mutex
 	thaw   chan struct{} // non-nil while frozen; closed at the thaw
@@ -81,24 +81,24 @@
 	return !v.dead
 }
 
-func (v *vmStore) Get(ctx context.Context, k platform.Key) (platform.Object, error) {
+func (v *vmStore) Get(ctx context.Context, k objectstore.Key) (objectstore.Object, error) {
 	if call, reply := v.step(); !call || !reply {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	o, err := v.Store.Get(ctx, k)
 	v.waitThaw()
 	return o, err
 }
 
-func (v *vmStore) Put(ctx context.Context, k platform.Key, value []byte, at int64) (platform.Object, error) {
+func (v *vmStore) Put(ctx context.Context, k objectstore.Key, value []byte, at int64) (objectstore.Object, error) {
 	call, reply := v.step()
 	if !call {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	o, err := v.Store.Put(ctx, k, value, at)
 	v.waitThaw()
 	if !reply {
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	}
 	return o, err
 }
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // batchBuckets covers a batch of one up to the largest that fits maxBatch.
@@ -57,7 +57,7 @@
 // wrote counts one write of a head.
 func (m *metrics) wrote(err error) {
 	m.writes.WithLabelValues(writeResult(err)).Inc()
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objectstore.ErrConflict) {
 		m.conflicts.Inc()
 	}
 }
@@ -66,9 +66,9 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		return "conflict"
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return "unavailable"
 	}
 	return "unknown"
@@ -76,7 +76,7 @@
 
 func (m *metrics) sealed(err error) {
 	event := "sealed"
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
 		event = "seal_failed"
 	}
 	m.segments.WithLabelValues(event).Inc()
--- a/ledger/process_test.go
+++ b/ledger/process_test.go
@@ -20,7 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/ledger"
-	"goldcrestfork/platform/httpstore"
+	"goldcrestfork/objectstore/httpstore"
 	"goldcrestfork/standin/store"
 )
 
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // call is what one caller wants of a shard; its operations go into one write.
@@ -33,7 +33,7 @@
 type shard struct {
 	l      *Ledger
 	number int
-	key    platform.Key
+	key    objectstore.Key
 
 	mu      sync.Mutex
 	queue   []*call
--- a/platform/httpstore/watch.go
+++ b/objectstore/httpstore/watch.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // KeepAlive is how often a server writes at least an empty line into a watch.
@@ -23,7 +23,7 @@
 
 type watch struct {
 	kind   string
-	events chan platform.Event
+	events chan objectstore.Event
 	cancel context.CancelFunc
 	once   sync.Once
 	closed chan struct{}
@@ -31,8 +31,8 @@
 	err    error // set before ended closes
 }
 
-// Watch implements platform.Store. The context bounds the start only.
-func (c *Client) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
+// Watch implements objectstore.Store. The context bounds the start only.
+func (c *Client) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	start, stopTimer := context.WithTimeout(ctx, c.timeout)
 	defer stopTimer()
@@ -57,13 +57,13 @@
 		cancel()
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusGone {
-			return nil, platform.ErrGone
+			return nil, objectstore.ErrGone
 		}
 		return nil, unavailable(statusError(resp.StatusCode))
 	}
 	w := &watch{
 		kind:   kind,
-		events: make(chan platform.Event),
+		events: make(chan objectstore.Event),
 		cancel: cancel,
 		closed: make(chan struct{}),
 		ended:  make(chan struct{}),
@@ -76,7 +76,7 @@
 func (w *watch) run(ctx context.Context, resp *http.Response) {
 	defer close(w.ended)
 	defer func() { _ = resp.Body.Close() }()
-	w.err = platform.ErrUnavailable
+	w.err = objectstore.ErrUnavailable
 	watchdog := time.AfterFunc(Silence, w.cancel)
 	defer watchdog.Stop()
 	lines := bufio.NewReader(resp.Body)
@@ -105,7 +105,7 @@
 		return false
 	}
 	if line.Gone {
-		w.err = platform.ErrGone
+		w.err = objectstore.ErrGone
 		return false
 	}
 	select {
@@ -116,21 +116,21 @@
 	}
 }
 
-// Next implements platform.Watch.
-func (w *watch) Next(ctx context.Context) (platform.Event, error) {
+// Next implements objectstore.Watch.
+func (w *watch) Next(ctx context.Context) (objectstore.Event, error) {
 	select {
 	case e := <-w.events:
 		return e, nil
 	case <-w.closed:
-		return platform.Event{}, platform.ErrUnavailable
+		return objectstore.Event{}, objectstore.ErrUnavailable
 	case <-w.ended:
-		return platform.Event{}, w.err
+		return objectstore.Event{}, w.err
 	case <-ctx.Done():
-		return platform.Event{}, ctx.Err()
+		return objectstore.Event{}, ctx.Err()
 	}
 }
 
-// Close implements platform.Watch.
+// Close implements objectstore.Watch.
 func (w *watch) Close() {
 	w.once.Do(func() {
 		close(w.closed)
--- a/platform/platform.go
+++ b/objectstore/platform.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- /dev/null
+++ b/policy/placement/doc.go
@@ -0,0 +1,22 @@
+// Package placement chooses the endpoint that a request of a service is sent to,
+// by what this VM knows of each: what it has under way there, what the endpoint
+// itself said of its load, and whether it is failing, cold or on its way out.
+//
+// Load pattern: a few VMs decide apart on reports that are some hundred ms old;
+// prompts share long leading parts, which an engine that has read them lately
+// needn't read again; endpoints crash, come back cold and leave in numbers.
+//
+// Without it: VMs that all take the endpoint with the least reported load fill the
+// same one until the next report; a shared part of 5,000 tokens is read again on
+// each engine; an endpoint that refuses connections at once always has the least
+// under way and draws everything.
+//
+// A choice is made among the endpoints that may be used, by an estimate of the
+// work before the request: two candidates by the hash of its shared prompt part,
+// the same on each VM, are taken unless the least loaded of all is better by more
+// than reading the part again would cost.
+//
+// The package has no network and no clock; time and randomness are arguments.
+//
+// Lock order: Table.mu is a leaf.
+package placement
--- /dev/null
+++ b/policy/placement/endpoint.go
@@ -0,0 +1,134 @@
+package placement
+
+import (
+	"time"
+
+	"goldcrestfork/policy/outlier"
+)
+
+// Spec is what is configured or reported of an endpoint.
+type Spec struct {
+	// ID names one life of the endpoint.
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Region     string
+	Version    string
+	Slots      int
+	// Draining endpoints get nothing new.
+	Draining bool
+	// Cold is how long it stays cold from now.
+	Cold time.Duration
+	// ColdLimited says that it bears few requests while it is cold; ColdRate is this
+	// VM's part of them a second, 0 for none.
+	ColdLimited bool
+	ColdRate    float64
+}
+
+const (
+	// reportLife is how long an endpoint's word on its load counts. Its own answers
+	// bring one each few hundred ms under load; after two seconds most of what it
+	// counted has ended.
+	reportLife = 2 * time.Second
+	// firstAvoidance is how long an endpoint that broke a connection or refused one
+	// gets nothing; it doubles up to lastAvoidance. Grounds: a crashed endpoint is back
+	// after some seconds; a trial costs one request a few ms where it is refused and
+	// dialTimeout where it is silent.
+	firstAvoidance = 300 * time.Millisecond
+	lastAvoidance  = 3 * time.Second
+	// coldBurst is how many requests a cold endpoint gets at once from this VM: one,
+	// so that some VMs together stay below the endpoint's rate for a second.
+	coldBurst = 1.0
+)
+
+type endpoint struct {
+	Spec
+	running  float64 // work under way from this VM
+	requests int
+	// reported is the endpoint's own count of running and waiting requests at
+	// reportedAt, and ownThen what this VM had under way then.
+	reported   float64
+	ownThen    float64
+	reportedAt time.Time
+
+	coldUntil  time.Time
+	coldTokens float64
+	coldFilled time.Time
+
+	// avoidUntil keeps work away after a broken connection; trial says that one
+	// request is out to see whether it is back.
+	avoidUntil time.Time
+	avoidFor   time.Duration
+	trial      bool
+	detected   outlier.State
+}
+
+// load estimates the requests at the endpoint: the last report, moved by what this
+// VM started and ended since.
+func (e *endpoint) load(now time.Time) float64 {
+	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportLife {
+		return e.running
+	}
+	return max(e.reported+e.running-e.ownThen, e.running, 0)
+}
+
+func (e *endpoint) cold(now time.Time) bool { return now.Before(e.coldUntil) }
+
+// takeCold takes one of this VM's requests to a cold endpoint, if it has one.
+func (e *endpoint) takeCold(now time.Time, take bool) bool {
+	if !e.ColdLimited {
+		return true
+	}
+	if e.ColdRate <= 0 {
+		return false
+	}
+	if !e.coldFilled.IsZero() {
+		e.coldTokens = min(coldBurst, e.coldTokens+e.ColdRate*now.Sub(e.coldFilled).Seconds())
+	} else {
+		e.coldTokens = coldBurst
+	}
+	e.coldFilled = now
+	if e.coldTokens < 1 {
+		return false
+	}
+	if take {
+		e.coldTokens--
+	}
+	return true
+}
+
+// usable says whether the endpoint may get a request now.
+func (e *endpoint) usable(now time.Time, r *Request, out map[string]bool) bool {
+	if e.Draining || out[e.DataCentre] || e.detected == outlier.Ejected {
+		return false
+	}
+	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
+		return false
+	}
+	if len(r.Regions) > 0 && !r.inRegion(e.Region) {
+		return false
+	}
+	if e.avoidFor > 0 && (now.Before(e.avoidUntil) || e.trial) {
+		return false
+	}
+	if e.detected == outlier.Probation && e.requests > 0 {
+		return false
+	}
+	return !r.excluded(e.ID)
+}
+
+func (e *endpoint) failed(now time.Time) {
+	e.trial = false
+	if now.Before(e.avoidUntil) {
+		return
+	}
+	e.avoidFor = min(max(2*e.avoidFor, firstAvoidance), lastAvoidance)
+	e.avoidUntil = now.Add(e.avoidFor)
+	e.reportedAt = time.Time{}
+}
+
+func (e *endpoint) succeeded() {
+	e.trial = false
+	e.avoidFor = 0
+}
--- /dev/null
+++ b/policy/placement/rows.go
@@ -0,0 +1,41 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Row is one endpoint in a state dump: why it gets work or not.
+type Row struct {
+	ID         string  `json:"id"`
+	Service    string  `json:"service"`
+	Address    string  `json:"address"`
+	DataCentre string  `json:"dataCentre"`
+	Version    string  `json:"version"`
+	Draining   bool    `json:"draining"`
+	Out        bool    `json:"dataCentreOut"`
+	ColdMs     int64   `json:"coldMs"`
+	AvoidMs    int64   `json:"avoidMs"`
+	Detector   int     `json:"detector"`
+	Load       float64 `json:"load"`
+	Running    int     `json:"running"`
+	Slots      int     `json:"slots"`
+}
+
+// Rows lists all endpoints by id.
+func (t *Table) Rows(now time.Time) []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Row, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		out = append(out, Row{
+			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
+			Draining: e.Draining, Out: t.out[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
+			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Detector: int(e.detected),
+			Load: e.load(now), Running: e.requests, Slots: e.Slots,
+		})
+	}
+	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/policy/placement/table.go
@@ -0,0 +1,342 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"goldcrestfork/fleet/rendezvous"
+	"goldcrestfork/policy/outlier"
+)
+
+const (
+	// affine is how many endpoints a shared prompt part is kept on: two, so that a
+	// part in demand has a second place when the first is busy or gone.
+	affine = 2
+	// fullFactor is the load, in slots, above which an endpoint counts as full.
+	fullFactor = 1.0
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Service string
+	// Version is the only version that may serve, NotVersion one that may not; empty for any.
+	Version, NotVersion string
+	// Regions are where it may run; empty for all.
+	Regions []string
+	// Exclude are endpoints that it was sent to before.
+	Exclude []string
+	// Affinity names the shared prompt part and the model that reads it; empty for none.
+	Affinity string
+	// Saving is what an endpoint that has read the part saves, in requests' worth of work.
+	Saving float64
+	// Work is the request's weight among others, 1 for a usual one.
+	Work float64
+}
+
+func (r *Request) inRegion(region string) bool { return slices.Contains(r.Regions, region) }
+func (r *Request) excluded(id string) bool     { return slices.Contains(r.Exclude, id) }
+
+// Choice is an endpoint with one request's place taken; give it back by Table.Done.
+type Choice struct {
+	ID, Address, DataCentre, Version string
+	// Cold says that the endpoint is in cold start.
+	Cold bool
+	work float64
+}
+
+// Miss says why nothing was chosen.
+type Miss int
+
+// The reasons for no choice.
+const (
+	Picked Miss = iota
+	// NoEndpoint: none may serve the request.
+	NoEndpoint
+	// AllCold: those that may are in cold start and have their share.
+	AllCold
+	// AllTried: the request was at all of them.
+	AllTried
+)
+
+// Outcome is what an attempt told of its endpoint.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Neutral tells nothing, as when the caller left.
+	Neutral Outcome = iota
+	// Good: it answered as it should.
+	Good
+	// Failed: it answered, but not with what it should.
+	Failed
+	// Full: it refused for want of room.
+	Full
+	// Broken: the connection could not be made or broke.
+	Broken
+	// Gone: another life answers at its address.
+	Gone
+)
+
+// Table holds the endpoints of all services. It is safe for concurrent use.
+type Table struct {
+	// DataCentre is this VM's own, which wins between equals.
+	DataCentre string
+
+	mu        sync.Mutex
+	endpoints map[string]*endpoint
+	services  map[string]*pool
+	out       map[string]bool
+}
+
+type pool struct {
+	list     []*endpoint
+	detector *outlier.Detector
+}
+
+// New returns a table without endpoints for a VM in a data centre.
+func New(dataCentre string) *Table {
+	return &Table{DataCentre: dataCentre, endpoints: make(map[string]*endpoint), services: make(map[string]*pool)}
+}
+
+// Set adds an endpoint or takes a change of one.
+func (t *Table) Set(now time.Time, s Spec) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[s.ID]
+	if e != nil && e.Service != s.Service {
+		t.remove(s.ID)
+		e = nil
+	}
+	if e == nil {
+		e = &endpoint{Spec: s}
+		t.endpoints[s.ID] = e
+		p := t.services[s.Service]
+		if p == nil {
+			p = &pool{detector: outlier.New()}
+			t.services[s.Service] = p
+		}
+		p.list = append(p.list, e)
+		p.reset()
+	}
+	e.Spec = s
+	// A report never shortens a cold start: it may have been on its way while the
+	// endpoint was met cold.
+	if until := now.Add(s.Cold); s.Cold > 0 && until.After(e.coldUntil) {
+		e.coldUntil = until
+	}
+}
+
+// Remove takes an endpoint out.
+func (t *Table) Remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remove(id)
+}
+
+func (t *Table) remove(id string) {
+	e := t.endpoints[id]
+	if e == nil {
+		return
+	}
+	delete(t.endpoints, id)
+	p := t.services[e.Service]
+	p.list = slices.DeleteFunc(p.list, func(o *endpoint) bool { return o == e })
+	p.reset()
+}
+
+func (p *pool) reset() {
+	names := make([]string, len(p.list))
+	for i, e := range p.list {
+		names[i] = e.ID
+	}
+	p.detector.Set(names)
+}
+
+// SetOut names the data centres whose endpoints get nothing.
+func (t *Table) SetOut(out map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out = out
+}
+
+// Pick chooses an endpoint and takes a place on it.
+func (t *Table) Pick(now time.Time, rng *rand.Rand, r *Request) (Choice, Miss) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.services[r.Service]
+	if p == nil {
+		return Choice{}, NoEndpoint
+	}
+	for _, c := range p.detector.Due(now) {
+		t.endpoints[c.Endpoint].detected = c.State
+	}
+	warm, cold, tried := t.candidates(now, p, r)
+	e := t.best(now, rng, warm, r)
+	if e == nil {
+		e = t.best(now, rng, cold, r)
+		if e == nil {
+			switch {
+			case tried && len(warm)+len(cold) == 0:
+				return Choice{}, AllTried
+			case anyCold(now, p):
+				return Choice{}, AllCold
+			}
+			return Choice{}, NoEndpoint
+		}
+		e.takeCold(now, true)
+	}
+	e.running += r.Work
+	e.requests++
+	if e.avoidFor > 0 {
+		e.trial = true
+	}
+	return Choice{ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now), work: r.Work}, Picked
+}
+
+func anyCold(now time.Time, p *pool) bool {
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.cold(now) })
+}
+
+// candidates splits the usable endpoints into warm ones and cold ones that have a
+// request left.
+func (t *Table) candidates(now time.Time, p *pool, r *Request) (warm, cold []*endpoint, tried bool) {
+	for _, e := range p.list {
+		if !e.usable(now, r, t.out) {
+			tried = tried || r.excluded(e.ID)
+			continue
+		}
+		if !e.cold(now) {
+			warm = append(warm, e)
+		} else if e.takeCold(now, false) {
+			cold = append(cold, e)
+		}
+	}
+	return warm, cold, tried
+}
+
+// best returns the endpoint with the least work before the request, where one of
+// those that keep its shared part is allowed Saving more than the others.
+func (t *Table) best(now time.Time, rng *rand.Rand, list []*endpoint, r *Request) *endpoint {
+	keepers := keepers(list, r.Affinity)
+	var best *endpoint
+	var least float64
+	for _, e := range list {
+		cost := e.load(now)
+		if e.Slots > 0 && cost >= fullFactor*float64(e.Slots) {
+			// Above its slots a request waits for others to end; no saving is worth that.
+			cost += float64(e.Slots)
+		} else if e == keepers[0] || e == keepers[1] {
+			cost -= r.Saving
+		}
+		if e.DataCentre != t.DataCentre {
+			cost += farPenalty
+		}
+		cost += jitter * rng.Float64()
+		if best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+const (
+	// farPenalty is what another data centre costs, in requests: bytes between data
+	// centres are billed, and a round trip takes 1 to 2 ms more.
+	farPenalty = 0.3
+	// jitter parts VMs that see the same loads, in requests.
+	jitter = 0.5
+)
+
+// keepers are the endpoints that rank first for a shared part by rendezvous, so that
+// all VMs with the same endpoints agree.
+func keepers(list []*endpoint, affinity string) (out [affine]*endpoint) {
+	if affinity == "" {
+		return out
+	}
+	var top [affine]uint64
+	for _, e := range list {
+		w := rendezvous.Weight(affinity, e.ID)
+		switch {
+		case out[0] == nil || w > top[0]:
+			out[1], top[1] = out[0], top[0]
+			out[0], top[0] = e, w
+		case out[1] == nil || w > top[1]:
+			out[1], top[1] = e, w
+		}
+	}
+	return out
+}
+
+// Done gives a place back with what the attempt told.
+func (t *Table) Done(now time.Time, c Choice, o Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[c.ID]
+	if e == nil {
+		return
+	}
+	e.running = max(e.running-c.work, 0)
+	e.requests = max(e.requests-1, 0)
+	switch o {
+	case Good, Failed:
+		e.succeeded()
+		if c, changed := t.services[e.Service].detector.Record(now, outlier.Result{Endpoint: e.ID, Failed: o == Failed}); changed {
+			e.detected = c.State
+		}
+	case Broken, Gone:
+		e.failed(now)
+	case Full:
+		e.succeeded()
+		e.reported, e.ownThen, e.reportedAt = max(e.load(now), float64(e.Slots)), e.running, now
+	case Neutral:
+		e.trial = false
+	}
+}
+
+// Report takes an endpoint's own word on its load.
+func (t *Table) Report(now time.Time, id string, running, waiting, slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil {
+		e.reported, e.ownThen, e.reportedAt = float64(running+waiting), e.running, now
+		if slots > 0 {
+			e.Slots = slots
+		}
+	}
+}
+
+// Cold marks an endpoint as cold for a while, as when it said so in an answer.
+func (t *Table) Cold(now time.Time, id string, left time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil && now.Add(left).After(e.coldUntil) {
+		e.coldUntil = now.Add(left)
+	}
+}
+
+// Usage is how full a service's usable endpoints are.
+type Usage struct {
+	Endpoints   int
+	Load, Slots float64
+}
+
+// Usage sums the usable warm endpoints of a service.
+func (t *Table) Usage(now time.Time, r *Request) Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var u Usage
+	p := t.services[r.Service]
+	if p == nil {
+		return u
+	}
+	for _, e := range p.list {
+		if e.usable(now, r, t.out) && !e.cold(now) {
+			u.Endpoints++
+			u.Load += e.load(now)
+			u.Slots += float64(e.Slots)
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/policy/sizing/sizing.go
@@ -0,0 +1,68 @@
+// Package sizing chooses among a route's models, which differ in cost, pace and how
+// hard a request they answer well.
+//
+// Load pattern: a mix in which somewhat over half of the requests are easy. Asking
+// the largest model for all costs ten times the engine time of the smallest; asking
+// the smallest for all loses nearly half of the answers' worth.
+//
+// An endpoint says with the head of an answer, before its first event, how far the
+// model trusts it. A weak answer is dropped then, while the caller has received
+// nothing, and the largest model is asked. Sizes in between are passed over: with
+// 0.65 of the requests answered well against 0.56 by the smallest, a step there
+// mostly pays twice.
+//
+// The package has no network, no clock and no locks.
+package sizing
+
+import "time"
+
+const (
+	// Threshold is the confidence, of 100, below which an answer is dropped when the
+	// endpoints have room. Thresholds from 50 to 70 earned alike on a calm mix.
+	Threshold = 55
+	// busyThreshold applies when the endpoints are full: only answers that are most
+	// likely useless are made again.
+	busyThreshold = 30
+	// calm and busy are the shares of the slots in use between which the threshold falls.
+	calm = 0.6
+	busy = 1.0
+	// leastLeft is the share of a caller's time that must be left for another model.
+	leastLeft = 0.5
+)
+
+// Situation is what a choice depends on.
+type Situation struct {
+	// Models are the route's, smallest first; At is the one that answered.
+	Models []string
+	At     int
+	// Confidence is the model's word, 0 to 100; Known says that it gave one.
+	Confidence int
+	Known      bool
+	// Use is the share of the usable endpoints' slots in use.
+	Use float64
+	// AttemptsLeft are the endpoints that the request may still be sent to.
+	AttemptsLeft int
+	// Left is the caller's remaining time, Whole what it had.
+	Left, Whole time.Duration
+}
+
+// First is the model that a request starts with.
+func First([]string) int { return 0 }
+
+// Next returns the model to ask in place of the one that answered, and whether to.
+func Next(s Situation) (int, bool) {
+	last := len(s.Models) - 1
+	if !s.Known || s.At >= last || s.AttemptsLeft < 1 {
+		return s.At, false
+	}
+	if s.Left < time.Duration(leastLeft*float64(s.Whole)) {
+		return s.At, false
+	}
+	return last, float64(s.Confidence) < threshold(s.Use)
+}
+
+// threshold falls from Threshold to busyThreshold as the slots fill.
+func threshold(use float64) float64 {
+	full := min(max((use-calm)/(busy-calm), 0), 1)
+	return Threshold + full*(busyThreshold-Threshold)
+}
--- a/router/refusal/refusal.go
+++ b/router/refusal/refusal.go
@@ -114,13 +114,23 @@
 	return b
 }
 
-// Write sends the refusal as the whole response.
+// Write sends the refusal as the whole response, with when to come back in whole seconds.
 func (r *Refusal) Write(w http.ResponseWriter) {
+	r.write(w, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+}
+
+// WriteFine is Write for callers that take fractions of a second: a place that is
+// free in 150 ms is otherwise asked for a second later.
+func (r *Refusal) WriteFine(w http.ResponseWriter) {
+	r.write(w, strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
+}
+
+func (r *Refusal) write(w http.ResponseWriter, retryAfter string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("X-Ran", string(r.Ran))
 	if r.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+		h.Set("Retry-After", retryAfter)
 	}
 	w.WriteHeader(r.Status)
 	_, _ = w.Write(r.JSON())
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -25,7 +25,7 @@
 	"goldcrestfork/ledger"
 	"goldcrestfork/ledger/bill"
 	"goldcrestfork/ledger/pin"
-	"goldcrestfork/platform/httpstore"
+	"goldcrestfork/objectstore/httpstore"
 	"goldcrestfork/policy/cascade"
 	"goldcrestfork/policy/picker"
 	"goldcrestfork/policy/rollout"
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // Faults is what goes wrong, from the moment it is set.
@@ -28,7 +28,7 @@
 }
 
 type heldWrite struct {
-	key       platform.Key
+	key       objectstore.Key
 	value     []byte
 	ifVersion int64
 	deleted   bool
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/time/rate"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 // historyLimit bounds the events kept for watches; an older start gets ErrGone.
@@ -32,12 +32,12 @@
 // Writes is the number of calls that count against the platform's write rate.
 func (c Counts) Writes() int { return c.Puts + c.Deletes }
 
-// Store implements platform.Store.
+// Store implements objectstore.Store.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
-	objects  map[platform.Key]platform.Object
-	history  []platform.Event
+	objects  map[objectstore.Key]objectstore.Object
+	history  []objectstore.Event
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
@@ -47,12 +47,12 @@
 	vmLag    time.Duration
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectstore.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: make(map[platform.Key]platform.Object),
+		objects: make(map[objectstore.Key]objectstore.Object),
 		changed: make(chan struct{}),
 	}
 }
@@ -97,7 +97,7 @@
 	if limit != nil && !limit.Allow() {
 		s.counts.OverRate++
 		s.mu.Unlock()
-		return platform.ErrOverRate
+		return objectstore.ErrOverRate
 	}
 	delay, down := s.faults.Delay, s.faults.Down
 	s.mu.Unlock()
@@ -105,67 +105,67 @@
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return objectstore.ErrUnavailable
 		}
 	}
 	if down {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+// Get implements objectstore.Store.
+func (s *Store) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Gets++ }); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) (platform.Listing, error) {
+// List implements objectstore.Store.
+func (s *Store) List(ctx context.Context, kind string) (objectstore.Listing, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Lists++ }); err != nil {
-		return platform.Listing{}, err
+		return objectstore.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := platform.Listing{Revision: s.revision}
+	l := objectstore.Listing{Revision: s.revision}
 	for k, o := range s.objects {
 		if k.Kind == kind {
 			l.Objects = append(l.Objects, o)
 		}
 	}
-	slices.SortFunc(l.Objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(l.Objects, func(a, b objectstore.Object) int { return strings.Compare(a.Name, b.Name) })
 	return l, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, key platform.Key, value []byte, ifVersion int64) (platform.Object, error) {
-	if len(value) > platform.MaxValue {
-		return platform.Object{}, platform.ErrTooLarge
+// Put implements objectstore.Store.
+func (s *Store) Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
+	if len(value) > objectstore.MaxValue {
+		return objectstore.Object{}, objectstore.ErrTooLarge
 	}
 	if err := s.enter(ctx, write, func(c *Counts) {
 		c.Puts++
 		c.PutBytes += int64(len(value))
 	}); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.write(heldWrite{key: key, value: bytes.Clone(value), ifVersion: ifVersion})
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key platform.Key, ifVersion int64) error {
+// Delete implements objectstore.Store.
+func (s *Store) Delete(ctx context.Context, key objectstore.Key, ifVersion int64) error {
 	if err := s.enter(ctx, write, func(c *Counts) { c.Deletes++ }); err != nil {
 		return err
 	}
@@ -176,43 +176,43 @@
 }
 
 // write takes effect or not, then loses the reply or not. Callers hold s.mu.
-func (s *Store) write(h heldWrite) (platform.Object, error) {
+func (s *Store) write(h heldWrite) (objectstore.Object, error) {
 	if s.faults.RefuseWrites > 0 {
 		s.faults.RefuseWrites--
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	}
 	if s.faults.HoldWrites > 0 {
 		s.faults.HoldWrites--
 		s.hold(h)
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	}
 	o, err := s.apply(h)
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
-		return platform.Object{}, platform.ErrUnknown
+		return objectstore.Object{}, objectstore.ErrUnknown
 	}
 	return o, err
 }
 
 // apply checks the condition of a write and takes effect. Callers hold s.mu.
-func (s *Store) apply(h heldWrite) (platform.Object, error) {
+func (s *Store) apply(h heldWrite) (objectstore.Object, error) {
 	current, ok := s.objects[h.key]
 	if h.deleted && !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	if current.Version != h.ifVersion {
 		s.counts.Conflicts++
 		current.Key = h.key
-		return platform.Object{}, &platform.ConflictError{Current: current}
+		return objectstore.Object{}, &objectstore.ConflictError{Current: current}
 	}
 	s.revision++
-	o := platform.Object{Key: h.key, Version: s.revision, Value: h.value}
+	o := objectstore.Object{Key: h.key, Version: s.revision, Value: h.value}
 	if h.deleted {
 		delete(s.objects, h.key)
 	} else {
 		s.objects[h.key] = o
 	}
-	s.history = append(s.history, platform.Event{Object: o, Deleted: h.deleted})
+	s.history = append(s.history, objectstore.Event{Object: o, Deleted: h.deleted})
 	if len(s.history) > historyLimit {
 		s.history = slices.Clone(s.history[len(s.history)-historyLimit/2:])
 	}
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"goldcrestfork/platform"
+	"goldcrestfork/objectstore"
 )
 
 type watch struct {
@@ -17,8 +17,8 @@
 	done  chan struct{}
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind string, revision int64) (platform.Watch, error) {
+// Watch implements objectstore.Store.
+func (s *Store) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, err
 	}
@@ -26,13 +26,13 @@
 	defer s.mu.Unlock()
 	if s.faults.HistoryLost {
 		s.faults.HistoryLost = false
-		return nil, platform.ErrGone
+		return nil, objectstore.ErrGone
 	}
 	return &watch{store: s, kind: kind, next: revision + 1, done: make(chan struct{})}, nil
 }
 
-// Next implements platform.Watch.
-func (w *watch) Next(ctx context.Context) (platform.Event, error) {
+// Next implements objectstore.Watch.
+func (w *watch) Next(ctx context.Context) (objectstore.Event, error) {
 	for {
 		event, changed, err := w.poll()
 		if err != nil || event.Version > 0 {
@@ -41,29 +41,29 @@
 		select {
 		case <-changed:
 		case <-w.done:
-			return platform.Event{}, platform.ErrUnavailable
+			return objectstore.Event{}, objectstore.ErrUnavailable
 		case <-ctx.Done():
-			return platform.Event{}, ctx.Err()
+			return objectstore.Event{}, ctx.Err()
 		}
 	}
 }
 
 // poll returns the next event, or the channel that closes when there may be one.
-func (w *watch) poll() (platform.Event, <-chan struct{}, error) {
+func (w *watch) poll() (objectstore.Event, <-chan struct{}, error) {
 	s := w.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return platform.Event{}, nil, platform.ErrUnavailable
+		return objectstore.Event{}, nil, objectstore.ErrUnavailable
 	}
 	oldest := s.revision + 1
 	if len(s.history) > 0 {
 		oldest = s.history[0].Version
 	}
 	if w.next < oldest {
-		return platform.Event{}, nil, platform.ErrGone
+		return objectstore.Event{}, nil, objectstore.ErrGone
 	}
-	from, _ := slices.BinarySearchFunc(s.history, w.next, func(e platform.Event, next int64) int {
+	from, _ := slices.BinarySearchFunc(s.history, w.next, func(e objectstore.Event, next int64) int {
 		return cmp.Compare(e.Version, next)
 	})
 	for _, e := range s.history[from:] {
@@ -73,8 +73,8 @@
 		}
 	}
 	w.next = s.revision + 1
-	return platform.Event{}, s.changed, nil
+	return objectstore.Event{}, s.changed, nil
 }
 
-// Close implements platform.Watch.
+// Close implements objectstore.Watch.
 func (w *watch) Close() { w.once.Do(func() { close(w.done) }) }
