--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -129,10 +129,9 @@
 }
 
 // need describes the request for package placement.
-func (c *call) need() *placement.Request {
-	only, not := c.h.cfg.Versions.Choose(c.service, c.session())
+func (c *call) need(v Choice) *placement.Request {
 	r := &placement.Request{
-		Service: c.service, Version: only, NotVersion: not, Regions: c.route.Regions,
+		Service: c.service, Version: v.Only, NotVersion: v.Not, Regions: c.route.Regions,
 		Exclude: c.tried, Work: 1,
 	}
 	if c.prompt.affinity != "" {
@@ -142,6 +141,17 @@
 	return r
 }
 
+// pick chooses an endpoint of the session's version; where it has none, of any that
+// may be used.
+func (c *call) pick() (placement.Choice, placement.Miss) {
+	v := c.h.cfg.Versions.Choose(c.service, c.r.Header.Get(c.h.cfg.Names.Session))
+	ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(v))
+	if miss == placement.NoEndpoint && v.Only != "" {
+		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(Choice{}))
+	}
+	return ch, miss
+}
+
 const (
 	// savingTokens is the shared prompt that is worth one more request before ours:
 	// reading 1,000 tokens takes an engine some 20 ms, during which all others there wait.
@@ -150,14 +160,6 @@
 	mostSaving = 6
 )
 
-// session is what ties requests of one conversation together: its prompt's parts.
-func (c *call) session() string {
-	if n := len(c.prompt.parts); n > 0 {
-		return c.prompt.parts[n-1].id
-	}
-	return ""
-}
-
 // choose picks an endpoint, or says why there is none.
 func (c *call) choose(ctx context.Context) (placement.Choice, *refusal.Refusal) {
 	if err := ctx.Err(); err != nil {
@@ -173,7 +175,7 @@
 		return placement.Choice{}, c.noMore("too many requests are being tried again")
 	}
 	c.paid = false
-	choice, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need())
+	choice, miss := c.pick()
 	if miss != placement.Picked {
 		return choice, c.noMore(missText[miss])
 	}
@@ -283,6 +285,7 @@
 		return stop, c.ended(cause)
 	}
 	c.settle(ch, placement.Broken, "broken")
+	c.answered(ch, true, 0)
 	c.h.cfg.Poison.Crashed(c.mark, ch.ID)
 	return c.unknown("the connection broke")
 }
@@ -311,6 +314,15 @@
 	return true
 }
 
+// answered passes on what an endpoint of a version made of the request.
+func (c *call) answered(ch placement.Choice, failed bool, took time.Duration) {
+	a := Answered{Service: c.service, Version: ch.Version, Route: c.route.Name, Failed: failed, Took: took}
+	if c.prompt.wildcard {
+		a.Model = c.route.Models[c.model]
+	}
+	c.h.cfg.Versions.Answered(a)
+}
+
 // settle gives the endpoint's place back and notes the step.
 func (c *call) settle(ch placement.Choice, o placement.Outcome, result string) {
 	c.h.cfg.Table.Done(time.Now(), ch, o)
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -27,10 +27,26 @@
 
 // Versions decides which version of a service's endpoints a request may use.
 type Versions interface {
-	// Choose returns the only version that may serve, or one that may not; both empty for any.
-	Choose(service, session string) (only, not string)
-	// Answered takes what an endpoint of a version made of a request.
-	Answered(service, version string, good bool, took time.Duration)
+	Choose(service, session string) Choice
+	// Answered takes what an endpoint made of a request.
+	Answered(a Answered)
+}
+
+// Choice is the version that serves a session; both fields empty for any.
+type Choice struct {
+	// Only is the version to use as long as it has endpoints.
+	Only string
+	// Not is a version that must not be used.
+	Not string
+}
+
+// Answered is one endpoint's answer, for the comparison of versions.
+type Answered struct {
+	Service, Version, Route, Model string
+	// Failed: the endpoint failed the request, by an error or a broken answer.
+	Failed bool
+	// Took is the time to the answer's head (streams) or end; 0 if it isn't known.
+	Took time.Duration
 }
 
 // Config sets a handler.
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -27,6 +27,8 @@
 	// Model names the model, Tokens the prompt's and the longest answer's tokens,
 	// Parts the prompt's parts as ID:TOKENS.
 	Model, Tokens, Parts string
+	// Session ties requests of one conversation together.
+	Session string
 	// LastEvent is the last event that the caller has of a stream.
 	LastEvent string
 	// Cold is how many ms an endpoint stays cold.
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -40,6 +40,7 @@
 			return stop, c.ended(cause)
 		}
 		c.settle(ch, placement.Failed, "cut")
+		c.answered(ch, true, 0)
 		return c.unknown("the answer broke off")
 	}
 	return c.judge(ch, a, body, time.Since(began))
@@ -48,22 +49,21 @@
 // judge decides what to do with a whole answer.
 func (c *call) judge(ch placement.Choice, a *upstream.Answer, body []byte, took time.Duration) (verdict, *refusal.Refusal) {
 	n := &c.h.cfg.Names
-	versions := c.h.cfg.Versions
 	if a.Status < 300 {
 		if !c.sound(a) {
 			c.settle(ch, placement.Failed, "unsound")
-			versions.Answered(c.service, ch.Version, false, took)
+			c.answered(ch, true, took)
 			return c.unknown("the answer is not the endpoint's whole answer")
 		}
 		c.settle(ch, placement.Good, "ok")
-		versions.Answered(c.service, ch.Version, true, took)
+		c.answered(ch, false, took)
 		c.reply(a, body)
 		return done, nil
 	}
 	own := a.Header.Get(n.RequestID) == c.id
 	if a.Status >= 500 {
 		c.settle(ch, placement.Failed, "error")
-		versions.Answered(c.service, ch.Version, false, took)
+		c.answered(ch, true, took)
 		if c.repeatable() && c.mayGoOn() {
 			return again, nil
 		}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -54,8 +54,10 @@
 	}
 	if !c.sound(a) {
 		c.settle(ch, placement.Failed, "unsound")
+		c.answered(ch, true, 0)
 		return c.unknown("the answer is not the endpoint's")
 	}
+	c.answered(ch, false, time.Since(began))
 	if next, up := c.larger(a); up && c.mayGoOn() {
 		c.settle(ch, placement.Good, "weak")
 		c.model = next
@@ -63,7 +65,7 @@
 		return again, nil
 	}
 	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
-	c.relay(ctx, ch, a, began)
+	c.relay(ctx, ch, a)
 	return done, nil
 }
 
@@ -95,7 +97,7 @@
 // relay passes a stream on, and resumes it elsewhere when its endpoint breaks off.
 // Once its head is with the caller there is no refusal any more: what can't be ended
 // whole is cut off so that it doesn't look complete.
-func (c *call) relay(ctx context.Context, ch placement.Choice, a *upstream.Answer, began time.Time) {
+func (c *call) relay(ctx context.Context, ch placement.Choice, a *upstream.Answer) {
 	var r relay
 	c.copyHead(a)
 	c.w.Header().Del("Content-Length")
@@ -106,7 +108,6 @@
 		switch {
 		case err == nil:
 			c.settle(ch, placement.Good, "ok")
-			c.h.cfg.Versions.Answered(c.service, ch.Version, true, time.Since(began))
 			return
 		case errors.Is(err, errCaller) || ctx.Err() != nil:
 			c.settle(ch, placement.Neutral, "ended")
@@ -114,14 +115,13 @@
 		}
 		c.settle(ch, placement.Broken, "broken")
 		c.h.cfg.Poison.Crashed(c.mark, ch.ID)
-		c.h.cfg.Versions.Answered(c.service, ch.Version, false, time.Since(began))
+		c.answered(ch, true, 0)
 		if !c.route.Resume {
 			c.abort("not resumable")
 		}
 		if ch, a = c.resume(ctx, &r); a == nil {
 			c.abort("not resumed")
 		}
-		began = time.Now()
 		err = c.pass(&r, a)
 	}
 }
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -2,21 +2,258 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
 	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"goldcrestfork/fleet/rendezvous"
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/forward"
+	"goldcrestfork/objectstore"
+	"goldcrestfork/policy/trial"
+)
+
+const (
+	// recordPause spaces tries to record a decision.
+	recordPause = 500 * time.Millisecond
+	// slowTimes is how many times its usual time an answer takes to count as slow: a
+	// version that is several times as slow passes it nearly always, and the usual
+	// spread of prompts seldom.
+	slowTimes = 4
+	// usualGain is the weight of one answer in the usual time, about the last ten.
+	usualGain = 0.1
 )
 
-// rollouts keeps versions that are brought in away from callers until they are judged.
-type rollouts struct{ n *Node }
+// rollouts brings versions in: it splits sessions between versions, counts answers
+// with the other VMs, and one VM records the decision.
+//
+// Lock order: rollouts.mu, then those of package trial.
+type rollouts struct {
+	n        *Node
+	sessions *trial.Sessions
+
+	mu     sync.Mutex
+	orders map[string]*order // by service
+	usual  map[string]float64
+}
+
+// order is a service's newest roll-out.
+type order struct {
+	catalog.RollOut
+	id     string
+	trial  *trial.Trial
+	tried  time.Time // last try to record
+	logged trial.Decision
+}
+
+func newRollouts(n *Node) *rollouts {
+	return &rollouts{
+		n: n, sessions: trial.NewSessions(n.s.Bounds.Session),
+		orders: make(map[string]*order), usual: make(map[string]float64),
+	}
+}
+
+// changed takes the operators' orders anew.
+func (r *rollouts) changed() {
+	now := bootClock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := make(map[string]bool)
+	for _, o := range r.n.view.RollOuts() {
+		known[o.Service] = true
+		id := o.Name + "/" + o.Target + "/" + strconv.FormatInt(o.Created, 10)
+		old := r.orders[o.Service]
+		if old != nil && old.id == id {
+			if old.State != o.State {
+				r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).Msg("roll-out recorded")
+			}
+			old.RollOut = o
+			continue
+		}
+		b := r.n.s.Bounds
+		r.orders[o.Service] = &order{RollOut: o, id: id, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
+		r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).
+			Dur("duration_ms", o.Duration).Msg("roll-out ordered")
+	}
+	for service := range r.orders {
+		if !known[service] {
+			delete(r.orders, service)
+		}
+	}
+}
 
-func newRollouts(n *Node) *rollouts { return &rollouts{n: n} }
+func (r *rollouts) order(service string) *order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.orders[service]
+	if o == nil {
+		return nil
+	}
+	c := *o
+	return &c
+}
 
 // Choose implements forward.Versions.
-func (r *rollouts) Choose(service, _ string) (only, not string) { return "", "" }
+func (r *rollouts) Choose(service, session string) forward.Choice {
+	now := bootClock()
+	s := trial.SessionOf(service, session)
+	tries := s.Tries(trial.Share(r.n.s.Bounds.ExposureShare))
+	o := r.order(service)
+	var c forward.Choice
+	switch {
+	case o == nil:
+	case o.State == catalog.RollOutCompleted:
+		return forward.Choice{Only: o.Target}
+	case o.State == catalog.RollOutRolledBack:
+		c.Not = o.Target
+	case tries && o.trial.Exposes(now) && !r.sessions.Stays(now, s):
+		return forward.Choice{Only: o.Target}
+	default:
+		c.Not = o.Target
+	}
+	if session != "" && tries {
+		r.sessions.AtOld(now, s)
+	}
+	return c
+}
 
 // Answered implements forward.Versions.
-func (r *rollouts) Answered(string, string, bool, time.Duration) {}
+func (r *rollouts) Answered(a forward.Answered) {
+	o := r.order(a.Service)
+	slow := r.slow(a, o)
+	if o != nil && (o.State == "" || o.State == catalog.RollOutRunning) {
+		o.trial.Answered(a.Version == o.Target, a.Failed, slow)
+	}
+}
+
+// slow compares an answer's time with what the old version usually takes.
+func (r *rollouts) slow(a forward.Answered, o *order) bool {
+	if a.Failed || a.Took == 0 {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key, took := a.Route+"/"+a.Model, a.Took.Seconds()
+	usual, ok := r.usual[key]
+	isNew := o != nil && a.Version == o.Target
+	if !isNew {
+		if !ok {
+			r.usual[key] = took
+		} else {
+			r.usual[key] += usualGain * (took - usual)
+		}
+	}
+	return ok && took > slowTimes*usual
+}
+
+// word is this VM's part of a datagram.
+type word struct {
+	Orders   []orderWord     `cbor:"1,keyasint,omitempty"`
+	Sessions []trial.Session `cbor:"2,keyasint,omitempty"`
+}
+
+type orderWord struct {
+	Service string        `cbor:"1,keyasint"`
+	ID      string        `cbor:"2,keyasint"`
+	Age     time.Duration `cbor:"3,keyasint"`
+	Counts  trial.Counts  `cbor:"4,keyasint"`
+}
+
+func (r *rollouts) payload() []byte {
+	now := bootClock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var w word
+	for service, o := range r.orders {
+		if o.State == "" || o.State == catalog.RollOutRunning {
+			w.Orders = append(w.Orders, orderWord{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.Own()})
+		}
+	}
+	if len(w.Orders) == 0 {
+		return nil
+	}
+	w.Sessions = r.sessions.Word(now)
+	b, err := cbor.Marshal(&w)
+	if err != nil {
+		r.n.log.Error().Err(err).Msg("word on roll-outs can't be encoded")
+		return nil
+	}
+	return b
+}
+
+func (r *rollouts) take(from string, life uint64, payload []byte) {
+	var w word
+	if err := cbor.Unmarshal(payload, &w); err != nil {
+		r.n.log.Warn().Err(err).Str("from", from).Msg("word on roll-outs can't be read")
+		return
+	}
+	now := bootClock()
+	r.sessions.Heard(now, w.Sessions)
+	source := from + "/" + strconv.FormatUint(life, 36)
+	for _, ow := range w.Orders {
+		if o := r.order(ow.Service); o != nil && o.id == ow.ID {
+			o.trial.Heard(now, source, ow.Age, ow.Counts)
+		}
+	}
+}
+
+// tick judges the roll-outs under way; the VM that ranks first for one records it.
+func (r *rollouts) tick(ctx context.Context) {
+	now := bootClock()
+	r.mu.Lock()
+	var due []*order
+	for _, o := range r.orders {
+		if o.State != "" && o.State != catalog.RollOutRunning {
+			continue
+		}
+		d, reason := o.trial.Judge(now)
+		if d != o.logged {
+			o.logged = d
+			s := o.trial.Sum()
+			r.n.log.Info().Str("roll_out", o.id).Int("decision", int(d)).Str("reason", reason).
+				Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
+				Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow).
+				Dur("age_ms", o.trial.Age(now)).Msg("roll-out judged")
+		}
+		if (d != trial.Undecided || o.State == "") && time.Since(o.tried) >= recordPause && r.first(o.id) {
+			o.tried = time.Now()
+			due = append(due, &order{RollOut: o.RollOut, id: o.id, logged: d})
+		}
+	}
+	r.mu.Unlock()
+	for _, o := range due {
+		r.n.spawn(func() { r.record(ctx, o) })
+	}
+}
+
+// first says that this VM ranks first among those that are ready, so that one call
+// does. Two that both think so write the same, under the same condition.
+func (r *rollouts) first(id string) bool {
+	if !r.n.Ready() {
+		return false
+	}
+	names := []string{r.n.s.VM}
+	for _, m := range r.n.gossip.Table().Usable(bootClock(), "") {
+		names = append(names, m.Name)
+	}
+	slices.Sort(names)
+	return rendezvous.Best(id, names) == r.n.s.VM
+}
 
-func (r *rollouts) payload() []byte             { return nil }
-func (r *rollouts) take(string, uint64, []byte) {}
-func (r *rollouts) changed()                    {}
-func (r *rollouts) tick(context.Context)        {}
+func (r *rollouts) record(ctx context.Context, o *order) {
+	state := map[trial.Decision]catalog.RollOutState{
+		trial.Undecided: catalog.RollOutRunning, trial.Take: catalog.RollOutCompleted, trial.TakeBack: catalog.RollOutRolledBack,
+	}[o.logged]
+	c, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	defer cancel()
+	err := r.n.p.RecordRollOut(c, o.RollOut, state)
+	e := r.n.log.Info()
+	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+		e = r.n.log.Warn()
+	}
+	e.Err(err).Str("roll_out", o.id).Str("state", string(state)).Int64("revision", o.Revision).Msg("recording roll-out")
+}
