--- /dev/null
+++ b/gateway/forward/harness_test.go
@@ -0,0 +1,290 @@
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/placement"
+)
+
+// testNames are headers of the project's own, so that these tests name no one's wire.
+var testNames = Names{
+	RequestID: "X-Request", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account",
+	ExpectInstance: "X-Expect", Instance: "X-Instance", Load: "X-Load", NotRun: "X-Not-Run",
+	Signature: "X-Signature", Confidence: "X-Confidence", Model: "X-Model", Tokens: "X-Tokens",
+	Parts: "X-Parts", Session: "X-Session", LastEvent: "X-Last", Cold: "X-Cold",
+	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold"},
+}
+
+// endpoint is one stand-in endpoint; serve answers its requests.
+type endpoint struct {
+	id       string
+	server   *httptest.Server
+	runs     atomic.Int64
+	mu       sync.Mutex
+	seen     []http.Header
+	bodies   []string
+	handlers []http.HandlerFunc
+}
+
+// world is one VM before some endpoints, with what the test sets.
+type world struct {
+	t         *testing.T
+	handler   *Handler
+	front     *httptest.Server
+	table     *placement.Table
+	state     *fakeState
+	versions  *fakeVersions
+	budget    *fakeBudget
+	poison    *fakePoison
+	endpoints []*endpoint
+}
+
+type fakeState struct {
+	mu     sync.Mutex
+	config *catalog.Config
+	age    time.Duration
+}
+
+func (s *fakeState) Config() *catalog.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config
+}
+
+func (s *fakeState) ConfigAge() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.age
+}
+
+type fakeVersions struct {
+	mu     sync.Mutex
+	choice Choice
+	told   []Answered
+}
+
+func (v *fakeVersions) Choose(string, string) Choice {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.choice
+}
+
+func (v *fakeVersions) Answered(a Answered) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.told = append(v.told, a)
+}
+
+type fakeBudget struct{ none atomic.Bool }
+
+func (*fakeBudget) First(string)        {}
+func (b *fakeBudget) Again(string) bool { return !b.none.Load() }
+
+type fakePoison struct {
+	mu      sync.Mutex
+	crashes map[uint64]int
+}
+
+func (p *fakePoison) Quarantined(f uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes[f] >= 3
+}
+
+func (p *fakePoison) Crashed(f uint64, _ string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes[f]++
+}
+
+// newWorld starts a VM before n endpoints of one service, with a route of each kind.
+func newWorld(t *testing.T, n int) *world {
+	t.Helper()
+	w := &world{t: t, table: placement.New("a"), state: &fakeState{}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{crashes: map[uint64]int{}}}
+	branch := []catalog.Weighted{{Service: "s", Weight: 1}}
+	routes := []*catalog.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.NonIdempotent, MaxAttempts: 3, Services: branch, Timeout: time.Minute},
+		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, MaxAttempts: 3, Services: branch},
+		{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, MaxAttempts: 3, Services: branch, Anonymous: true},
+		{Name: "quick", Host: "h", Prefix: "/safe/quick/", Kind: catalog.Idempotent, MaxAttempts: 3, Services: branch, Timeout: 50 * time.Millisecond},
+		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true},
+		{Name: "stream-once", Host: "h", Prefix: "/stream-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch},
+		{Name: "sized", Host: "h", Prefix: "/sized/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true, Models: []string{"small", "middle", "large"}},
+	}
+	keys := map[string]*catalog.Account{"k": {Name: "acme"}}
+	w.state.config = catalog.NewConfig(7, 70, routes, []*catalog.Service{{Name: "s"}}, keys, true, catalog.Limits{HeaderBytes: 4096, BodyBytes: 1 << 16})
+	for i := range n {
+		w.add(fmt.Sprintf("e%d", i))
+	}
+	registry := prometheus.NewRegistry()
+	w.handler = New(Config{
+		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry), Versions: w.versions,
+		Budget: w.budget, Poison: w.poison, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
+		KeyProof: 4 * time.Second, DenyProof: 2 * time.Second,
+	})
+	w.front = httptest.NewServer(w.handler)
+	t.Cleanup(w.front.Close)
+	return w
+}
+
+func (w *world) add(id string) *endpoint {
+	e := &endpoint{id: id}
+	e.server = httptest.NewServer(http.HandlerFunc(e.serve))
+	w.t.Cleanup(func() {
+		e.server.CloseClientConnections()
+		e.server.Close()
+	})
+	w.endpoints = append(w.endpoints, e)
+	w.table.Set(time.Now(), placement.Spec{ID: id, Service: "s", Address: e.address(), DataCentre: "a", Version: "v1", Slots: 8})
+	return e
+}
+
+func (e *endpoint) address() string { return e.server.Listener.Addr().String() }
+
+func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	n := int(e.runs.Add(1))
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.seen = append(e.seen, r.Header.Clone())
+	e.bodies = append(e.bodies, string(body))
+	var h http.HandlerFunc
+	if len(e.handlers) > 0 {
+		h = e.handlers[min(n, len(e.handlers))-1]
+	}
+	e.mu.Unlock()
+	w.Header().Set(testNames.RequestID, r.Header.Get(testNames.RequestID))
+	if h == nil {
+		h = answerOK
+	}
+	h(w, r)
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testNames.Signature, "sig")
+	_, _ = io.WriteString(w, "whole")
+}
+
+// all makes every endpoint answer in the same way; the n-th handler serves an
+// endpoint's n-th request, the last all later ones.
+func (w *world) all(h ...http.HandlerFunc) {
+	for _, e := range w.endpoints {
+		e.mu.Lock()
+		e.handlers = h
+		e.mu.Unlock()
+	}
+}
+
+// runs is how many requests reached endpoints.
+func (w *world) runs() (n int64) {
+	for _, e := range w.endpoints {
+		n += e.runs.Load()
+	}
+	return n
+}
+
+// heads are the heads that endpoints saw.
+func (w *world) heads() (out []http.Header) {
+	for _, e := range w.endpoints {
+		e.mu.Lock()
+		out = append(out, e.seen...)
+		e.mu.Unlock()
+	}
+	return out
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+	last   bool  // the connection ends with this answer
+}
+
+// ask sends one request with a fresh id and the account's key.
+func (w *world) ask(method, path, body string, head ...string) result {
+	w.t.Helper()
+	req, err := http.NewRequestWithContext(w.t.Context(), method, w.front.URL+path, strings.NewReader(body))
+	require.NoError(w.t, err)
+	req.Host = "h"
+	req.Header.Set(testNames.RequestID, fmt.Sprintf("r%d", asked.Add(1)))
+	req.Header.Set(testNames.Key, "k")
+	req.Header.Set(testNames.Deadline, "20000")
+	for i := 0; i < len(head); i += 2 {
+		req.Header.Set(head[i], head[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(w.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(b), err: err, last: resp.Close}
+}
+
+var asked atomic.Int64
+
+// crash breaks the connection without an answer, as a process that ends does.
+func crash(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+func status(code int, head ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i < len(head); i += 2 {
+			w.Header().Set(head[i], head[i+1])
+		}
+		w.WriteHeader(code)
+	}
+}
+
+// events answers with events first..last, then ends in an orderly way or by a crash.
+func events(first, last int, cut bool, head ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testNames.Signature, "sig")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := 0; i < len(head); i += 2 {
+			w.Header().Set(head[i], head[i+1])
+		}
+		rc := http.NewResponseController(w)
+		for i := first; i <= last; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+			_ = rc.Flush()
+		}
+		if cut {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = rc.Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func streamOf(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -93,12 +93,13 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	var revision int64
 	pause := firstPause
+	gone := 0 // how often the history was gone since a watch held
 	for ctx.Err() == nil {
 		var err error
 		if revision == 0 {
 			revision, err = f.list(ctx)
-		} else {
-			revision, err = f.watch(ctx, revision)
+		} else if revision, err = f.watch(ctx, revision); err == nil {
+			gone = 0
 		}
 		switch {
 		case err == nil:
@@ -106,6 +107,10 @@
 		case errors.Is(err, objectstore.ErrGone):
 			f.Log.Info().Str("kind", f.Kind).Int64("revision", revision).Msg("history is gone, listing anew")
 			revision = 0
+			// A store that keeps no history at all would otherwise be asked without end.
+			if gone++; gone > 1 {
+				sleep(ctx, lastPause)
+			}
 		default:
 			f.lost(ctx, err)
 			sleep(ctx, pause)
--- /dev/null
+++ b/policy/placement/placement_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func table(n int) *Table {
+	t := New("a")
+	for i := range n {
+		t.Set(start, Spec{ID: fmt.Sprintf("e%02d", i), Service: "s", DataCentre: "a", Version: "v1", Slots: 8})
+	}
+	return t
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// An endpoint refuses connections at once, so that it always has the least under way.
+// It must not draw the traffic: after the first failure it gets one trial at a time,
+// ever more seldom, until a connection holds.
+func TestDeadEndpointDrawsNothing(t *testing.T) {
+	tb, r := table(3), rng()
+	var dead []time.Duration
+	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		c, miss := tb.Pick(now, r, &Request{Service: "s", Work: 1})
+		require.Equal(t, Picked, miss)
+		if c.ID == "e00" {
+			dead = append(dead, now.Sub(start))
+			tb.Done(now, c, Broken)
+			continue
+		}
+		tb.Done(now, c, Good)
+	}
+	require.LessOrEqual(t, len(dead), 8)
+	c, _ := tb.Pick(start.Add(time.Minute), r, &Request{Service: "s", Work: 1, Exclude: []string{"e01", "e02"}})
+	require.Equal(t, "e00", c.ID)
+	_, miss := tb.Pick(start.Add(time.Minute), r, &Request{Service: "s", Work: 1, Exclude: []string{"e01", "e02"}})
+	require.Equal(t, AllTried, miss, "a second request beside the trial")
+	tb.Done(start.Add(time.Minute), c, Good)
+	c, _ = tb.Pick(start.Add(time.Minute), r, &Request{Service: "s", Work: 1, Exclude: []string{"e01", "e02"}})
+	require.Equal(t, "e00", c.ID)
+}
+
+// One endpoint fails most of what it gets while its connections hold. It is left after
+// some requests, and the rest is served by the others.
+func TestFailingEndpointIsLeft(t *testing.T) {
+	tb, r := table(6), rng()
+	failed := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		c, _ := tb.Pick(now, r, &Request{Service: "s", Work: 1})
+		if c.ID == "e03" && i%10 < 8 {
+			failed++
+			tb.Done(now, c, Failed)
+			continue
+		}
+		tb.Done(now, c, Good)
+	}
+	require.Less(t, failed, 40)
+}
+
+// Six VMs send all they have to one cold endpoint that bears ten requests a second.
+// Whatever they have, no second may see more than its rate and half as much.
+func TestColdRateHoldsOverVMs(t *testing.T) {
+	const vms, rate = 6, 10.0
+	var at []time.Time
+	for v := range vms {
+		tb := New("a")
+		tb.Set(start, Spec{ID: "e", Service: "s", DataCentre: "a", Slots: 8, Cold: time.Minute, ColdLimited: true, ColdRate: rate / vms})
+		r := rand.New(rand.NewPCG(uint64(v), 1))
+		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
+			if c, miss := tb.Pick(now, r, &Request{Service: "s", Work: 1}); miss == Picked {
+				require.True(t, c.Cold)
+				at = append(at, now)
+				tb.Done(now, c, Good)
+			} else {
+				require.Equal(t, AllCold, miss)
+			}
+		}
+	}
+	for _, from := range at {
+		n := 0
+		for _, x := range at {
+			if !x.Before(from) && x.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), 1.5*rate+1)
+	}
+}
+
+// A VM without a part of a cold endpoint's rate sends it nothing; a warm one is taken first.
+func TestColdEndpoints(t *testing.T) {
+	tb, r := table(1), rng()
+	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdLimited: true, ColdRate: 5})
+	for range 20 {
+		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1})
+		require.Equal(t, "e00", c.ID)
+	}
+	tb = New("a")
+	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdLimited: true})
+	_, miss := tb.Pick(start, r, &Request{Service: "s", Work: 1})
+	require.Equal(t, AllCold, miss)
+	_, miss = tb.Pick(start.Add(4*time.Second), r, &Request{Service: "s", Work: 1})
+	require.Equal(t, Picked, miss)
+}
+
+// Requests with a shared part go to the same two endpoints on each VM, until these have
+// more before them than reading the part again would take.
+func TestSharedPartStaysTogether(t *testing.T) {
+	used := map[string]int{}
+	for v := range 5 {
+		tb, r := table(12), rand.New(rand.NewPCG(uint64(v), 3))
+		for range 8 {
+			c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1, Affinity: "part", Saving: 6})
+			used[c.ID]++
+		}
+	}
+	require.Len(t, used, 2)
+	tb, r := table(12), rng()
+	spread := map[string]int{}
+	for range 100 {
+		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1, Affinity: "part", Saving: 6})
+		spread[c.ID]++
+	}
+	require.Len(t, spread, 12)
+	for _, n := range spread {
+		require.LessOrEqual(t, n, 15)
+	}
+}
+
+// Seven VMs decide apart, each sees only its own requests and the endpoints' answers.
+// No endpoint may get much more than the others.
+func TestVMsDoNotHerd(t *testing.T) {
+	const vms, endpoints = 7, 9
+	var tables []*Table
+	for range vms {
+		tables = append(tables, table(endpoints))
+	}
+	running, most := map[string]int{}, 0
+	type job struct {
+		vm  int
+		c   Choice
+		end time.Time
+	}
+	var jobs []job
+	r := rng()
+	for i := range 4000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		kept := jobs[:0]
+		for _, j := range jobs {
+			if j.end.After(now) {
+				kept = append(kept, j)
+				continue
+			}
+			running[j.c.ID]--
+			tables[j.vm].Report(now, j.c.ID, running[j.c.ID], 0, 8)
+			tables[j.vm].Done(now, j.c, Good)
+		}
+		jobs = kept
+		vm := r.IntN(vms)
+		c, miss := tables[vm].Pick(now, r, &Request{Service: "s", Work: 1})
+		require.Equal(t, Picked, miss)
+		running[c.ID]++
+		most = max(most, running[c.ID])
+		jobs = append(jobs, job{vm, c, now.Add(time.Duration(200+r.IntN(200)) * time.Millisecond)})
+	}
+	// 30 run at once on 9 endpoints, 3.3 each.
+	require.LessOrEqual(t, most, 9)
+}
+
+func TestWhatMayServe(t *testing.T) {
+	tb, r := New("a"), rng()
+	tb.Set(start, Spec{ID: "old", Service: "s", DataCentre: "a", Region: "x", Version: "v1", Slots: 8})
+	tb.Set(start, Spec{ID: "new", Service: "s", DataCentre: "b", Region: "y", Version: "v2", Slots: 8})
+	tb.Set(start, Spec{ID: "leaving", Service: "s", DataCentre: "b", Region: "y", Version: "v1", Slots: 8, Draining: true})
+	tb.SetOut(map[string]bool{"c": true})
+	for want, req := range map[string]*Request{
+		"old": {Service: "s", NotVersion: "v2"},
+		"new": {Service: "s", Version: "v2"},
+	} {
+		c, miss := tb.Pick(start, r, req)
+		require.Equal(t, Picked, miss)
+		require.Equal(t, want, c.ID)
+	}
+	_, miss := tb.Pick(start, r, &Request{Service: "s", Version: "v1", Regions: []string{"y"}})
+	require.Equal(t, NoEndpoint, miss)
+	_, miss = tb.Pick(start, r, &Request{Service: "none"})
+	require.Equal(t, NoEndpoint, miss)
+	tb.SetOut(map[string]bool{"a": true, "b": true})
+	_, miss = tb.Pick(start, r, &Request{Service: "s"})
+	require.Equal(t, NoEndpoint, miss)
+}
+
+func BenchmarkPick60(b *testing.B) {
+	tb, r := table(60), rng()
+	req := &Request{Service: "s", Work: 1, Affinity: "part", Saving: 6}
+	b.ReportAllocs()
+	for b.Loop() {
+		c, _ := tb.Pick(start, r, req)
+		tb.Done(start, c, Good)
+	}
+}
--- /dev/null
+++ b/policy/sizing/sizing_test.go
@@ -0,0 +1,72 @@
+package sizing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestNext(t *testing.T) {
+	base := Situation{Models: []string{"s", "m", "l"}, Known: true, Confidence: 20, AttemptsLeft: 2, Left: time.Second, Whole: time.Second}
+	with := func(f func(*Situation)) Situation {
+		s := base
+		f(&s)
+		return s
+	}
+	for name, c := range map[string]struct {
+		s    Situation
+		next int
+		up   bool
+	}{
+		"weak":           {base, 2, true},
+		"strong":         {with(func(s *Situation) { s.Confidence = 80 }), 2, false},
+		"no opinion":     {with(func(s *Situation) { s.Known = false }), 0, false},
+		"largest":        {with(func(s *Situation) { s.At = 2 }), 2, false},
+		"no attempts":    {with(func(s *Situation) { s.AttemptsLeft = 0 }), 0, false},
+		"no time":        {with(func(s *Situation) { s.Left = 400 * time.Millisecond }), 0, false},
+		"full, doubtful": {with(func(s *Situation) { s.Use, s.Confidence = 1, 45 }), 2, false},
+		"full, hopeless": {with(func(s *Situation) { s.Use, s.Confidence = 1, 10 }), 2, true},
+	} {
+		next, up := Next(c.s)
+		require.Equal(t, c.up, up, name)
+		if up {
+			require.Equal(t, c.next, next, name)
+		}
+	}
+}
+
+// A mix in which 56 of 100 requests are easy is played with three ways to choose. The
+// cascade must keep nearly the largest model's worth at well under its cost; the
+// model's opinion is right about its answer, with an error of 20 points.
+func TestCascadeOnAMix(t *testing.T) {
+	quality, cost := []float64{0.56, 0.65, 1}, []float64{0.018, 0.13, 0.27}
+	r := rand.New(rand.NewPCG(7, 7))
+	var worth, paid [3]float64 // smallest, largest, cascade
+	const n, poor = 20000, 0.05
+	answer := func(hard float64, model int) float64 {
+		if hard <= quality[model] {
+			return 1
+		}
+		return poor
+	}
+	for range n {
+		hard := r.Float64()
+		for i, model := range []int{0, 2} {
+			worth[i] += answer(hard, model)
+			paid[i] += cost[model]
+		}
+		opinion := int(50 + 100*(quality[0]-hard) + 20*r.NormFloat64())
+		model, pay := 0, cost[0]
+		s := Situation{Models: make([]string, 3), Known: true, Confidence: opinion, AttemptsLeft: 2, Left: time.Second, Whole: time.Second}
+		if next, up := Next(s); up {
+			model, pay = next, pay+cost[next]
+		}
+		worth[2] += answer(hard, model)
+		paid[2] += pay
+	}
+	require.Greater(t, worth[2], 0.93*worth[1])
+	require.Less(t, paid[2], 0.7*paid[1])
+	require.Less(t, worth[0], 0.65*worth[1])
+}
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -27,11 +27,18 @@
 	// leastAnswers of the new version are needed to take it: of a version that fails a
 	// third, fifteen good answers in a row come once in 400 trials.
 	leastAnswers = 15
-	// clearlyWorse is the log evidence at which the new version is taken back at once,
-	// one false alarm in 50 trials; doubtful the evidence above which it isn't taken.
-	doubtful = 0.7
+	// mostBad bounds the bad answers of the new version, whatever else fails meanwhile:
+	// operators bound them to fifty, and VMs hear of each other's with a delay.
+	mostBad = 30
+	// tolerated is how much higher the new version's rate of bad answers may be than the
+	// old one's for it to be taken; versions that are bad fail or slow a third or more.
+	// Evidence alone doesn't do: while a trouble fails 15 in 100 of all, a version with
+	// 40 in 100 gives none from 40 answers.
+	tolerated = 0.05
 )
 
+// clearlyWorse is the log evidence at which the new version is taken back at once: one
+// false alarm in 50 trials.
 var clearlyWorse = math.Log(50)
 
 // Decision is what becomes of the new version.
@@ -140,7 +147,7 @@
 	defer t.mu.Unlock()
 	from, to := t.sum()
 	evidence := rollout.Worse(from, to, t.share)
-	if evidence >= clearlyWorse {
+	if evidence >= clearlyWorse || to.Errors+to.Slow >= mostBad {
 		t.worse = true
 	}
 	part := float64(now-t.began) / float64(t.duration)
@@ -149,7 +156,7 @@
 		return TakeBack, "the new version is worse"
 	case part < decideAt:
 		return Undecided, ""
-	case to.Requests >= leastAnswers && evidence < doubtful:
+	case to.Requests >= leastAnswers && noWorse(from, to):
 		return Take, "no sign against the new version"
 	case part >= giveUpAt:
 		return TakeBack, "not enough known of the new version"
@@ -157,6 +164,18 @@
 	return Undecided, ""
 }
 
+// noWorse says that the new version's rate of bad answers is the old one's, give or
+// take one standard error of a rate from so few answers.
+func noWorse(from, to rollout.Tally) bool {
+	if from.Requests == 0 {
+		return false
+	}
+	rate := func(t rollout.Tally) float64 { return float64(t.Errors+t.Slow) / float64(t.Requests) }
+	old := min(rate(from), 1)
+	chance := math.Sqrt(old * (1 - old) / float64(to.Requests))
+	return rate(to) <= old+max(tolerated, chance)
+}
+
 // Sum returns all tallies, for logs and dumps.
 func (t *Trial) Sum() Counts {
 	t.mu.Lock()
--- /dev/null
+++ b/policy/trial/trial_test.go
@@ -0,0 +1,171 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// play runs one roll-out at vms VMs with some requests a second, each VM hearing the
+// others' word each 400 ms. bad says whether the new version fails or slows a request.
+type play struct {
+	vms      int
+	perS     float64
+	duration time.Duration
+	oldFails float64
+	newFails func(age time.Duration, r *rand.Rand) (failed, slow bool)
+	seed     uint64
+}
+
+type outcome struct {
+	decision  Decision
+	at        time.Duration
+	exposed   int
+	badServed int
+	requests  int
+	split     int // requests of a session that changed versions in the first half
+}
+
+func (p play) run() outcome {
+	const session, exposure, step = 5 * time.Second, 0.15, 20 * time.Millisecond
+	r := rand.New(rand.NewPCG(p.seed, 9))
+	trials, memories := make([]*Trial, p.vms), make([]*Sessions, p.vms)
+	for v := range p.vms {
+		trials[v] = New(0, 0, p.duration, session, exposure)
+		memories[v] = NewSessions(session)
+	}
+	var o outcome
+	type last struct {
+		at    time.Duration
+		toNew bool
+	}
+	lastOf := map[string]last{}
+	var recent []string
+	for now := -10 * time.Second; now < p.duration; now += step {
+		for v := range trials {
+			if now >= 0 && now%(400*time.Millisecond) == 0 {
+				for u := range trials {
+					if u != v {
+						trials[v].Heard(now, fmt.Sprint(u), trials[u].Age(now), trials[u].Own())
+						memories[v].Heard(now, memories[u].Word(now))
+					}
+				}
+				trials[v].Judge(now)
+			}
+		}
+		if r.Float64() < p.perS*step.Seconds() {
+			v := r.IntN(p.vms)
+			id := fmt.Sprint(r.Uint64())
+			if len(recent) > 0 && r.Float64() < 0.5 {
+				id = recent[r.IntN(len(recent))] // an older session goes on, at any VM
+			} else if recent = append(recent, id); len(recent) > 40 {
+				recent = recent[1:]
+			}
+			s := SessionOf("svc", id)
+			tries := s.Tries(Share(exposure))
+			toNew := now >= 0 && tries && trials[v].Exposes(now) && !memories[v].Stays(now, s)
+			if !toNew && tries {
+				memories[v].AtOld(now, s)
+			}
+			if l, ok := lastOf[id]; ok && now-l.at < session && l.toNew != toNew && now < p.duration/2 && o.decision == Undecided {
+				o.split++
+			}
+			lastOf[id] = last{now, toNew}
+			if now >= 0 {
+				p.answer(&o, trials[v], now, toNew, r)
+			}
+		}
+		if now >= 0 && o.decision == Undecided {
+			if d, _ := trials[0].Judge(now); d != Undecided {
+				o.decision, o.at = d, now
+			}
+		}
+	}
+	return o
+}
+
+func (p play) answer(o *outcome, t *Trial, now time.Duration, toNew bool, r *rand.Rand) {
+	o.requests++
+	failed, slow := r.Float64() < p.oldFails, false
+	if toNew {
+		o.exposed++
+		f, s := p.newFails(now, r)
+		failed, slow = failed || f, s
+		if failed || slow {
+			o.badServed++
+		}
+	}
+	t.Answered(toNew, failed, slow)
+}
+
+func good(time.Duration, *rand.Rand) (bool, bool) { return false, false }
+
+// A good version is taken well within its time, while old and new fail alike now and
+// then, and the sessions that were under way before stay at the old version.
+func TestGoodVersionIsTaken(t *testing.T) {
+	taken, split := 0, 0
+	for seed := range uint64(40) {
+		p := play{vms: 7, perS: 33, duration: 24 * time.Second, oldFails: 0.02, newFails: good, seed: seed}
+		o := p.run()
+		split += o.split
+		if o.decision == Take {
+			taken++
+			require.Less(t, o.at, 20*time.Second)
+		}
+	}
+	require.GreaterOrEqual(t, taken, 38)
+	// Two VMs may meet a session within the 400 ms before they hear of each other.
+	require.Less(t, split, 40)
+}
+
+// Versions that fail or slow a third of what they get, at once or after three seconds,
+// or fail a half while everything fails now and then. None may be taken, and their
+// callers see few bad answers: the operators bound them to 50.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	third := func(failed, slow bool, after time.Duration) func(time.Duration, *rand.Rand) (bool, bool) {
+		return func(age time.Duration, r *rand.Rand) (bool, bool) {
+			hit := age > after && r.Float64() < 0.31
+			return hit && failed, hit && slow
+		}
+	}
+	for name, p := range map[string]play{
+		"errors":       {newFails: third(true, false, 0)},
+		"slow":         {newFails: third(false, true, 0)},
+		"late":         {newFails: third(true, false, 9*time.Second)},
+		"in a trouble": {newFails: third(true, false, 0), oldFails: 0.15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taken, worst := 0, 0
+			for seed := range uint64(40) {
+				p.vms, p.perS, p.duration, p.seed = 7, 33, 24*time.Second, seed
+				o := p.run()
+				if o.decision == Take {
+					taken++
+				}
+				worst = max(worst, o.badServed)
+				require.Less(t, float64(o.exposed), 0.15*float64(o.requests)+30)
+			}
+			require.Zero(t, taken)
+			require.Less(t, worst, 50)
+		})
+	}
+}
+
+// Nobody asks for the service while its new version is brought in: nothing is known of
+// it, so it isn't taken.
+func TestUnknownVersionIsTakenBack(t *testing.T) {
+	o := play{vms: 3, perS: 0, duration: 20 * time.Second, newFails: good}.run()
+	require.Equal(t, TakeBack, o.decision)
+}
+
+// A VM that starts in the middle of a roll-out takes its age from the others.
+func TestAgeIsTakenFromOthers(t *testing.T) {
+	tr := New(100*time.Second, 0, 20*time.Second, 5*time.Second, 0.15)
+	require.False(t, tr.Exposes(100*time.Second))
+	tr.Heard(100*time.Second, "other", 8*time.Second, Counts{})
+	require.True(t, tr.Exposes(100*time.Second))
+	require.Equal(t, 8*time.Second, tr.Age(100*time.Second))
+}
