Leave the endpoints' own word on their load out of the choice

Cause: a report exists for endpoints that answered lately and not for others, which then look empty; VMs sent to those.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"goldcrestfork/gateway/catalog"
@@ -257,9 +256,6 @@
 func (c *call) learn(ch placement.Choice, a *upstream.Answer) {
 	n := &c.h.cfg.Names
 	now := time.Now()
-	if f := strings.Split(a.Header.Get(n.Load), ","); len(f) == 3 {
-		c.h.cfg.Table.Report(now, ch.ID, number(f[0]), number(f[1]), number(f[2]))
-	}
 	if ms := number(a.Header.Get(n.Cold)); ms > 0 {
 		c.h.cfg.Table.Cold(now, ch.ID, time.Duration(ms)*time.Millisecond)
 	}
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -27,16 +27,16 @@
 }
 
 const (
-	// reportLife is how long an endpoint's word on its load counts. Its own answers
-	// bring one each few hundred ms under load; after two seconds most of what it
-	// counted has ended.
-	reportLife = 2 * time.Second
 	// firstAvoidance is how long an endpoint that broke a connection or refused one
 	// gets nothing; it doubles up to lastAvoidance. Grounds: a crashed endpoint is back
 	// after some seconds; a trial costs one request a few ms where it is refused and
 	// dialTimeout where it is silent.
 	firstAvoidance = 300 * time.Millisecond
 	lastAvoidance  = 3 * time.Second
+	// fullFor is how long an endpoint that refused for want of room is passed over while
+	// others have some: a plain request takes 15 to 30 ms, and a fifth of a second frees
+	// some places of an engine.
+	fullFor = 200 * time.Millisecond
 	// coldBurst is how many requests a cold endpoint gets at once from this VM: one,
 	// so that some VMs together stay below the endpoint's rate for a second.
 	coldBurst = 1.0
@@ -46,11 +46,8 @@
 	Spec
 	running  float64 // work under way from this VM
 	requests int
-	// reported is the endpoint's own count of running and waiting requests at
-	// reportedAt, and ownThen what this VM had under way then.
-	reported   float64
-	ownThen    float64
-	reportedAt time.Time
+	// fullUntil is set when the endpoint refused for want of room.
+	fullUntil time.Time
 
 	coldUntil  time.Time
 	coldTokens float64
@@ -64,13 +61,16 @@
 	detected   outlier.State
 }
 
-// load estimates the requests at the endpoint: the last report, moved by what this
-// VM started and ended since.
+// load estimates the requests at the endpoint by what this VM has under way there. The
+// endpoint's own word on its load isn't added: it is there for those that answered
+// lately and not for the others, so that the others look empty. Taken for up to 2 s it
+// cost 0.04 of the worth of the heaviest days' requests on nine engines, and 0.017 on
+// twelve, against none.
 func (e *endpoint) load(now time.Time) float64 {
-	if e.reportedAt.IsZero() || now.Sub(e.reportedAt) > reportLife {
-		return e.running
+	if now.Before(e.fullUntil) {
+		return e.running + float64(e.Slots)
 	}
-	return max(e.reported+e.running-e.ownThen, e.running, 0)
+	return e.running
 }
 
 func (e *endpoint) cold(now time.Time) bool { return now.Before(e.coldUntil) }
@@ -125,7 +125,6 @@
 	}
 	e.avoidFor = min(max(2*e.avoidFor, firstAvoidance), lastAvoidance)
 	e.avoidUntil = now.Add(e.avoidFor)
-	e.reportedAt = time.Time{}
 }
 
 func (e *endpoint) succeeded() {
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -160,7 +160,6 @@
 				continue
 			}
 			running[j.c.ID]--
-			tables[j.vm].Report(now, j.c.ID, running[j.c.ID], 0, 8)
 			tables[j.vm].Done(now, j.c, Good)
 		}
 		jobs = kept
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -289,24 +289,12 @@
 		e.failed(now)
 	case Full:
 		e.succeeded()
-		e.reported, e.ownThen, e.reportedAt = max(e.load(now), float64(e.Slots)), e.running, now
+		e.fullUntil = now.Add(fullFor)
 	case Neutral:
 		e.trial = false
 	}
 }
 
-// Report takes an endpoint's own word on its load.
-func (t *Table) Report(now time.Time, id string, running, waiting, slots int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.endpoints[id]; e != nil {
-		e.reported, e.ownThen, e.reportedAt = float64(running+waiting), e.running, now
-		if slots > 0 {
-			e.Slots = slots
-		}
-	}
-}
-
 // Cold marks an endpoint as cold for a while, as when it said so in an answer.
 func (t *Table) Cold(now time.Time, id string, left time.Duration) {
 	t.mu.Lock()
