Let a few VMs watch the platform and the others read from them

Change: two VMs, or one of eight, watch; the others read their feeds with the age of the proof, and ask the platform when a feed ends.

--- a/gateway/node/listen.go
+++ b/gateway/node/listen.go
@@ -36,6 +36,9 @@
 	if err := n.serve(n.front, n.s.Front); err != nil {
 		return err
 	}
+	if err := n.serve(&http.Server{Handler: n.relays.Handler()}, n.self().Peer); err != nil {
+		return err
+	}
 	side := flow.New()
 	side.HandleFunc(n.edge.ReadyPath, n.serveReady, http.MethodGet)
 	side.HandleFunc(n.edge.DirectoryPath, n.serveDirectory, http.MethodGet)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -47,21 +47,22 @@
 }
 
 const (
-	// configWait bounds the age of the configuration's proof; a call each. Keys are
-	// honoured up to Revocation after the last proof, which leaves two missed watches.
-	configWait = 2 * time.Second
-	// endpointWait and ordersWait bound how long a silent connection hides changes.
-	endpointWait = 3 * time.Second
-	ordersWait   = 4 * time.Second
+	// waitShare of a kind's bound is how long one watch of it waits, silentShare how long
+	// a VM may not hear of the platform before those that read from it go elsewhere. A
+	// change just after the last word is so in force within the bound with a quarter of
+	// it left for asking the platform itself, which may answer 70 times as slowly as the
+	// usual 4 ms.
+	waitShare   = 0.5
+	silentShare = 0.75
 	// keyMargin is kept clear of the revocation bound: a request is judged when its
 	// head is read, at most some ms after it was sent.
 	keyMargin = 300 * time.Millisecond
-	// denyProof is the proof's age up to which a missing path or key is denied: one
-	// watch and its answer.
-	denyProof = configWait + 500*time.Millisecond
+	// denyProof is the proof's age up to which a missing path or key is denied: a
+	// watch, another VM's reading of it, and their answers.
+	denyProof = 2500 * time.Millisecond
 	// readyProof is the proof's age up to which a VM says that it is ready: it is out
 	// of the directory before it must refuse keys.
-	readyProof = configWait + 1200*time.Millisecond
+	readyProof = 3200 * time.Millisecond
 	// holdMargin is kept clear of the drain bound by entries held after an outage.
 	holdMargin = 300 * time.Millisecond
 	// memoryShare of the limit is where the collector starts to work harder.
@@ -82,6 +83,9 @@
 	handler  *forward.Handler
 	gossip   *gossip.Service
 	rollouts *rollouts
+	watchers *watchers
+	feeds    map[string]*view.Feed
+	relays   *view.Relays
 	servers  []*http.Server
 	front    *http.Server
 	stopping atomic.Bool
@@ -96,6 +100,12 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	n := &Node{s: s, p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), pool: upstream.NewPool(registry)}
 	n.rollouts = newRollouts(n)
+	n.watchers = newWatchers(n)
+	n.feeds = make(map[string]*view.Feed)
+	for _, kind := range []string{kindConfig, kindEndpoints, kindOrders, kindOut} {
+		n.feeds[kind] = view.NewFeed(bootClock, share(n.bound(kind), silentShare))
+	}
+	n.relays = view.NewRelays(n.feeds)
 	var err error
 	n.gossip, err = gossip.Listen(gossip.Config{
 		Self: n.self(), Clock: bootClock, Ready: n.Ready, Payload: n.rollouts.payload, Take: n.rollouts.take,
@@ -153,28 +163,49 @@
 	}()
 }
 
-func (n *Node) follow(ctx context.Context) {
-	configs := view.Follower[*catalog.Config]{
-		Kind: "configuration", Source: n.p.Configs(), Wait: configWait, Clock: bootClock, Apply: n.view.ApplyConfig, Log: n.log,
-	}
-	endpoints := view.Follower[catalog.Endpoint]{
-		Kind: "endpoints", Source: n.p.Endpoints(), Wait: endpointWait, Clock: bootClock, Apply: n.view.ApplyEndpoints, Log: n.log,
-	}
-	orders := view.Follower[catalog.RollOut]{
-		Kind: "roll-outs", Source: n.p.RollOuts(), Wait: ordersWait, Clock: bootClock, Log: n.log,
-		Apply: func(u view.Update[catalog.RollOut]) {
-			n.view.ApplyRollOuts(u)
-			n.rollouts.changed()
-			n.orders.Store(true)
-		},
+// The kinds that VMs read from each other.
+const (
+	kindConfig    = "configuration"
+	kindEndpoints = "endpoints"
+	kindOrders    = "roll-outs"
+	kindOut       = "data-centres-out"
+)
+
+// bound is how long after a change of a kind it must be in force.
+func (n *Node) bound(kind string) time.Duration {
+	switch kind {
+	case kindConfig:
+		return n.s.Bounds.ConfigInForce
+	case kindEndpoints:
+		return n.s.Bounds.DrainTimeout
+	case kindOrders:
+		return n.s.Bounds.RollBack
 	}
-	out := view.Follower[struct{}]{
-		Kind: "data-centres-out", Source: n.p.DataCentresOut(), Wait: ordersWait, Clock: bootClock, Log: n.log,
-		Apply: func(u view.Update[struct{}]) {
-			n.view.ApplyOut(u)
-			n.out.Store(true)
-		},
+	return n.s.Bounds.Evacuation
+}
+
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
+// follower returns a follower of a kind that reads from another VM where one watches.
+func follower[T any](n *Node, kind string, source view.Source[T], apply func(view.Update[T])) *view.Follower[T] {
+	return &view.Follower[T]{
+		Kind: kind, Source: source, Wait: share(n.bound(kind), waitShare), Clock: bootClock, Apply: apply, Log: n.log,
+		Feed: n.feeds[kind], Relays: n.relays, Peer: n.watchers.peer, Failed: n.watchers.fail,
 	}
+}
+
+func (n *Node) follow(ctx context.Context) {
+	configs := follower(n, kindConfig, n.p.Configs(), n.view.ApplyConfig)
+	endpoints := follower(n, kindEndpoints, n.p.Endpoints(), n.view.ApplyEndpoints)
+	orders := follower(n, kindOrders, n.p.RollOuts(), func(u view.Update[catalog.RollOut]) {
+		n.view.ApplyRollOuts(u)
+		n.rollouts.changed()
+		n.orders.Store(true)
+	})
+	out := follower(n, kindOut, n.p.DataCentresOut(), func(u view.Update[struct{}]) {
+		n.view.ApplyOut(u)
+		n.out.Store(true)
+	})
 	n.spawn(func() { configs.Run(ctx) })
 	n.spawn(func() { endpoints.Run(ctx) })
 	n.spawn(func() { orders.Run(ctx) })
--- a/gateway/node/settings.go
+++ b/gateway/node/settings.go
@@ -39,6 +39,8 @@
 	RetrySlack  float64
 	// ExposureShare bounds the part of a service's requests that a version on trial gets.
 	ExposureShare float64
+	// Evacuation is the time from an order to take a data centre out.
+	Evacuation time.Duration
 	// RollBack is the time from a trial's failure to its end.
 	RollBack time.Duration
 	// Session is the longest pause between requests of one session.
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -18,6 +18,8 @@
 	Value             T
 	// Err says why the object can't be read; Value is then not set.
 	Err error
+	// Raw is the object as the platform encoded it, to be passed on to other VMs.
+	Raw []byte
 }
 
 // Listing is all objects of a kind at a revision.
@@ -44,6 +46,8 @@
 	List(ctx context.Context) (Listing[T], error)
 	// Watch waits up to wait for changes after a revision.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes[T], error)
+	// Decode reads an object that another VM passed on.
+	Decode(raw []byte) Item[T]
 }
 
 // Clock is the time since some start, which goes on while the VM is suspended.
@@ -70,6 +74,13 @@
 	Clock Clock
 	Apply func(Update[T])
 	Log   zerolog.Logger
+	// Feed passes on what is learnt here; nil for nothing.
+	Feed *Feed
+	// Relays read other VMs' feeds, and Peer names the VM to read from; empty for the
+	// platform itself. Failed is told of a VM whose feed can't be read.
+	Relays *Relays
+	Peer   func() string
+	Failed func(peer string, err error)
 
 	lostAt time.Duration // 0 while in touch
 }
@@ -131,6 +142,9 @@
 func (f *Follower[T]) lost(ctx context.Context, err error) {
 	if f.lostAt == 0 && ctx.Err() == nil {
 		f.lostAt = f.Clock()
+		if f.Feed != nil {
+			f.Feed.lost()
+		}
 		f.Log.Warn().Str("kind", f.Kind).Err(err).Msg("platform lost")
 	}
 }
@@ -159,10 +173,55 @@
 		u.Changes = append(u.Changes, Change[T]{Item: it})
 	}
 	f.Apply(u)
+	f.pass(true, l.Revision, u, f.Clock())
 	return l.Revision, nil
 }
 
+// pass gives an update to the feed.
+func (f *Follower[T]) pass(all bool, revision int64, u Update[T], heard time.Duration) {
+	if f.Feed == nil {
+		return
+	}
+	entries := make([]Entry, 0, len(u.Changes))
+	for _, c := range u.Changes {
+		entries = append(entries, Entry{Raw: c.Raw, Deleted: c.Deleted})
+	}
+	f.Feed.take(all, revision, u.Proof, heard, entries)
+}
+
+// relay reads another VM's feed instead of the platform.
+func (f *Follower[T]) relay(ctx context.Context, peer string, revision int64) (int64, error) {
+	began := f.Clock()
+	cctx, cancel := context.WithTimeout(ctx, relayWait+relayAnswer)
+	defer cancel()
+	s, err := f.Relays.read(cctx, peer, f.Kind, revision)
+	if err != nil {
+		return revision, err
+	}
+	proof := began
+	if len(s.Entries) == 0 && f.Clock()-began >= relayWait {
+		proof = began + relayWait - early
+	}
+	u := Update[T]{Proof: proof - s.Age, Outage: f.regained()}
+	for _, e := range s.Entries {
+		u.Changes = append(u.Changes, Change[T]{Item: f.Source.Decode(e.Raw), Deleted: e.Deleted})
+	}
+	f.Apply(u)
+	f.pass(false, s.Revision, u, began-s.Silence)
+	return max(s.Revision, revision), nil
+}
+
 func (f *Follower[T]) watch(ctx context.Context, revision int64) (int64, error) {
+	if f.Peer != nil {
+		if peer := f.Peer(); peer != "" {
+			next, err := f.relay(ctx, peer, revision)
+			if err == nil {
+				return next, nil
+			}
+			f.Failed(peer, err)
+			// The platform itself answers at once; a change isn't missed for long.
+		}
+	}
 	wait := f.Wait
 	if f.lostAt != 0 {
 		wait = probeWait
@@ -180,6 +239,8 @@
 	if len(c.Changes) == 0 && f.Clock()-began >= wait-early {
 		proof = began + wait - early
 	}
-	f.Apply(Update[T]{Changes: c.Changes, Proof: proof, Outage: f.regained()})
+	u := Update[T]{Changes: c.Changes, Proof: proof, Outage: f.regained()}
+	f.Apply(u)
+	f.pass(false, c.Revision, u, f.Clock())
 	return max(c.Revision, revision), nil
 }
--- /dev/null
+++ b/gateway/view/relay.go
@@ -0,0 +1,105 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"goldcrestfork/objectstore"
+)
+
+const (
+	// relayPath is where a VM's feeds are read.
+	relayPath = "/feed"
+	// relayWait is how long one read of a feed waits. With relayAnswer it bounds how long
+	// a VM that lost power hides a change: a second, of the two in which it must be in force.
+	relayWait = 500 * time.Millisecond
+	// relayAnswer is what the other VM may take beyond the wait.
+	relayAnswer = 400 * time.Millisecond
+	// largestFeed bounds an answer that is read.
+	largestFeed = 8 << 20
+)
+
+// Relays serves and reads feeds between VMs.
+type Relays struct {
+	client *http.Client
+	feeds  map[string]*Feed
+}
+
+// NewRelays returns relays that serve feeds by kind.
+func NewRelays(feeds map[string]*Feed) *Relays {
+	return &Relays{
+		feeds: feeds,
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: len(feeds), IdleConnTimeout: 5 * time.Second, DisableCompression: false,
+		}},
+	}
+}
+
+// Handler answers other VMs.
+func (r *Relays) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+relayPath+"/{kind}", r.serve)
+	return mux
+}
+
+func (r *Relays) serve(w http.ResponseWriter, req *http.Request) {
+	feed := r.feeds[req.PathValue("kind")]
+	after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
+	wait, werr := time.ParseDuration(req.URL.Query().Get("wait"))
+	if feed == nil || err != nil || werr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	step, err := feed.Wait(req.Context(), after, min(wait, relayWait))
+	switch {
+	case errors.Is(err, objectstore.ErrGone):
+		w.WriteHeader(http.StatusGone)
+		return
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b, err := cbor.Marshal(&step)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// A reader that left asks again elsewhere.
+	_, _ = w.Write(b)
+}
+
+// read asks a VM's feed once.
+func (r *Relays) read(ctx context.Context, peer, kind string, after int64) (Step, error) {
+	q := url.Values{"after": {strconv.FormatInt(after, 10)}, "wait": {relayWait.String()}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+relayPath+"/"+kind+"?"+q.Encode(), nil)
+	if err != nil {
+		return Step{}, err
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return Step{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, largestFeed))
+	switch {
+	case err != nil:
+		return Step{}, err
+	case resp.StatusCode == http.StatusGone:
+		return Step{}, objectstore.ErrGone
+	case resp.StatusCode != http.StatusOK:
+		return Step{}, fmt.Errorf("%w: status %d", errStale, resp.StatusCode)
+	}
+	var s Step
+	if err := cbor.Unmarshal(b, &s); err != nil {
+		return Step{}, err
+	}
+	return s, nil
+}
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -185,6 +185,8 @@
 	return Changes[*catalog.Config]{Changes: changes, Revision: revision}, nil
 }
 
+func (s *source) Decode([]byte) Item[*catalog.Config] { return Item[*catalog.Config]{} }
+
 func (s *source) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
