Let VMs read from each other in a tree, with the age of the word

Cause: with one watcher in eight the steady calls still grew with the fleet, and while endpoints entered themselves each woke every watcher. Change: two VMs watch, the others read from one ranked before them, answers come when there is later word; events within 100 ms cost one call; a VM whose entry is right doesn't write it again; the list of VMs may be old.

--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -7,29 +7,54 @@
 	"goldcrestfork/objectstore"
 )
 
-// announcePause spaces tries to enter this VM, and to read the others once.
-const announcePause = 500 * time.Millisecond
+const (
+	// announcePause spaces tries to enter this VM, and to read the others.
+	announcePause = 500 * time.Millisecond
+	// rereads and rereadPause: readings are some seconds old at worst, at a tenth of a call.
+	rereads     = 2
+	rereadPause = 2 * time.Second
+)
 
-// announce enters this VM in the platform, then reads the others once. Of two VMs
-// that start together at least one reads the other's entry, and its datagrams tell
-// the other, so that no watch is needed.
+// announce reads which VMs there are, and enters this one if it isn't there as it is:
+// after a restart it mostly is, which saves a call. Of two VMs that start together at
+// least one reads the other's entry, and its datagrams tell the other, so that no
+// watch is needed; a VM that entered itself reads once more, since its first reading
+// may be seconds old.
 func (n *Node) announce(ctx context.Context) {
+	entered := false
+	n.retry(ctx, "read VMs", func(c context.Context) (err error) {
+		entered, err = n.meet(c)
+		return err
+	})
+	if entered {
+		return
+	}
 	n.retry(ctx, "announce", func(c context.Context) error { return n.p.Announce(c, n.self()) })
-	n.retry(ctx, "read VMs", func(c context.Context) error {
-		l, err := n.p.VMs().List(c)
-		if err != nil {
+	for range rereads {
+		sleep(ctx, rereadPause)
+		n.retry(ctx, "read VMs", func(c context.Context) error {
+			_, err := n.meet(c)
 			return err
+		})
+	}
+}
+
+// meet learns the other VMs from their entries, and says whether this VM's is right.
+func (n *Node) meet(ctx context.Context) (entered bool, err error) {
+	l, err := n.p.VMs().List(ctx)
+	if err != nil {
+		return false, err
+	}
+	for _, it := range l.Items {
+		if it.Err != nil {
+			n.log.Warn().Str("vm", it.Name).Err(it.Err).Msg("a VM's entry can't be read")
+			continue
 		}
-		for _, it := range l.Items {
-			if it.Err != nil {
-				n.log.Warn().Str("vm", it.Name).Err(it.Err).Msg("a VM's entry can't be read")
-				continue
-			}
-			n.gossip.Table().Learn(bootClock(), it.Value)
-		}
-		n.gossip.Nudge()
-		return nil
-	})
+		entered = entered || it.Value == n.self()
+		n.gossip.Table().Learn(bootClock(), it.Value)
+	}
+	n.gossip.Nudge()
+	return entered, nil
 }
 
 func (n *Node) retry(ctx context.Context, what string, call func(context.Context) error) {
@@ -41,9 +66,13 @@
 			return
 		}
 		n.log.Warn().Str("call", what).Err(err).Msg("platform call failed")
-		select {
-		case <-ctx.Done():
-		case <-time.After(announcePause):
-		}
+		sleep(ctx, announcePause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -9,14 +10,14 @@
 )
 
 const (
-	// readersEach is how many VMs read from one that watches the platform. A large
-	// configuration is some 100 KB; eight readers get it over a link of 10 Mbit/s in
-	// under a second.
+	// readersEach is how many VMs read from one. A large configuration is some 10 KB
+	// packed; eight readers get it over a link of 10 Mbit/s in 60 ms.
 	readersEach = 8
-	// leastWatchers keeps a second VM watching when one dies.
-	leastWatchers = 2
-	// alone is how long a VM that starts asks the platform itself, until it knows the others.
-	alone = 4 * time.Second
+	// direct is how many VMs watch the platform: a second one for when one dies.
+	direct = 2
+	// alone is how long a VM that starts asks the platform itself: some rounds of
+	// datagrams, until it knows the others.
+	alone = 1500 * time.Millisecond
 	// shun is how long a VM whose feed failed isn't read.
 	shun = 4 * time.Second
 )
@@ -24,11 +25,16 @@
 // watchers choose which VMs watch the platform and from whom this one reads.
 //
 // Load pattern: hundreds of VMs that each watch four kinds make calls by the thousand
-// a second, and each is billed; with a few watchers the calls stay flat.
+// a second, and each is billed; with two that watch the calls stay flat.
+//
+// The VMs are ranked by the hash of their names. The first two watch; the others read
+// from one ranked before them, in a tree of readersEach branches, so that no VM feeds
+// many. Views of who is there differ for moments; two VMs that read from each other
+// then hear nothing new, and go elsewhere when what they know is old.
 //
 // Whoever reads from another VM still knows how fresh its word is: the answer carries
-// the age of that VM's own proof, counted from the asking. A VM that can't read from
-// any watcher asks the platform.
+// the age of the proof, counted from the asking. A VM that can't read from its parent
+// in the tree nor from those that watch asks the platform.
 type watchers struct {
 	n       *Node
 	started time.Duration
@@ -49,17 +55,14 @@
 	}
 	members := append(w.n.gossip.Table().Usable(now, w.n.s.DataCentre), w.n.self())
 	ranked := rendezvous.RankBy("watchers", members, func(m gossip.Member) string { return m.Name })
-	k := max(leastWatchers, (len(ranked)+readersEach-1)/readersEach)
-	ranked = ranked[:min(k, len(ranked))]
-	for _, m := range ranked {
-		if m.Name == w.n.s.VM {
-			return ""
-		}
+	rank := slices.IndexFunc(ranked, func(m gossip.Member) bool { return m.Name == w.n.s.VM })
+	if rank < direct {
+		return ""
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, m := range rendezvous.RankBy(w.n.s.VM, ranked, func(m gossip.Member) string { return m.Name }) {
-		if now >= w.failed[m.Peer] {
+	for _, i := range []int{(rank - direct) / readersEach, rank % direct, (rank + 1) % direct} {
+		if m := ranked[i]; now >= w.failed[m.Peer] {
 			return m.Peer
 		}
 	}
--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -1,23 +1,60 @@
 package view
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
 	"goldcrestfork/objectstore"
 )
 
-// mostLogged bounds the changes that a feed keeps; a reader that is further behind
-// lists anew. A storm of changes is some dozens a second, readers are behind by less
-// than a second.
-const mostLogged = 512
+const (
+	// mostLogged bounds the changes that a feed keeps; a reader that is further behind
+	// lists anew. A storm of changes is some dozens a second, readers are behind by less
+	// than a second.
+	mostLogged = 512
+	// packFrom is the size from which an object is packed before it is passed on. A
+	// configuration of hundreds of routes is 100 KB and shrinks to a tenth; at 10 Mbit/s
+	// eight readers would otherwise take most of a second for it.
+	packFrom = 2 << 10
+	// fresher is by how much a feed must have heard the platform later than its reader
+	// to answer it without a change.
+	fresher = 50 * time.Millisecond
+)
 
 // Entry is one change as the platform encoded it.
 type Entry struct {
 	Raw     []byte `cbor:"1,keyasint"`
 	Deleted bool   `cbor:"2,keyasint,omitempty"`
+	// Packed says that Raw is compressed.
+	Packed bool `cbor:"3,keyasint,omitempty"`
+}
+
+func pack(raw []byte, deleted bool) Entry {
+	e := Entry{Raw: raw, Deleted: deleted}
+	if len(raw) < packFrom {
+		return e
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return e
+	}
+	if _, err := w.Write(raw); err != nil || w.Close() != nil {
+		return e
+	}
+	return Entry{Raw: b.Bytes(), Deleted: deleted, Packed: true}
+}
+
+func (e Entry) unpack() ([]byte, error) {
+	if !e.Packed {
+		return e.Raw, nil
+	}
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(e.Raw)), largestFeed))
 }
 
 // Step is what a feed tells a reader: the changes after the reader's revision, up to
@@ -74,16 +111,23 @@
 	f.wake = make(chan struct{})
 }
 
-// take notes what the follower learnt: a listing begins the log anew.
-func (f *Feed) take(all bool, revision int64, proof, heard time.Duration, entries []Entry) {
+// news is one step of what the follower learnt.
+type news struct {
+	all          bool // a listing, with which the log begins anew
+	revision     int64
+	proof, heard time.Duration
+	entries      []Entry
+}
+
+func (f *Feed) take(n news) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.proof, f.heard = max(f.proof, proof), max(f.heard, heard)
-	if all {
-		f.log, f.base, f.revision = nil, revision, revision
+	f.proof, f.heard = max(f.proof, n.proof), max(f.heard, n.heard)
+	if n.all {
+		f.log, f.base, f.revision = nil, n.revision, n.revision
 	} else {
-		f.revision = max(f.revision, revision)
-		for _, e := range entries {
+		f.revision = max(f.revision, n.revision)
+		for _, e := range n.entries {
 			f.log = append(f.log, logged{upTo: f.revision, Entry: e})
 		}
 		for len(f.log) > mostLogged {
@@ -91,38 +135,43 @@
 			f.log = f.log[1:]
 		}
 	}
-	if len(entries) > 0 || all {
-		f.rouse()
-	}
+	f.rouse()
 }
 
-// Wait returns the changes after a revision as soon as there are some, or none after
-// wait. It returns objectstore.ErrGone when the log doesn't reach back.
-func (f *Feed) Wait(ctx context.Context, after int64, wait time.Duration) (Step, error) {
+// Silence is how long ago the platform was last heard.
+func (f *Feed) Silence() time.Duration {
 	f.mu.Lock()
-	silent := f.heard + f.limit - f.clock()
-	f.mu.Unlock()
-	t := time.NewTimer(min(wait, silent))
+	defer f.mu.Unlock()
+	return f.clock() - f.heard
+}
+
+// errStale: the feed's VM hasn't heard of the platform for too long.
+var errStale = errors.New("the feed is stale")
+
+// Wait answers a reader that has the changes up to a revision and whose own word of the
+// platform is silence old: as soon as there are changes or later word, or with errStale
+// when there is none within the limit. It returns objectstore.ErrGone when the log
+// doesn't reach back.
+func (f *Feed) Wait(ctx context.Context, after int64, silence time.Duration) (Step, error) {
+	began := f.clock()
+	t := time.NewTimer(f.limit)
 	defer t.Stop()
-	over := false
 	for {
 		f.mu.Lock()
 		step, err := f.step(after)
 		wake := f.wake
 		f.mu.Unlock()
-		switch {
-		case err != nil:
-			return Step{}, err
-		case step.Silence >= f.limit:
-			return Step{}, errStale
-		case len(step.Entries) > 0 || over:
+		if err != nil || len(step.Entries) > 0 {
+			return step, err
+		}
+		if step.Silence+fresher < silence+f.clock()-began {
 			return step, nil
 		}
+		t.Reset(max(f.limit-step.Silence, 0))
 		select {
 		case <-ctx.Done():
 			return Step{}, ctx.Err()
 		case <-t.C:
-			over = true
 		case <-wake:
 		}
 	}
@@ -130,13 +179,13 @@
 
 // step reads the log. Callers hold f.mu.
 func (f *Feed) step(after int64) (Step, error) {
-	if f.revision == 0 {
-		return Step{}, objectstore.ErrUnavailable
-	}
-	if after < f.base {
+	s := Step{Revision: max(f.revision, after), Age: f.clock() - f.proof, Silence: f.clock() - f.heard}
+	switch {
+	case f.revision == 0 || s.Silence >= f.limit:
+		return Step{}, errStale
+	case after < f.base:
 		return Step{}, objectstore.ErrGone
 	}
-	s := Step{Revision: max(f.revision, after), Age: f.clock() - f.proof, Silence: f.clock() - f.heard}
 	for _, l := range f.log {
 		if l.upTo > after {
 			s.Entries = append(s.Entries, l.Entry)
@@ -144,6 +193,3 @@
 	}
 	return s, nil
 }
-
-// errStale: the feed's VM hasn't heard of the platform itself for too long.
-var errStale = errors.New("the feed is stale")
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -74,7 +74,7 @@
 	Clock Clock
 	Apply func(Update[T])
 	Log   zerolog.Logger
-	// Feed passes on what is learnt here; nil for nothing.
+	// Feed passes on what is learnt here.
 	Feed *Feed
 	// Relays read other VMs' feeds, and Peer names the VM to read from; empty for the
 	// platform itself. Failed is told of a VM whose feed can't be read.
@@ -93,6 +93,10 @@
 	// within the last; each call is billed, refused ones too.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 500 * time.Millisecond
+	// gather is the pause after changes, so that those that come together cost one call:
+	// dozens of endpoints enter themselves when a fleet starts. It is a twentieth of the
+	// shortest bound on a change.
+	gather = 100 * time.Millisecond
 	// early is how much sooner than asked an empty answer may come and still count as waited out.
 	early = 100 * time.Millisecond
 	// probeWait is the wait of the first watch after a failure, so that a store that is
@@ -142,9 +146,7 @@
 func (f *Follower[T]) lost(ctx context.Context, err error) {
 	if f.lostAt == 0 && ctx.Err() == nil {
 		f.lostAt = f.Clock()
-		if f.Feed != nil {
-			f.Feed.lost()
-		}
+		f.Feed.lost()
 		f.Log.Warn().Str("kind", f.Kind).Err(err).Msg("platform lost")
 	}
 }
@@ -173,41 +175,39 @@
 		u.Changes = append(u.Changes, Change[T]{Item: it})
 	}
 	f.Apply(u)
-	f.pass(true, l.Revision, u, f.Clock())
+	f.pass(true, l.Revision, u)
 	return l.Revision, nil
 }
 
-// pass gives an update to the feed.
-func (f *Follower[T]) pass(all bool, revision int64, u Update[T], heard time.Duration) {
-	if f.Feed == nil {
-		return
-	}
-	entries := make([]Entry, 0, len(u.Changes))
+// pass gives what was learnt from the platform to the feed.
+func (f *Follower[T]) pass(all bool, revision int64, u Update[T]) {
+	n := news{all: all, revision: revision, proof: u.Proof, heard: f.Clock()}
 	for _, c := range u.Changes {
-		entries = append(entries, Entry{Raw: c.Raw, Deleted: c.Deleted})
+		n.entries = append(n.entries, pack(c.Raw, c.Deleted))
 	}
-	f.Feed.take(all, revision, u.Proof, heard, entries)
+	f.Feed.take(n)
 }
 
 // relay reads another VM's feed instead of the platform.
 func (f *Follower[T]) relay(ctx context.Context, peer string, revision int64) (int64, error) {
-	began := f.Clock()
-	cctx, cancel := context.WithTimeout(ctx, relayWait+relayAnswer)
+	began, silence := f.Clock(), f.Feed.Silence()
+	cctx, cancel := context.WithTimeout(ctx, max(f.Feed.limit-silence, leastRead))
 	defer cancel()
-	s, err := f.Relays.read(cctx, peer, f.Kind, revision)
+	s, err := f.Relays.read(cctx, peer, f.Kind, revision, silence)
 	if err != nil {
 		return revision, err
 	}
-	proof := began
-	if len(s.Entries) == 0 && f.Clock()-began >= relayWait {
-		proof = began + relayWait - early
-	}
-	u := Update[T]{Proof: proof - s.Age, Outage: f.regained()}
+	// Ages count from the asking: an answer may have been on its way for long.
+	u := Update[T]{Proof: began - s.Age, Outage: f.regained()}
 	for _, e := range s.Entries {
-		u.Changes = append(u.Changes, Change[T]{Item: f.Source.Decode(e.Raw), Deleted: e.Deleted})
+		raw, err := e.unpack()
+		if err != nil {
+			return revision, err
+		}
+		u.Changes = append(u.Changes, Change[T]{Item: f.Source.Decode(raw), Deleted: e.Deleted})
 	}
 	f.Apply(u)
-	f.pass(false, s.Revision, u, began-s.Silence)
+	f.Feed.take(news{revision: s.Revision, proof: u.Proof, heard: began - s.Silence, entries: s.Entries})
 	return max(s.Revision, revision), nil
 }
 
@@ -241,6 +241,9 @@
 	}
 	u := Update[T]{Changes: c.Changes, Proof: proof, Outage: f.regained()}
 	f.Apply(u)
-	f.pass(false, c.Revision, u, f.Clock())
+	f.pass(false, c.Revision, u)
+	if len(c.Changes) > 0 {
+		sleep(ctx, gather)
+	}
 	return max(c.Revision, revision), nil
 }
--- a/gateway/view/relay.go
+++ b/gateway/view/relay.go
@@ -18,11 +18,9 @@
 const (
 	// relayPath is where a VM's feeds are read.
 	relayPath = "/feed"
-	// relayWait is how long one read of a feed waits. With relayAnswer it bounds how long
-	// a VM that lost power hides a change: a second, of the two in which it must be in force.
-	relayWait = 500 * time.Millisecond
-	// relayAnswer is what the other VM may take beyond the wait.
-	relayAnswer = 400 * time.Millisecond
+	// leastRead is the least time that a read of a feed gets, so that a reader whose own
+	// word is old already doesn't give up on a feed that has later word.
+	leastRead = 200 * time.Millisecond
 	// largestFeed bounds an answer that is read.
 	largestFeed = 8 << 20
 )
@@ -38,7 +36,7 @@
 	return &Relays{
 		feeds: feeds,
 		client: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: len(feeds), IdleConnTimeout: 5 * time.Second, DisableCompression: false,
+			MaxIdleConnsPerHost: len(feeds), IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 		}},
 	}
 }
@@ -53,12 +51,12 @@
 func (r *Relays) serve(w http.ResponseWriter, req *http.Request) {
 	feed := r.feeds[req.PathValue("kind")]
 	after, err := strconv.ParseInt(req.URL.Query().Get("after"), 10, 64)
-	wait, werr := time.ParseDuration(req.URL.Query().Get("wait"))
-	if feed == nil || err != nil || werr != nil {
+	silence, serr := time.ParseDuration(req.URL.Query().Get("silence"))
+	if feed == nil || err != nil || serr != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	step, err := feed.Wait(req.Context(), after, min(wait, relayWait))
+	step, err := feed.Wait(req.Context(), after, silence)
 	switch {
 	case errors.Is(err, objectstore.ErrGone):
 		w.WriteHeader(http.StatusGone)
@@ -77,8 +75,8 @@
 }
 
 // read asks a VM's feed once.
-func (r *Relays) read(ctx context.Context, peer, kind string, after int64) (Step, error) {
-	q := url.Values{"after": {strconv.FormatInt(after, 10)}, "wait": {relayWait.String()}}
+func (r *Relays) read(ctx context.Context, peer, kind string, after int64, silence time.Duration) (Step, error) {
+	q := url.Values{"after": {strconv.FormatInt(after, 10)}, "silence": {silence.String()}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+relayPath+"/"+kind+"?"+q.Encode(), nil)
 	if err != nil {
 		return Step{}, err
