--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -92,13 +92,13 @@
 }
 
 func (s *Service) send(rng *rand.Rand) {
-	to, others := s.table.Round(s.cfg.Clock(), rng)
+	to, others, words := s.table.Round(s.cfg.Clock(), rng)
 	if len(to) == 0 {
 		return
 	}
 	m := Message{
 		From: s.cfg.Self, Life: s.life, Sequence: s.sequence.Add(1), Ready: s.cfg.Ready(),
-		Payload: s.cfg.Payload(), Others: others,
+		Payload: s.cfg.Payload(), Others: others, Words: words,
 	}
 	b, err := cbor.Marshal(&m)
 	if err != nil || len(b) > largestDatagram {
--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -1,11 +1,14 @@
 package gossip
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,8 +24,15 @@
 	// forgotten is how long a silent VM is still sent a datagram now and then: it may
 	// have been cut off rather than gone.
 	forgotten = 2 * time.Minute
-	// known bounds the other members that a datagram names.
+	// maxNamed bounds the members whose addresses a datagram gives.
 	maxNamed = 4
+	// maxWords bounds the members, drawn at random, of which a datagram says when they
+	// were heard, 9 bytes each. A round brings 12 datagrams, so that in a fleet of 91 each
+	// VM is spoken of in three of them.
+	maxWords = 24
+	// secondHandRounds is how many rounds more a VM may be silent in a fleet that is
+	// larger than a round reaches, where most is heard at second hand.
+	secondHandRounds = 3
 )
 
 // Member is one VM as others reach it.
@@ -46,8 +56,21 @@
 	Payload []byte `cbor:"5,keyasint,omitempty"`
 	// Others are members that the sender heard lately, a few at a time.
 	Others []Member `cbor:"6,keyasint,omitempty"`
+	// Words say when the sender heard others, at first or second hand.
+	Words []Word `cbor:"7,keyasint,omitempty"`
+}
+
+// Word is what a VM knows of another: a mark of its name, how long ago it last said
+// something, and whether it was ready then.
+type Word struct {
+	_     struct{} `cbor:",toarray"`
+	Mark  uint32
+	AgeMs uint32
+	Ready bool
 }
 
+func markOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
 type peer struct {
 	Member
 	life, sequence uint64
@@ -64,11 +87,12 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	marks map[uint32]*peer
 }
 
 // NewTable returns a table for a VM that knows no others.
 func NewTable(self Member) *Table {
-	return &Table{self: self, peers: make(map[string]*peer)}
+	return &Table{self: self, peers: make(map[string]*peer), marks: make(map[uint32]*peer)}
 }
 
 // Learn takes members' addresses from the platform or another VM's word.
@@ -80,13 +104,18 @@
 			continue
 		}
 		if p := t.peers[m.Name]; p == nil {
-			t.peers[m.Name] = &peer{Member: m, learnt: now}
+			t.add(&peer{Member: m, learnt: now})
 		} else if p.heard == 0 {
 			p.Member = m
 		}
 	}
 }
 
+func (t *Table) add(p *peer) {
+	t.peers[p.Name] = p
+	t.marks[markOf(p.Name)] = p
+}
+
 // Heard takes a message. It returns false for one that is older than what is known.
 func (t *Table) Heard(now time.Duration, m *Message) bool {
 	if m.From.Name == "" || m.From.Name == t.self.Name {
@@ -95,23 +124,40 @@
 	t.mu.Lock()
 	p := t.peers[m.From.Name]
 	if p == nil {
-		p = &peer{learnt: now}
-		t.peers[m.From.Name] = p
+		p = &peer{Member: m.From, learnt: now}
+		t.add(p)
 	}
 	if p.life == m.Life && p.sequence >= m.Sequence {
 		t.mu.Unlock()
 		return false
 	}
 	p.Member, p.life, p.sequence, p.ready, p.heard = m.From, m.Life, m.Sequence, m.Ready, now
+	t.takeWords(now, m.Words)
 	t.mu.Unlock()
 	t.Learn(now, m.Others...)
 	return true
 }
 
+// takeWords takes what others heard later than this VM did. A word's age counts from
+// the VM's own datagram, so that passing it on keeps nobody alive. Callers hold t.mu.
+func (t *Table) takeWords(now time.Duration, words []Word) {
+	for _, w := range words {
+		p := t.marks[w.Mark]
+		heard := now - time.Duration(w.AgeMs)*time.Millisecond
+		if p == nil || heard <= p.heard {
+			continue
+		}
+		p.heard, p.ready = heard, w.Ready
+	}
+}
+
 // fresh is how long a VM counts as alive after it was heard. Callers hold t.mu.
 func (t *Table) fresh() time.Duration {
-	rounds := (len(t.peers) + fanout - 1) / fanout
-	return time.Duration(freshRounds*max(rounds, 1)) * Interval
+	rounds := freshRounds
+	if len(t.peers) > fanout {
+		rounds += secondHandRounds
+	}
+	return time.Duration(rounds) * Interval
 }
 
 // Usable returns the VMs that callers may be sent to, this one not included; those of
@@ -185,28 +231,29 @@
 // silentEvery is how often a VM that isn't heard is sent a datagram.
 const silentEvery = 5 * Interval
 
-// Round returns whom to send this round's message, and members to name in it. VMs
-// that were not sent to for longest come first.
-func (t *Table) Round(now time.Duration, rng *rand.Rand) (to []string, others []Member) {
+// Round returns whom to send this round's message, members to name in it, and words on
+// some that are heard. VMs that were not sent to for longest come first.
+func (t *Table) Round(now time.Duration, rng *rand.Rand) (to []string, others []Member, words []Word) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var due []*peer
+	var due, alive []*peer
 	for name, p := range t.peers {
-		last := max(p.heard, p.learnt)
-		if now-last > forgotten {
+		if now-max(p.heard, p.learnt) > forgotten {
 			delete(t.peers, name)
+			delete(t.marks, markOf(name))
 			continue
 		}
-		if now-last < t.fresh() || now-p.sent >= silentEvery {
+		live := p.heard != 0 && now-p.heard < t.fresh()
+		if live || now-p.sent >= silentEvery || now-p.learnt < t.fresh() {
 			due = append(due, p)
 		}
-		if p.heard != 0 && now-p.heard < t.fresh() {
-			others = append(others, p.Member)
+		if live {
+			alive = append(alive, p)
 		}
 	}
 	slices.SortFunc(due, func(a, b *peer) int {
 		if a.sent != b.sent {
-			return int(a.sent/time.Millisecond) - int(b.sent/time.Millisecond)
+			return cmp.Compare(a.sent, b.sent)
 		}
 		return strings.Compare(a.Name, b.Name)
 	})
@@ -214,6 +261,16 @@
 		p.sent = now
 		to = append(to, p.Peer)
 	}
-	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return to, others[:min(maxNamed, len(others))]
+	slices.SortFunc(alive, func(a, b *peer) int { return strings.Compare(a.Name, b.Name) })
+	rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	for _, p := range alive[:min(maxNamed, len(alive))] {
+		others = append(others, p.Member)
+	}
+	if len(t.peers) <= fanout {
+		return to, others, nil // all are heard at first hand
+	}
+	for _, p := range alive[:min(maxWords, len(alive))] {
+		words = append(words, Word{Mark: markOf(p.Name), AgeMs: uint32((now - p.heard).Milliseconds()), Ready: p.ready})
+	}
+	return to, others, words
 }
--- /dev/null
+++ b/fleet/gossip/table_test.go
@@ -0,0 +1,213 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+)
+
+// fleet is some VMs that exchange datagrams in virtual time.
+type fleet struct {
+	tables []*Table
+	seq    []uint64
+	life   []uint64
+	ready  []bool
+	cut    map[int]bool
+	rng    *rand.Rand
+	sent   int
+}
+
+func member(i int) Member {
+	return Member{Name: fmt.Sprintf("vm-%03d", i), Peer: fmt.Sprint(i), Front: fmt.Sprintf("front-%d", i), DataCentre: fmt.Sprint("dc", i%3)}
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{cut: map[int]bool{}, rng: rand.New(rand.NewPCG(1, 1))}
+	for i := range n {
+		f.tables = append(f.tables, NewTable(member(i)))
+		f.seq, f.life, f.ready = append(f.seq, 0), append(f.life, 1), append(f.ready, true)
+	}
+	for i, t := range f.tables {
+		t.Learn(0, member((i+1)%n)) // each knows one other, as from an old list
+	}
+	return f
+}
+
+// round sends one round of all VMs; one datagram in a hundred is lost.
+func (f *fleet) round(now time.Duration) {
+	for i, t := range f.tables {
+		if f.cut[i] {
+			continue
+		}
+		to, others, words := t.Round(now, f.rng)
+		f.seq[i]++
+		for _, peer := range to {
+			f.sent++
+			var j int
+			fmt.Sscan(peer, &j)
+			if !f.cut[j] && f.rng.IntN(100) > 0 {
+				f.tables[j].Heard(now, &Message{From: member(i), Life: f.life[i], Sequence: f.seq[i], Ready: f.ready[i], Others: others, Words: words})
+			}
+		}
+	}
+}
+
+func (f *fleet) run(from, to time.Duration) {
+	for now := from; now < to; now += Interval {
+		f.round(now)
+	}
+}
+
+func names(ms []Member) (out []string) {
+	for _, m := range ms {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// VMs that know one other each know all within seconds, at a cost a VM that doesn't grow.
+func TestFleetMeets(t *testing.T) {
+	for _, n := range []int{2, 7, 91} {
+		f := newFleet(n)
+		f.run(0, 20*time.Second)
+		for _, tb := range f.tables {
+			require.Len(t, tb.Usable(20*time.Second, ""), n-1)
+		}
+		f.sent = 0
+		f.run(20*time.Second, 24*time.Second)
+		require.LessOrEqual(t, f.sent, 10*n*min(n-1, fanout))
+	}
+}
+
+// A VM loses power. Callers must not be sent there for longer than the seconds in which
+// operators expect it to be out, and its return must count at once.
+func TestDeadVMIsLeftOut(t *testing.T) {
+	for n, within := range map[int]time.Duration{7: 2 * time.Second, 91: 4 * time.Second} {
+		f := newFleet(n)
+		f.run(0, 20*time.Second)
+		f.cut[3] = true
+		f.run(20*time.Second, 20*time.Second+within)
+		now := 20*time.Second + within
+		for i, tb := range f.tables {
+			if i != 3 {
+				require.NotContains(t, names(tb.Usable(now, "")), "vm-003", "%d VMs", n)
+			}
+		}
+		f.cut[3] = false
+		f.life[3], f.seq[3] = 2, 0
+		f.run(now, now+10*time.Second)
+		require.Contains(t, names(f.tables[0].Usable(now+10*time.Second, "")), "vm-003")
+	}
+}
+
+// A VM says that it stops: the others leave it out with its next datagram.
+func TestStoppingVMIsLeftOut(t *testing.T) {
+	f := newFleet(7)
+	f.run(0, 10*time.Second)
+	f.ready[2] = false
+	f.round(10 * time.Second)
+	left := 0
+	for i, tb := range f.tables {
+		if i != 2 && len(names(tb.Usable(10*time.Second, ""))) == 5 {
+			left++
+		}
+	}
+	require.GreaterOrEqual(t, left, 5) // one datagram may be lost
+}
+
+// Datagrams overtake each other: an old word that the VM is ready comes after the new
+// one that it stops.
+func TestOldDatagramChangesNothing(t *testing.T) {
+	tb := NewTable(member(0))
+	require.True(t, tb.Heard(time.Second, &Message{From: member(1), Life: 1, Sequence: 5, Ready: false}))
+	require.False(t, tb.Heard(time.Second, &Message{From: member(1), Life: 1, Sequence: 4, Ready: true}))
+	require.Empty(t, tb.Usable(time.Second, ""))
+}
+
+// A VM that slept finds its views old, since the clock ran on.
+func TestSleepMakesViewsOld(t *testing.T) {
+	f := newFleet(3)
+	f.run(0, 5*time.Second)
+	require.Len(t, f.tables[0].Usable(5*time.Second, ""), 2)
+	require.Empty(t, f.tables[0].Usable(15*time.Second, ""))
+}
+
+func TestNearDataCentreFirst(t *testing.T) {
+	f := newFleet(7)
+	f.run(0, 5*time.Second)
+	require.Equal(t, "dc1", f.tables[0].Usable(5*time.Second, "dc1")[0].DataCentre)
+}
+
+// While a fleet starts nobody is ready; those that are heard serve to read from.
+func TestPeersOfAStartingFleet(t *testing.T) {
+	f := newFleet(5)
+	for i := range f.ready {
+		f.ready[i] = false
+	}
+	f.run(0, 5*time.Second)
+	require.Len(t, f.tables[0].Peers(5*time.Second), 4)
+	for i := range f.ready {
+		f.ready[i] = i != 4
+	}
+	f.run(5*time.Second, 8*time.Second)
+	require.Len(t, f.tables[0].Peers(8*time.Second), 3)
+}
+
+// Two services over loopback hear each other, and each other's payload; what isn't a
+// datagram of a VM changes nothing.
+func TestServicesHearEachOther(t *testing.T) {
+	start := time.Now()
+	var services []*Service
+	got := make(chan string, 100)
+	for i := range 2 {
+		s, err := Listen(Config{
+			Self:  Member{Name: fmt.Sprint("vm", i), Peer: "127.0.0.1:0", Front: fmt.Sprint("f", i)},
+			Clock: func() time.Duration { return time.Second + time.Since(start) }, Ready: func() bool { return true },
+			Payload: func() []byte { return []byte{byte('a' + i)} },
+			Take:    func(from string, _ uint64, p []byte) { got <- from + string(p) },
+			Log:     zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		})
+		require.NoError(t, err)
+		s.cfg.Self.Peer = s.conn.LocalAddr().String()
+		services = append(services, s)
+	}
+	_, err := services[0].conn.WriteToUDP([]byte("noise"), mustAddr(t, services[1]))
+	require.NoError(t, err)
+	services[0].Table().Learn(time.Second, services[1].cfg.Self)
+	for _, s := range services {
+		go s.Run(t.Context())
+	}
+	seen := map[string]bool{}
+	for len(seen) < 2 {
+		seen[<-got] = true
+	}
+	require.Equal(t, map[string]bool{"vm0a": true, "vm1b": true}, seen)
+}
+
+func FuzzMessage(f *testing.F) {
+	b, err := cbor.Marshal(&Message{From: member(1), Life: 1, Sequence: 1, Ready: true, Others: []Member{member(2)}})
+	require.NoError(f, err)
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if cbor.Unmarshal(b, &m) == nil {
+			tb := NewTable(member(0))
+			tb.Heard(time.Second, &m)
+			tb.Round(time.Second, rand.New(rand.NewPCG(1, 1)))
+		}
+	})
+}
+
+func mustAddr(t *testing.T, s *Service) *net.UDPAddr {
+	t.Helper()
+	a, ok := s.conn.LocalAddr().(*net.UDPAddr)
+	require.True(t, ok)
+	return a
+}
