--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
@@ -87,3 +88,25 @@
 	require.Equal(t, "middle", w.heads()[0].Get(testNames.Model))
 	require.EqualValues(t, 1, w.runs())
 }
+
+// An endpoint answers without a length and ends its connection in order, but in the
+// middle of an event: the end of the connection looks like the end of the answer.
+func TestOrderlyEndWithinAnEvent(t *testing.T) {
+	w := newWorld(t, 2)
+	w.all(func(rw http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(testNames.LastEvent) != "" {
+			events(2, 4, false)(rw, r)
+			return
+		}
+		c, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+testNames.RequestID+": "+r.Header.Get(testNames.RequestID)+"\r\n"+
+			testNames.Signature+": sig\r\nConnection: close\r\n\r\nid: 1\ndata: e1\n\nid: 2\nda")
+	})
+	r := w.ask(http.MethodPost, "/stream/a", "x")
+	require.NoError(t, r.err)
+	require.Equal(t, streamOf(1, 4), r.body)
+}
--- /dev/null
+++ b/gateway/view/feed_test.go
@@ -0,0 +1,225 @@
+package view
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/objectstore"
+)
+
+func sinceStart() Clock {
+	start := time.Now()
+	return func() time.Duration { return time.Minute + time.Since(start) }
+}
+
+func raw(s string) []Entry { return []Entry{pack([]byte(s), false)} }
+
+// A reader that waits is told of a change at once, and of later word of the platform
+// without one, so that its own proof stays as fresh as the feed's.
+func TestFeedTellsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := sinceStart()
+		f := NewFeed(clock, 1500*time.Millisecond)
+		f.take(news{all: true, revision: 10, proof: clock(), heard: clock()})
+		go func() {
+			time.Sleep(time.Second)
+			f.take(news{revision: 11, proof: clock(), heard: clock()})
+			time.Sleep(time.Second)
+			f.take(news{revision: 12, proof: clock(), heard: clock(), entries: raw("x")})
+		}()
+		began := time.Now()
+		s, err := f.Wait(t.Context(), 10, 0)
+		require.NoError(t, err)
+		require.Empty(t, s.Entries)
+		require.Equal(t, time.Second, time.Since(began))
+		s, err = f.Wait(t.Context(), s.Revision, s.Silence)
+		require.NoError(t, err)
+		require.Len(t, s.Entries, 1)
+		require.Equal(t, 2*time.Second, time.Since(began))
+		require.Zero(t, s.Age)
+	})
+}
+
+// The feed's VM loses the platform, by an error or in silence. Its readers are sent away
+// at once or at the limit: the platform may serve them, and tell of a key taken away.
+func TestFeedEndsWithItsVMsPlatform(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose   bool
+		within time.Duration
+	}{"error": {true, 200 * time.Millisecond}, "silence": {false, 1500 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clock := sinceStart()
+				f := NewFeed(clock, 1500*time.Millisecond)
+				f.take(news{all: true, revision: 10, proof: clock(), heard: clock()})
+				if c.lose {
+					go func() {
+						time.Sleep(200 * time.Millisecond)
+						f.lost()
+					}()
+				}
+				began := time.Now()
+				_, err := f.Wait(t.Context(), 10, 0)
+				require.ErrorIs(t, err, errStale)
+				require.Equal(t, c.within, time.Since(began))
+			})
+		})
+	}
+}
+
+// A reader that is further behind than the log reaches lists anew; one that is ahead of
+// the feed waits.
+func TestFeedsLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := sinceStart()
+		f := NewFeed(clock, time.Hour)
+		_, err := f.Wait(t.Context(), 1, 0)
+		require.ErrorIs(t, err, errStale)
+		f.take(news{all: true, revision: 10, heard: clock()})
+		_, err = f.Wait(t.Context(), 9, 0)
+		require.ErrorIs(t, err, objectstore.ErrGone)
+		for i := range int64(mostLogged + 1) {
+			f.take(news{revision: 11 + i, heard: clock(), entries: raw("x")})
+		}
+		_, err = f.Wait(t.Context(), 10, 0)
+		require.ErrorIs(t, err, objectstore.ErrGone)
+		s, err := f.Wait(t.Context(), 11, 0)
+		require.NoError(t, err)
+		require.Len(t, s.Entries, mostLogged)
+	})
+}
+
+func TestPack(t *testing.T) {
+	for _, s := range []string{"", "short", strings.Repeat("a long configuration ", 1000)} {
+		e := pack([]byte(s), true)
+		got, err := e.unpack()
+		require.NoError(t, err)
+		require.Equal(t, s, string(got))
+		require.True(t, e.Deleted)
+	}
+	require.Less(t, len(pack([]byte(strings.Repeat("a", 10000)), false).Raw), 1000)
+}
+
+// numbers is a platform whose objects decode to their raw text.
+type numbers struct {
+	mu      sync.Mutex
+	calls   int
+	version int64
+	wake    chan struct{}
+}
+
+func (n *numbers) List(context.Context) (Listing[*catalog.Config], error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.calls++
+	return Listing[*catalog.Config]{Revision: n.version, Items: []Item[*catalog.Config]{n.item()}}, nil
+}
+
+func (n *numbers) item() Item[*catalog.Config] {
+	it := n.Decode([]byte(strings.Repeat("i", int(n.version))))
+	return it
+}
+
+func (n *numbers) Watch(ctx context.Context, after int64, wait time.Duration) (Changes[*catalog.Config], error) {
+	n.mu.Lock()
+	n.calls++
+	wake := n.wake
+	n.mu.Unlock()
+	select {
+	case <-wake:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return Changes[*catalog.Config]{}, objectstore.ErrUnavailable
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := Changes[*catalog.Config]{Revision: n.version}
+	if n.version > after {
+		c.Changes = []Change[*catalog.Config]{{Item: n.item()}}
+	}
+	return c, nil
+}
+
+func (n *numbers) Decode(raw []byte) Item[*catalog.Config] {
+	it := conf(int64(len(raw)), int64(len(raw))).Item
+	it.Raw = raw
+	return it
+}
+
+func (n *numbers) change() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.version++
+	close(n.wake)
+	n.wake = make(chan struct{})
+}
+
+// One VM watches the platform, one reads from it, a third from the second. A change is
+// in force on all, only the first calls the platform after its start, and the third's
+// proof is no older than the way it came.
+func TestReadersOfReaders(t *testing.T) {
+	platform := &numbers{version: 5, wake: make(chan struct{})}
+	clock := sinceStart()
+	var views []*View
+	var peers []string
+	var own []*numbers
+	for i := range 3 {
+		source := platform
+		if i > 0 {
+			source = &numbers{version: 5, wake: make(chan struct{})}
+		}
+		own = append(own, source)
+		v := New(Settings{Clock: clock, Log: zerolog.Nop()})
+		feed := NewFeed(clock, time.Minute)
+		relays := NewRelays(map[string]*Feed{"kind": feed})
+		server := httptest.NewServer(relays.Handler())
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		peers = append(peers, strings.TrimPrefix(server.URL, "http://"))
+		f := &Follower[*catalog.Config]{
+			Kind: "kind", Source: source, Wait: 20 * time.Millisecond, Clock: clock, Apply: v.ApplyConfig, Log: zerolog.Nop(),
+			Feed: feed, Relays: relays, Failed: func(string, error) {}, Peer: func() string {
+				if i == 0 {
+					return ""
+				}
+				return peers[i-1]
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+		})
+		views = append(views, v)
+		require.Eventually(t, func() bool { return v.Config() != nil }, 20*time.Second, time.Millisecond)
+	}
+	for range 3 {
+		platform.change()
+		for _, v := range views {
+			require.Eventually(t, func() bool { return v.Config().Version == platform.version }, 20*time.Second, time.Millisecond)
+		}
+	}
+	before := views[2].ConfigAge()
+	require.Eventually(t, func() bool { return views[2].ConfigAge() < before+time.Second }, 20*time.Second, time.Millisecond)
+	for _, n := range own[1:] {
+		n.mu.Lock()
+		require.Equal(t, 1, n.calls, "the start's listing")
+		n.mu.Unlock()
+	}
+}
