--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -43,7 +43,7 @@
 
 // world is one VM before some endpoints, with what the test sets.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	handler   *Handler
 	front     *httptest.Server
 	table     *placement.Table
@@ -123,7 +123,7 @@
 }
 
 // newWorld starts a VM before n endpoints of one service, with a route of each kind.
-func newWorld(t *testing.T, n int) *world {
+func newWorld(t testing.TB, n int) *world {
 	t.Helper()
 	w := &world{t: t, table: placement.New("a"), state: &fakeState{}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{crashes: map[uint64]int{}}}
 	branch := []catalog.Weighted{{Service: "s", Weight: 1}}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -175,7 +175,7 @@
 	n.spawn(func() { n.gossip.Run(work) })
 	n.spawn(func() { n.announce(work) })
 	n.spawn(func() { n.upkeep(work) })
-	n.log.Info().Str("vm", n.s.VM).Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
+	n.log.Info().Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
 	<-ctx.Done()
 	n.stop(work)
 	return nil
