--- a/cmd/goldcrest-node/process_test.go
+++ b/cmd/goldcrest-node/process_test.go
@@ -49,6 +49,7 @@
 	settings string
 	front    string
 	side     string
+	metrics  int
 	mu       sync.Mutex
 	lines    []string
 	done     chan error
@@ -84,13 +85,8 @@
 		fmt.Sprintf("internalPorts=%d,%d", inner, inner), "limits.memoryMb=284",
 		"bounds.gracePeriodS=4", "platform.address=" + store,
 	}, more...)...)
-	v.cmd = exec.Command(binary, "--metrics-port", fmt.Sprint(freePort(t)))
-	v.cmd.Env = append(os.Environ(), "GOLDCRESTFORK_NODE_FILE="+v.settings)
-	out, err := v.cmd.StdoutPipe()
-	require.NoError(t, err)
-	v.cmd.Stderr = os.Stderr
-	require.NoError(t, v.cmd.Start())
-	go v.read(out)
+	v.metrics = freePort(t)
+	v.spawn()
 	t.Cleanup(func() {
 		_ = v.cmd.Process.Kill()
 		<-v.done
@@ -98,6 +94,17 @@
 	return v
 }
 
+// spawn starts the process, again after it has ended.
+func (v *vm) spawn() {
+	v.cmd = exec.Command(binary, "--metrics-port", fmt.Sprint(v.metrics))
+	v.cmd.Env = append(os.Environ(), "GOLDCRESTFORK_NODE_FILE="+v.settings)
+	out, err := v.cmd.StdoutPipe()
+	require.NoError(v.t, err)
+	v.cmd.Stderr = os.Stderr
+	require.NoError(v.t, v.cmd.Start())
+	go v.read(out)
+}
+
 func (v *vm) write(lines ...string) {
 	require.NoError(v.t, os.WriteFile(v.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600))
 }
