--- a/cmd/goldcrest-node/process_test.go
+++ b/cmd/goldcrest-node/process_test.go
@@ -115,7 +115,7 @@
 // spawn starts the process, again after it has ended.
 func (v *vm) spawn() {
 	v.cmd = exec.Command(binary, "--metrics-port", fmt.Sprint(v.metrics))
-	v.cmd.Env = append(os.Environ(), "GOLDCRESTFORK_NODE_FILE="+v.settings)
+	v.cmd.Env = append(os.Environ(), platform.SettingsVar+"="+v.settings)
 	out, err := v.cmd.StdoutPipe()
 	require.NoError(v.t, err)
 	v.cmd.Stderr = os.Stderr
--- a/config/attempt.go
+++ b/config/attempt.go
@@ -7,7 +7,7 @@
 	"math/rand/v2"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // attempt is the state of one change between tries.
@@ -22,7 +22,7 @@
 	// pending is the write whose reply was lost; nil when nothing is in flight.
 	pending *pending
 	// current is the root object to try on; loaded says that it is known.
-	current objectstore.Object
+	current durable.Object
 	loaded  bool
 	// floor is the highest revision that this VM had seen before current was read.
 	floor int64
@@ -64,11 +64,11 @@
 
 // load reads the root.
 func (a *attempt) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	floor := a.seen()
 	o, err := a.editor.Store.Get(ctx, RootKey)
-	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
+	if err != nil && !errors.Is(err, durable.ErrNotFound) {
 		return err
 	}
 	a.current, a.loaded, a.floor = o, true, floor
@@ -157,11 +157,11 @@
 
 // write sends one conditional write and sorts its outcome.
 func (a *attempt) write(ctx context.Context, next *root, encoded []byte) (bool, error) {
-	callCtx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	base, floor := a.current.Version, a.seen()
 	_, err := a.editor.Store.Put(callCtx, RootKey, encoded, base)
-	var conflict *objectstore.ConflictError
+	var conflict *durable.ConflictError
 	switch {
 	case err == nil:
 		a.revision, a.root, a.pending = next.Snapshot.Revision, next, nil
@@ -170,12 +170,12 @@
 	case errors.As(err, &conflict):
 		a.current, a.loaded, a.floor = conflict.Current, true, floor
 		return false, nil
-	case errors.Is(err, objectstore.ErrTooLarge):
+	case errors.Is(err, durable.ErrTooLarge):
 		return false, Problems{{Field: "configuration", Got: fmt.Sprintf("%d bytes", len(encoded)),
-			Want: fmt.Sprintf("at most %d bytes encoded", objectstore.MaxValue)}}
-	case errors.Is(err, objectstore.ErrUnavailable) && a.pending == nil:
+			Want: fmt.Sprintf("at most %d bytes encoded", durable.MaxValue)}}
+	case errors.Is(err, durable.ErrUnavailable) && a.pending == nil:
 		return false, fmt.Errorf("%w: %w", ErrNotAccepted, err)
-	case errors.Is(err, objectstore.ErrUnavailable):
+	case errors.Is(err, durable.ErrUnavailable):
 		return false, nil
 	}
 	// Any other error, a timeout included, may hide an effect: read back before deciding.
--- a/config/cache.go
+++ b/config/cache.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"goldcrestfork/config/staleness"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Peers is what a cache needs of the other VMs.
@@ -27,7 +27,7 @@
 // Options of a cache.
 type Options struct {
 	// Store is the platform.
-	Store objectstore.Store
+	Store durable.Store
 	// Peers are the other VMs; nil for a VM alone.
 	Peers Peers
 	// Contacts asks the other VMs for their evidence; given exactly when Peers is.
--- a/config/editor.go
+++ b/config/editor.go
@@ -7,11 +7,11 @@
 
 	"github.com/google/uuid"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // RootKey is the one platform object that carries the whole configuration.
-var RootKey = objectstore.Key{Kind: "configuration", Name: "root"}
+var RootKey = durable.Key{Kind: "configuration", Name: "root"}
 
 // Bounds of an editor's attempts.
 const (
@@ -84,7 +84,7 @@
 
 // Editor makes accepted changes: each is one conditional write of the root.
 type Editor struct {
-	Store objectstore.Store
+	Store durable.Store
 	// Floor returns the highest revision this VM has seen; nil for none.
 	Floor func() int64
 	// Accepted is given the encoded root of each accepted change; may be nil.
@@ -96,7 +96,7 @@
 }
 
 // NewEditor returns the editor of a VM whose configuration is in cache.
-func NewEditor(store objectstore.Store, cache *Cache) *Editor {
+func NewEditor(store durable.Store, cache *Cache) *Editor {
 	return &Editor{
 		Store: store,
 		Floor: cache.Revision,
--- a/config/editor_test.go
+++ b/config/editor_test.go
@@ -11,7 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -28,7 +28,7 @@
 	wait sync.WaitGroup
 }
 
-func (l *lateStore) Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
+func (l *lateStore) Put(ctx context.Context, key durable.Key, value []byte, ifVersion int64) (durable.Object, error) {
 	l.mu.Lock()
 	var delay time.Duration
 	if len(l.late) > 0 {
@@ -42,7 +42,7 @@
 		time.Sleep(delay)
 		_, _ = l.Store.Put(context.WithoutCancel(ctx), key, value, ifVersion)
 	})
-	return objectstore.Object{}, objectstore.ErrUnknown
+	return durable.Object{}, durable.ErrUnknown
 }
 
 // The reply to a change is lost. The operator must learn the change's true fate:
@@ -143,7 +143,7 @@
 		editor Editor
 		want   error
 	}{
-		{"platform down", Editor{Store: down}, objectstore.ErrUnavailable},
+		{"platform down", Editor{Store: down}, durable.ErrUnavailable},
 		{"root of a newer release", Editor{Store: withRoot(t, newerBytes)}, ErrNewer},
 		{"foreign bytes in the root", Editor{Store: withRoot(t, []byte("x"))}, ErrFormat},
 		{"older backup restored", Editor{Store: store.New(), Floor: func() int64 { return 9 }}, ErrReverted},
@@ -160,7 +160,7 @@
 	_, _, err = e.Apply(t.Context(), []Change{centre("norte-a"), centre("Norte")})
 	require.IsType(t, Problems{}, err)
 	_, err = e.Store.Get(t.Context(), RootKey)
-	require.ErrorIs(t, err, objectstore.ErrNotFound, "half a change was written")
+	require.ErrorIs(t, err, durable.ErrNotFound, "half a change was written")
 }
 
 // Two operators change the same object from the same state, and a third changes
@@ -199,7 +199,7 @@
 	meanwhile func()
 }
 
-func (s *slowStore) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
+func (s *slowStore) Get(ctx context.Context, key durable.Key) (durable.Object, error) {
 	o, err := s.Store.Get(ctx, key)
 	if f := s.meanwhile; f != nil {
 		s.meanwhile = nil
@@ -208,7 +208,7 @@
 	return o, err
 }
 
-func (s *slowStore) List(ctx context.Context, kind string) (objectstore.Listing, error) {
+func (s *slowStore) List(ctx context.Context, kind string) (durable.Listing, error) {
 	l, err := s.Store.List(ctx, kind)
 	if f := s.meanwhile; f != nil {
 		s.meanwhile = nil
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"goldcrestfork/config/staleness"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -38,16 +38,16 @@
 	vm *vm
 }
 
-func (l link) List(ctx context.Context, kind string) (objectstore.Listing, error) {
+func (l link) List(ctx context.Context, kind string) (durable.Listing, error) {
 	if l.vm.storeCut.Load() {
-		return objectstore.Listing{}, objectstore.ErrUnavailable
+		return durable.Listing{}, durable.ErrUnavailable
 	}
 	return l.Store.List(ctx, kind)
 }
 
-func (l link) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
+func (l link) Watch(ctx context.Context, kind string, revision int64) (durable.Watch, error) {
 	if l.vm.storeCut.Load() {
-		return nil, objectstore.ErrUnavailable
+		return nil, durable.ErrUnavailable
 	}
 	w, err := l.Store.Watch(ctx, kind, revision)
 	return watchLink{w, l.vm}, err
@@ -55,15 +55,15 @@
 
 // watchLink delivers nothing while its VM is cut, like a connection that died unseen.
 type watchLink struct {
-	objectstore.Watch
+	durable.Watch
 	vm *vm
 }
 
-func (w watchLink) Next(ctx context.Context) (objectstore.Event, error) {
+func (w watchLink) Next(ctx context.Context) (durable.Event, error) {
 	e, err := w.Watch.Next(ctx)
 	if w.vm.storeCut.Load() && err == nil {
 		<-ctx.Done()
-		return objectstore.Event{}, ctx.Err()
+		return durable.Event{}, ctx.Err()
 	}
 	return e, err
 }
--- a/config/run.go
+++ b/config/run.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Mode says where a cache takes the configuration from.
@@ -113,7 +113,7 @@
 
 // list reads the root and returns the revision from which a watch misses nothing.
 func (c *Cache) list(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	start, floor := time.Now(), c.Revision()
 	listing, err := c.opts.Store.List(ctx, RootKey.Kind)
@@ -149,7 +149,7 @@
 	for ctx.Err() == nil && c.choose(time.Now()) == ModeWatching {
 		from, err = c.rotate(ctx, from)
 		switch {
-		case errors.Is(err, objectstore.ErrGone):
+		case errors.Is(err, durable.ErrGone):
 			// The platform dropped events that were asked for: only a list closes the gap.
 			c.opts.Metrics.Relists.Inc()
 			if from, err = c.list(ctx); err != nil {
@@ -182,7 +182,7 @@
 			}
 			return from, nil
 		case err != nil:
-			if !errors.Is(err, objectstore.ErrGone) {
+			if !errors.Is(err, durable.ErrGone) {
 				c.failed()
 			}
 			return from, err
@@ -198,12 +198,12 @@
 }
 
 // open starts a watch; the call is bounded, the watch is not.
-func (c *Cache) open(ctx context.Context, from int64) (objectstore.Watch, error) {
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+func (c *Cache) open(ctx context.Context, from int64) (durable.Watch, error) {
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	c.opts.Metrics.StoreCalls.WithLabelValues("watch").Inc()
 	w, err := c.opts.Store.Watch(ctx, RootKey.Kind, from)
-	if err != nil && !errors.Is(err, objectstore.ErrGone) {
+	if err != nil && !errors.Is(err, durable.ErrGone) {
 		c.failed()
 	}
 	return w, err
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -13,8 +13,8 @@
 	Snapshot() *config.Snapshot
 	// Update changes one object if it is still at ifRevision, and returns the new
 	// revision. mutate gets a copy, of the kind's pointer type. Errors: ErrConflict
-	// for another revision; objectstore.ErrUnavailable for no effect;
-	// objectstore.ErrUnknown where the reply was lost, so that the change may be in
+	// for another revision; durable.ErrUnavailable for no effect;
+	// durable.ErrUnknown where the reply was lost, so that the change may be in
 	// force now or a little later; what mutate returns. Test with errors.Is.
 	Update(ctx context.Context, kind config.Kind, name string, mutate func(obj config.Object) error, ifRevision int64) (int64, error)
 }
--- a/control/edited.go
+++ b/control/edited.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"goldcrestfork/config"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Edited is the Configuration of a VM: it reads its cache and writes by its editor.
@@ -49,9 +49,9 @@
 	case errors.As(err, &conflict):
 		return fmt.Errorf("%w: %w", ErrConflict, err)
 	case errors.As(err, &unknown):
-		return fmt.Errorf("%w: %w", objectstore.ErrUnknown, err)
+		return fmt.Errorf("%w: %w", durable.ErrUnknown, err)
 	case errors.Is(err, config.ErrNotAccepted):
-		return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", durable.ErrUnavailable, err)
 	}
 	return err
 }
--- a/control/edited_test.go
+++ b/control/edited_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -72,10 +72,10 @@
 	}{
 		"accepted":                      {mutate: step, step: 1},
 		"another VM was first":          {other: true, mutate: step, want: ErrConflict, step: 1},
-		"platform down":                 {faults: store.Faults{Down: true}, mutate: step, want: objectstore.ErrUnavailable},
+		"platform down":                 {faults: store.Faults{Down: true}, mutate: step, want: durable.ErrUnavailable},
 		"reply lost, effect took place": {faults: store.Faults{LoseReplies: 1}, mutate: step, step: 1},
 		"reply lost, without effect":    {faults: store.Faults{RefuseWrites: 1}, mutate: step, step: 1},
-		"replies lost until the end":    {faults: store.Faults{RefuseWrites: 1 << 20}, mutate: step, want: objectstore.ErrUnknown},
+		"replies lost until the end":    {faults: store.Faults{RefuseWrites: 1 << 20}, mutate: step, want: durable.ErrUnknown},
 		"mutate refuses":                {mutate: func(config.Object) error { return errRefused }, want: errRefused},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/control/lease/lease.go
+++ b/control/lease/lease.go
@@ -11,7 +11,7 @@
 	"github.com/qmuntal/stateless"
 	"github.com/rs/zerolog"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Kind is the platform's kind of lease objects.
@@ -44,8 +44,8 @@
 
 // Lease is one VM's view of one lease. Safe for concurrent use.
 type Lease struct {
-	store    objectstore.Store
-	key      objectstore.Key
+	store    durable.Store
+	key      durable.Key
 	holder   string
 	settings Settings
 	metrics  metrics
@@ -69,9 +69,9 @@
 
 // New returns a Lease on the object named name. holder names this incarnation of
 // the VM; a replaced VM must use another one.
-func New(store objectstore.Store, name, holder string, s Settings, reg prometheus.Registerer, log zerolog.Logger) *Lease {
+func New(store durable.Store, name, holder string, s Settings, reg prometheus.Registerer, log zerolog.Logger) *Lease {
 	l := &Lease{
-		store: store, key: objectstore.Key{Kind: Kind, Name: name}, holder: holder, settings: s,
+		store: store, key: durable.Key{Kind: Kind, Name: name}, holder: holder, settings: s,
 		sent:    make(map[uint64]time.Time),
 		metrics: newMetrics(name, reg),
 	}
@@ -137,7 +137,7 @@
 func (l *Lease) Tick(ctx context.Context) {
 	l.tick.Lock()
 	defer l.tick.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	if _, held := l.Held(); held || l.look(ctx) {
 		l.write(ctx, l.holder)
@@ -147,7 +147,7 @@
 // look reads the object and says whether the lease is free to take.
 func (l *Lease) look(ctx context.Context) bool {
 	o, err := l.store.Get(ctx, l.key)
-	missing := errors.Is(err, objectstore.ErrNotFound)
+	missing := errors.Is(err, durable.ErrNotFound)
 	if err != nil && !missing {
 		return false
 	}
@@ -165,7 +165,7 @@
 }
 
 // see notes the object as it stands. Callers hold l.mu.
-func (l *Lease) see(o objectstore.Object) {
+func (l *Lease) see(o durable.Object) {
 	if o.Version == l.version && !l.seenAt.IsZero() {
 		return
 	}
@@ -195,7 +195,7 @@
 	o, err := l.store.Put(ctx, l.key, value, version)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var conflict *objectstore.ConflictError
+	var conflict *durable.ConflictError
 	switch {
 	case err == nil:
 		l.version, l.seenAt, l.seenHolder = o.Version, time.Now(), holder
@@ -220,7 +220,7 @@
 }
 
 // lose notes the object that a write met; it may be our own earlier write. Callers hold l.mu.
-func (l *Lease) lose(current objectstore.Object) {
+func (l *Lease) lose(current durable.Object) {
 	l.seenAt = time.Time{}
 	if current.Version == 0 {
 		l.version = 0
@@ -243,7 +243,7 @@
 	l.mu.Lock()
 	l.fire(triggerGiven)
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	l.write(ctx, "")
 }
--- a/control/loops/loops.go
+++ b/control/loops/loops.go
@@ -15,8 +15,8 @@
 	"goldcrestfork/control/lease"
 	"goldcrestfork/control/orders"
 	"goldcrestfork/control/rollouts"
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/rendezvous"
-	"goldcrestfork/objectstore"
 	"goldcrestfork/policy/rollout"
 )
 
@@ -40,7 +40,7 @@
 type Options struct {
 	Self          VM
 	Peers         Peers
-	Store         objectstore.Store
+	Store         durable.Store
 	Configuration control.Configuration
 	Endpoints     orders.Endpoints
 	// Recorder holds this VM's outcomes, Brakes keeps its new work from bad versions.
--- a/control/orders/controller.go
+++ b/control/orders/controller.go
@@ -13,7 +13,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/control"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Interval is the time between rounds.
@@ -70,7 +70,7 @@
 type Controller struct {
 	holder    Holder
 	source    Source
-	store     objectstore.Store
+	store     durable.Store
 	endpoints Endpoints
 	settings  Settings
 	metrics   metrics
@@ -93,7 +93,7 @@
 }
 
 // New returns a Controller.
-func New(h Holder, src Source, store objectstore.Store, e Endpoints, s Settings, reg prometheus.Registerer, log zerolog.Logger) *Controller {
+func New(h Holder, src Source, store durable.Store, e Endpoints, s Settings, reg prometheus.Registerer, log zerolog.Logger) *Controller {
 	c := &Controller{
 		holder: h, source: src, store: store, endpoints: e, settings: s, log: log,
 		status: make(map[string]Status), suspects: make(map[string]bool),
--- a/control/orders/placement.go
+++ b/control/orders/placement.go
@@ -9,7 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"goldcrestfork/config"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Kind is the platform's kind of placement records; a record has its endpoint's name.
@@ -84,7 +84,7 @@
 	version int64
 }
 
-func decode(o objectstore.Object) (recorded, error) {
+func decode(o durable.Object) (recorded, error) {
 	r := recorded{version: o.Version}
 	if err := cbor.Unmarshal(o.Value, &r.record); err != nil {
 		return r, trace.Wrap(err, "placement record %s", o.Key)
@@ -93,9 +93,9 @@
 }
 
 // read returns an endpoint's record; version zero where there is none.
-func read(ctx context.Context, s objectstore.Store, name string) (recorded, error) {
-	o, err := s.Get(ctx, objectstore.Key{Kind: Kind, Name: name})
-	if errors.Is(err, objectstore.ErrNotFound) {
+func read(ctx context.Context, s durable.Store, name string) (recorded, error) {
+	o, err := s.Get(ctx, durable.Key{Kind: Kind, Name: name})
+	if errors.Is(err, durable.ErrNotFound) {
 		return recorded{}, nil
 	}
 	if err != nil {
@@ -114,7 +114,7 @@
 // Without the rule on revisions a holder with an old configuration and one with
 // a new one would overwrite each other's records in turn, each with a higher
 // fencing number than the last.
-func put(ctx context.Context, s objectstore.Store, name string, now recorded, p Placement, revision int64) (recorded, error) {
+func put(ctx context.Context, s durable.Store, name string, now recorded, p Placement, revision int64) (recorded, error) {
 	if now.version != 0 && now.Equal(p) {
 		return now, nil
 	}
@@ -126,7 +126,7 @@
 	if err != nil {
 		return now, trace.Wrap(err)
 	}
-	o, err := s.Put(ctx, objectstore.Key{Kind: Kind, Name: name}, value, now.version)
+	o, err := s.Put(ctx, durable.Key{Kind: Kind, Name: name}, value, now.version)
 	if err != nil {
 		return now, err
 	}
--- a/control/orders/task.go
+++ b/control/orders/task.go
@@ -8,7 +8,7 @@
 	"github.com/qmuntal/stateless"
 
 	"goldcrestfork/config"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // The states of one endpoint's task.
@@ -175,7 +175,7 @@
 // go on ordering by it after another VM had recorded something newer, and an
 // endpoint that ignores fencing numbers would obey both in turn.
 func (c *Controller) record(ctx context.Context, t *task, s *config.Snapshot, e *config.Endpoint) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	now, err := read(ctx, c.store, e.Name)
 	if err != nil {
--- a/control/rollouts/controller.go
+++ b/control/rollouts/controller.go
@@ -14,7 +14,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/control"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/policy/rollout"
 )
 
@@ -214,9 +214,9 @@
 		return writtenInForce
 	case errors.Is(err, control.ErrConflict):
 		return writtenConflict
-	case errors.Is(err, objectstore.ErrUnknown):
+	case errors.Is(err, durable.ErrUnknown):
 		return writtenUnknown
-	case errors.Is(err, objectstore.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+	case errors.Is(err, durable.ErrUnavailable), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return writtenUnavailable
 	}
 	return writtenRefused
--- a/control/rollouts/fake_test.go
+++ b/control/rollouts/fake_test.go
@@ -7,7 +7,7 @@
 
 	"goldcrestfork/config"
 	"goldcrestfork/control"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/policy/rollout"
 )
 
@@ -51,7 +51,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return 0, objectstore.ErrUnavailable
+		return 0, durable.ErrUnavailable
 	}
 	if ifRevision != f.rollOut.Revision {
 		return 0, control.ErrConflict
@@ -65,7 +65,7 @@
 	f.history, f.times = append(f.history, next), append(f.times, f.since)
 	if f.lose > 0 {
 		f.lose--
-		return 0, objectstore.ErrUnknown
+		return 0, durable.ErrUnknown
 	}
 	return next.Revision, nil
 }
--- a/objectstore/httpstore/client.go
+++ b/durable/httpstore/client.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // idleConnections kept to the platform. Grounds: a VM's shards, watches and
@@ -23,7 +23,7 @@
 // maxReply bounds a listing in bytes, so that a broken server can't fill the VM's memory.
 const maxReply = 128 << 20
 
-// Client implements objectstore.Store over HTTP.
+// Client implements durable.Store over HTTP.
 type Client struct {
 	base    string
 	token   string
@@ -31,7 +31,7 @@
 	http    *http.Client
 }
 
-var _ objectstore.Store = (*Client)(nil)
+var _ durable.Store = (*Client)(nil)
 
 // Option changes a Client at its making.
 type Option func(*Client)
@@ -39,7 +39,7 @@
 // WithToken sends a bearer token with every call.
 func WithToken(token string) Option { return func(c *Client) { c.token = token } }
 
-// WithTimeout bounds each call but a watch; the default is objectstore.CallTimeout.
+// WithTimeout bounds each call but a watch; the default is durable.CallTimeout.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
 // WithTransport sets the transport, for TLS settings or tests.
@@ -54,7 +54,7 @@
 	transport.MaxIdleConnsPerHost = idleConnections
 	c := &Client{
 		base:    strings.TrimSuffix(base, "/"),
-		timeout: objectstore.CallTimeout,
+		timeout: durable.CallTimeout,
 		http:    &http.Client{Transport: transport},
 	}
 	for _, o := range options {
@@ -66,68 +66,68 @@
 // CloseIdle closes connections that no call uses.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
-// Get implements objectstore.Store.
-func (c *Client) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
+// Get implements durable.Store.
+func (c *Client) Get(ctx context.Context, key durable.Key) (durable.Object, error) {
 	status, header, body, err := c.call(ctx, http.MethodGet, Path(key.Kind, key.Name), nil, nil)
 	if err != nil {
-		return objectstore.Object{}, unavailable(err)
+		return durable.Object{}, unavailable(err)
 	}
 	switch status {
 	case http.StatusOK:
 		return object(key, header, body)
 	case http.StatusNotFound:
-		return objectstore.Object{}, objectstore.ErrNotFound
+		return durable.Object{}, durable.ErrNotFound
 	}
-	return objectstore.Object{}, refused(status)
+	return durable.Object{}, refused(status)
 }
 
-// List implements objectstore.Store.
-func (c *Client) List(ctx context.Context, kind string) (objectstore.Listing, error) {
+// List implements durable.Store.
+func (c *Client) List(ctx context.Context, kind string) (durable.Listing, error) {
 	var l Listing
 	if err := c.read(ctx, Path(kind, ""), &l); err != nil {
-		return objectstore.Listing{}, err
+		return durable.Listing{}, err
 	}
-	out := objectstore.Listing{Revision: l.Revision}
+	out := durable.Listing{Revision: l.Revision}
 	for _, o := range l.Objects {
-		key := objectstore.Key{Kind: kind, Name: o.Name}
-		out.Objects = append(out.Objects, objectstore.Object{Key: key, Version: o.Version, Value: o.Value})
+		key := durable.Key{Kind: kind, Name: o.Name}
+		out.Objects = append(out.Objects, durable.Object{Key: key, Version: o.Version, Value: o.Value})
 	}
 	return out, nil
 }
 
-// VMs implements objectstore.Store.
-func (c *Client) VMs(ctx context.Context) ([]objectstore.VM, error) {
+// VMs implements durable.Store.
+func (c *Client) VMs(ctx context.Context) ([]durable.VM, error) {
 	var rows []VM
 	if err := c.read(ctx, "/vms", &rows); err != nil {
 		return nil, err
 	}
-	var out []objectstore.VM
+	var out []durable.VM
 	for _, r := range rows {
-		out = append(out, objectstore.VM(r))
+		out = append(out, durable.VM(r))
 	}
 	return out, nil
 }
 
-// Put implements objectstore.Store.
-func (c *Client) Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
-	if len(value) > objectstore.MaxValue {
-		return objectstore.Object{}, objectstore.ErrTooLarge
+// Put implements durable.Store.
+func (c *Client) Put(ctx context.Context, key durable.Key, value []byte, ifVersion int64) (durable.Object, error) {
+	if len(value) > durable.MaxValue {
+		return durable.Object{}, durable.ErrTooLarge
 	}
 	o, err := c.write(ctx, http.MethodPut, key, value, ifVersion)
 	if err != nil {
-		return objectstore.Object{}, err
+		return durable.Object{}, err
 	}
 	o.Value = bytes.Clone(value)
 	return o, nil
 }
 
-// Delete implements objectstore.Store.
-func (c *Client) Delete(ctx context.Context, key objectstore.Key, ifVersion int64) error {
+// Delete implements durable.Store.
+func (c *Client) Delete(ctx context.Context, key durable.Key, ifVersion int64) error {
 	_, err := c.write(ctx, http.MethodDelete, key, nil, ifVersion)
 	return err
 }
 
-func (c *Client) write(ctx context.Context, method string, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
+func (c *Client) write(ctx context.Context, method string, key durable.Key, value []byte, ifVersion int64) (durable.Object, error) {
 	condition := http.Header{}
 	if ifVersion == 0 {
 		condition.Set("If-None-Match", "*")
@@ -136,42 +136,42 @@
 	}
 	status, header, body, err := c.call(ctx, method, Path(key.Kind, key.Name), condition, value)
 	if errors.Is(err, errNotSent) {
-		return objectstore.Object{}, unavailable(err)
+		return durable.Object{}, unavailable(err)
 	}
 	if err != nil {
-		return objectstore.Object{}, unknown(err)
+		return durable.Object{}, unknown(err)
 	}
 	return writeResult(key, status, header, body)
 }
 
 // writeResult turns a whole reply to a write into the interface's outcome.
-func writeResult(key objectstore.Key, status int, header http.Header, body []byte) (objectstore.Object, error) {
+func writeResult(key durable.Key, status int, header http.Header, body []byte) (durable.Object, error) {
 	switch status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		o, err := object(key, header, nil)
 		if err != nil {
-			return objectstore.Object{}, unknown(err)
+			return durable.Object{}, unknown(err)
 		}
 		return o, nil
 	case http.StatusPreconditionFailed:
 		current, err := object(key, header, body)
 		if err != nil {
-			return objectstore.Object{}, unknown(err)
+			return durable.Object{}, unknown(err)
 		}
-		return objectstore.Object{}, &objectstore.ConflictError{Current: current}
+		return durable.Object{}, &durable.ConflictError{Current: current}
 	case http.StatusNotFound:
-		return objectstore.Object{}, objectstore.ErrNotFound
+		return durable.Object{}, durable.ErrNotFound
 	case http.StatusRequestEntityTooLarge:
-		return objectstore.Object{}, objectstore.ErrTooLarge
+		return durable.Object{}, durable.ErrTooLarge
 	case http.StatusServiceUnavailable:
-		return objectstore.Object{}, unavailable(statusError(status))
+		return durable.Object{}, unavailable(statusError(status))
 	case http.StatusTooManyRequests:
-		return objectstore.Object{}, objectstore.ErrOverRate
+		return durable.Object{}, durable.ErrOverRate
 	}
 	if status >= http.StatusInternalServerError {
-		return objectstore.Object{}, unknown(statusError(status))
+		return durable.Object{}, unknown(statusError(status))
 	}
-	return objectstore.Object{}, unavailable(statusError(status))
+	return durable.Object{}, unavailable(statusError(status))
 }
 
 // read gets a JSON document.
@@ -233,23 +233,23 @@
 	return req, nil
 }
 
-func object(key objectstore.Key, header http.Header, body []byte) (objectstore.Object, error) {
+func object(key durable.Key, header http.Header, body []byte) (durable.Object, error) {
 	version, err := ParseTag(header.Get("ETag"))
 	if err != nil {
-		return objectstore.Object{}, unavailable(err)
+		return durable.Object{}, unavailable(err)
 	}
-	return objectstore.Object{Key: key, Version: version, Value: body}, nil
+	return durable.Object{Key: key, Version: version, Value: body}, nil
 }
 
-func unavailable(err error) error { return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err) }
+func unavailable(err error) error { return fmt.Errorf("%w: %w", durable.ErrUnavailable, err) }
 
 // unknown flattens its cause, which may itself say "unavailable".
-func unknown(err error) error { return fmt.Errorf("%w: %v", objectstore.ErrUnknown, err) }
+func unknown(err error) error { return fmt.Errorf("%w: %v", durable.ErrUnknown, err) }
 
 // refused gives the error of a read that brought no object.
 func refused(status int) error {
 	if status == http.StatusTooManyRequests {
-		return objectstore.ErrOverRate
+		return durable.ErrOverRate
 	}
 	return unavailable(statusError(status))
 }
--- a/objectstore/httpstore/doc.go
+++ b/durable/httpstore/doc.go
@@ -1,5 +1,5 @@
 // Package httpstore is the platform's object API over HTTP: a client that
-// implements objectstore.Store and the messages that it and a server exchange.
+// implements durable.Store and the messages that it and a server exchange.
 //
 // Objects live at /objects/{kind}/{name}; the version is the entity tag, so a
 // conditional write is a PUT or DELETE with If-Match, and a creation is a PUT
--- a/objectstore/httpstore/watch.go
+++ b/durable/httpstore/watch.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // KeepAlive is how often a server writes at least an empty line into a watch.
@@ -23,7 +23,7 @@
 
 type watch struct {
 	kind   string
-	events chan objectstore.Event
+	events chan durable.Event
 	cancel context.CancelFunc
 	once   sync.Once
 	closed chan struct{}
@@ -31,8 +31,8 @@
 	err    error // set before ended closes
 }
 
-// Watch implements objectstore.Store. The context bounds the start only.
-func (c *Client) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
+// Watch implements durable.Store. The context bounds the start only.
+func (c *Client) Watch(ctx context.Context, kind string, revision int64) (durable.Watch, error) {
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	start, stopTimer := context.WithTimeout(ctx, c.timeout)
 	defer stopTimer()
@@ -57,13 +57,13 @@
 		cancel()
 		_ = resp.Body.Close()
 		if resp.StatusCode == http.StatusGone {
-			return nil, objectstore.ErrGone
+			return nil, durable.ErrGone
 		}
 		return nil, unavailable(statusError(resp.StatusCode))
 	}
 	w := &watch{
 		kind:   kind,
-		events: make(chan objectstore.Event),
+		events: make(chan durable.Event),
 		cancel: cancel,
 		closed: make(chan struct{}),
 		ended:  make(chan struct{}),
@@ -76,7 +76,7 @@
 func (w *watch) run(ctx context.Context, resp *http.Response) {
 	defer close(w.ended)
 	defer func() { _ = resp.Body.Close() }()
-	w.err = objectstore.ErrUnavailable
+	w.err = durable.ErrUnavailable
 	watchdog := time.AfterFunc(Silence, w.cancel)
 	defer watchdog.Stop()
 	lines := bufio.NewReader(resp.Body)
@@ -105,7 +105,7 @@
 		return false
 	}
 	if line.Gone {
-		w.err = objectstore.ErrGone
+		w.err = durable.ErrGone
 		return false
 	}
 	select {
@@ -116,21 +116,21 @@
 	}
 }
 
-// Next implements objectstore.Watch.
-func (w *watch) Next(ctx context.Context) (objectstore.Event, error) {
+// Next implements durable.Watch.
+func (w *watch) Next(ctx context.Context) (durable.Event, error) {
 	select {
 	case e := <-w.events:
 		return e, nil
 	case <-w.closed:
-		return objectstore.Event{}, objectstore.ErrUnavailable
+		return durable.Event{}, durable.ErrUnavailable
 	case <-w.ended:
-		return objectstore.Event{}, w.err
+		return durable.Event{}, w.err
 	case <-ctx.Done():
-		return objectstore.Event{}, ctx.Err()
+		return durable.Event{}, ctx.Err()
 	}
 }
 
-// Close implements objectstore.Watch.
+// Close implements durable.Watch.
 func (w *watch) Close() {
 	w.once.Do(func() {
 		close(w.closed)
--- a/objectstore/httpstore/wire.go
+++ b/durable/httpstore/wire.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Object is one object of a listing.
@@ -55,10 +55,10 @@
 	return strconv.ParseInt(strings.Trim(tag, `"`), 10, 64)
 }
 
-func (l Line) event(kind string) objectstore.Event {
-	key := objectstore.Key{Kind: kind, Name: l.Name}
-	return objectstore.Event{
-		Object:  objectstore.Object{Key: key, Version: l.Version, Value: l.Value},
+func (l Line) event(kind string) durable.Event {
+	key := durable.Key{Kind: kind, Name: l.Name}
+	return durable.Event{
+		Object:  durable.Object{Key: key, Version: l.Version, Value: l.Value},
 		Deleted: l.Deleted,
 	}
 }
--- a/objectstore/platform.go
+++ b/durable/platform.go
@@ -1,4 +1,4 @@
-package objectstore
+package durable
 
 import (
 	"context"
--- a/objectstore/storetest/storetest.go
+++ b/durable/storetest/storetest.go
@@ -1,4 +1,4 @@
-// Package storetest holds the contract of objectstore.Store as one table of tests,
+// Package storetest holds the contract of durable.Store as one table of tests,
 // which the stand-in and each client of the platform must pass.
 package storetest
 
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Faults lets the table break the store under test.
@@ -27,18 +27,18 @@
 	// Slow delays each call.
 	Slow(d time.Duration)
 	// SetVMs sets the list of VMs.
-	SetVMs(vms []objectstore.VM)
+	SetVMs(vms []durable.VM)
 }
 
 // Fixture is one empty store and its faults.
 type Fixture struct {
-	Store  objectstore.Store
+	Store  durable.Store
 	Faults Faults
 }
 
 const kind = "claims"
 
-var key = objectstore.Key{Kind: kind, Name: "a/b+c d"}
+var key = durable.Key{Kind: kind, Name: "a/b+c d"}
 
 // Run checks the contract against stores from newStore.
 func Run(t *testing.T, newStore func(*testing.T) Fixture) {
@@ -72,12 +72,12 @@
 
 func getOfNothing(t *testing.T, f Fixture) {
 	_, err := f.Store.Get(t.Context(), key)
-	require.ErrorIs(t, err, objectstore.ErrNotFound)
+	require.ErrorIs(t, err, durable.ErrNotFound)
 }
 
 func versionsGrow(t *testing.T, f Fixture) {
 	a := put(t, f, key, "1", 0)
-	other := put(t, f, objectstore.Key{Kind: "other", Name: "x"}, "2", 0)
+	other := put(t, f, durable.Key{Kind: "other", Name: "x"}, "2", 0)
 	b := put(t, f, key, "3", a.Version)
 	require.Less(t, a.Version, other.Version)
 	require.Less(t, other.Version, b.Version)
@@ -99,23 +99,23 @@
 }
 
 func deletes(t *testing.T, f Fixture) {
-	require.ErrorIs(t, f.Store.Delete(t.Context(), key, 3), objectstore.ErrNotFound)
+	require.ErrorIs(t, f.Store.Delete(t.Context(), key, 3), durable.ErrNotFound)
 	o := put(t, f, key, "1", 0)
 	require.NoError(t, f.Store.Delete(t.Context(), key, o.Version))
 	_, err := f.Store.Get(t.Context(), key)
-	require.ErrorIs(t, err, objectstore.ErrNotFound)
+	require.ErrorIs(t, err, durable.ErrNotFound)
 	again := put(t, f, key, "2", 0)
 	require.Greater(t, again.Version, o.Version+1, "a deletion is a revision too")
 }
 
 func tooLarge(t *testing.T, f Fixture) {
-	_, err := f.Store.Put(t.Context(), key, make([]byte, objectstore.MaxValue+1), 0)
-	require.ErrorIs(t, err, objectstore.ErrTooLarge)
-	o, err := f.Store.Put(t.Context(), key, make([]byte, objectstore.MaxValue), 0)
+	_, err := f.Store.Put(t.Context(), key, make([]byte, durable.MaxValue+1), 0)
+	require.ErrorIs(t, err, durable.ErrTooLarge)
+	o, err := f.Store.Put(t.Context(), key, make([]byte, durable.MaxValue), 0)
 	require.NoError(t, err)
 	got, err := f.Store.Get(t.Context(), key)
 	require.NoError(t, err)
-	require.Len(t, got.Value, objectstore.MaxValue)
+	require.Len(t, got.Value, durable.MaxValue)
 	require.Equal(t, o.Version, got.Version)
 }
 
@@ -123,15 +123,15 @@
 	a := put(t, f, key, "1", 0)
 	listing, err := f.Store.List(t.Context(), kind)
 	require.NoError(t, err)
-	require.Equal(t, []objectstore.Object{a}, listing.Objects)
-	put(t, f, objectstore.Key{Kind: "other", Name: "x"}, "2", 0)
+	require.Equal(t, []durable.Object{a}, listing.Objects)
+	put(t, f, durable.Key{Kind: "other", Name: "x"}, "2", 0)
 	b := put(t, f, key, "3", a.Version)
 	w, err := f.Store.Watch(t.Context(), kind, listing.Revision)
 	require.NoError(t, err)
 	defer w.Close()
-	requireEvent(t, w, objectstore.Event{Object: b})
+	requireEvent(t, w, durable.Event{Object: b})
 	require.NoError(t, f.Store.Delete(t.Context(), key, b.Version))
-	gone := objectstore.Event{Object: objectstore.Object{Key: key, Version: b.Version + 1}, Deleted: true}
+	gone := durable.Event{Object: durable.Object{Key: key, Version: b.Version + 1}, Deleted: true}
 	requireEvent(t, w, gone)
 }
 
@@ -140,16 +140,16 @@
 	f.Faults.Outage(true)
 	ctx := t.Context()
 	_, err := f.Store.Put(ctx, key, []byte("2"), o.Version)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
-	require.ErrorIs(t, f.Store.Delete(ctx, key, o.Version), objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
+	require.ErrorIs(t, f.Store.Delete(ctx, key, o.Version), durable.ErrUnavailable)
 	_, err = f.Store.Get(ctx, key)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	_, err = f.Store.List(ctx, kind)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	_, err = f.Store.VMs(ctx)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	_, err = f.Store.Watch(ctx, kind, 0)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	f.Faults.Outage(false)
 	got, err := f.Store.Get(ctx, key)
 	require.NoError(t, err)
@@ -162,43 +162,43 @@
 	defer w.Close()
 	f.Faults.Outage(true)
 	_, err = w.Next(t.Context())
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	f.Faults.Outage(false)
 	o := put(t, f, key, "1", 0)
 	again, err := f.Store.Watch(t.Context(), kind, 0)
 	require.NoError(t, err)
 	defer again.Close()
-	requireEvent(t, again, objectstore.Event{Object: o})
+	requireEvent(t, again, durable.Event{Object: o})
 }
 
 func replyLost(t *testing.T, f Fixture) {
 	f.Faults.LoseReply(true)
 	_, err := f.Store.Put(t.Context(), key, []byte("1"), 0)
-	require.ErrorIs(t, err, objectstore.ErrUnknown)
-	require.NotErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnknown)
+	require.NotErrorIs(t, err, durable.ErrUnavailable)
 	got, err := f.Store.Get(t.Context(), key)
 	require.NoError(t, err)
 	require.Equal(t, "1", string(got.Value))
 	f.Faults.LoseReply(true)
-	require.ErrorIs(t, f.Store.Delete(t.Context(), key, got.Version), objectstore.ErrUnknown)
+	require.ErrorIs(t, f.Store.Delete(t.Context(), key, got.Version), durable.ErrUnknown)
 	_, err = f.Store.Get(t.Context(), key)
-	require.ErrorIs(t, err, objectstore.ErrNotFound)
+	require.ErrorIs(t, err, durable.ErrNotFound)
 }
 
 func writeLost(t *testing.T, f Fixture) {
 	f.Faults.LoseReply(false)
 	_, err := f.Store.Put(t.Context(), key, []byte("1"), 0)
-	require.ErrorIs(t, err, objectstore.ErrUnknown)
+	require.ErrorIs(t, err, durable.ErrUnknown)
 	_, err = f.Store.Get(t.Context(), key)
-	require.ErrorIs(t, err, objectstore.ErrNotFound)
+	require.ErrorIs(t, err, durable.ErrNotFound)
 }
 
 func lateWrite(t *testing.T, f Fixture) {
 	f.Faults.HoldWrite()
 	_, err := f.Store.Put(t.Context(), key, []byte("late"), 0)
-	require.ErrorIs(t, err, objectstore.ErrUnknown)
+	require.ErrorIs(t, err, durable.ErrUnknown)
 	_, err = f.Store.Get(t.Context(), key)
-	require.ErrorIs(t, err, objectstore.ErrNotFound)
+	require.ErrorIs(t, err, durable.ErrNotFound)
 	f.Faults.Release()
 	got, err := f.Store.Get(t.Context(), key)
 	require.NoError(t, err)
@@ -208,7 +208,7 @@
 func lateWriteFenced(t *testing.T, f Fixture) {
 	f.Faults.HoldWrite()
 	_, err := f.Store.Put(t.Context(), key, []byte("late"), 0)
-	require.ErrorIs(t, err, objectstore.ErrUnknown)
+	require.ErrorIs(t, err, durable.ErrUnknown)
 	second := put(t, f, key, "second", 0)
 	f.Faults.Release()
 	got, err := f.Store.Get(t.Context(), key)
@@ -223,7 +223,7 @@
 		defer w.Close()
 		_, err = w.Next(t.Context())
 	}
-	require.ErrorIs(t, err, objectstore.ErrGone)
+	require.ErrorIs(t, err, durable.ErrGone)
 }
 
 func closedWatch(t *testing.T, f Fixture) {
@@ -235,7 +235,7 @@
 		waiting <- err
 	}()
 	w.Close()
-	require.ErrorIs(t, <-waiting, objectstore.ErrUnavailable)
+	require.ErrorIs(t, <-waiting, durable.ErrUnavailable)
 	w.Close()
 }
 
@@ -244,21 +244,21 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
 	_, err := f.Store.Get(ctx, key)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
 	_, err = f.Store.Put(ctx, key, []byte("1"), 0)
 	require.Error(t, err)
 	f.Faults.Slow(0)
 }
 
 func vms(t *testing.T, f Fixture) {
-	want := []objectstore.VM{{ID: "vm-1", Address: "192.0.2.1:1", DataCentre: "norte-a", Leaving: true}}
+	want := []durable.VM{{ID: "vm-1", Address: "192.0.2.1:1", DataCentre: "norte-a", Leaving: true}}
 	f.Faults.SetVMs(want)
 	got, err := f.Store.VMs(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, want, got)
 }
 
-func put(t *testing.T, f Fixture, k objectstore.Key, value string, ifVersion int64) objectstore.Object {
+func put(t *testing.T, f Fixture, k durable.Key, value string, ifVersion int64) durable.Object {
 	t.Helper()
 	o, err := f.Store.Put(t.Context(), k, []byte(value), ifVersion)
 	require.NoError(t, err)
@@ -269,15 +269,15 @@
 
 func requireConflict(t *testing.T, err error, version int64, value string) {
 	t.Helper()
-	require.ErrorIs(t, err, objectstore.ErrConflict)
-	var conflict *objectstore.ConflictError
+	require.ErrorIs(t, err, durable.ErrConflict)
+	var conflict *durable.ConflictError
 	require.ErrorAs(t, err, &conflict)
 	require.Equal(t, key, conflict.Current.Key)
 	require.Equal(t, version, conflict.Current.Version)
 	require.Equal(t, value, string(conflict.Current.Value))
 }
 
-func requireEvent(t *testing.T, w objectstore.Watch, want objectstore.Event) {
+func requireEvent(t *testing.T, w durable.Watch, want durable.Event) {
 	t.Helper()
 	got, err := w.Next(t.Context())
 	require.NoError(t, err)
--- a/fleet/member/fleet_test.go
+++ b/fleet/member/fleet_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/objectstore"
 )
 
 // seed of all random loss in this package's tests.
@@ -57,9 +57,9 @@
 
 // list gives every VM the platform's list as it is now.
 func (f *fleet) list() {
-	var vms []objectstore.VM
+	var vms []durable.VM
 	for id, t := range f.tables {
-		vms = append(vms, objectstore.VM{ID: id, Address: t.self.Address, DataCentre: t.self.DataCentre})
+		vms = append(vms, durable.VM{ID: id, Address: t.self.Address, DataCentre: t.self.DataCentre})
 	}
 	for _, t := range f.tables {
 		t.ObserveList(f.now, f.now, vms)
--- a/fleet/member/service.go
+++ b/fleet/member/service.go
@@ -8,8 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/objectstore"
 )
 
 const (
@@ -35,9 +35,9 @@
 	Call(ctx context.Context, t peer.Target, method string, body []byte) ([]byte, error)
 }
 
-// Lister is the part of objectstore.Store that membership uses.
+// Lister is the part of durable.Store that membership uses.
 type Lister interface {
-	VMs(ctx context.Context) ([]objectstore.VM, error)
+	VMs(ctx context.Context) ([]durable.VM, error)
 }
 
 // Options are the service's parts.
@@ -165,7 +165,7 @@
 func (s *Service) pollList(ctx context.Context) {
 	for {
 		asked := time.Now()
-		call, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+		call, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 		vms, err := s.store.VMs(call)
 		cancel()
 		wait := listInterval
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/objectstore"
 )
 
 const (
@@ -155,7 +155,7 @@
 // ObserveList takes the platform's list, which was asked for at askedAt. It adds
 // VMs not known and lets go of those that are off the list and down; it never
 // makes a VM dead or alive, since it lags both ways.
-func (t *Table) ObserveList(now, askedAt time.Time, vms []objectstore.VM) {
+func (t *Table) ObserveList(now, askedAt time.Time, vms []durable.VM) {
 	if askedAt.After(t.listed) {
 		t.listed = askedAt
 	}
--- a/fleet/slot/follow.go
+++ b/fleet/slot/follow.go
@@ -9,10 +9,10 @@
 
 	"github.com/gravitational/trace"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/member"
 	"goldcrestfork/fleet/peer"
 	"goldcrestfork/fleet/rendezvous"
-	"goldcrestfork/objectstore"
 )
 
 const (
@@ -37,7 +37,7 @@
 )
 
 // epochKey is the epoch's object.
-var epochKey = objectstore.Key{Kind: "fleet", Name: "epoch"}
+var epochKey = durable.Key{Kind: "fleet", Name: "epoch"}
 
 // Run keeps the epoch and the evidence until the context ends.
 func (s *Service) Run(ctx context.Context) {
@@ -85,11 +85,11 @@
 
 // read takes the epoch from the platform. No object yet is no failure.
 func (s *Service) read(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	asked := time.Now()
 	o, err := s.o.Store.Get(call, epochKey)
-	if errors.Is(err, objectstore.ErrNotFound) {
+	if errors.Is(err, durable.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
@@ -98,7 +98,7 @@
 	return s.observe(asked, o)
 }
 
-func (s *Service) observe(asked time.Time, o objectstore.Object) error {
+func (s *Service) observe(asked time.Time, o durable.Object) error {
 	e, err := DecodeEpoch(o.Value)
 	if err != nil {
 		return trace.Wrap(err)
@@ -181,7 +181,7 @@
 	if err != nil {
 		panic("slot: own epoch does not encode: " + err.Error())
 	}
-	call, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	asked := time.Now()
 	o, err := s.o.Store.Put(call, epochKey, value, version)
@@ -189,8 +189,8 @@
 }
 
 // settleProposal takes the write's outcome. Only a refusal that is certain lets this process confirm again.
-func (s *Service) settleProposal(asked time.Time, o objectstore.Object, err error) {
-	var conflict *objectstore.ConflictError
+func (s *Service) settleProposal(asked time.Time, o durable.Object, err error) {
+	var conflict *durable.ConflictError
 	result := "ok"
 	switch {
 	case err == nil:
@@ -198,7 +198,7 @@
 	case errors.As(err, &conflict) && conflict.Current.Version > 0:
 		result = "conflict"
 		err = s.observe(asked, conflict.Current)
-	case errors.Is(err, objectstore.ErrUnavailable):
+	case errors.Is(err, durable.ErrUnavailable):
 		result = "unavailable"
 		s.mu.Lock()
 		s.table.ProposalFailed()
--- a/fleet/slot/service.go
+++ b/fleet/slot/service.go
@@ -9,9 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/member"
 	"goldcrestfork/fleet/peer"
-	"goldcrestfork/objectstore"
 )
 
 const (
@@ -29,10 +29,10 @@
 	Call(ctx context.Context, t peer.Target, method string, body []byte) ([]byte, error)
 }
 
-// Store is the part of objectstore.Store that epochs use.
+// Store is the part of durable.Store that epochs use.
 type Store interface {
-	Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error)
-	Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error)
+	Get(ctx context.Context, key durable.Key) (durable.Object, error)
+	Put(ctx context.Context, key durable.Key, value []byte, ifVersion int64) (durable.Object, error)
 }
 
 // Membership is the part of member.Service that epochs follow.
--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // announcePause spaces tries to enter this VM, and to read the others.
@@ -50,7 +50,7 @@
 
 func (n *Node) retry(ctx context.Context, what string, call func(context.Context) error) {
 	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+		c, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 		err := call(c)
 		cancel()
 		if err == nil {
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -8,10 +8,10 @@
 	"sync"
 	"time"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
-	"goldcrestfork/objectstore"
 	"goldcrestfork/policy/trial"
 )
 
@@ -228,11 +228,11 @@
 	state := map[trial.Decision]catalog.RollOutState{
 		trial.Undecided: catalog.RollOutRunning, trial.Take: catalog.RollOutCompleted, trial.TakeBack: catalog.RollOutRolledBack,
 	}[o.logged]
-	c, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	c, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	err := r.n.p.RecordRollOut(c, o.RollOut, state)
 	e := r.n.log.Info()
-	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+	if err != nil && !errors.Is(err, durable.ErrConflict) {
 		e = r.n.log.Warn()
 	}
 	e.Err(err).Str("roll_out", o.id).Str("state", string(state)).Int64("revision", o.Revision).Msg("recording roll-out")
--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 const (
@@ -164,7 +164,7 @@
 
 // Wait answers a reader that has the changes up to a revision and whose own word of the
 // platform is silence old: as soon as there are changes or later word, or with errStale
-// when there is none within the limit. It returns objectstore.ErrGone when the log
+// when there is none within the limit. It returns durable.ErrGone when the log
 // doesn't reach back.
 func (f *Feed) Wait(ctx context.Context, after int64, silence time.Duration) (Step, error) {
 	began := f.clock()
@@ -198,7 +198,7 @@
 	case f.revision == 0 || s.Silence >= f.limit:
 		return Step{}, errStale
 	case after < f.base:
-		return Step{}, objectstore.ErrGone
+		return Step{}, durable.ErrGone
 	}
 	for _, l := range f.log {
 		if l.upTo > after {
--- a/gateway/view/feed_test.go
+++ b/gateway/view/feed_test.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/gateway/catalog"
-	"goldcrestfork/objectstore"
 )
 
 func sinceStart() Clock {
@@ -86,12 +86,12 @@
 		require.ErrorIs(t, err, errStale)
 		f.take(news{all: true, revision: 10, heard: clock()})
 		_, err = f.Wait(t.Context(), 9, 0)
-		require.ErrorIs(t, err, objectstore.ErrGone)
+		require.ErrorIs(t, err, durable.ErrGone)
 		for i := range int64(mostLogged + 1) {
 			f.take(news{revision: 11 + i, heard: clock(), entries: raw("x")})
 		}
 		_, err = f.Wait(t.Context(), 10, 0)
-		require.ErrorIs(t, err, objectstore.ErrGone)
+		require.ErrorIs(t, err, durable.ErrGone)
 		s, err := f.Wait(t.Context(), 11, 0)
 		require.NoError(t, err)
 		require.Len(t, s.Entries, mostLogged)
@@ -138,7 +138,7 @@
 	case <-wake:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return Changes[*catalog.Config]{}, objectstore.ErrUnavailable
+		return Changes[*catalog.Config]{}, durable.ErrUnavailable
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -7,7 +7,7 @@
 
 	"github.com/rs/zerolog"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Item is one object of a kind as read from the platform.
@@ -40,7 +40,7 @@
 	Revision int64
 }
 
-// Source reads one kind. Errors are those of package objectstore; objectstore.ErrGone
+// Source reads one kind. Errors are those of package durable; durable.ErrGone
 // from Watch asks for a new listing.
 type Source[T any] interface {
 	List(ctx context.Context) (Listing[T], error)
@@ -126,7 +126,7 @@
 		switch {
 		case err == nil:
 			pause = firstPause
-		case errors.Is(err, objectstore.ErrGone):
+		case errors.Is(err, durable.ErrGone):
 			f.Log.Info().Str("kind", f.Kind).Int64("revision", revision).Msg("history is gone, listing anew")
 			revision = 0
 			// A store that keeps no history at all would otherwise be asked without end.
@@ -171,7 +171,7 @@
 
 func (f *Follower[T]) list(ctx context.Context) (int64, error) {
 	began := f.Clock()
-	cctx, cancel := context.WithTimeout(ctx, objectstore.CallTimeout)
+	cctx, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
 	l, err := f.Source.List(cctx)
 	if err != nil {
--- a/gateway/view/relay.go
+++ b/gateway/view/relay.go
@@ -12,7 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 const (
@@ -58,7 +58,7 @@
 	}
 	step, err := feed.Wait(req.Context(), after, silence)
 	switch {
-	case errors.Is(err, objectstore.ErrGone):
+	case errors.Is(err, durable.ErrGone):
 		w.WriteHeader(http.StatusGone)
 		return
 	case err != nil:
@@ -91,7 +91,7 @@
 	case err != nil:
 		return Step{}, err
 	case resp.StatusCode == http.StatusGone:
-		return Step{}, objectstore.ErrGone
+		return Step{}, durable.ErrGone
 	case resp.StatusCode != http.StatusOK:
 		return Step{}, fmt.Errorf("%w: status %d", errStale, resp.StatusCode)
 	}
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -12,8 +12,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/durable"
 	"goldcrestfork/gateway/catalog"
-	"goldcrestfork/objectstore"
 	"goldcrestfork/policy/placement"
 )
 
@@ -188,7 +188,7 @@
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return Changes[*catalog.Config]{}, objectstore.ErrUnavailable
+		return Changes[*catalog.Config]{}, durable.ErrUnavailable
 	}
 	if err != nil {
 		return Changes[*catalog.Config]{}, err
@@ -248,7 +248,7 @@
 // after the platform is back, without a call more often than each lastPause.
 func TestOutageAges(t *testing.T) {
 	for name, breakIt := range map[string]func(*source){
-		"errors": func(s *source) { s.err = objectstore.ErrUnavailable },
+		"errors": func(s *source) { s.err = durable.ErrUnavailable },
 		"silent": func(s *source) { s.silent = true },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -279,7 +279,7 @@
 		s := &source{revision: 10}
 		v := follow(t, s)
 		time.Sleep(3 * time.Second)
-		s.set(func() { s.err, s.revision, s.lists, s.watches = objectstore.ErrGone, 20, 0, 0 })
+		s.set(func() { s.err, s.revision, s.lists, s.watches = durable.ErrGone, 20, 0, 0 })
 		time.Sleep(3 * time.Second)
 		s.set(func() {
 			require.LessOrEqual(t, s.lists+s.watches, 10)
--- a/ledger/bill/bill_test.go
+++ b/ledger/bill/bill_test.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -21,12 +21,12 @@
 	}
 }
 
-func testSpool(s objectstore.Store, vm string) *Spool {
+func testSpool(s durable.Store, vm string) *Spool {
 	return NewSpool(s, nil, Settings{VM: vm, Incarnation: 1})
 }
 
 // requireRequests sums the day up and checks how many requests were billed.
-func requireRequests(t *testing.T, s objectstore.Store, at time.Time, want int64) Sums {
+func requireRequests(t *testing.T, s durable.Store, at time.Time, want int64) Sums {
 	t.Helper()
 	sums, err := NewReader(s).Day(t.Context(), at)
 	require.NoError(t, err)
@@ -123,7 +123,7 @@
 	afterList  func()
 }
 
-func (f *foldRace) List(ctx context.Context, kind string) (objectstore.Listing, error) {
+func (f *foldRace) List(ctx context.Context, kind string) (durable.Listing, error) {
 	before, after := f.beforeList, f.afterList
 	if kind != minuteKind(time.Now()) && len(kind) == len(minuteKind(time.Now())) {
 		f.beforeList, f.afterList = nil, nil
--- a/ledger/bill/reader.go
+++ b/ledger/bill/reader.go
@@ -10,7 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // clockSlack is how far another VM's clock may be ahead of the reader's.
@@ -25,11 +25,11 @@
 
 // Reader sums bills up. Any VM may read at any time.
 type Reader struct {
-	store objectstore.Store
+	store durable.Store
 }
 
 // NewReader returns a reader of the store's bills.
-func NewReader(store objectstore.Store) *Reader { return &Reader{store: store} }
+func NewReader(store durable.Store) *Reader { return &Reader{store: store} }
 
 // Day gives the sums of the day, in UTC, that t lies in. Minutes that are old
 // enough are summed up once and for all on the way.
@@ -39,7 +39,7 @@
 	if err != nil {
 		return Sums{}, trace.Wrap(err)
 	}
-	folds := map[string]objectstore.Object{}
+	folds := map[string]durable.Object{}
 	for _, o := range listing.Objects {
 		folds[o.Name] = o
 	}
@@ -60,7 +60,7 @@
 }
 
 // minute gives a minute's sums, from its fold if there is one.
-func (r *Reader) minute(ctx context.Context, minute time.Time, at objectstore.Object, now time.Time) (Sums, error) {
+func (r *Reader) minute(ctx context.Context, minute time.Time, at durable.Object, now time.Time) (Sums, error) {
 	var f fold
 	if at.Version != 0 {
 		if err := cbor.Unmarshal(at.Value, &f); err != nil {
@@ -100,7 +100,7 @@
 // sums away after it is written: so either the list has the batch, or the mark
 // is gone and the sums are not written.
 func (r *Reader) fold(ctx context.Context, minute time.Time, at int64) (Sums, error) {
-	key := objectstore.Key{Kind: sumsKind(minute), Name: sumsName(minute)}
+	key := durable.Key{Kind: sumsKind(minute), Name: sumsName(minute)}
 	mark, err := cbor.Marshal(fold{})
 	if err != nil {
 		return Sums{}, err
@@ -122,19 +122,19 @@
 }
 
 // dropSums takes a minute's sums or mark away.
-func dropSums(ctx context.Context, store objectstore.Store, minute time.Time) error {
-	key := objectstore.Key{Kind: sumsKind(minute), Name: sumsName(minute)}
+func dropSums(ctx context.Context, store durable.Store, minute time.Time) error {
+	key := durable.Key{Kind: sumsKind(minute), Name: sumsName(minute)}
 	for {
 		o, err := store.Get(ctx, key)
-		if errors.Is(err, objectstore.ErrNotFound) {
+		if errors.Is(err, durable.ErrNotFound) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		err = store.Delete(ctx, key, o.Version)
-		if !errors.Is(err, objectstore.ErrConflict) {
-			if errors.Is(err, objectstore.ErrNotFound) {
+		if !errors.Is(err, durable.ErrConflict) {
+			if errors.Is(err, durable.ErrNotFound) {
 				return nil
 			}
 			return err
--- a/ledger/bill/spool.go
+++ b/ledger/bill/spool.go
@@ -10,14 +10,14 @@
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 const (
 	// DefaultKept bounds the bills in memory. Grounds: at the size designed for a
 	// VM has 30 a second, so this outlasts an outage of an hour in about 20 MB.
 	DefaultKept = 120_000
-	// batchBills bounds a batch far below objectstore.MaxValue.
+	// batchBills bounds a batch far below durable.MaxValue.
 	batchBills = 4000
 	// foldAfter is the age at which a minute may be summed up. Grounds: longer
 	// than all but the longest requests; later bills are still counted, at the
@@ -40,7 +40,7 @@
 // Spool holds bills until they are written. A VM that dies loses those that it
 // had not flushed; nothing is ever written twice under two names.
 type Spool struct {
-	store    objectstore.Store
+	store    durable.Store
 	settings Settings
 	metrics  *metrics
 
@@ -78,7 +78,7 @@
 }
 
 // NewSpool returns an empty spool. Metrics are registered with r unless it is nil.
-func NewSpool(store objectstore.Store, r prometheus.Registerer, s Settings) *Spool {
+func NewSpool(store durable.Store, r prometheus.Registerer, s Settings) *Spool {
 	if s.Kept == 0 {
 		s.Kept = DefaultKept
 	}
@@ -186,9 +186,9 @@
 // send writes one batch. The name is this batch's alone, so an object that is
 // there already is the batch itself, from a write whose reply was lost.
 func (s *Spool) send(ctx context.Context, b batch) error {
-	key := objectstore.Key{Kind: minuteKind(b.Minute), Name: b.Name}
+	key := durable.Key{Kind: minuteKind(b.Minute), Name: b.Name}
 	_, err := s.store.Put(ctx, key, b.Value, 0)
-	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+	if err != nil && !errors.Is(err, durable.ErrConflict) {
 		return err
 	}
 	if time.Since(b.Minute) < foldAfter/2 {
--- a/ledger/claims_test.go
+++ b/ledger/claims_test.go
@@ -11,7 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -21,7 +21,7 @@
 	booked     = Outcome{Known: true, Status: 201, Answer: []byte("booked")}
 )
 
-func testClaims(s objectstore.Store, vm string, living Living) *Claims {
+func testClaims(s durable.Store, vm string, living Living) *Claims {
 	return NewClaims(New(s, nil, nil, Settings{VM: vm, Incarnation: 1}), living)
 }
 
--- a/ledger/commit.go
+++ b/ledger/commit.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // step is how one attempt at a commit ended.
@@ -168,10 +168,10 @@
 }
 
 func failedStep(err error) step {
-	if errors.Is(err, objectstore.ErrOverRate) {
+	if errors.Is(err, durable.ErrOverRate) {
 		return stepThrottled
 	}
-	if errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, objectstore.ErrUnknown) {
+	if errors.Is(err, durable.ErrUnavailable) || errors.Is(err, durable.ErrUnknown) {
 		return stepFailed
 	}
 	return stepBroken
@@ -201,14 +201,14 @@
 	if !s.carry(batch) {
 		return stepReplan
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), durable.CallTimeout)
 	defer cancel()
 	o, err := s.l.store.Put(ctx, s.key, value, s.state.version)
 	s.l.metrics.wrote(err)
-	if errors.Is(err, objectstore.ErrConflict) || errors.Is(err, objectstore.ErrUnavailable) {
+	if errors.Is(err, durable.ErrConflict) || errors.Is(err, durable.ErrUnavailable) {
 		s.release(batch)
 	}
-	var conflict *objectstore.ConflictError
+	var conflict *durable.ConflictError
 	switch {
 	case err == nil:
 		s.writes++
@@ -218,9 +218,9 @@
 		return stepDone
 	case errors.As(err, &conflict):
 		return s.lost(conflict.Current)
-	case errors.Is(err, objectstore.ErrUnavailable):
+	case errors.Is(err, durable.ErrUnavailable):
 		return failedStep(err)
-	case errors.Is(err, objectstore.ErrTooLarge):
+	case errors.Is(err, durable.ErrTooLarge):
 		return stepBroken
 	}
 	s.unsettled = true
@@ -232,7 +232,7 @@
 
 // lost takes the head that won; operations of ours that are in it after all
 // (an earlier write whose reply was lost) are found by their nonces.
-func (s *shard) lost(current objectstore.Object) step {
+func (s *shard) lost(current durable.Object) step {
 	if err := s.follow(current); err != nil {
 		return failedStep(err)
 	}
--- a/ledger/fakes_test.go
+++ b/ledger/fakes_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // vmStore is the store as one VM reaches it: the VM may be frozen between any
 // two steps, and may die just before or just after any of its calls' effects.
 type vmStore struct {
-	objectstore.Store
+	durable.Store
 
 	mu     sync.Mutex
 	thaw   chan struct{} // non-nil while frozen; closed at the thaw
@@ -81,24 +81,24 @@
 	return !v.dead
 }
 
-func (v *vmStore) Get(ctx context.Context, k objectstore.Key) (objectstore.Object, error) {
+func (v *vmStore) Get(ctx context.Context, k durable.Key) (durable.Object, error) {
 	if call, reply := v.step(); !call || !reply {
-		return objectstore.Object{}, objectstore.ErrUnavailable
+		return durable.Object{}, durable.ErrUnavailable
 	}
 	o, err := v.Store.Get(ctx, k)
 	v.waitThaw()
 	return o, err
 }
 
-func (v *vmStore) Put(ctx context.Context, k objectstore.Key, value []byte, at int64) (objectstore.Object, error) {
+func (v *vmStore) Put(ctx context.Context, k durable.Key, value []byte, at int64) (durable.Object, error) {
 	call, reply := v.step()
 	if !call {
-		return objectstore.Object{}, objectstore.ErrUnavailable
+		return durable.Object{}, durable.ErrUnavailable
 	}
 	o, err := v.Store.Put(ctx, k, value, at)
 	v.waitThaw()
 	if !reply {
-		return objectstore.Object{}, objectstore.ErrUnknown
+		return durable.Object{}, durable.ErrUnknown
 	}
 	return o, err
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -10,7 +10,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Errors of a ledger; test with errors.Is.
@@ -67,7 +67,7 @@
 // Ledger decides keys. It keeps nothing that can't be read back from the store
 // but what it owes to it: see Claims.
 type Ledger struct {
-	store    objectstore.Store
+	store    durable.Store
 	forward  Forwarder
 	settings Settings
 	metrics  *metrics
@@ -86,7 +86,7 @@
 
 // New returns a ledger over store. forward may be nil: then every VM commits
 // for itself. Metrics are registered with r unless it is nil.
-func New(store objectstore.Store, forward Forwarder, r prometheus.Registerer, s Settings) *Ledger {
+func New(store durable.Store, forward Forwarder, r prometheus.Registerer, s Settings) *Ledger {
 	if s.WritesPerSecond == 0 {
 		s.WritesPerSecond = DefaultWritesPerSecond
 	}
@@ -223,7 +223,7 @@
 	defer l.mu.Unlock()
 	s := l.shards[number]
 	if s == nil {
-		s = &shard{l: l, number: number, key: objectstore.Key{Kind: kind, Name: headName(number)}}
+		s = &shard{l: l, number: number, key: durable.Key{Kind: kind, Name: headName(number)}}
 		l.shards[number] = s
 	}
 	return s
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -5,7 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // batchBuckets covers a batch of one up to the largest that fits maxBatch.
@@ -57,7 +57,7 @@
 // wrote counts one write of a head.
 func (m *metrics) wrote(err error) {
 	m.writes.WithLabelValues(writeResult(err)).Inc()
-	if errors.Is(err, objectstore.ErrConflict) {
+	if errors.Is(err, durable.ErrConflict) {
 		m.conflicts.Inc()
 	}
 }
@@ -66,9 +66,9 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.Is(err, objectstore.ErrConflict):
+	case errors.Is(err, durable.ErrConflict):
 		return "conflict"
-	case errors.Is(err, objectstore.ErrUnavailable):
+	case errors.Is(err, durable.ErrUnavailable):
 		return "unavailable"
 	}
 	return "unknown"
@@ -76,7 +76,7 @@
 
 func (m *metrics) sealed(err error) {
 	event := "sealed"
-	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+	if err != nil && !errors.Is(err, durable.ErrConflict) {
 		event = "seal_failed"
 	}
 	m.segments.WithLabelValues(event).Inc()
--- a/ledger/model_test.go
+++ b/ledger/model_test.go
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
@@ -332,7 +332,7 @@
 func (m *model) read(k Key) *Entry {
 	l := New(m.store, nil, nil, Settings{VM: "reader"})
 	sh := l.shard(k.Shard())
-	if err := sh.load(); err != nil && !errors.Is(err, objectstore.ErrNotFound) {
+	if err := sh.load(); err != nil && !errors.Is(err, durable.ErrNotFound) {
 		m.fail("can't read back: %v", err)
 		return nil
 	}
--- a/ledger/objects.go
+++ b/ledger/objects.go
@@ -8,7 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // kind is where heads and segments live; the shard count is part of a key's place.
@@ -34,12 +34,12 @@
 
 // load reads the head and the segments that are not at hand.
 func (s *shard) load() error {
-	ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), durable.CallTimeout)
 	defer cancel()
 	s.l.metrics.reads.Inc()
 	o, err := s.l.store.Get(ctx, s.key)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		o, err = objectstore.Object{Key: s.key}, nil
+	if errors.Is(err, durable.ErrNotFound) {
+		o, err = durable.Object{Key: s.key}, nil
 	}
 	if err != nil {
 		return err
@@ -48,7 +48,7 @@
 }
 
 // follow moves the state to a head that was read.
-func (s *shard) follow(o objectstore.Object) error {
+func (s *shard) follow(o durable.Object) error {
 	if s.state == nil && o.Version == 0 {
 		s.state = newState()
 		return nil
@@ -108,10 +108,10 @@
 
 // read gets one segment and its stored size.
 func (s *shard) read(name string) (segment, int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), durable.CallTimeout)
 	defer cancel()
 	s.l.metrics.reads.Inc()
-	o, err := s.l.store.Get(ctx, objectstore.Key{Kind: kind, Name: name})
+	o, err := s.l.store.Get(ctx, durable.Key{Kind: kind, Name: name})
 	if err != nil {
 		return segment{}, 0, err
 	}
@@ -144,11 +144,11 @@
 	if err != nil {
 		return proposal{}, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), durable.CallTimeout)
 	defer cancel()
-	_, err = s.l.store.Put(ctx, objectstore.Key{Kind: kind, Name: x.name}, x.value, 0)
+	_, err = s.l.store.Put(ctx, durable.Key{Kind: kind, Name: x.name}, x.value, 0)
 	s.l.metrics.sealed(err)
-	if err != nil && !errors.Is(err, objectstore.ErrConflict) {
+	if err != nil && !errors.Is(err, durable.ErrConflict) {
 		return proposal{}, err
 	}
 	return proposal{
@@ -163,14 +163,14 @@
 // that costs space alone; Sweep finds it.
 func (s *shard) discard(names []string) {
 	for _, name := range names {
-		s.l.remove(objectstore.Key{Kind: kind, Name: name})
+		s.l.remove(durable.Key{Kind: kind, Name: name})
 	}
 }
 
 // remove deletes an object in the background, whatever its version.
-func (l *Ledger) remove(key objectstore.Key) {
+func (l *Ledger) remove(key durable.Key) {
 	l.workers.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), objectstore.CallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), durable.CallTimeout)
 		defer cancel()
 		o, err := l.store.Get(ctx, key)
 		if err != nil {
--- a/ledger/process_test.go
+++ b/ledger/process_test.go
@@ -19,8 +19,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/durable/httpstore"
 	"goldcrestfork/ledger"
-	"goldcrestfork/objectstore/httpstore"
 	"goldcrestfork/standin/store"
 )
 
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // call is what one caller wants of a shard; its operations go into one write.
@@ -33,7 +33,7 @@
 type shard struct {
 	l      *Ledger
 	number int
-	key    objectstore.Key
+	key    durable.Key
 
 	mu      sync.Mutex
 	queue   []*call
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -13,7 +13,7 @@
 	// sealBytes is the head's size from which its entries move to a segment.
 	// Grounds: every write carries the head, and a node has 14 KB/s for control.
 	sealBytes = 8 << 10
-	// maxSegment keeps a segment clear of objectstore.MaxValue.
+	// maxSegment keeps a segment clear of durable.MaxValue.
 	maxSegment = 896 << 10
 	// maxBatch bounds what one write adds to a head.
 	maxBatch = 512 << 10
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
 // sealing returns a ledger that seals every few entries.
-func sealing(s objectstore.Store, vm string) *Ledger {
+func sealing(s durable.Store, vm string) *Ledger {
 	l := New(s, nil, nil, Settings{VM: vm, WritesPerSecond: -1})
 	l.sealAt = modelSeal
 	return l
@@ -136,12 +136,12 @@
 
 // racingStore lets another VM act between one's seal and one's head write.
 type racingStore struct {
-	objectstore.Store
+	durable.Store
 	sealed bool
 	before func()
 }
 
-func (r *racingStore) Put(ctx context.Context, k objectstore.Key, value []byte, at int64) (objectstore.Object, error) {
+func (r *racingStore) Put(ctx context.Context, k durable.Key, value []byte, at int64) (durable.Object, error) {
 	head := k.Name == headName(3)
 	if head && r.sealed && r.before != nil {
 		before := r.before
@@ -210,7 +210,7 @@
 		a := testLedger(s, "a")
 		keys := keysOfShard(3, 2)
 		decideAll(t, a, keys[:1], 24)
-		o, err := s.Get(t.Context(), objectstore.Key{Kind: kind, Name: headName(3)})
+		o, err := s.Get(t.Context(), durable.Key{Kind: kind, Name: headName(3)})
 		require.NoError(t, err)
 		require.NoError(t, s.Delete(t.Context(), o.Key, o.Version))
 		_, _, err = a.Decide(t.Context(), keys[1], []byte("v"), 24)
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -9,7 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Sweep deletes the segments that no head names and none ever will, and gives
@@ -33,7 +33,7 @@
 			continue
 		}
 		err := l.store.Delete(ctx, o.Key, o.Version)
-		if errors.Is(err, objectstore.ErrNotFound) {
+		if errors.Is(err, durable.ErrNotFound) {
 			continue // another VM was first
 		}
 		if err != nil {
@@ -46,7 +46,7 @@
 
 // headsIn gives the version of each shard's head and the segments in use. The
 // list is consistent, so that a head's newest segment is in it.
-func headsIn(objects []objectstore.Object) (versions map[string]int64, named map[string]bool, err error) {
+func headsIn(objects []durable.Object) (versions map[string]int64, named map[string]bool, err error) {
 	versions, named = map[string]int64{}, map[string]bool{}
 	for _, o := range objects {
 		if strings.Contains(o.Name, ".") {
--- a/router/operator/fake_test.go
+++ b/router/operator/fake_test.go
@@ -4,14 +4,14 @@
 	"context"
 
 	"goldcrestfork/config"
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 	"goldcrestfork/standin/store"
 )
 
 // downAfterWrite goes down with its first write.
 type downAfterWrite struct{ *store.Store }
 
-func (d downAfterWrite) Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
+func (d downAfterWrite) Put(ctx context.Context, key durable.Key, value []byte, ifVersion int64) (durable.Object, error) {
 	o, err := d.Store.Put(ctx, key, value, ifVersion)
 	d.SetFaults(store.Faults{Down: true})
 	return o, err
@@ -30,13 +30,13 @@
 
 // cancelOnDown ends the change's budget at the first call that the platform refuses.
 type cancelOnDown struct {
-	objectstore.Store
+	durable.Store
 	cancel context.CancelFunc
 }
 
-func (c cancelOnDown) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
+func (c cancelOnDown) Get(ctx context.Context, key durable.Key) (durable.Object, error) {
 	o, err := c.Store.Get(ctx, key)
-	if err == objectstore.ErrUnavailable {
+	if err == durable.ErrUnavailable {
 		c.cancel()
 	}
 	return o, err
--- a/router/vm/register.go
+++ b/router/vm/register.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"goldcrestfork/objectstore/httpstore"
+	"goldcrestfork/durable/httpstore"
 )
 
 // registerEvery is how often the entry is renewed: a stand-in that lost it has it back soon.
--- a/standin/store/faults.go
+++ b/standin/store/faults.go
@@ -5,7 +5,7 @@
 
 	"golang.org/x/time/rate"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // Faults is what goes wrong, from the moment it is set.
@@ -28,7 +28,7 @@
 }
 
 type heldWrite struct {
-	key       objectstore.Key
+	key       durable.Key
 	value     []byte
 	ifVersion int64
 	deleted   bool
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -11,8 +11,8 @@
 
 	"github.com/alexedwards/flow"
 
-	"goldcrestfork/objectstore"
-	"goldcrestfork/objectstore/httpstore"
+	"goldcrestfork/durable"
+	"goldcrestfork/durable/httpstore"
 )
 
 // FaultOrder is the body of POST /faults; it replaces the faults in force.
@@ -48,8 +48,8 @@
 
 type handler struct{ store *Store }
 
-func key(r *http.Request) objectstore.Key {
-	return objectstore.Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+func key(r *http.Request) durable.Key {
+	return durable.Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
 }
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request) {
@@ -68,7 +68,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValue+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, durable.MaxValue+1))
 	if err != nil {
 		return // the caller went away in its body: no effect, nobody to tell
 	}
@@ -135,7 +135,7 @@
 }
 
 // writeLine waits for one event, or writes an empty line when none comes in time.
-func writeLine(w io.Writer, encoder *json.Encoder, events objectstore.Watch, r *http.Request) bool {
+func writeLine(w io.Writer, encoder *json.Encoder, events durable.Watch, r *http.Request) bool {
 	ctx, cancel := context.WithTimeout(r.Context(), httpstore.KeepAlive)
 	defer cancel()
 	e, err := events.Next(ctx)
@@ -144,7 +144,7 @@
 		line := httpstore.Line{Deleted: e.Deleted}
 		line.Object = httpstore.Object{Name: e.Name, Version: e.Version, Value: e.Value}
 		return encoder.Encode(line) == nil
-	case errors.Is(err, objectstore.ErrGone):
+	case errors.Is(err, durable.ErrGone):
 		_ = encoder.Encode(httpstore.Line{Gone: true})
 		return false
 	case r.Context().Err() == nil && errors.Is(err, context.DeadlineExceeded):
@@ -174,7 +174,7 @@
 		return
 	}
 	row.ID = r.PathValue("id")
-	h.store.Register(objectstore.VM(row))
+	h.store.Register(durable.VM(row))
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -242,23 +242,23 @@
 
 // fail gives an error of the interface its status.
 func fail(w http.ResponseWriter, err error) {
-	var conflict *objectstore.ConflictError
+	var conflict *durable.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		w.Header().Set("ETag", httpstore.Tag(conflict.Current.Version))
 		w.WriteHeader(http.StatusPreconditionFailed)
 		_, _ = w.Write(conflict.Current.Value)
-	case errors.Is(err, objectstore.ErrUnknown):
+	case errors.Is(err, durable.ErrUnknown):
 		// A lost reply: the connection ends without one.
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, objectstore.ErrOverRate):
+	case errors.Is(err, durable.ErrOverRate):
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
-	case errors.Is(err, objectstore.ErrNotFound):
+	case errors.Is(err, durable.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, objectstore.ErrGone):
+	case errors.Is(err, durable.ErrGone):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, objectstore.ErrTooLarge):
+	case errors.Is(err, durable.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -16,7 +16,7 @@
 
 	"golang.org/x/time/rate"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // historyLimit bounds the events kept for watches; an older start gets ErrGone.
@@ -32,12 +32,12 @@
 // Writes is the number of calls that count against the platform's write rate.
 func (c Counts) Writes() int { return c.Puts + c.Deletes }
 
-// Store implements objectstore.Store.
+// Store implements durable.Store.
 type Store struct {
 	mu       sync.Mutex
 	revision int64
-	objects  map[objectstore.Key]objectstore.Object
-	history  []objectstore.Event
+	objects  map[durable.Key]durable.Object
+	history  []durable.Event
 	changed  chan struct{}
 	faults   Faults
 	counts   Counts
@@ -47,12 +47,12 @@
 	vmLag    time.Duration
 }
 
-var _ objectstore.Store = (*Store)(nil)
+var _ durable.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		objects: make(map[objectstore.Key]objectstore.Object),
+		objects: make(map[durable.Key]durable.Object),
 		changed: make(chan struct{}),
 	}
 }
@@ -97,7 +97,7 @@
 	if limit != nil && !limit.Allow() {
 		s.counts.OverRate++
 		s.mu.Unlock()
-		return objectstore.ErrOverRate
+		return durable.ErrOverRate
 	}
 	delay, down := s.faults.Delay, s.faults.Down
 	s.mu.Unlock()
@@ -105,67 +105,67 @@
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
-			return objectstore.ErrUnavailable
+			return durable.ErrUnavailable
 		}
 	}
 	if down {
-		return objectstore.ErrUnavailable
+		return durable.ErrUnavailable
 	}
 	if err := ctx.Err(); err != nil {
-		return fmt.Errorf("%w: %w", objectstore.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", durable.ErrUnavailable, err)
 	}
 	return nil
 }
 
-// Get implements objectstore.Store.
-func (s *Store) Get(ctx context.Context, key objectstore.Key) (objectstore.Object, error) {
+// Get implements durable.Store.
+func (s *Store) Get(ctx context.Context, key durable.Key) (durable.Object, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Gets++ }); err != nil {
-		return objectstore.Object{}, err
+		return durable.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
 	if !ok {
-		return objectstore.Object{}, objectstore.ErrNotFound
+		return durable.Object{}, durable.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements objectstore.Store.
-func (s *Store) List(ctx context.Context, kind string) (objectstore.Listing, error) {
+// List implements durable.Store.
+func (s *Store) List(ctx context.Context, kind string) (durable.Listing, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Lists++ }); err != nil {
-		return objectstore.Listing{}, err
+		return durable.Listing{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := objectstore.Listing{Revision: s.revision}
+	l := durable.Listing{Revision: s.revision}
 	for k, o := range s.objects {
 		if k.Kind == kind {
 			l.Objects = append(l.Objects, o)
 		}
 	}
-	slices.SortFunc(l.Objects, func(a, b objectstore.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(l.Objects, func(a, b durable.Object) int { return strings.Compare(a.Name, b.Name) })
 	return l, nil
 }
 
-// Put implements objectstore.Store.
-func (s *Store) Put(ctx context.Context, key objectstore.Key, value []byte, ifVersion int64) (objectstore.Object, error) {
-	if len(value) > objectstore.MaxValue {
-		return objectstore.Object{}, objectstore.ErrTooLarge
+// Put implements durable.Store.
+func (s *Store) Put(ctx context.Context, key durable.Key, value []byte, ifVersion int64) (durable.Object, error) {
+	if len(value) > durable.MaxValue {
+		return durable.Object{}, durable.ErrTooLarge
 	}
 	if err := s.enter(ctx, write, func(c *Counts) {
 		c.Puts++
 		c.PutBytes += int64(len(value))
 	}); err != nil {
-		return objectstore.Object{}, err
+		return durable.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.write(heldWrite{key: key, value: bytes.Clone(value), ifVersion: ifVersion})
 }
 
-// Delete implements objectstore.Store.
-func (s *Store) Delete(ctx context.Context, key objectstore.Key, ifVersion int64) error {
+// Delete implements durable.Store.
+func (s *Store) Delete(ctx context.Context, key durable.Key, ifVersion int64) error {
 	if err := s.enter(ctx, write, func(c *Counts) { c.Deletes++ }); err != nil {
 		return err
 	}
@@ -176,43 +176,43 @@
 }
 
 // write takes effect or not, then loses the reply or not. Callers hold s.mu.
-func (s *Store) write(h heldWrite) (objectstore.Object, error) {
+func (s *Store) write(h heldWrite) (durable.Object, error) {
 	if s.faults.RefuseWrites > 0 {
 		s.faults.RefuseWrites--
-		return objectstore.Object{}, objectstore.ErrUnknown
+		return durable.Object{}, durable.ErrUnknown
 	}
 	if s.faults.HoldWrites > 0 {
 		s.faults.HoldWrites--
 		s.hold(h)
-		return objectstore.Object{}, objectstore.ErrUnknown
+		return durable.Object{}, durable.ErrUnknown
 	}
 	o, err := s.apply(h)
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
-		return objectstore.Object{}, objectstore.ErrUnknown
+		return durable.Object{}, durable.ErrUnknown
 	}
 	return o, err
 }
 
 // apply checks the condition of a write and takes effect. Callers hold s.mu.
-func (s *Store) apply(h heldWrite) (objectstore.Object, error) {
+func (s *Store) apply(h heldWrite) (durable.Object, error) {
 	current, ok := s.objects[h.key]
 	if h.deleted && !ok {
-		return objectstore.Object{}, objectstore.ErrNotFound
+		return durable.Object{}, durable.ErrNotFound
 	}
 	if current.Version != h.ifVersion {
 		s.counts.Conflicts++
 		current.Key = h.key
-		return objectstore.Object{}, &objectstore.ConflictError{Current: current}
+		return durable.Object{}, &durable.ConflictError{Current: current}
 	}
 	s.revision++
-	o := objectstore.Object{Key: h.key, Version: s.revision, Value: h.value}
+	o := durable.Object{Key: h.key, Version: s.revision, Value: h.value}
 	if h.deleted {
 		delete(s.objects, h.key)
 	} else {
 		s.objects[h.key] = o
 	}
-	s.history = append(s.history, objectstore.Event{Object: o, Deleted: h.deleted})
+	s.history = append(s.history, durable.Event{Object: o, Deleted: h.deleted})
 	if len(s.history) > historyLimit {
 		s.history = slices.Clone(s.history[len(s.history)-historyLimit/2:])
 	}
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"goldcrestfork/objectstore"
-	"goldcrestfork/objectstore/httpstore"
-	"goldcrestfork/objectstore/storetest"
+	"goldcrestfork/durable"
+	"goldcrestfork/durable/httpstore"
+	"goldcrestfork/durable/storetest"
 	"goldcrestfork/standin/store"
 )
 
@@ -65,33 +65,33 @@
 		status int
 		want   error
 	}{
-		{http.StatusTooManyRequests, objectstore.ErrUnavailable},
-		{http.StatusTooManyRequests, objectstore.ErrOverRate},
-		{http.StatusServiceUnavailable, objectstore.ErrUnavailable},
-		{http.StatusForbidden, objectstore.ErrUnavailable},
-		{http.StatusInternalServerError, objectstore.ErrUnknown},
-		{http.StatusBadGateway, objectstore.ErrUnknown},
-		{http.StatusGatewayTimeout, objectstore.ErrUnknown},
-		{http.StatusRequestEntityTooLarge, objectstore.ErrTooLarge},
-		{http.StatusOK, objectstore.ErrUnknown},                 // without an entity tag
-		{http.StatusPreconditionFailed, objectstore.ErrUnknown}, // without the current version
+		{http.StatusTooManyRequests, durable.ErrUnavailable},
+		{http.StatusTooManyRequests, durable.ErrOverRate},
+		{http.StatusServiceUnavailable, durable.ErrUnavailable},
+		{http.StatusForbidden, durable.ErrUnavailable},
+		{http.StatusInternalServerError, durable.ErrUnknown},
+		{http.StatusBadGateway, durable.ErrUnknown},
+		{http.StatusGatewayTimeout, durable.ErrUnknown},
+		{http.StatusRequestEntityTooLarge, durable.ErrTooLarge},
+		{http.StatusOK, durable.ErrUnknown},                 // without an entity tag
+		{http.StatusPreconditionFailed, durable.ErrUnknown}, // without the current version
 	} {
 		client := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(c.status)
 		}))
-		_, err := client.Put(t.Context(), objectstore.Key{Kind: "k", Name: "n"}, nil, 1)
+		_, err := client.Put(t.Context(), durable.Key{Kind: "k", Name: "n"}, nil, 1)
 		require.ErrorIs(t, err, c.want, c.status)
 	}
 }
 
 // Nobody listens, or the reply is cut: the first sent no byte, the second may have taken effect.
 func TestWriteConnections(t *testing.T) {
-	key := objectstore.Key{Kind: "k", Name: "n"}
+	key := durable.Key{Kind: "k", Name: "n"}
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
 	_, err := httpstore.New(server.URL).Put(t.Context(), key, nil, 1)
-	require.ErrorIs(t, err, objectstore.ErrUnavailable)
-	require.NotErrorIs(t, err, objectstore.ErrUnknown)
+	require.ErrorIs(t, err, durable.ErrUnavailable)
+	require.NotErrorIs(t, err, durable.ErrUnknown)
 
 	cut := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("ETag", httpstore.Tag(5))
@@ -100,19 +100,19 @@
 		_, _ = w.Write([]byte("part"))
 	}))
 	_, err = cut.Put(t.Context(), key, nil, 1)
-	require.ErrorIs(t, err, objectstore.ErrUnknown)
-	require.NotErrorIs(t, err, objectstore.ErrUnavailable)
+	require.ErrorIs(t, err, durable.ErrUnknown)
+	require.NotErrorIs(t, err, durable.ErrUnavailable)
 }
 
 func TestRateCap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
 		s.SetRates(10, 20)
-		key := objectstore.Key{Kind: "k", Name: "n"}
+		key := durable.Key{Kind: "k", Name: "n"}
 		o, err := s.Put(t.Context(), key, nil, 0)
 		require.NoError(t, err)
 		_, err = s.Put(t.Context(), key, nil, o.Version)
-		require.ErrorIs(t, err, objectstore.ErrOverRate)
+		require.ErrorIs(t, err, durable.ErrOverRate)
 		_, err = s.Get(t.Context(), key)
 		require.NoError(t, err, "reads are capped apart")
 		time.Sleep(100 * time.Millisecond)
@@ -136,9 +136,9 @@
 				require.Equal(t, ids[i], row.ID)
 			}
 		}
-		s.Register(objectstore.VM{ID: "b"})
+		s.Register(durable.VM{ID: "b"})
 		time.Sleep(time.Second)
-		s.Register(objectstore.VM{ID: "a"})
+		s.Register(durable.VM{ID: "a"})
 		requireVMs()
 		time.Sleep(2 * time.Second)
 		requireVMs("b")
--- a/standin/store/vms.go
+++ b/standin/store/vms.go
@@ -6,17 +6,17 @@
 	"strings"
 	"time"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 // snapshot is the list of VMs as it stood from one moment on.
 type snapshot struct {
 	from time.Time
-	vms  []objectstore.VM
+	vms  []durable.VM
 }
 
 // SetVMs replaces the VM list at once, without lag.
-func (s *Store) SetVMs(vms []objectstore.VM) {
+func (s *Store) SetVMs(vms []durable.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = []snapshot{{vms: slices.Clone(vms)}}
@@ -30,29 +30,29 @@
 }
 
 // Register enters a VM or replaces its row; the list shows it after the lag.
-func (s *Store) Register(vm objectstore.VM) {
-	s.changeVMs(vm.ID, func(rows []objectstore.VM) []objectstore.VM { return append(rows, vm) })
+func (s *Store) Register(vm durable.VM) {
+	s.changeVMs(vm.ID, func(rows []durable.VM) []durable.VM { return append(rows, vm) })
 }
 
 // Deregister takes a VM out; the list shows it after the lag.
 func (s *Store) Deregister(id string) {
-	s.changeVMs(id, func(rows []objectstore.VM) []objectstore.VM { return rows })
+	s.changeVMs(id, func(rows []durable.VM) []durable.VM { return rows })
 }
 
-func (s *Store) changeVMs(id string, add func([]objectstore.VM) []objectstore.VM) {
+func (s *Store) changeVMs(id string, add func([]durable.VM) []durable.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var rows []objectstore.VM
+	var rows []durable.VM
 	if n := len(s.vms); n > 0 {
 		rows = slices.Clone(s.vms[n-1].vms)
 	}
-	rows = add(slices.DeleteFunc(rows, func(vm objectstore.VM) bool { return vm.ID == id }))
-	slices.SortFunc(rows, func(a, b objectstore.VM) int { return strings.Compare(a.ID, b.ID) })
+	rows = add(slices.DeleteFunc(rows, func(vm durable.VM) bool { return vm.ID == id }))
+	slices.SortFunc(rows, func(a, b durable.VM) int { return strings.Compare(a.ID, b.ID) })
 	s.vms = append(s.vms, snapshot{from: time.Now(), vms: rows})
 }
 
-// VMs implements objectstore.Store.
-func (s *Store) VMs(ctx context.Context) ([]objectstore.VM, error) {
+// VMs implements durable.Store.
+func (s *Store) VMs(ctx context.Context) ([]durable.VM, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.VMLists++ }); err != nil {
 		return nil, err
 	}
--- a/standin/store/watch.go
+++ b/standin/store/watch.go
@@ -6,7 +6,7 @@
 	"slices"
 	"sync"
 
-	"goldcrestfork/objectstore"
+	"goldcrestfork/durable"
 )
 
 type watch struct {
@@ -17,8 +17,8 @@
 	done  chan struct{}
 }
 
-// Watch implements objectstore.Store.
-func (s *Store) Watch(ctx context.Context, kind string, revision int64) (objectstore.Watch, error) {
+// Watch implements durable.Store.
+func (s *Store) Watch(ctx context.Context, kind string, revision int64) (durable.Watch, error) {
 	if err := s.enter(ctx, read, func(c *Counts) { c.Watches++ }); err != nil {
 		return nil, err
 	}
@@ -26,13 +26,13 @@
 	defer s.mu.Unlock()
 	if s.faults.HistoryLost {
 		s.faults.HistoryLost = false
-		return nil, objectstore.ErrGone
+		return nil, durable.ErrGone
 	}
 	return &watch{store: s, kind: kind, next: revision + 1, done: make(chan struct{})}, nil
 }
 
-// Next implements objectstore.Watch.
-func (w *watch) Next(ctx context.Context) (objectstore.Event, error) {
+// Next implements durable.Watch.
+func (w *watch) Next(ctx context.Context) (durable.Event, error) {
 	for {
 		event, changed, err := w.poll()
 		if err != nil || event.Version > 0 {
@@ -41,29 +41,29 @@
 		select {
 		case <-changed:
 		case <-w.done:
-			return objectstore.Event{}, objectstore.ErrUnavailable
+			return durable.Event{}, durable.ErrUnavailable
 		case <-ctx.Done():
-			return objectstore.Event{}, ctx.Err()
+			return durable.Event{}, ctx.Err()
 		}
 	}
 }
 
 // poll returns the next event, or the channel that closes when there may be one.
-func (w *watch) poll() (objectstore.Event, <-chan struct{}, error) {
+func (w *watch) poll() (durable.Event, <-chan struct{}, error) {
 	s := w.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Down {
-		return objectstore.Event{}, nil, objectstore.ErrUnavailable
+		return durable.Event{}, nil, durable.ErrUnavailable
 	}
 	oldest := s.revision + 1
 	if len(s.history) > 0 {
 		oldest = s.history[0].Version
 	}
 	if w.next < oldest {
-		return objectstore.Event{}, nil, objectstore.ErrGone
+		return durable.Event{}, nil, durable.ErrGone
 	}
-	from, _ := slices.BinarySearchFunc(s.history, w.next, func(e objectstore.Event, next int64) int {
+	from, _ := slices.BinarySearchFunc(s.history, w.next, func(e durable.Event, next int64) int {
 		return cmp.Compare(e.Version, next)
 	})
 	for _, e := range s.history[from:] {
@@ -73,8 +73,8 @@
 		}
 	}
 	w.next = s.revision + 1
-	return objectstore.Event{}, s.changed, nil
+	return durable.Event{}, s.changed, nil
 }
 
-// Close implements objectstore.Watch.
+// Close implements durable.Watch.
 func (w *watch) Close() { w.once.Do(func() { close(w.done) }) }
