Go on past endpoints that refuse connections at once

Cause: a request was refused after five refused connections, which take some ms together, while half of the engines were up.

Change: up to 16 such tries within 150 ms; dark endpoints, which cost the dial timeout each, stay bounded by five.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -52,9 +52,15 @@
 	result   string
 }
 
-// maxDials bounds the endpoints whose connection may fail: each costs up to the dial
-// timeout, and a crash of a whole data centre leaves the others.
-const maxDials = 4
+const (
+	// maxDials bounds the endpoints whose connection may fail: each costs up to the dial
+	// timeout, and a crash of a whole data centre leaves the others.
+	maxDials = 4
+	// quickDials bounds them while all failed within quickTime: a crashed endpoint
+	// refuses at once, and half of sixty may be down while the VMs find out.
+	quickDials = 16
+	quickTime  = 150 * time.Millisecond
+)
 
 // verdict is what becomes of a request after an attempt.
 type verdict int
@@ -175,7 +181,7 @@
 	if c.sends >= max(c.route.MaxAttempts, 1) {
 		return placement.Choice{}, c.noMore("all attempts failed")
 	}
-	if c.dials > maxDials {
+	if c.dials > maxDials && (c.dials > quickDials || time.Since(c.start) > quickTime) {
 		return placement.Choice{}, c.noMore("no endpoint could be reached")
 	}
 	if c.sends > 0 && !c.paid && !c.h.cfg.Budget.Again(c.service) {
