Send a feed's readers away at the second failure, not the first

What is left there: the store leaves both watches without an answer for 2.5 s and resets what is asked after, so that each VM looks for itself; no mend known that keeps the bound on revoked keys.

--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -88,6 +88,7 @@
 	Patience time.Duration
 
 	lostAt   time.Duration // 0 while in touch
+	failures int           // in a row
 	readPeer bool          // the last word came from another VM, or should have
 }
 
@@ -103,6 +104,9 @@
 	// dozens of endpoints enter themselves when a fleet starts. It is a twentieth of the
 	// shortest bound on a change.
 	gather = 100 * time.Millisecond
+	// readersLeaveAt is the failure in a row, firstPause after the one before, at which a
+	// feed sends its readers away.
+	readersLeaveAt = 2
 	// early is how much sooner than asked an empty answer may come and still count as waited out.
 	early = 100 * time.Millisecond
 	// probeWait is the wait of the first watch after a failure, so that a store that is
@@ -186,16 +190,24 @@
 	}
 }
 
+// lost notes a call that failed. Readers are sent away at the second failure in a row: the
+// platform cuts watches that wait now and then, and each time 91 VMs would call it at once.
 func (f *Follower[T]) lost(ctx context.Context, err error) {
-	if f.lostAt == 0 && ctx.Err() == nil {
-		f.lostAt = f.Clock()
+	if ctx.Err() != nil {
+		return
+	}
+	if f.failures++; f.failures == readersLeaveAt {
 		f.Feed.lost()
+	}
+	if f.lostAt == 0 {
+		f.lostAt = f.Clock()
 		f.Log.Warn().Str("kind", f.Kind).Err(err).Msg("platform lost")
 	}
 }
 
 // regained ends an outage and returns how long it was.
 func (f *Follower[T]) regained() time.Duration {
+	f.failures = 0
 	if f.lostAt == 0 {
 		return 0
 	}
