Explain a request from log files: goldcrest explain

On call has an id and logs only. The command says in words what the request's line means and lists what its VM came to believe in the ten seconds before; endpoints that the request was not sent to are left out.

--- a/cmd/goldcrest/app.go
+++ b/cmd/goldcrest/app.go
@@ -62,6 +62,8 @@
 	InForce inForce `cmd:"" name:"in-force" help:"Show on how many VMs a revision is in force."`
 	Bills   bills   `cmd:"" help:"Show the bills of a day."`
 	State   state   `cmd:"" help:"Show the state of each VM named."`
+
+	Explain explainRequest `cmd:"" help:"Say from goldcrest-node's logs what became of a request, and why."`
 }
 
 // app is what commands work with.
@@ -77,7 +79,7 @@
 	cli := new(commands)
 	parser := kong.Must(cli, kong.Name("goldcrest"), kong.Writers(out, errOut),
 		kong.Description("Operators' command line of goldcrestfork.\n\nExit codes: 0 done; 1 failed; 2 wrong usage or input refused; "+
-			"3 the object changed meanwhile; 4 not accepted; 5 unknown whether accepted; 6 no such object; 7 key refused."))
+			"3 the object changed meanwhile; 4 not accepted; 5 unknown whether accepted; 6 no such object or request; 7 key refused."))
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, "goldcrest:", err)
@@ -144,6 +146,8 @@
 		return problemExit(p)
 	case errors.Is(err, client.ErrUnreachable):
 		return exitNotAccepted
+	case errors.Is(err, errNoRequest):
+		return exitNotFound
 	}
 	return exitFailed
 }
--- a/cmd/goldcrest/goldcrest_test.go
+++ b/cmd/goldcrest/goldcrest_test.go
@@ -150,6 +150,20 @@
 	require.Equal(t, 8, s.Counts().Puts-s.Counts().Conflicts)
 }
 
+// On call has an id and log files, and no VM to ask.
+func TestExplainReadsLogs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "vm-a.log")
+	line := `{"vm":"a","request":"r1","outcome":"overloaded","status":503,"time":"2026-01-02T03:04:06Z","message":"request"}`
+	require.NoError(t, os.WriteFile(path, []byte(line+"\n"), 0o600))
+	code, out := goldcrest("explain", "r1", path)
+	require.Equal(t, exitDone, code, out)
+	require.Contains(t, out, "no endpoint could take it")
+	code, out = goldcrest("explain", "r2", path)
+	require.Equal(t, exitNotFound, code, out)
+	code, out = goldcrest("explain", "r1", path+".missing")
+	require.Equal(t, exitRefused, code, out)
+}
+
 // mustAbs makes a path that holds after a change of directory.
 func mustAbs(path string) string {
 	abs, err := filepath.Abs(path)
--- /dev/null
+++ b/gateway/explain/explain.go
@@ -0,0 +1,174 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"goldcrestfork/router/refusal"
+)
+
+// Before is how far back from a request's end the VM's other lines are shown: a request
+// lasts some seconds, and what decided about it was mostly learnt within those.
+const Before = 10 * time.Second
+
+// longestLine bounds a log line; a state change of a large fleet is some KB.
+const longestLine = 1 << 20
+
+// Line is one log line of a VM.
+type Line struct {
+	VM       string    `json:"vm"`
+	Time     time.Time `json:"time"`
+	Message  string    `json:"message"`
+	Level    string    `json:"level"`
+	Request  string    `json:"request"`
+	Outcome  string    `json:"outcome"`
+	Status   int       `json:"status"`
+	Took     int64     `json:"took_ms"`
+	Wait     int64     `json:"wait_ms"`
+	Config   int64     `json:"config"`
+	Age      int64     `json:"config_age_ms"`
+	Route    string    `json:"route"`
+	Account  string    `json:"account"`
+	Service  string    `json:"service"`
+	Ran      string    `json:"ran"`
+	Attempts string    `json:"attempts"`
+	Endpoint string    `json:"endpoint"`
+
+	raw string
+}
+
+// Log is what was read of some VMs' logs.
+type Log struct {
+	Lines []Line
+	// Unreadable counts lines that are no log line of a VM.
+	Unreadable int
+}
+
+// Read adds a log's lines. Whatever stands before a line's first brace is passed over,
+// as a collector's own time and source.
+func (l *Log) Read(r io.Reader) error {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, longestLine)
+	for sc.Scan() {
+		text := sc.Bytes()
+		at := bytes.IndexByte(text, '{')
+		var line Line
+		if at < 0 || json.Unmarshal(text[at:], &line) != nil {
+			l.Unreadable++
+			continue
+		}
+		line.raw = string(text[at:])
+		l.Lines = append(l.Lines, line)
+	}
+	return sc.Err()
+}
+
+// outcomes says in words what a request's outcome means and where to look next.
+var outcomes = map[string]string{
+	"answered":                       "the endpoint's own answer was passed on whole",
+	"caller-left":                    "the caller's connection ended first",
+	"not resumed":                    "the stream broke off and no attempt was left, or no endpoint could go on with it; the caller's connection was cut",
+	"not resumable":                  "the stream broke off and its route allows no other endpoint to go on",
+	string(refusal.Overloaded):       "refused without having run: no endpoint could take it",
+	string(refusal.OutcomeUnknown):   "an endpoint may have run it and it may not be repeated",
+	string(refusal.EndpointFailed):   "the attempts that the route allows failed",
+	string(refusal.Stale):            "refused: the proof that the configuration is the newest was too old to trust a key, a missing path or a missing key",
+	string(refusal.NotReady):         "refused: the VM knew no configuration yet",
+	string(refusal.Draining):         "refused: the VM was stopping and the stream would have outlived it",
+	string(refusal.DeadlineTooShort): "the caller's time or the route's timeout was over",
+	string(refusal.NoSuchPath):       "no route has this host and path",
+	string(refusal.Unauthorized):     "no account has this key",
+	string(refusal.Quarantined):      "refused: requests like it crashed the endpoints that ran them",
+	string(refusal.BodyTooLarge):     "the body is over the configuration's limit",
+	string(refusal.BadRequest):       "the request can't be read",
+}
+
+// results says in words what became of an attempt.
+var results = map[string]string{
+	"ok": "answered whole", "weak": "answered, dropped for a larger model", "full": "refused for want of room, did not run",
+	"misdirected": "another life of the endpoint is at its address, did not run", "unreached": "took no connection",
+	"broken": "its connection broke after the request was sent", "cut": "its answer broke off", "unsound": "answered with what is not its answer to this request",
+	"error": "answered with an error", "rejected": "rejected the request itself", "ended": "was still at it when the caller left or the time was over",
+}
+
+// Write explains a request, and says whether the log has it.
+func (l *Log) Write(w io.Writer, id string) (found bool, err error) {
+	b := new(bytes.Buffer)
+	for _, line := range l.Lines {
+		if line.Request != id || line.Outcome == "" {
+			continue
+		}
+		found = true
+		line.write(b)
+		l.beliefs(b, line)
+	}
+	if !found {
+		fmt.Fprintf(b, "No line of request %s: it did not reach these VMs, or its caller left before its head was read.\n", id)
+	}
+	_, err = w.Write(b.Bytes())
+	return found, err
+}
+
+func (r Line) write(b *bytes.Buffer) {
+	fmt.Fprintf(b, "%s  %s  status %d, outcome %s after %d ms of %d\n", r.Time.Format(time.RFC3339), r.VM, r.Status, r.Outcome, r.Took, r.Wait)
+	if text := outcomes[r.Outcome]; text != "" {
+		fmt.Fprintf(b, "  %s\n", text)
+	}
+	if r.Route != "" {
+		fmt.Fprintf(b, "  route %s, service %s, account %q, run: %s\n", r.Route, r.Service, r.Account, r.Ran)
+	}
+	if r.Config != 0 {
+		fmt.Fprintf(b, "  decided by configuration %d, shown to be the newest %d ms before\n", r.Config, r.Age)
+	}
+	for _, a := range r.attempts() {
+		fmt.Fprintf(b, "  attempt at %s: %s\n", a.where, a.text())
+	}
+}
+
+// attempt is one step of a request's trail.
+type attempt struct{ where, endpoint, result string }
+
+func (a attempt) text() string {
+	if t := results[a.result]; t != "" {
+		return a.result + ", " + t
+	}
+	return a.result
+}
+
+// attempts reads "endpoint/model=result" lists.
+func (r Line) attempts() (out []attempt) {
+	for f := range strings.FieldsSeq(r.Attempts) {
+		where, result, ok := strings.Cut(f, "=")
+		if !ok {
+			continue
+		}
+		endpoint, model, sized := strings.Cut(where, "/")
+		a := attempt{where: endpoint, endpoint: endpoint, result: result}
+		if sized {
+			a.where = endpoint + " with model " + model
+		}
+		out = append(out, a)
+	}
+	return out
+}
+
+// beliefs lists what the VM came to believe shortly before the request's end: all that
+// isn't about a request, and of endpoints only those that it was sent to.
+func (l *Log) beliefs(b *bytes.Buffer, r Line) {
+	at := r.attempts()
+	for _, line := range l.Lines {
+		if line.VM != r.VM || line.Request != "" || line.Time.After(r.Time) || r.Time.Sub(line.Time) > Before {
+			continue
+		}
+		if line.Endpoint != "" && !slices.ContainsFunc(at, func(a attempt) bool { return a.endpoint == line.Endpoint }) {
+			continue
+		}
+		fmt.Fprintf(b, "  before: %s\n", line.raw)
+	}
+}
--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -36,8 +36,8 @@
 	n.meetingOver()
 }
 
-// longestMeeting ends the wait for others when the platform doesn't say who there is:
-// they may send datagrams, and their feeds serve while the platform is away.
+// longestMeeting ends the wait for others when the platform doesn't say who there is: it
+// may serve other calls, and VMs that know this one send it datagrams.
 const longestMeeting = firstMeeting + time.Second
 
 // meetingOver lets the followers begin.
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// first learns the whole kind: from another VM where one is to be read from, which also
-// serves while the platform is away, and from the platform.
+// first learns the whole kind: from another VM where one is to be read from, or from the
+// platform.
 func (f *Follower[T]) first(ctx context.Context) (int64, error) {
 	until := f.Clock() + f.Patience
 	f.Patience = 0
