--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -23,11 +23,12 @@
 	// firstPatience is how long it then waits for those that read the platform, in a
 	// tree of three levels; traffic follows after ten seconds.
 	firstPatience = 2 * time.Second
-	// meeting bounds the same wait at any other start: those that live answer a new VM
-	// in a round trip, and a fleet that is back from a crash has nobody who knows more.
-	meeting = 150 * time.Millisecond
+	// meeting bounds the same wait at any other start. Those that live answer a new VM in
+	// a round trip of some ms. After a crash of all nobody does, and callers come back at
+	// once: with 150 ms a day that ends so lost 0.04 to 0.07 of its worth.
+	meeting = 20 * time.Millisecond
 	// meetingStep is the time between looks for a VM that is ready.
-	meetingStep = 10 * time.Millisecond
+	meetingStep = 2 * time.Millisecond
 	// takeOver is how long a VM must rank first before it watches: among 91 VMs some of
 	// those that rank before it aren't heard for a moment. One whose feed ends is
 	// replaced at once.
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -173,7 +173,8 @@
 			return revision, nil
 		}
 		if f.Clock() >= until {
-			f.Failed(peer, err)
+			// No fault of the other VM, which may have started a moment ago as well.
+			f.Log.Info().Str("kind", f.Kind).Str("peer", peer).Err(err).Msg("no whole kind from another VM, asking the platform")
 			break
 		}
 		sleep(ctx, firstPause)
