One socket for the datagrams between VMs

The tally and the gossip held the same code for a UDP socket each; fleet/datagram is the one copy, and both now wait for their receiver at the end.

--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"goldcrestfork/fleet/datagram"
 )
 
 // Config sets a service.
@@ -31,28 +32,21 @@
 type Service struct {
 	cfg      Config
 	table    *Table
-	conn     *net.UDPConn
+	socket   *datagram.Socket
 	life     uint64
 	sequence atomic.Uint64
 	nudge    chan struct{}
 	received *prometheus.CounterVec
 }
 
-// largestDatagram fits one packet on each of the links between VMs.
-const largestDatagram = 1400
-
 // Listen opens the socket at Self.Peer.
 func Listen(cfg Config) (*Service, error) {
-	addr, err := net.ResolveUDPAddr("udp4", cfg.Self.Peer)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := net.ListenUDP("udp4", addr)
+	socket, err := datagram.Listen(cfg.Self.Peer)
 	if err != nil {
 		return nil, err
 	}
 	s := &Service{
-		cfg: cfg, table: NewTable(cfg.Self), conn: conn, life: rand.Uint64(), nudge: make(chan struct{}, 1),
+		cfg: cfg, table: NewTable(cfg.Self), socket: socket, life: rand.Uint64(), nudge: make(chan struct{}, 1),
 		received: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrest_gossip_received_total", Help: "Datagrams from other VMs, by what became of them.",
 		}, []string{"result"}),
@@ -74,9 +68,11 @@
 
 // Run sends rounds and receives until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
-	defer stop()
-	go s.receive(ctx)
+	var receiver sync.WaitGroup
+	receiver.Go(func() {
+		s.socket.Run(ctx, s.take, func(error) { s.received.WithLabelValues("failed").Inc() })
+	})
+	defer receiver.Wait()
 	rng := rand.New(rand.NewPCG(s.life, 0))
 	t := time.NewTicker(Interval)
 	defer t.Stop()
@@ -106,7 +102,7 @@
 		Payload: s.cfg.Payload(), Others: others, Words: words,
 	}
 	b, err := cbor.Marshal(&m)
-	if err != nil || len(b) > largestDatagram {
+	if err != nil || len(b) > datagram.Largest {
 		// A payload that grew too large must not cost the word that this VM lives.
 		s.cfg.Log.Warn().Err(err).Int("bytes", len(b)).Msg("datagram without its payload")
 		m.Payload = nil
@@ -115,44 +111,30 @@
 		}
 	}
 	for _, peer := range to {
-		addr, err := net.ResolveUDPAddr("udp4", peer)
-		if err != nil {
+		if err := s.socket.Send(b, peer); err != nil {
 			s.cfg.Log.Warn().Err(err).Str("peer", peer).Msg("peer's address can't be read")
-			continue
 		}
-		// A datagram that can't be sent is as one that was lost: the next round follows.
-		_, _ = s.conn.WriteToUDP(b, addr)
 	}
 }
 
-func (s *Service) receive(ctx context.Context) {
-	buf := make([]byte, largestDatagram)
-	for ctx.Err() == nil {
-		n, _, err := s.conn.ReadFromUDP(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.received.WithLabelValues("failed").Inc()
-			continue
-		}
-		var m Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			s.received.WithLabelValues("unreadable").Inc()
-			continue
-		}
-		ok, met := s.table.Heard(s.cfg.Clock(), &m)
-		if !ok {
-			s.received.WithLabelValues("old").Inc()
-			continue
-		}
-		if met {
-			// A VM that starts waits for whom to read from; a round may be 400 ms away.
-			s.sendTo([]string{m.From.Peer}, nil, nil)
-		}
-		s.received.WithLabelValues("taken").Inc()
-		if len(m.Payload) > 0 {
-			s.cfg.Take(m.From.Name, m.Life, m.Payload)
-		}
+// take takes one datagram.
+func (s *Service) take(b []byte, _ string) {
+	var m Message
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		s.received.WithLabelValues("unreadable").Inc()
+		return
+	}
+	ok, met := s.table.Heard(s.cfg.Clock(), &m)
+	if !ok {
+		s.received.WithLabelValues("old").Inc()
+		return
+	}
+	s.received.WithLabelValues("taken").Inc()
+	if met {
+		// A VM that starts needs to know whom to read from; a round may be 400 ms away.
+		s.sendTo([]string{m.From.Peer}, nil, nil)
+	}
+	if len(m.Payload) > 0 {
+		s.cfg.Take(m.From.Name, m.Life, m.Payload)
 	}
 }
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -179,11 +178,10 @@
 			Log:     zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 		})
 		require.NoError(t, err)
-		s.cfg.Self.Peer = s.conn.LocalAddr().String()
+		s.cfg.Self.Peer = s.socket.Addr()
 		services = append(services, s)
 	}
-	_, err := services[0].conn.WriteToUDP([]byte("noise"), mustAddr(t, services[1]))
-	require.NoError(t, err)
+	require.NoError(t, services[0].socket.Send([]byte("noise"), services[1].socket.Addr()))
 	services[0].Table().Learn(time.Second, services[1].cfg.Self)
 	for _, s := range services {
 		go s.Run(t.Context())
@@ -208,10 +206,3 @@
 		}
 	})
 }
-
-func mustAddr(t *testing.T, s *Service) *net.UDPAddr {
-	t.Helper()
-	a, ok := s.conn.LocalAddr().(*net.UDPAddr)
-	require.True(t, ok)
-	return a
-}
--- a/fleet/tally/service.go
+++ b/fleet/tally/service.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+
+	"goldcrestfork/fleet/datagram"
 )
 
 const (
@@ -27,8 +27,6 @@
 	// between is the time between two summaries to other data centres. At 60 endpoints
 	// and four data centres 100 ms make 16 KB/s over all of them.
 	between = 100 * time.Millisecond
-	// largestDatagram fits one packet on each of the links between VMs.
-	largestDatagram = 1400
 )
 
 // Keeper is a VM that may keep the tally of its data centre.
@@ -79,7 +77,7 @@
 // Service is one VM's part: it asks and reports, and keeps the tally when it is its turn.
 type Service struct {
 	cfg      Config
-	conn     *net.UDPConn
+	socket   *datagram.Socket
 	board    *Board
 	life     uint64
 	sequence atomic.Uint64
@@ -93,16 +91,12 @@
 
 // Listen opens the socket at Address.
 func Listen(cfg Config) (*Service, error) {
-	addr, err := net.ResolveUDPAddr("udp4", cfg.Address)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := net.ListenUDP("udp4", addr)
+	socket, err := datagram.Listen(cfg.Address)
 	if err != nil {
 		return nil, err
 	}
 	s := &Service{
-		cfg: cfg, conn: conn, board: NewBoard(), life: rand.Uint64(),
+		cfg: cfg, socket: socket, board: NewBoard(), life: rand.Uint64(),
 		waiting: make(map[uint64]chan struct{}), shunned: make(map[string]time.Duration),
 		asks: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrest_tally_asks_total", Help: "Questions for the load of the fleet before a choice, by what became of them.",
@@ -114,10 +108,10 @@
 
 // Run receives, refreshes reports and sends summaries until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { s.conn.Close() })
-	defer stop()
 	var receiver sync.WaitGroup
-	receiver.Go(func() { s.receive(ctx) })
+	receiver.Go(func() {
+		s.socket.Run(ctx, s.receive, func(error) { s.asks.WithLabelValues("failed").Inc() })
+	})
 	defer receiver.Wait()
 	t := time.NewTicker(between)
 	defer t.Stop()
@@ -217,46 +211,29 @@
 	}
 }
 
-func (s *Service) send(k Keeper, m message) {
-	addr, err := net.ResolveUDPAddr("udp4", k.Address)
-	if err != nil {
-		s.cfg.Log.Warn().Err(err).Str("keeper", k.Name).Msg("keeper's address can't be read")
-		return
-	}
-	s.sendTo(addr, m)
-}
+func (s *Service) send(k Keeper, m message) { s.sendTo(k.Address, m) }
 
-func (s *Service) sendTo(addr *net.UDPAddr, m message) {
+func (s *Service) sendTo(address string, m message) {
 	m.From, m.Life = s.cfg.Self, s.life
 	b, err := cbor.Marshal(&m)
+	if err == nil {
+		err = s.socket.Send(b, address)
+	}
 	if err != nil {
-		s.cfg.Log.Error().Err(err).Msg("message of the tally can't be encoded")
-		return
+		s.cfg.Log.Warn().Err(err).Str("address", address).Msg("message of the tally can't be sent")
 	}
-	// A datagram that can't be sent is as one that was lost: the next report follows.
-	_, _ = s.conn.WriteToUDP(b, addr)
 }
 
-func (s *Service) receive(ctx context.Context) {
-	buf := make([]byte, largestDatagram)
-	for ctx.Err() == nil {
-		n, from, err := s.conn.ReadFromUDP(buf)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue
-		}
-		var m message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			s.asks.WithLabelValues("unreadable").Inc()
-			continue
-		}
-		s.take(from, &m)
+func (s *Service) receive(b []byte, from string) {
+	var m message
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		s.asks.WithLabelValues("unreadable").Inc()
+		return
 	}
+	s.take(from, &m)
 }
 
-func (s *Service) take(from *net.UDPAddr, m *message) {
+func (s *Service) take(from string, m *message) {
 	now := s.cfg.Clock()
 	switch m.Kind {
 	case report:
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -13,6 +13,8 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"goldcrestfork/fleet/datagram"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -74,7 +76,7 @@
 	}
 	raw, err := cbor.Marshal(&message{Kind: 2, From: "front-a-long-data-centre-name-12", Life: 1 << 63, Sequence: 1 << 40, Ask: 1 << 40, State: totals})
 	require.NoError(t, err)
-	require.LessOrEqual(t, len(raw), largestDatagram)
+	require.LessOrEqual(t, len(raw), datagram.Largest)
 }
 
 // vm is one VM's service over loopback.
@@ -99,7 +101,7 @@
 		})
 		require.NoError(t, err)
 		v.Service, vms[i] = s, v
-		keepers = append(keepers, Keeper{Name: fmt.Sprint("vm", i), Address: s.conn.LocalAddr().String()})
+		keepers = append(keepers, Keeper{Name: fmt.Sprint("vm", i), Address: s.socket.Addr()})
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{}, n)
