--- a/cmd/goldcrest-node/process_test.go
+++ b/cmd/goldcrest-node/process_test.go
@@ -64,23 +64,13 @@
 	ports     = 15000
 )
 
-// freePort draws a port that both TCP and UDP have free and no test here has drawn.
+// freePort draws a port that no test here has drawn; TCP and UDP have it free, and the
+// one after it, which a VM uses between VMs as well.
 func freePort(t *testing.T) int {
 	t.Helper()
 	for range 1000 {
-		port := firstPort + rand.IntN(ports)
-		if _, taken := drawn.LoadOrStore(port, true); taken {
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp4", address)
-		if err != nil {
-			continue
-		}
-		u, err := net.ListenPacket("udp4", address)
-		l.Close()
-		if err == nil {
-			u.Close()
+		port := firstPort + 2*rand.IntN(ports/2)
+		if _, taken := drawn.LoadOrStore(port, true); !taken && free(port) && free(port+1) {
 			return port
 		}
 	}
@@ -88,6 +78,21 @@
 	return 0
 }
 
+func free(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	u, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
+	}
+	u.Close()
+	return true
+}
+
 // drawn are the ports that this run has given out.
 var drawn sync.Map
 
@@ -100,7 +105,7 @@
 	v.write(append([]string{
 		"nodeName=" + name, "ip=127.0.0.1", "zone=a", "region=north", "zones.a=north",
 		"listen.front=" + v.front, "listen.ready=" + v.side, "listen.directory=" + v.side,
-		fmt.Sprintf("internalPorts=%d,%d", inner, inner), "limits.memoryMb=284",
+		fmt.Sprintf("internalPorts=%d,%d", inner, inner+1), "limits.memoryMb=284",
 		"bounds.gracePeriodS=4", "platform.address=" + store,
 	}, more...)...)
 	v.metrics = freePort(t)
