Prove that one cut watch keeps a feed's readers

Change: a test for it. No behaviour is changed.

Not proved: quick tries past refusing endpoints have no test of their own.

--- a/gateway/view/feed_test.go
+++ b/gateway/view/feed_test.go
@@ -262,6 +262,26 @@
 	require.Less(t, v.ConfigAge(), time.Minute)
 }
 
+// The platform cuts one watch that waits. Readers of the feed must stay, or dozens of VMs
+// ask the platform at once for nothing; at a second failure in a row it may be this VM
+// that is turned away, and they must go. An answer between the two starts the count anew.
+func TestOneCutWatchKeepsReaders(t *testing.T) {
+	clock := sinceStart()
+	f := &Follower[*catalog.Config]{Kind: "kind", Clock: clock, Log: zerolog.Nop(), Feed: NewFeed(clock, time.Minute)}
+	heard := func() { f.Feed.take(news{all: true, revision: 5, proof: clock(), heard: clock()}) }
+	heard()
+	for range 2 {
+		f.lost(t.Context(), durable.ErrUnavailable)
+		_, err := f.Feed.step(5)
+		require.NoError(t, err)
+		f.regained()
+	}
+	f.lost(t.Context(), durable.ErrUnavailable)
+	f.lost(t.Context(), durable.ErrUnavailable)
+	_, err := f.Feed.step(5)
+	require.ErrorIs(t, err, errStale)
+}
+
 // A VM that read from another becomes a watcher itself. Its word is as old as the feed's
 // last, and its readers wait for a later one: the first call must not wait out a watch.
 func TestFirstCallAfterAFeedIsShort(t *testing.T) {
