Pace the calls of VMs that have no word of the platform

Cause: when the two VMs that watch the platform's store lost it, or the store was away for all, each VM asked it by itself, each of the four kinds twice a second.

Ruled out: cheaper lists (stale after a dropped history), and a wait before the first call at a restart (measured before, loses more).

Change: policy/watching decides, without clock or network, whom a VM reads from, who asks, and how often. A VM without word tries the tree's parent, the watchers and two that stand in for them; only these two ask at once, the others when their own word is too old. In an outage one kind tries for its VM, five times a second at others, and asks the platform less often by rank. A VM that starts while the platform turns it away learns the kinds from others.

--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -64,6 +64,10 @@
 
 func (n *Node) retry(ctx context.Context, what string, call func(context.Context) error) {
 	for ctx.Err() == nil {
+		if wait, ask := n.watchers.Turn(); wait > 0 || !ask {
+			sleep(ctx, announcePause)
+			continue
+		}
 		c, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 		err := call(c)
 		cancel()
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -229,7 +229,7 @@
 	}
 	return &view.Follower[T]{
 		Kind: kind, Source: source, Wait: share(n.bound(kind), waitShare), Clock: bootClock, Apply: apply, Log: n.log,
-		Feed: n.feeds[kind], Relays: n.relays, Peer: n.watchers.peer, Failed: n.watchers.fail, Met: n.met, Patience: patience, Settle: settle,
+		Feed: n.feeds[kind], Reader: n.relays, Guide: n.watchers, Met: n.met, Patience: patience, Settle: settle,
 	}
 }
 
--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -175,11 +175,11 @@
 	return f.clock() - f.heard
 }
 
-// errStale: the feed's VM hasn't heard of the platform for too long.
-var errStale = errors.New("the feed is stale")
+// ErrStale: the feed's VM hasn't heard of the platform for too long.
+var ErrStale = errors.New("the feed is stale")
 
 // Wait answers a reader that has the changes up to a revision and whose own word of the
-// platform is silence old: as soon as there are changes or later word, or with errStale
+// platform is silence old: as soon as there are changes or later word, or with ErrStale
 // when there is none within the limit.
 func (f *Feed) Wait(ctx context.Context, after int64, silence time.Duration) (Step, error) {
 	began := f.clock()
@@ -211,7 +211,7 @@
 	s := Step{Revision: max(f.revision, after), Age: f.clock() - f.proof, Silence: f.clock() - f.heard}
 	switch {
 	case f.revision == 0 || s.Silence >= f.limit:
-		return Step{}, errStale
+		return Step{}, ErrStale
 	case after < f.base:
 		s.All = true
 		for _, e := range f.objects {
--- /dev/null
+++ b/gateway/view/fleet_test.go
@@ -0,0 +1,235 @@
+package view
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/durable"
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/policy/watching"
+)
+
+// guide reads from fixed sources.
+type guide struct {
+	sources []string
+	outage  watching.Outage
+	clock   Clock
+}
+
+func newGuide(clock Clock, sources ...string) *guide { return &guide{clock: clock, sources: sources} }
+
+func (g *guide) Sources() []string         { return g.sources }
+func (g *guide) Read(string)               {}
+func (g *guide) Failed(string, error)      {}
+func (g *guide) MayAsk(time.Duration) bool { return true }
+func (g *guide) Lost()                     { g.outage.Lost(g.clock(), 0) }
+func (g *guide) Regained()                 { g.outage.Regained() }
+func (g *guide) Turn() (time.Duration, bool) {
+	t := g.outage.Turn(g.clock(), func() int { return 0 })
+	return t.Wait, t.Ask
+}
+
+// ranked is the guide of one VM of a fleet in which all hear each other.
+type ranked struct {
+	guide
+	peers *watching.Peers
+	all   []string
+	rank  int
+}
+
+func (g *ranked) Sources() []string              { return g.peers.Sources(g.clock(), g.all, g.rank) }
+func (g *ranked) Read(peer string)               { g.peers.Read(peer) }
+func (g *ranked) Failed(peer string, err error)  { g.peers.Failed(g.clock(), peer, err == ErrStale) }
+func (g *ranked) MayAsk(left time.Duration) bool { return watching.MayAsk(g.rank, left) }
+func (g *ranked) Lost()                          { g.outage.Lost(g.clock(), g.rank) }
+func (g *ranked) Turn() (time.Duration, bool) {
+	t := g.outage.Turn(g.clock(), func() int { return g.rank })
+	return t.Wait, t.Ask
+}
+
+// fleet is VMs that follow four kinds of one platform, in virtual time. Its fields may be
+// changed while no goroutine of the fleet runs, as after synctest.Wait.
+type fleet struct {
+	clock    Clock
+	platform *numbers
+	calls    atomic.Int64
+	turned   func(vm int) bool // the platform turns the VM away
+	vms      []*fleetVM
+}
+
+type fleetVM struct {
+	fleet *fleet
+	rank  int
+	feeds map[string]*Feed
+	view  *View
+}
+
+var fleetKinds = []string{"configuration", "endpoints", "roll-outs", "data-centres-out"}
+
+// fleetBound is how long after a change it must be in force; the waits and the limit of
+// the feeds are the shares that package node sets.
+const fleetBound = 2 * time.Second
+
+func startFleet(t *testing.T, n int) *fleet {
+	f := &fleet{clock: sinceStart(), platform: &numbers{version: 5, wake: make(chan struct{})}, turned: func(int) bool { return false }}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprint(i))
+		vm := &fleetVM{fleet: f, rank: i, feeds: make(map[string]*Feed), view: New(Settings{Clock: f.clock, Log: zerolog.Nop()})}
+		for _, kind := range fleetKinds {
+			vm.feeds[kind] = NewFeed(f.clock, 3*fleetBound/4)
+		}
+		f.vms = append(f.vms, vm)
+	}
+	for _, vm := range f.vms {
+		vm.run(t, names, time.Second)
+	}
+	time.Sleep(5 * time.Second)
+	synctest.Wait()
+	f.requireVersion(t, 5)
+	return f
+}
+
+// run follows the kinds in the test's bubble until the test ends.
+func (vm *fleetVM) run(t *testing.T, names []string, patience time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	g := &ranked{guide: guide{clock: vm.fleet.clock}, peers: watching.NewPeers(), all: names, rank: vm.rank}
+	for _, kind := range fleetKinds {
+		f := &Follower[*catalog.Config]{
+			Kind: kind, Source: vm, Wait: fleetBound / 2, Clock: vm.fleet.clock, Apply: func(Update[*catalog.Config]) {},
+			Log: zerolog.Nop(), Feed: vm.feeds[kind], Reader: vm, Guide: g, Patience: patience,
+		}
+		if kind == "configuration" {
+			f.Apply = vm.view.ApplyConfig
+		}
+		running.Go(func() { f.Run(ctx) })
+	}
+}
+
+// Read implements Reader: another VM's feed, one ms away.
+func (vm *fleetVM) Read(ctx context.Context, peer, kind string, after int64, silence time.Duration) (Step, error) {
+	time.Sleep(time.Millisecond)
+	for i, other := range vm.fleet.vms {
+		if fmt.Sprint(i) == peer {
+			return other.feeds[kind].Wait(ctx, after, silence)
+		}
+	}
+	return Step{}, fmt.Errorf("no VM %s", peer)
+}
+
+// call counts a call of the VM to the platform, which takes 4 ms.
+func (vm *fleetVM) call() error {
+	vm.fleet.calls.Add(1)
+	time.Sleep(4 * time.Millisecond)
+	if vm.fleet.turned(vm.rank) {
+		return durable.ErrUnavailable
+	}
+	return nil
+}
+
+func (vm *fleetVM) List(ctx context.Context) (Listing[*catalog.Config], error) {
+	if err := vm.call(); err != nil {
+		return Listing[*catalog.Config]{}, err
+	}
+	return vm.fleet.platform.List(ctx)
+}
+
+func (vm *fleetVM) Watch(ctx context.Context, after int64, wait time.Duration) (Changes[*catalog.Config], error) {
+	if err := vm.call(); err != nil {
+		return Changes[*catalog.Config]{}, err
+	}
+	return vm.fleet.platform.Watch(ctx, after, wait)
+}
+
+func (vm *fleetVM) Decode(raw []byte) Item[*catalog.Config] { return vm.fleet.platform.Decode(raw) }
+
+// requireVersion says that the VMs have a version and that its proof is within the bound.
+func (f *fleet) requireVersion(t *testing.T, version int64, except ...int) {
+	for i, vm := range f.vms {
+		if slices.Contains(except, i) {
+			continue
+		}
+		require.NotNil(t, vm.view.Config(), "VM %d", i)
+		require.Equal(t, version, vm.view.Config().Version, "VM %d", i)
+		require.Less(t, vm.view.ConfigAge(), fleetBound, "VM %d", i)
+	}
+}
+
+// pass lets time go by and returns the calls made meanwhile.
+func (f *fleet) pass(d time.Duration) int64 {
+	before := f.calls.Load()
+	time.Sleep(d)
+	synctest.Wait()
+	return f.calls.Load() - before
+}
+
+// The store is away for eight seconds, for all 60 VMs. Each call is billed, refused ones
+// too. When each VM asked twice a second for each kind that made 3,800 calls; now one
+// kind tries for its VM, and VMs ask less often by rank. The store's return, with a
+// change, is known on all VMs within a second all the same.
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 60)
+		calm := f.pass(8 * time.Second)
+		require.LessOrEqual(t, calm, int64(80), "two VMs watch four kinds")
+		f.turned = func(int) bool { return true }
+		require.LessOrEqual(t, f.pass(8*time.Second), int64(500))
+		f.turned = func(int) bool { return false }
+		f.platform.change()
+		f.pass(time.Second)
+		f.requireVersion(t, 6)
+	})
+}
+
+// The store turns both VMs that watch it away, by errors, and serves the others. Those
+// must not all ask it: two that stand in do, and the others read from these. A change is
+// in force on them within the bound, as it would be on the watchers.
+func TestWatchersTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 60)
+		f.turned = func(vm int) bool { return vm < 2 }
+		f.pass(500 * time.Millisecond)
+		f.platform.change()
+		f.pass(fleetBound)
+		f.requireVersion(t, 6, 0, 1)
+		// Each second: two stand-ins with a watch of each kind a second, two watchers with a
+		// try each half second and the tries by rank of none.
+		require.LessOrEqual(t, f.pass(6*time.Second), int64(6*(2*4+2*2+4)))
+		f.requireVersion(t, 6, 0, 1)
+	})
+}
+
+// A VM starts again while the store turns it away. It knows nothing, and serves nobody
+// until it does: it must learn the kinds from the others, not wait for the store.
+func TestRestartedVMThatIsTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12)
+		var names []string
+		for i := range f.vms {
+			names = append(names, fmt.Sprint(i))
+		}
+		f.turned = func(vm int) bool { return vm == 7 }
+		vm := &fleetVM{fleet: f, rank: 7, feeds: make(map[string]*Feed), view: New(Settings{Clock: f.clock, Log: zerolog.Nop()})}
+		for _, kind := range fleetKinds {
+			vm.feeds[kind] = NewFeed(f.clock, 3*fleetBound/4)
+		}
+		f.vms[7] = vm
+		vm.run(t, names, 0)
+		f.pass(time.Second)
+		f.requireVersion(t, 5)
+	})
+}
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"goldcrestfork/durable"
+	"goldcrestfork/policy/watching"
 )
 
 // Item is one object of a kind as read from the platform.
@@ -64,6 +65,29 @@
 	Outage time.Duration
 }
 
+// Guide decides where one VM's word comes from, over all kinds (package watching).
+type Guide interface {
+	// Sources names the VMs to read from, best first; none for a VM that watches the platform.
+	Sources() []string
+	// Read and Failed tell what came of reading one.
+	Read(peer string)
+	Failed(peer string, err error)
+	// MayAsk says whether a VM that found no word at others asks the platform; left is
+	// how long its own word still holds, negative when it is too old.
+	MayAsk(left time.Duration) bool
+	// Lost notes that the VM has no word of the platform, Regained that it has.
+	Lost()
+	Regained()
+	// Turn asks for a try at getting word: wait is how long until one is due, 0 for now,
+	// and ask says that the platform itself may be asked.
+	Turn() (wait time.Duration, ask bool)
+}
+
+// Reader reads another VM's feed of a kind; Relays is one.
+type Reader interface {
+	Read(ctx context.Context, peer, kind string, after int64, silence time.Duration) (Step, error)
+}
+
 // Follower keeps up with one kind.
 type Follower[T any] struct {
 	Kind   string
@@ -76,11 +100,9 @@
 	Log   zerolog.Logger
 	// Feed passes on what is learnt here.
 	Feed *Feed
-	// Relays read other VMs' feeds, and Peer names the VM to read from; empty for the
-	// platform itself. Failed is told of a VM whose feed can't be read.
-	Relays *Relays
-	Peer   func() string
-	Failed func(peer string, err error)
+	// Reader reads other VMs' feeds, and Guide says which, and when the platform is asked.
+	Reader Reader
+	Guide  Guide
 	// Met is closed when the VM has met the others that it may read from; nil for none.
 	Met <-chan struct{}
 	// Patience is how long after that it tries to read the whole kind from another VM
@@ -100,16 +122,18 @@
 	// answerTime is what the platform may take beyond the wait of a watch. It answers
 	// in 4 ms and up to 70 times as slowly when it is slow.
 	answerTime = time.Second
-	// firstPause and lastPause space calls that fail. A store that comes back is seen
-	// within the last; each call is billed, refused ones too.
-	firstPause = 100 * time.Millisecond
-	lastPause  = 500 * time.Millisecond
+	// noWordPause spaces tries at other VMs of one that may not ask the platform yet.
+	noWordPause = 100 * time.Millisecond
+	// turnCheck is how often a kind that waits for another kind's try looks for its end.
+	turnCheck = 100 * time.Millisecond
+	// gonePause is the pause before a listing when the history is gone again and again.
+	gonePause = 500 * time.Millisecond
 	// gather is the pause after changes, so that those that come together cost one call:
 	// dozens of endpoints enter themselves when a fleet starts. It is a twentieth of the
 	// shortest bound on a change.
 	gather = 100 * time.Millisecond
-	// readersLeaveAt is the failure in a row, firstPause after the one before, at which a
-	// feed sends its readers away.
+	// readersLeaveAt is the failure in a row, watching.FirstPause after the one before, at
+	// which a feed sends its readers away and the VM counts as without word.
 	readersLeaveAt = 2
 	// early is how much sooner than asked an empty answer may come and still count as waited out.
 	early = 100 * time.Millisecond
@@ -120,37 +144,57 @@
 	probeWait = 50 * time.Millisecond
 )
 
+// errNoWord: no other VM has word of the platform, and it isn't this VM's turn to ask it.
+var errNoWord = errors.New("no VM that may be read has word of the platform")
+
 // Run follows the kind until the context ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	var revision int64
-	pause := firstPause
 	gone := 0 // how often the history was gone since a watch held
 	f.meet(ctx)
 	for ctx.Err() == nil {
+		ask := f.turn(ctx)
 		var err error
 		if revision == 0 {
-			revision, err = f.whole(ctx)
-		} else if revision, err = f.watch(ctx, revision); err == nil {
+			revision, err = f.whole(ctx, ask)
+		} else if revision, err = f.watch(ctx, revision, ask); err == nil {
 			gone = 0
 		}
 		switch {
 		case err == nil:
-			pause = firstPause
 		case errors.Is(err, durable.ErrGone):
 			f.Log.Info().Str("kind", f.Kind).Int64("revision", revision).Msg("history is gone, listing anew")
 			revision = 0
 			// A store that keeps no history at all would otherwise be asked without end.
 			if gone++; gone > 1 {
-				sleep(ctx, lastPause)
+				sleep(ctx, gonePause)
 			}
+		case errors.Is(err, errNoWord):
+			f.noWord()
+			sleep(ctx, noWordPause)
 		default:
 			f.lost(ctx, err)
-			sleep(ctx, pause)
-			pause = min(2*pause, lastPause)
+			sleep(ctx, watching.FirstPause)
 		}
 	}
 }
 
+// turn waits while another kind tries to get word for this VM, and says whether the
+// platform may be asked. A VM without word has none to give.
+func (f *Follower[T]) turn(ctx context.Context) bool {
+	for {
+		wait, ask := f.Guide.Turn()
+		if wait == 0 || ctx.Err() != nil {
+			return ask
+		}
+		if f.lostAt == 0 {
+			f.Feed.lost()
+			f.markLost(errNoWord)
+		}
+		sleep(ctx, min(wait, turnCheck))
+	}
+}
+
 // meet waits until the VM has met the others.
 func (f *Follower[T]) meet(ctx context.Context) {
 	if f.Met == nil {
@@ -163,25 +207,30 @@
 }
 
 // whole learns the whole kind: from another VM where one is to be read from, or from the
-// platform. At the start it tries others for Patience, once when the history is gone.
-func (f *Follower[T]) whole(ctx context.Context) (int64, error) {
+// platform. At the start it tries others for Patience, once when the history is gone or
+// the platform didn't answer.
+func (f *Follower[T]) whole(ctx context.Context, ask bool) (int64, error) {
 	until := f.Clock() + f.Patience
 	f.Patience = 0
-	for try := f.knew; (try || f.Clock() < until) && f.Peer != nil; try = false {
-		peer := f.Peer()
-		if peer == "" {
+	for try := f.knew || f.failures > 0 || !ask; try || f.Clock() < until; try = false {
+		sources := f.Guide.Sources()
+		if len(sources) == 0 {
 			break
 		}
-		revision, err := f.relay(ctx, peer, 0)
+		revision, err := f.relay(ctx, sources[0], 0)
 		if err == nil {
+			f.Guide.Read(sources[0])
 			f.knew = true
 			return revision, nil
 		}
-		f.Log.Debug().Str("kind", f.Kind).Str("peer", peer).Err(err).Msg("no whole kind from another VM")
+		f.Guide.Failed(sources[0], err)
 		if f.Clock() < until {
-			sleep(ctx, firstPause)
+			sleep(ctx, noWordPause)
 		}
 	}
+	if !ask {
+		return 0, errNoWord
+	}
 	revision, err := f.list(ctx)
 	if err == nil && !f.knew {
 		f.knew = true
@@ -209,15 +258,35 @@
 	if f.failures++; f.failures == readersLeaveAt {
 		f.Feed.lost()
 	}
-	if f.lostAt == 0 {
-		f.lostAt = f.Clock()
-		f.Log.Warn().Str("kind", f.Kind).Err(err).Msg("platform lost")
+	if f.failures >= readersLeaveAt || f.Feed.left() < 0 {
+		f.Guide.Lost()
+	}
+	f.markLost(err)
+}
+
+// noWord notes that no other VM has word. It is an outage once this VM's own is too old.
+func (f *Follower[T]) noWord() {
+	if f.Feed.left() < 0 {
+		f.markLost(errNoWord)
 	}
 }
 
+func (f *Follower[T]) markLost(err error) {
+	if f.lostAt != 0 {
+		return
+	}
+	f.lostAt = f.Clock()
+	e := f.Log.Warn().Str("kind", f.Kind).Err(err)
+	if f.knew {
+		e = e.Dur("word_holds_ms", f.Feed.left())
+	}
+	e.Msg("platform lost")
+}
+
 // regained ends an outage and returns how long it was.
 func (f *Follower[T]) regained() time.Duration {
 	f.failures = 0
+	f.Guide.Regained()
 	if f.lostAt == 0 {
 		return 0
 	}
@@ -262,7 +331,7 @@
 	}
 	cctx, cancel := context.WithTimeout(ctx, max(f.Feed.left(), least))
 	defer cancel()
-	s, err := f.Relays.read(cctx, peer, f.Kind, revision, silence)
+	s, err := f.Reader.Read(cctx, peer, f.Kind, revision, silence)
 	if err != nil {
 		return revision, err
 	}
@@ -283,17 +352,36 @@
 	return max(s.Revision, revision), nil
 }
 
-func (f *Follower[T]) watch(ctx context.Context, revision int64) (int64, error) {
-	wait := f.Wait
-	if f.Peer != nil {
-		if peer := f.Peer(); peer != "" {
-			f.readPeer = true
-			next, err := f.relay(ctx, peer, revision)
-			if err == nil {
-				return next, nil
-			}
-			f.Failed(peer, err)
+// readOthers reads the kind's changes at another VM, in the order of the guide. It gives up
+// when its own word gets too old: each VM that is cut off costs a timeout. tried says that
+// there was one to read from.
+func (f *Follower[T]) readOthers(ctx context.Context, revision int64) (next int64, tried bool, err error) {
+	for _, peer := range f.Guide.Sources() {
+		if tried && f.Guide.MayAsk(f.Feed.left()) && f.Feed.left() <= 0 {
+			break
+		}
+		tried = true
+		if next, err = f.relay(ctx, peer, revision); err == nil {
+			f.Guide.Read(peer)
+			return next, true, nil
 		}
+		f.Guide.Failed(peer, err)
+	}
+	return revision, tried, errNoWord
+}
+
+// watch waits for changes: at another VM, or at the platform where there is none to read
+// from, and where none has word and ask and the guide allow it.
+func (f *Follower[T]) watch(ctx context.Context, revision int64, ask bool) (int64, error) {
+	wait := f.Wait
+	next, tried, err := f.readOthers(ctx, revision)
+	if err == nil {
+		f.readPeer = true
+		return next, nil
+	}
+	f.readPeer = f.readPeer || tried
+	if !ask || f.readPeer && !f.Guide.MayAsk(f.Feed.left()) {
+		return revision, errNoWord
 	}
 	if f.lostAt != 0 || f.readPeer {
 		wait = probeWait
