Take "the history is gone" for an answer of the platform

From the logs: both watchers' watches hung, each kind's next call was told that the history is gone, and as that counted as no answer the kinds took turns 0.8 s apart before any of them listed.

Change: such an answer ends the VM's outage. A watcher counts as without word only at the second failure in a row, as its feed does: one connection that went silent is replaced after 100 ms. A VM that found no word at others before it asked counts so at the first.

Test: TestHistoryGoneAfterAnOutage failed before.

--- a/gateway/view/fleet_test.go
+++ b/gateway/view/fleet_test.go
@@ -63,6 +63,7 @@
 	platform *numbers
 	calls    atomic.Int64
 	turned   func(vm int) bool // the platform turns the VM away
+	history  int64             // the revision from which the platform keeps its history
 	vms      []*fleetVM
 }
 
@@ -152,6 +153,9 @@
 	if err := vm.call(); err != nil {
 		return Changes[*catalog.Config]{}, err
 	}
+	if after < vm.fleet.history {
+		return Changes[*catalog.Config]{}, durable.ErrGone
+	}
 	return vm.fleet.platform.Watch(ctx, after, wait)
 }
 
@@ -213,6 +217,28 @@
 	})
 }
 
+// The store is away for two seconds, and has dropped its history when it is back. Each kind
+// is told so first and lists after that. The answer that the history is gone is an
+// answer: a VM that took it for none gave the other kinds their tries 0.8 s apart, and
+// honoured a key for 4.1 s after it had been taken away.
+func TestHistoryGoneAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 7)
+		f.turned = func(int) bool { return true }
+		f.pass(2 * time.Second)
+		f.turned = func(int) bool { return false }
+		f.platform.change()
+		f.history = 6
+		f.pass(1200 * time.Millisecond)
+		f.requireVersion(t, 6)
+		for i, vm := range f.vms {
+			for kind, feed := range vm.feeds {
+				require.Positive(t, feed.left(), "VM %d, %s", i, kind)
+			}
+		}
+	})
+}
+
 // A VM starts again while the store turns it away. It knows nothing, and serves nobody
 // until it does: it must learn the kinds from the others, not wait for the store.
 func TestRestartedVMThatIsTurnedAway(t *testing.T) {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -59,6 +59,8 @@
 	// All says that Changes are the whole kind; what isn't among them is gone.
 	All     bool
 	Changes []Change[T]
+	// Revision is the platform's, up to which the kind is known now.
+	Revision int64
 	// Proof is a time at which this was the newest state.
 	Proof time.Duration
 	// Outage is how long the kind could not be read before this update; 0 for no outage.
@@ -116,6 +118,9 @@
 	failures int           // in a row
 	knew     bool          // the whole kind was known once
 	readPeer bool          // the last word came from another VM, or should have
+	// othersToo says that the platform was asked after no other VM had word: a failure
+	// then is no single connection's.
+	othersToo bool
 }
 
 const (
@@ -165,6 +170,7 @@
 		case errors.Is(err, durable.ErrGone):
 			f.Log.Info().Str("kind", f.Kind).Int64("revision", revision).Msg("history is gone, listing anew")
 			revision = 0
+			f.Guide.Regained() // the platform answered, if only that
 			// A store that keeps no history at all would otherwise be asked without end.
 			if gone++; gone > 1 {
 				sleep(ctx, gonePause)
@@ -258,7 +264,7 @@
 	if f.failures++; f.failures == readersLeaveAt {
 		f.Feed.lost()
 	}
-	if f.failures >= readersLeaveAt || f.Feed.left() < 0 {
+	if f.failures >= readersLeaveAt || f.othersToo {
 		f.Guide.Lost()
 	}
 	f.markLost(err)
@@ -304,7 +310,7 @@
 	if err != nil {
 		return 0, err
 	}
-	u := Update[T]{All: true, Proof: began, Outage: f.regained()}
+	u := Update[T]{All: true, Revision: l.Revision, Proof: began, Outage: f.regained()}
 	for _, it := range l.Items {
 		u.Changes = append(u.Changes, Change[T]{Item: it})
 	}
@@ -336,7 +342,7 @@
 		return revision, err
 	}
 	// Ages count from the asking: an answer may have been on its way for long.
-	u := Update[T]{All: s.All, Proof: began - s.Age}
+	u := Update[T]{All: s.All, Revision: s.Revision, Proof: began - s.Age}
 	for i, e := range s.Entries {
 		raw, err := e.unpack()
 		if err != nil {
@@ -386,7 +392,7 @@
 	if f.lostAt != 0 || f.readPeer {
 		wait = probeWait
 	}
-	f.readPeer = false
+	f.readPeer, f.othersToo = false, f.readPeer
 	began := f.Clock()
 	cctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
@@ -400,7 +406,7 @@
 	if len(c.Changes) == 0 && f.Clock()-began >= wait-early {
 		proof = began + wait - early
 	}
-	u := Update[T]{Changes: c.Changes, Proof: proof, Outage: f.regained()}
+	u := Update[T]{Changes: c.Changes, Revision: c.Revision, Proof: proof, Outage: f.regained()}
 	f.Apply(u)
 	f.pass(false, c.Revision, u)
 	if len(c.Changes) > 0 {
