Keep sessions off a version that a roll-out replaced

The new order kept requests from the third version only: 28 of them went back to the first within a second, from sessions at the second.

Ruled out: the trial (nobody tried the third yet), the fleet's word on sessions.

Change: the version of the last completed roll-out is the only one for requests that don't try a new one; where none of its endpoints is left the version on trial still gets nothing. TestReplacedVersionStaysReplaced failed before.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -164,7 +164,7 @@
 	v := c.h.cfg.Versions.Choose(c.service, c.r.Header.Get(c.h.cfg.Names.Session))
 	ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(v))
 	if miss == placement.NoEndpoint && v.Only != "" {
-		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(Choice{}))
+		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(Choice{Not: v.Not}))
 	}
 	return ch, miss
 }
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -36,7 +36,9 @@
 
 	mu     sync.Mutex
 	orders map[string]*order // by service
-	usual  map[string]float64
+	// inUse is the version that the last completed roll-out of a service brought in.
+	inUse map[string]string
+	usual map[string]float64
 }
 
 // order is a service's newest roll-out.
@@ -51,7 +53,7 @@
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, sessions: trial.NewSessions(n.bounds().Session),
-		orders: make(map[string]*order), usual: make(map[string]float64),
+		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]float64),
 	}
 }
 
@@ -63,6 +65,9 @@
 	known := make(map[string]bool)
 	for _, o := range r.n.view.RollOuts() {
 		known[o.Service] = true
+		if o.State == catalog.RollOutCompleted {
+			r.inUse[o.Service] = o.Target
+		}
 		id := o.Name + "/" + o.Target + "/" + strconv.FormatInt(o.Created, 10)
 		old := r.orders[o.Service]
 		if old != nil && old.id == id {
@@ -95,6 +100,15 @@
 	return &c
 }
 
+// old is the choice of a request that isn't to try an order's version. Where a roll-out
+// was completed before, it is that one's version: endpoints of the version replaced then
+// may still be there, and sessions went back to them.
+func (r *rollouts) old(o *order) forward.Choice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return forward.Choice{Only: r.inUse[o.Service], Not: o.Target}
+}
+
 // Choose implements forward.Versions.
 func (r *rollouts) Choose(service, session string) forward.Choice {
 	if v := r.n.view.Settled(service); v != "" {
@@ -110,11 +124,11 @@
 	case o.State == catalog.RollOutCompleted:
 		return forward.Choice{Only: o.Target}
 	case o.State == catalog.RollOutRolledBack:
-		c.Not = o.Target
+		c = r.old(o)
 	case tries && o.trial.Exposes(now) && !r.sessions.Stays(now, s):
 		return forward.Choice{Only: o.Target}
 	default:
-		c.Not = o.Target
+		c = r.old(o)
 	}
 	if session != "" && tries {
 		r.sessions.AtOld(now, s)
--- /dev/null
+++ b/gateway/node/rollouts_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/forward"
+	"goldcrestfork/gateway/view"
+)
+
+// orders is a VM's roll-outs, as the platform tells of them.
+type orders struct {
+	*rollouts
+	view     *view.View
+	revision int64
+}
+
+func newOrders() *orders {
+	n := &Node{inForce: new(atomic.Pointer[Bounds]), log: zerolog.Nop()}
+	n.inForce.Store(&Bounds{Session: 5 * time.Second, ExposureShare: 0.15})
+	n.view = view.New(view.Settings{Clock: bootClock, Log: zerolog.Nop()})
+	n.rollouts = newRollouts(n)
+	return &orders{rollouts: n.rollouts, view: n.view}
+}
+
+func (o *orders) told(target string, created int64, state catalog.RollOutState) {
+	o.revision++
+	r := catalog.RollOut{Name: "s", Service: "s", Target: target, Created: created, Revision: o.revision, State: state, Duration: 20 * time.Second}
+	o.view.ApplyRollOuts(view.Update[catalog.RollOut]{Revision: o.revision, Changes: []view.Change[catalog.RollOut]{
+		{Item: view.Item[catalog.RollOut]{Name: "s", Revision: o.revision, Value: r}},
+	}})
+	o.changed()
+}
+
+// choices are those of many sessions.
+func (o *orders) choices() map[forward.Choice]int {
+	out := make(map[forward.Choice]int)
+	for i := range 200 {
+		out[o.Choose("s", fmt.Sprint("session", i))]++
+	}
+	return out
+}
+
+// One roll-out is completed, and the operators order the next before the endpoints of the
+// version that was replaced first are gone. Sessions are at the second version: none may
+// go back to the first, as half of them did while the new order only kept them from the
+// third, and none to the third yet.
+func TestReplacedVersionStaysReplaced(t *testing.T) {
+	o := newOrders()
+	o.told("v2", 10, catalog.RollOutRunning)
+	require.Equal(t, map[forward.Choice]int{{Not: "v2"}: 200}, o.choices())
+	o.told("v2", 10, catalog.RollOutCompleted)
+	require.Equal(t, map[forward.Choice]int{{Only: "v2"}: 200}, o.choices())
+	for _, state := range []catalog.RollOutState{"", catalog.RollOutRunning, catalog.RollOutRolledBack} {
+		o.told("v3", 10, state)
+		require.Equal(t, map[forward.Choice]int{{Only: "v2", Not: "v3"}: 200}, o.choices(), "%q", state)
+	}
+	o.told("v4", 30, catalog.RollOutRunning)
+	require.Equal(t, map[forward.Choice]int{{Only: "v2", Not: "v4"}: 200}, o.choices())
+	o.told("v4", 30, catalog.RollOutCompleted)
+	require.Equal(t, map[forward.Choice]int{{Only: "v4"}: 200}, o.choices())
+}
