Give the new version all requests before the old one is stopped

Change: a version found good is first recorded as moving, a word of our own in the status beside the platform's "running", which all VMs read within a watch. It gets all requests; the roll-out is completed a session's pause later, or at 0.8 of its time. The old endpoints end most of what they answer meanwhile.

--- a/gateway/catalog/endpoint.go
+++ b/gateway/catalog/endpoint.go
@@ -26,7 +26,10 @@
 
 // The states of a roll-out.
 const (
-	RollOutRunning    RollOutState = "running"
+	RollOutRunning RollOutState = "running"
+	// RollOutMoving: the new version was found good and gets all requests; the old one's
+	// endpoints still end what they have.
+	RollOutMoving     RollOutState = "moving"
 	RollOutCompleted  RollOutState = "completed"
 	RollOutRolledBack RollOutState = "rolled-back"
 )
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -48,8 +48,12 @@
 	trial  *trial.Trial
 	tried  time.Time // last try to record
 	logged trial.Decision
+	moving time.Duration // when the VM learnt that the new version gets all requests
 }
 
+// judged says that the new version's answers don't count any more.
+func (o *order) judged() bool { return o.State != "" && o.State != catalog.RollOutRunning }
+
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, sessions: trial.NewSessions(n.bounds().Session),
@@ -74,11 +78,14 @@
 			if old.State != o.State {
 				r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).Msg("roll-out recorded")
 			}
+			if o.State == catalog.RollOutMoving && old.State != catalog.RollOutMoving {
+				old.moving = now
+			}
 			old.RollOut = o
 			continue
 		}
 		b := r.n.bounds()
-		r.orders[o.Service] = &order{RollOut: o, id: id, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
+		r.orders[o.Service] = &order{RollOut: o, id: id, moving: now, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
 		r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).
 			Dur("duration_ms", o.Duration).Msg("roll-out ordered")
 	}
@@ -121,7 +128,7 @@
 	var c forward.Choice
 	switch {
 	case o == nil:
-	case o.State == catalog.RollOutCompleted:
+	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
 		return forward.Choice{Only: o.Target}
 	case o.State == catalog.RollOutRolledBack:
 		c = r.old(o)
@@ -140,7 +147,7 @@
 func (r *rollouts) Answered(a forward.Answered) {
 	o := r.order(a.Service)
 	slow := r.slow(a, o)
-	if o != nil && (o.State == "" || o.State == catalog.RollOutRunning) {
+	if o != nil && !o.judged() {
 		o.trial.Answered(a.Version == o.Target, a.Failed, slow)
 	}
 }
@@ -178,7 +185,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
-		if o.State == "" || o.State == catalog.RollOutRunning {
+		if !o.judged() || o.State == catalog.RollOutMoving {
 			orders = append(orders, orderWord{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.Own()})
 		}
 	}
@@ -198,27 +205,18 @@
 	}
 }
 
-// tick judges the roll-outs under way; the VM that ranks first for one records it.
+// tick takes the roll-outs under way on; the VM that ranks first for one records it.
 func (r *rollouts) tick(ctx context.Context) {
 	now := bootClock()
 	r.mu.Lock()
 	var due []*order
 	for _, o := range r.orders {
-		if o.State != "" && o.State != catalog.RollOutRunning {
-			continue
-		}
-		d, reason := o.trial.Judge(now)
-		if d != o.logged {
-			o.logged = d
-			s := o.trial.Sum()
-			r.n.log.Info().Str("roll_out", o.id).Int("decision", int(d)).Str("reason", reason).
-				Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
-				Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow).
-				Dur("age_ms", o.trial.Age(now)).Msg("roll-out judged")
-		}
-		if (d != trial.Undecided || o.State == "") && time.Since(o.tried) >= recordPause && r.first(o.id) {
+		next, ok := r.next(now, o)
+		if ok && time.Since(o.tried) >= recordPause && r.first(o.id) {
 			o.tried = time.Now()
-			due = append(due, &order{RollOut: o.RollOut, id: o.id, logged: d})
+			c := *o
+			c.State = next
+			due = append(due, &c)
 		}
 	}
 	r.mu.Unlock()
@@ -227,6 +225,32 @@
 	}
 }
 
+// next is the state that an order should be in; ok is false while the one recorded holds.
+func (r *rollouts) next(now time.Duration, o *order) (next catalog.RollOutState, ok bool) {
+	if o.State == catalog.RollOutMoving {
+		return catalog.RollOutCompleted, o.trial.Moved(now, now-o.moving)
+	}
+	if o.judged() {
+		return o.State, false
+	}
+	d, reason := o.trial.Judge(now)
+	if d != o.logged {
+		o.logged = d
+		s := o.trial.Sum()
+		r.n.log.Info().Str("roll_out", o.id).Int("decision", int(d)).Str("reason", reason).
+			Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
+			Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow).
+			Dur("age_ms", o.trial.Age(now)).Msg("roll-out judged")
+	}
+	switch d {
+	case trial.Take:
+		return catalog.RollOutMoving, true
+	case trial.TakeBack:
+		return catalog.RollOutRolledBack, true
+	}
+	return catalog.RollOutRunning, o.State == ""
+}
+
 // first says that this VM ranks first among those that are ready, so that one call
 // does. Two that both think so write the same, under the same condition.
 func (r *rollouts) first(id string) bool {
@@ -242,15 +266,12 @@
 }
 
 func (r *rollouts) record(ctx context.Context, o *order) {
-	state := map[trial.Decision]catalog.RollOutState{
-		trial.Undecided: catalog.RollOutRunning, trial.Take: catalog.RollOutCompleted, trial.TakeBack: catalog.RollOutRolledBack,
-	}[o.logged]
 	c, cancel := context.WithTimeout(ctx, durable.CallTimeout)
 	defer cancel()
-	err := r.n.p.RecordRollOut(c, o.RollOut, state)
+	err := r.n.p.RecordRollOut(c, o.RollOut, o.State)
 	e := r.n.log.Info()
 	if err != nil && !errors.Is(err, durable.ErrConflict) {
 		e = r.n.log.Warn()
 	}
-	e.Err(err).Str("roll_out", o.id).Str("state", string(state)).Int64("revision", o.Revision).Msg("recording roll-out")
+	e.Err(err).Str("roll_out", o.id).Str("state", string(o.State)).Int64("revision", o.Revision).Msg("recording roll-out")
 }
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -66,3 +66,35 @@
 	o.told("v4", 30, catalog.RollOutCompleted)
 	require.Equal(t, map[forward.Choice]int{{Only: "v4"}: 200}, o.choices())
 }
+
+// A version was found good. The platform stops the old endpoints as soon as it is told
+// that the roll-out is completed, and cuts off what they answer: so the new version first
+// gets all requests, by a word that all VMs read, and the old one the time of a
+// session's longest pause, less where the roll-out's time runs out.
+func TestOldVersionEndsItsAnswers(t *testing.T) {
+	o := newOrders()
+	o.told("v2", 10, catalog.RollOutRunning)
+	order := o.orders["s"]
+	for range 100 {
+		order.trial.Answered(false, false, false)
+		order.trial.Answered(true, false, false)
+	}
+	began := bootClock() - order.trial.Age(bootClock())
+	_, ok := o.next(began+10*time.Second, order)
+	require.False(t, ok, "too early to judge")
+	next, ok := o.next(began+14*time.Second, order)
+	require.True(t, ok)
+	require.Equal(t, catalog.RollOutMoving, next)
+
+	o.told("v2", 10, catalog.RollOutMoving)
+	require.Equal(t, map[forward.Choice]int{{Only: "v2"}: 200}, o.choices())
+	order.moving = began + 10*time.Second
+	_, ok = o.next(began+14*time.Second, order)
+	require.False(t, ok)
+	next, ok = o.next(began+15*time.Second, order)
+	require.True(t, ok, "a session's pause of five seconds")
+	require.Equal(t, catalog.RollOutCompleted, next)
+	order.moving = began + 14*time.Second
+	_, ok = o.next(began+16*time.Second+time.Millisecond, order)
+	require.True(t, ok, "0.8 of the roll-out's time")
+}
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -22,6 +22,9 @@
 	// against it is taken: past the half in which sessions must stay on the old one, and
 	// with time left to record it while the platform is slow.
 	decideAt = 0.65
+	// movedAt is the part at which a roll-out is completed though sessions are still moving;
+	// a fifth of its time is left for an order that was known late, or a slow platform.
+	movedAt = 0.8
 	// giveUpAt is the part at which a version that is not proved good is taken back.
 	giveUpAt = 0.85
 	// leastAnswers of the new version are needed to take it: of a version that fails a
@@ -171,6 +174,16 @@
 	return Undecided, ""
 }
 
+// Moved says whether the old version may be stopped, moving after the new one got all
+// requests. Stopped at once, its endpoints cut off the answers under way; and where the
+// operators order the next version right after, sessions that were at the old one a moment
+// ago change their version for no reason that the new order gives.
+func (t *Trial) Moved(now, moving time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return moving >= t.session || float64(now-t.began) >= movedAt*float64(t.duration)
+}
+
 // noWorse says that the new version's rate of bad answers is the old one's, give or
 // take one standard error of a rate from so few answers.
 func noWorse(from, to rollout.Tally) bool {
