--- a/policy/watching/doc.go
+++ b/policy/watching/doc.go
@@ -6,7 +6,7 @@
 // VMs away, or resets connections; VMs that watch it are cut off, stop or crash.
 //
 // Without it: when the two VMs that watch lose the store, all others ask it at once and
-// go on for seconds. 91 VMs made 730 calls a second in an outage of eight seconds, each of
+// go on for seconds. 91 VMs made 710 calls a second in an outage of eight seconds, each of
 // four kinds asking twice a second, and 88 VMs made 400 a second for four seconds after
 // both watchers had been cut off.
 //
--- a/policy/watching/outage.go
+++ b/policy/watching/outage.go
@@ -15,7 +15,7 @@
 	// doesn't answer. With the tries at others, 60 VMs know of its return within a second.
 	firstAsk = 500 * time.Millisecond
 	// rankShare makes VMs ask the platform less often by rank: the fourth half as often
-	// as the first. 91 VMs ask 37 times a second then, in place of 730.
+	// as the first. 91 VMs ask 37 times a second then, in place of 710.
 	rankShare = 4
 	// lastAsk bounds that pause: a VM that alone is served, or finds no other VM, is back
 	// within it.
