Choose among a sample of a large pool

Each choice looked at each endpoint: with 3,000, 0.67 ms a choice, 0.72 ms an outlook, 0.15 ms for what a VM tells of its own work and 0.09 ms for taking what others tell, several times a stream.

Ruled out: the datagrams (their number is flat).

Change: above 200 endpoints a choice looks at 100 at equal steps from a random one and at the keepers of the shared part, and at all where none of these may serve. TestChoiceAmongThousands.

--- a/fleet/rendezvous/rendezvous.go
+++ b/fleet/rendezvous/rendezvous.go
@@ -14,9 +14,20 @@
 )
 
 // Weight is the weight of id for key; the highest wins.
-func Weight(key, id string) uint64 {
-	return mix(xxhash.Sum64String(key) ^ mix(xxhash.Sum64String(id)))
-}
+func Weight(key, id string) uint64 { return Mark(key).Weight(Mark(id)) }
+
+// Hash is a key or an id as weights are made of it, for callers that compare one with
+// thousands.
+type Hash uint64
+
+// Mark returns the hash of a key or an id.
+func Mark(s string) Hash { return Hash(xxhash.Sum64String(s)) }
+
+// Short names an id among thousands in messages.
+func (h Hash) Short() uint32 { return uint32(h) }
+
+// Weight is the weight of an id for the key.
+func (key Hash) Weight(id Hash) uint64 { return mix(uint64(key) ^ mix(uint64(id))) }
 
 // mix is the finalizer of SplitMix64. The exclusive or of two hashes alone would
 // keep the differences between ids equal for all keys, so that losing one id
--- a/fleet/tally/board.go
+++ b/fleet/tally/board.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"goldcrestfork/fleet/rendezvous"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // Mark is the endpoint's short name in entries. Two endpoints with the same mark, one
 // pair in a few million, only look busier than they are.
-func Mark(endpoint string) uint32 { return uint32(xxhash.Sum64String(endpoint)) }
+func Mark(endpoint string) uint32 { return rendezvous.Mark(endpoint).Short() }
 
 // State is what a VM says of the endpoints, or is told of them.
 type State struct {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -81,7 +81,7 @@
 		use = load.use()
 	}
 	now := time.Now()
-	look := c.h.cfg.Table.Outlook(now, c.needOf(Choice{}, len(c.route.Models)-1))
+	look := c.h.cfg.Table.Outlook(now, newRand(), c.needOf(Choice{}, len(c.route.Models)-1))
 	if err == nil {
 		c.opinion = fmt.Sprintf("%d,%.2f,%d+%dms", conf, use, look.Wait.Milliseconds(), look.Read.Milliseconds())
 	}
--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -19,8 +19,10 @@
 func (n *Node) newTally() (*tally.Service, error) {
 	return tally.Listen(tally.Config{
 		Self: n.s.VM, Address: net.JoinHostPort(n.s.IP, strconv.Itoa(n.s.PortFirst+tallyOffset)), Clock: bootClock,
-		Keepers: func() []tally.Keeper { return n.keepers(n.s.DataCentre) },
-		Others:  n.otherKeepers, State: n.load, Apply: n.applyLoad, Log: n.log, Registerer: n.registry,
+		Keepers: func() []tally.Keeper {
+			return n.ownKeepers.get(bootClock(), func() []tally.Keeper { return n.keepers(n.s.DataCentre) })
+		},
+		Others: func() []tally.Keeper { return n.farKeepers.get(bootClock(), n.otherKeepers) }, State: n.load, Apply: n.applyLoad, Log: n.log, Registerer: n.registry,
 	})
 }
 
@@ -91,5 +93,5 @@
 		share.Avoided = true
 		byMark[m] = share
 	}
-	n.table.SetElsewhere(time.Now(), func(id string) placement.Share { return byMark[tally.Mark(id)] })
+	n.table.SetElsewhere(time.Now(), byMark)
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -98,6 +98,11 @@
 	stopping atomic.Bool
 	orders   atomic.Bool // roll-outs and data centres out were listed
 	out      atomic.Bool
+
+	// What choices need of the fleet, made anew now and then.
+	ownKeepers, farKeepers recent[[]tally.Keeper]
+	vms                    recent[[]string]
+
 	registry *prometheus.Registry
 	wg       sync.WaitGroup
 }
@@ -269,5 +274,7 @@
 // coldShare deals a cold endpoint's rate to the VMs: a few of them by rank, so that
 // even one request at once from each stays within it, and the others none.
 func (n *Node) coldShare(endpoint string, rate float64) float64 {
-	return coldShare(n.gossip.Table().Names(bootClock()), n.s.VM, endpoint, rate)
+	now := bootClock()
+	vms := n.vms.get(now, func() []string { return n.gossip.Table().Names(now) })
+	return coldShare(vms, n.s.VM, endpoint, rate)
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -41,7 +41,8 @@
 	missing  map[string]time.Duration
 	holding  time.Duration // entries that vanish before this Clock time are held
 	rollouts map[string]catalog.RollOut
-	ordersAt int64 // the platform's revision up to which rollouts are known
+	ordersAt int64             // the platform's revision up to which rollouts are known
+	settled  map[string]string // by service, what Settled found since the last change
 	out      map[string]bool
 }
 
@@ -55,7 +56,7 @@
 func New(s Settings) *View {
 	return &View{
 		s: s, endpoints: make(map[string]known), missing: make(map[string]time.Duration),
-		rollouts: make(map[string]catalog.RollOut), out: make(map[string]bool),
+		rollouts: make(map[string]catalog.RollOut), settled: make(map[string]string), out: make(map[string]bool),
 	}
 }
 
@@ -123,6 +124,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.listed = true
+	clear(v.settled)
 	if u.Outage > 0 {
 		v.holding = now + v.s.Hold()
 	}
@@ -208,6 +210,7 @@
 	}
 	delete(v.endpoints, id)
 	delete(v.missing, id)
+	clear(v.settled)
 	v.s.Table.Remove(id)
 	if v.s.Gone != nil {
 		v.s.Gone(e.Address)
@@ -235,6 +238,7 @@
 		clear(v.rollouts)
 	}
 	v.ordersAt = max(v.ordersAt, u.Revision)
+	clear(v.settled)
 	for _, c := range u.Changes {
 		switch {
 		case c.Deleted:
@@ -268,6 +272,16 @@
 func (v *View) Settled(service string) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	version, ok := v.settled[service]
+	if !ok {
+		version = v.findSettled(service)
+		v.settled[service] = version
+	}
+	return version
+}
+
+// findSettled looks at all endpoints of a service. Callers hold v.mu.
+func (v *View) findSettled(service string) string {
 	settled, waits := "", false
 	for _, e := range v.endpoints {
 		if e.Service != service || v.ordersAt == 0 {
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
 )
 
@@ -44,8 +45,10 @@
 
 type endpoint struct {
 	Spec
-	running   float64 // work under way from this VM
-	elsewhere Share   // what the other VMs told, as of Table.toldAt
+	rank      rendezvous.Hash // of its id, for the keepers of shared parts
+	out       bool            // its data centre's endpoints get nothing
+	running   float64         // work under way from this VM
+	elsewhere Share           // what the other VMs told, as of Table.toldAt
 	requests  int
 	// fullUntil is set when the endpoint refused for want of room.
 	fullUntil time.Time
@@ -100,8 +103,8 @@
 }
 
 // usable says whether the endpoint may get a request now.
-func (e *endpoint) usable(now time.Time, r *Request, out map[string]bool) bool {
-	if e.Draining || out[e.DataCentre] || e.detected == outlier.Ejected {
+func (e *endpoint) usable(now time.Time, r *Request) bool {
+	if e.Draining || e.out || e.detected == outlier.Ejected {
 		return false
 	}
 	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
--- a/policy/placement/fleet_test.go
+++ b/policy/placement/fleet_test.go
@@ -51,7 +51,7 @@
 					sum[id] += w.Work
 				}
 			}
-			tables[vm].SetElsewhere(now, func(id string) Share { return Share{Work: sum[id]} })
+			tell(tables[vm], now, func(id string) Share { return Share{Work: sum[id]} })
 		}
 		// A log-normal size with a mean of 8 thousand tokens, read at 9 ms a thousand.
 		tokens := 3 * math.Exp(1.4*r.NormFloat64())
@@ -89,7 +89,7 @@
 // away from an engine that was busy seconds ago.
 func TestOldWordOfTheFleetIsForgotten(t *testing.T) {
 	tb, r := table(2), rng()
-	tb.SetElsewhere(start, func(id string) Share { return map[string]Share{"e00": {Work: 50}}[id] })
+	tell(tb, start, func(id string) Share { return map[string]Share{"e00": {Work: 50}}[id] })
 	for range 20 {
 		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1})
 		require.Equal(t, "e01", c.ID)
@@ -140,7 +140,7 @@
 						}
 					}
 				}
-				vm.SetElsewhere(now, func(id string) Share { return Share{Avoided: avoiding[id] >= 2} })
+				tell(vm, now, func(id string) Share { return Share{Avoided: avoiding[id] >= 2} })
 			}
 			req := &Request{Service: "s", Work: 1}
 			for {
--- a/policy/placement/pace.go
+++ b/policy/placement/pace.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// firstPace is the time that engines take for a unit of work before any was seen; the
@@ -48,14 +51,14 @@
 // was 4 to 9 ms a unit at one kind of engine and 2 to 4.5 at the other, from 10 to 400
 // units; 9 of 10 took less than twice that. The share of an engine's slots in use told
 // little: at a third of them requests waited from 0.1 to 2 s.
-func (t *Table) Outlook(now time.Time, r *Request) Outlook {
+func (t *Table) Outlook(now time.Time, rng *rand.Rand, r *Request) Outlook {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.services[r.Service]
 	if p == nil {
 		return Outlook{}
 	}
-	warm, cold, _ := t.candidates(now, p, r)
+	warm, cold, _ := t.candidates(now, rng, p, r)
 	if len(warm) == 0 {
 		warm = cold
 	}
--- a/policy/placement/pace_test.go
+++ b/policy/placement/pace_test.go
@@ -28,8 +28,8 @@
 		tb := table(3)
 		ask := &Request{Service: "s", Work: 1, Prefill: 99}
 		serve(t, tb, 300, perUnit)
-		require.InEpsilon(t, 100*perUnit, tb.Outlook(start, ask).Read, 0.05)
-		require.Zero(t, tb.Outlook(start, ask).Wait)
+		require.InEpsilon(t, 100*perUnit, tb.Outlook(start, rng(), ask).Read, 0.05)
+		require.Zero(t, tb.Outlook(start, rng(), ask).Wait)
 
 		c, _ := tb.Pick(start, rng(), &Request{Service: "s", Work: 1, Prefill: 39})
 		tb.Began(start.Add(time.Minute), c)
@@ -39,7 +39,7 @@
 			tb.Began(start.Add(200*time.Millisecond), c)
 			tb.Done(start, c, Good)
 		}
-		require.InEpsilon(t, 100*perUnit, tb.Outlook(start, ask).Read, 0.15)
+		require.InEpsilon(t, 100*perUnit, tb.Outlook(start, rng(), ask).Read, 0.15)
 	}
 }
 
@@ -47,12 +47,12 @@
 // the others'; endpoints that may not be used don't count.
 func TestOutlookIsThatOfTheBestEndpoint(t *testing.T) {
 	tb := table(3)
-	tb.SetElsewhere(start, func(id string) Share {
+	tell(tb, start, func(id string) Share {
 		return map[string]Share{"e00": {Work: 50}, "e01": {Work: 20}, "e02": {Work: 0}}[id]
 	})
 	ask := &Request{Service: "s", Work: 1}
-	require.Zero(t, tb.Outlook(start, ask).Wait)
+	require.Zero(t, tb.Outlook(start, rng(), ask).Wait)
 	tb.Set(start, Spec{ID: "e02", Service: "s", Address: "e02", DataCentre: "a", Slots: 8, Draining: true})
-	require.Equal(t, 20*firstPace, tb.Outlook(start, ask).Wait)
-	require.Equal(t, Outlook{}, tb.Outlook(start, &Request{Service: "unknown"}))
+	require.Equal(t, 20*firstPace, tb.Outlook(start, rng(), ask).Wait)
+	require.Equal(t, Outlook{}, tb.Outlook(start, rng(), &Request{Service: "unknown"}))
 }
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/fleet/rendezvous"
 )
 
 var start = time.Unix(1000, 0)
@@ -19,6 +21,17 @@
 	return t
 }
 
+// tell tells a table what the other VMs have at endpoints.
+func tell(t *Table, now time.Time, of func(id string) Share) {
+	shares := make(map[uint32]Share)
+	for id := range t.endpoints {
+		if s := of(id); s != (Share{}) {
+			shares[rendezvous.Mark(id).Short()] = s
+		}
+	}
+	t.SetElsewhere(now, shares)
+}
+
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 // An endpoint refuses connections at once, so that it always has the least under way.
@@ -206,3 +219,45 @@
 		tb.Done(start, c, Good)
 	}
 }
+
+// Three thousand engines, a handful of them busy or dead. A choice looks at a sample: it
+// must find an idle engine, keep a shared part together on the engines that all VMs
+// know for it, and find the one that may serve where all others may not.
+func TestChoiceAmongThousands(t *testing.T) {
+	const n = 3000
+	a, b := table(n), table(n)
+	r := rng()
+	used := make(map[string]int)
+	for i := range 400 {
+		tb := a
+		if i%2 == 1 {
+			tb = b
+		}
+		c, miss := tb.Pick(start, r, &Request{Service: "s", Work: 1, Affinity: "part", Saving: 1e6})
+		require.Equal(t, Picked, miss)
+		used[c.ID]++
+		tb.Done(start, c, Good)
+	}
+	require.LessOrEqual(t, len(used), affine, "both VMs keep the part at the same engines")
+
+	tell(a, start, func(id string) Share {
+		if id < "e2900" {
+			return Share{Work: 50}
+		}
+		return Share{}
+	})
+	idle := 0
+	for range 200 {
+		c, _ := a.Pick(start, r, &Request{Service: "s", Work: 1})
+		if c.ID >= "e2900" {
+			idle++
+		}
+	}
+	require.Greater(t, idle, 150, "one engine in thirty is idle")
+
+	a.Set(start, Spec{ID: "only", Service: "s", DataCentre: "a", Version: "v2", Slots: 8})
+	c, miss := a.Pick(start, r, &Request{Service: "s", Work: 1, Version: "v2"})
+	require.Equal(t, Picked, miss)
+	require.Equal(t, "only", c.ID)
+	require.Len(t, a.Own(start), 201, "only what is under way is told")
+}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -96,19 +96,25 @@
 	endpoints map[string]*endpoint
 	services  map[string]*pool
 	out       map[string]bool
-	// toldAt is when the work of the other VMs became known.
+	// busy are the endpoints that this VM has something to tell of: few of thousands.
+	busy map[*endpoint]struct{}
+	// short are the endpoints by the names that VMs use among each other.
+	short map[uint32]*endpoint
+	// told are the endpoints of which the other VMs told, at toldAt.
+	told   []*endpoint
 	toldAt time.Time
 }
 
 type pool struct {
 	list     []*endpoint
 	detector *outlier.Detector
+	changed  bool // list changed since the detector was told
 	pace     pace
 }
 
 // New returns a table without endpoints for a VM in a data centre.
 func New(dataCentre string) *Table {
-	return &Table{DataCentre: dataCentre, endpoints: make(map[string]*endpoint), services: make(map[string]*pool)}
+	return &Table{DataCentre: dataCentre, endpoints: make(map[string]*endpoint), services: make(map[string]*pool), short: make(map[uint32]*endpoint), busy: make(map[*endpoint]struct{})}
 }
 
 // Set adds an endpoint or takes a change of one.
@@ -121,17 +127,19 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{Spec: s}
+		e = &endpoint{Spec: s, rank: rendezvous.Mark(s.ID)}
 		t.endpoints[s.ID] = e
+		t.short[e.rank.Short()] = e
 		p := t.services[s.Service]
 		if p == nil {
 			p = &pool{detector: outlier.New()}
 			t.services[s.Service] = p
 		}
 		p.list = append(p.list, e)
-		p.reset()
+		p.changed = true
 	}
 	e.Spec = s
+	e.out = t.out[s.DataCentre]
 	// A report never shortens a cold start: it may have been on its way while the
 	// endpoint was met cold.
 	if until := now.Add(s.Cold); s.Cold > 0 && until.After(e.coldUntil) {
@@ -152,17 +160,26 @@
 		return
 	}
 	delete(t.endpoints, id)
+	delete(t.short, e.rank.Short())
+	delete(t.busy, e)
 	p := t.services[e.Service]
 	p.list = slices.DeleteFunc(p.list, func(o *endpoint) bool { return o == e })
-	p.reset()
+	p.changed = true
 }
 
-func (p *pool) reset() {
-	names := make([]string, len(p.list))
-	for i, e := range p.list {
-		names[i] = e.ID
+// detect returns the detector of the endpoints as they are. It is told of a change when it
+// is next needed: thousands of endpoints that come one by one would each cost a round of
+// all.
+func (p *pool) detect() *outlier.Detector {
+	if p.changed {
+		names := make([]string, len(p.list))
+		for i, e := range p.list {
+			names[i] = e.ID
+		}
+		p.detector.Set(names)
+		p.changed = false
 	}
-	p.detector.Set(names)
+	return p.detector
 }
 
 // SetOut names the data centres whose endpoints get nothing.
@@ -170,6 +187,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.out = out
+	for _, e := range t.endpoints {
+		e.out = out[e.DataCentre]
+	}
 }
 
 // Pick chooses an endpoint and takes a place on it.
@@ -180,10 +200,10 @@
 	if p == nil {
 		return Choice{}, NoEndpoint
 	}
-	for _, c := range p.detector.Due(now) {
+	for _, c := range p.detect().Due(now) {
 		t.endpoints[c.Endpoint].detected = c.State
 	}
-	warm, cold, tried := t.candidates(now, p, r)
+	warm, cold, tried := t.candidates(now, rng, p, r)
 	e := t.best(now, rng, warm, r)
 	if e == nil {
 		e = t.best(now, rng, cold, r)
@@ -202,6 +222,7 @@
 	ahead := t.under(now, e) + work
 	e.running += work
 	e.requests++
+	t.busy[e] = struct{}{}
 	if e.avoidFor > 0 {
 		e.trial = true
 	}
@@ -213,10 +234,22 @@
 }
 
 // candidates splits the usable endpoints into warm ones and cold ones that have a
-// request left.
-func (t *Table) candidates(now time.Time, p *pool, r *Request) (warm, cold []*endpoint, tried bool) {
-	for _, e := range p.list {
-		if !e.usable(now, r, t.out) {
+// request left: those of a sample of a large pool and of the keepers of the request's
+// shared part, or of all where the sample has none.
+func (t *Table) candidates(now time.Time, rng *rand.Rand, p *pool, r *Request) (warm, cold []*endpoint, tried bool) {
+	if len(p.list) > sampleFrom {
+		warm, cold, _ = split(now, append(sample(rng, p.list), keepersOf(p.list, r.Affinity)...), r)
+		if len(warm) > 0 {
+			return warm, cold, false
+		}
+	}
+	return split(now, p.list, r)
+}
+
+func split(now time.Time, list []*endpoint, r *Request) (warm, cold []*endpoint, tried bool) {
+	warm = make([]*endpoint, 0, len(list))
+	for _, e := range list {
+		if !e.usable(now, r) {
 			tried = tried || r.excluded(e.ID)
 			continue
 		}
@@ -229,6 +262,27 @@
 	return warm, cold, tried
 }
 
+const (
+	// sampleFrom is the number of endpoints from which a choice looks at a sample. A choice
+	// among 3,000 took 0.67 ms of a core and the outlook as much, three of each a stream:
+	// 300 VMs before 3,000 engines spent a third of a core each.
+	sampleFrom = 200
+	// sampled endpoints are looked at: the least loaded of a hundred is among the
+	// least loaded 3 in 100 of all in 95 of 100 choices.
+	sampled = 100
+)
+
+// sample takes endpoints at equal steps from a random one on: entries of a data centre or
+// a version stand together, and each gets its part.
+func sample(rng *rand.Rand, list []*endpoint) []*endpoint {
+	out := make([]*endpoint, 0, sampled+affine)
+	at := rng.IntN(len(list))
+	for i := range sampled {
+		out = append(out, list[(at+i*len(list)/sampled)%len(list)])
+	}
+	return out
+}
+
 // best returns the endpoint with the least work before the request, where one of
 // those that keep its shared part is allowed Saving more than the others.
 func (t *Table) best(now time.Time, rng *rand.Rand, list []*endpoint, r *Request) *endpoint {
@@ -237,7 +291,7 @@
 	var least float64
 	for _, e := range list {
 		cost := t.under(now, e)
-		if e.elsewhere.Avoided && t.told(now) {
+		if e.elsewhere.Avoided && t.informed(now) {
 			cost += avoidedPenalty
 		}
 		if e.Slots > 0 && float64(e.requests) >= fullFactor*float64(e.Slots) {
@@ -257,12 +311,12 @@
 	return best
 }
 
-// told says that the other VMs' work is known.
-func (t *Table) told(now time.Time) bool { return now.Sub(t.toldAt) < toldFor }
+// informed says that the other VMs' work is known.
+func (t *Table) informed(now time.Time) bool { return now.Sub(t.toldAt) < toldFor }
 
 // under is the work under way at an endpoint.
 func (t *Table) under(now time.Time, e *endpoint) float64 {
-	if t.told(now) {
+	if t.informed(now) {
 		return e.load(now) + e.elsewhere.Work
 	}
 	return e.load(now)
@@ -288,10 +342,12 @@
 	if affinity == "" {
 		return out
 	}
+	key := rendezvous.Mark(affinity)
 	var top [affine]uint64
 	for _, e := range list {
-		w := rendezvous.Weight(affinity, e.ID)
+		w := key.Weight(e.rank)
 		switch {
+		case e == out[0] || e == out[1]: // listed twice
 		case out[0] == nil || w > top[0]:
 			out[1], top[1] = out[0], top[0]
 			out[0], top[0] = e, w
@@ -302,6 +358,15 @@
 	return out
 }
 
+// keepersOf lists them.
+func keepersOf(list []*endpoint, affinity string) []*endpoint {
+	k := keepers(list, affinity)
+	if k[0] == nil {
+		return nil
+	}
+	return k[:]
+}
+
 // Began says that the endpoint has read the request's prompt.
 func (t *Table) Began(now time.Time, c Choice) {
 	t.mu.Lock()
@@ -325,21 +390,31 @@
 func (t *Table) Own(now time.Time) map[string]Share {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]Share)
-	for id, e := range t.endpoints {
+	out := make(map[string]Share, len(t.busy))
+	for e := range t.busy {
 		if avoided := now.Before(e.avoidUntil); avoided || e.running > 0 {
-			out[id] = Share{Work: e.running, Avoided: avoided}
+			out[e.ID] = Share{Work: e.running, Avoided: avoided}
+		} else if e.requests == 0 {
+			delete(t.busy, e)
 		}
 	}
 	return out
 }
 
-// SetElsewhere takes what the other VMs tell.
-func (t *Table) SetElsewhere(now time.Time, share func(id string) Share) {
+// SetElsewhere takes what the other VMs tell, by the endpoints' short names
+// (rendezvous.Hash.Short); of those not named there is nothing to tell.
+func (t *Table) SetElsewhere(now time.Time, shares map[uint32]Share) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.endpoints {
-		e.elsewhere = share(id)
+	for _, e := range t.told {
+		e.elsewhere = Share{}
+	}
+	t.told = t.told[:0]
+	for short, share := range shares {
+		if e := t.short[short]; e != nil {
+			e.elsewhere = share
+			t.told = append(t.told, e)
+		}
 	}
 	t.toldAt = now
 }
@@ -357,7 +432,7 @@
 	switch o {
 	case Good, Failed:
 		e.succeeded()
-		if c, changed := t.services[e.Service].detector.Record(now, outlier.Result{Endpoint: e.ID, Failed: o == Failed}); changed {
+		if c, changed := t.services[e.Service].detect().Record(now, outlier.Result{Endpoint: e.ID, Failed: o == Failed}); changed {
 			e.detected = c.State
 		}
 	case Broken, Gone:
