Rank the fleet less often, and without sorting it for each endpoint

A VM's part of a cold endpoint's rate took a sort of all VMs for each of 3,000 endpoints at each new configuration: 66 us each, 0.2 s. The ranking by which feeds are read was made at each read.

Change: the place in a ranking is counted (rendezvous.Place), 3.9 us; the ranking for feeds is kept for 200 ms, as the others. TestPlaceIsThatOfTheRank.

--- a/fleet/rendezvous/rendezvous.go
+++ b/fleet/rendezvous/rendezvous.go
@@ -56,6 +56,27 @@
 	return RankBy(key, ids, func(id string) string { return id })
 }
 
+// Place returns how many of ids key prefers to id, -1 where id isn't among them. It does not
+// allocate: for 300 ids it takes 4 us, Rank 66.
+func Place(key, id string, ids []string) int {
+	k := Mark(key)
+	own := k.Weight(Mark(id))
+	place, found := 0, false
+	for _, other := range ids {
+		w := k.Weight(Mark(other))
+		switch {
+		case other == id:
+			found = true
+		case w > own || w == own && other < id:
+			place++
+		}
+	}
+	if !found {
+		return -1
+	}
+	return place
+}
+
 // RankBy returns items in the order in which key prefers their ids; items stays as it is.
 func RankBy[T any](key string, items []T, id func(T) string) []T {
 	type weighted struct {
--- a/fleet/rendezvous/rendezvous_test.go
+++ b/fleet/rendezvous/rendezvous_test.go
@@ -56,3 +56,16 @@
 		Best("endpoint-17#0", ids)
 	}
 }
+
+func TestPlaceIsThatOfTheRank(t *testing.T) {
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, fmt.Sprint("vm", i))
+	}
+	for key := range 50 {
+		for place, id := range Rank(fmt.Sprint(key), ids) {
+			require.Equal(t, place, Place(fmt.Sprint(key), id, ids))
+		}
+	}
+	require.Equal(t, -1, Place("key", "unknown", ids))
+}
--- a/gateway/node/cold.go
+++ b/gateway/node/cold.go
@@ -9,12 +9,9 @@
 
 // coldShare is this VM's part of a cold endpoint's rate.
 func coldShare(vms []string, self, endpoint string, rate float64) float64 {
-	ranked := rendezvous.Rank(endpoint, vms)
-	k := min(coldVMs, len(ranked))
-	for _, vm := range ranked[:k] {
-		if vm == self {
-			return rate / float64(k)
-		}
+	k := min(coldVMs, len(vms))
+	if place := rendezvous.Place(endpoint, self, vms); place < 0 || place >= k {
+		return 0
 	}
-	return 0
+	return rate / float64(k)
 }
--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -34,30 +34,37 @@
 	n      *Node
 	peers  *watching.Peers
 	outage watching.Outage
+	ranked recent[ranking]
+}
+
+// ranking is the fleet by rank.
+type ranking struct {
+	addresses []string
+	rank      int // of this VM
 }
 
 func newWatchers(n *Node) *watchers { return &watchers{n: n, peers: watching.NewPeers()} }
 
-// ranking lists the VMs that are heard by rank, and this VM's place.
-func (w *watchers) ranking() ([]gossip.Member, int) {
-	members := append(w.n.gossip.Table().Peers(bootClock()), w.n.self())
-	ranked := rendezvous.RankBy("watchers", members, func(m gossip.Member) string { return m.Name })
-	return ranked, slices.IndexFunc(ranked, func(m gossip.Member) bool { return m.Name == w.n.s.VM })
+// ranking lists the addresses of the VMs that are heard by rank, and this VM's place.
+func (w *watchers) ranking() ranking {
+	now := bootClock()
+	return w.ranked.get(now, func() ranking {
+		members := append(w.n.gossip.Table().Peers(now), w.n.self())
+		ranked := rendezvous.RankBy("watchers", members, func(m gossip.Member) string { return m.Name })
+		r := ranking{rank: slices.IndexFunc(ranked, func(m gossip.Member) bool { return m.Name == w.n.s.VM })}
+		for _, m := range ranked {
+			r.addresses = append(r.addresses, m.Peer)
+		}
+		return r
+	})
 }
 
-func (w *watchers) rank() int {
-	_, rank := w.ranking()
-	return rank
-}
+func (w *watchers) rank() int { return w.ranking().rank }
 
 // Sources implements view.Guide.
 func (w *watchers) Sources() []string {
-	ranked, rank := w.ranking()
-	addresses := make([]string, len(ranked))
-	for i, m := range ranked {
-		addresses[i] = m.Peer
-	}
-	return w.peers.Sources(bootClock(), addresses, rank)
+	r := w.ranking()
+	return w.peers.Sources(bootClock(), r.addresses, r.rank)
 }
 
 // Read implements view.Guide.
