Leave endpoints that went silent after half a second, not four

Ruled out: dial timeouts (0.4 s) and avoidance, which start only with the first error.

Change: policy/silence. An endpoint from which nothing came for 300 ms on all connections where requests wait is asked for a connection, twice 200 ms; one that neither takes nor refuses it is lost: lookups and streams go elsewhere, bookings wait on, nothing new goes there until it takes a connection.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -134,7 +134,7 @@
 	}
 	n.view = view.New(view.Settings{
 		Table: n.table, Clock: bootClock, Log: log, Hold: func() time.Duration { return n.bounds().DrainTimeout - holdMargin },
-		Regions: s.Regions, ColdShare: n.coldShare, Gone: n.pool.Drop,
+		Regions: s.Regions, ColdShare: n.coldShare, Gone: n.pool.Gone,
 	})
 	n.handler = forward.New(forward.Config{
 		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
@@ -189,6 +189,7 @@
 	n.spawn(func() { n.tally.Run(work) })
 	n.spawn(func() { n.announce(work) })
 	n.spawn(func() { n.upkeep(work) })
+	n.spawn(func() { n.pool.Watch(work, n.silent) })
 	n.log.Info().Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
 	<-ctx.Done()
 	n.stop(work)
@@ -271,6 +272,12 @@
 	}
 }
 
+// silent takes what package silence found of an endpoint.
+func (n *Node) silent(address string, lost bool) {
+	n.table.SetLost(address, lost)
+	n.log.Info().Str("address", address).Bool("lost", lost).Msg("silent endpoint")
+}
+
 // coldShare deals a cold endpoint's rate to the VMs: a few of them by rank, so that
 // even one request at once from each stays within it, and the others none.
 func (n *Node) coldShare(endpoint string, rate float64) float64 {
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -75,11 +75,12 @@
 	c := p.take(addr, r.Once)
 	if c == nil {
 		var err error
-		if c, err = p.dial(ctx, addr); err != nil {
+		if c, err = p.dial(ctx, addr, dialTimeout); err != nil {
 			return nil, &Error{Cause: err}
 		}
 	}
 	a := &Answer{pool: p, addr: addr, c: c}
+	p.begin(a, !r.Once)
 	a.stop = context.AfterFunc(ctx, func() { c.Close() })
 	written, err := c.write(r)
 	if err != nil && written == 0 {
@@ -169,6 +170,7 @@
 		return
 	}
 	a.closed = true
+	a.pool.end(a)
 	running := a.stop()
 	if !running || !a.whole || !a.reusable || a.c.r.Buffered() > 0 {
 		a.c.Close()
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"goldcrestfork/policy/silence"
 )
 
 const (
@@ -31,9 +33,9 @@
 	maxIdle = 6
 	// bufferSize holds a head and most plain bodies.
 	bufferSize = 4 << 10
-	// silence is how long sent bytes may stay unacknowledged before the connection
-	// counts as broken (TCP_USER_TIMEOUT): three retransmissions on a local network.
-	silence = 3 * time.Second
+	// unacknowledged is how long sent bytes may stay so before the connection counts as
+	// broken (TCP_USER_TIMEOUT): three retransmissions on a local network.
+	unacknowledged = 3 * time.Second
 )
 
 // conn is one connection to an endpoint.
@@ -42,19 +44,31 @@
 	r     *bufio.Reader
 	since time.Time // idle since
 	keep  time.Duration
+	heard func() // called when bytes come
+}
+
+// Read reads from the endpoint, which thereby shows that it lives.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard()
+	}
+	return n, err
 }
 
 // Pool keeps idle connections by endpoint address.
 type Pool struct {
-	mu    sync.Mutex
-	idle  map[string][]*conn
-	dials prometheus.Counter
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	open   map[string]map[*Answer]struct{} // exchanges that may be made again elsewhere
+	dials  prometheus.Counter
+	silent *silence.Detector
 }
 
 // NewPool returns an empty pool.
 func NewPool(r prometheus.Registerer) *Pool {
 	p := &Pool{
-		idle: make(map[string][]*conn),
+		idle: make(map[string][]*conn), open: make(map[string]map[*Answer]struct{}), silent: silence.New(),
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "goldcrest_upstream_connections_total",
 			Help: "Connections made to endpoints.",
@@ -154,8 +168,14 @@
 	}
 }
 
-// Drop closes the idle connections to an address, as when its endpoint is gone.
-func (p *Pool) Drop(addr string) {
+// Gone says that the address belongs to no endpoint any more.
+func (p *Pool) Gone(addr string) {
+	p.silent.Forget(addr)
+	p.drop(addr)
+}
+
+// drop closes the idle connections to an address.
+func (p *Pool) drop(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle[addr] {
@@ -166,7 +186,7 @@
 
 // Connects reports whether an address takes a connection, which is kept for a request.
 func (p *Pool) Connects(addr string) bool {
-	c, err := p.dial(context.Background(), addr)
+	c, err := p.dial(context.Background(), addr, dialTimeout)
 	if err != nil {
 		return false
 	}
@@ -174,17 +194,19 @@
 	return true
 }
 
-func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
 	p.dials.Inc()
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 	}}
 	nc, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, err
 	}
-	setUserTimeout(nc, silence)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferSize)}, nil
+	setUserTimeout(nc, unacknowledged)
+	c := &conn{Conn: nc, heard: func() { p.silent.Heard(time.Now(), addr) }}
+	c.r = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT; a system without it leaves keep-alive probes alone.
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -47,6 +47,7 @@
 	Spec
 	rank      rendezvous.Hash // of its id, for the keepers of shared parts
 	out       bool            // its data centre's endpoints get nothing
+	lost      bool            // nothing comes from it
 	running   float64         // work under way from this VM
 	elsewhere Share           // what the other VMs told, as of Table.toldAt
 	requests  int
@@ -104,7 +105,7 @@
 
 // usable says whether the endpoint may get a request now.
 func (e *endpoint) usable(now time.Time, r *Request) bool {
-	if e.Draining || e.out || e.detected == outlier.Ejected {
+	if e.Draining || e.out || e.lost || e.detected == outlier.Ejected {
 		return false
 	}
 	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -34,6 +34,31 @@
 
 func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
+// An endpoint is lost: nothing new goes there over connections that were idle, the other VMs
+// hear of it, and where all are lost a caller is told so at once. It gets work again when
+// it is back, or when its entry gives another address.
+func TestLostEndpointGetsNothing(t *testing.T) {
+	tb, r := table(2), rng()
+	for i, address := range []string{"a0", "a1"} {
+		tb.Set(start, Spec{ID: fmt.Sprintf("e%02d", i), Service: "s", Address: address, DataCentre: "a", Version: "v1", Slots: 8})
+	}
+	tb.SetLost("a0", true)
+	require.Equal(t, map[string]Share{"e00": {Avoided: true}}, tb.Own(start))
+	for range 20 {
+		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1})
+		require.Equal(t, "e01", c.ID)
+	}
+	tb.SetLost("a1", true)
+	_, miss := tb.Pick(start, r, &Request{Service: "s", Work: 1})
+	require.Equal(t, NoEndpoint, miss)
+	tb.SetLost("a0", false)
+	tb.Set(start, Spec{ID: "e01", Service: "s", Address: "a2", DataCentre: "a", Version: "v1", Slots: 8})
+	for _, other := range []string{"e00", "e01"} {
+		_, miss = tb.Pick(start, r, &Request{Service: "s", Work: 1, Exclude: []string{other}})
+		require.Equal(t, Picked, miss)
+	}
+}
+
 // An endpoint refuses connections at once, so that it always has the least under way.
 // It must not draw the traffic: after the first failure it gets one trial at a time,
 // ever more seldom, until a connection holds.
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -17,6 +17,7 @@
 	Out        bool    `json:"dataCentreOut"`
 	ColdMs     int64   `json:"coldMs"`
 	AvoidMs    int64   `json:"avoidMs"`
+	Lost       bool    `json:"lost"`
 	Detector   int     `json:"detector"`
 	Load       float64 `json:"load"`
 	Running    int     `json:"running"`
@@ -32,7 +33,7 @@
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Out: t.out[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
-			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Detector: int(e.detected),
+			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Lost: e.lost, Detector: int(e.detected),
 			Load: e.load(now), Running: e.requests, Slots: e.Slots,
 		})
 	}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -138,6 +138,9 @@
 		p.list = append(p.list, e)
 		p.changed = true
 	}
+	if e.Address != s.Address {
+		e.lost = false
+	}
 	e.Spec = s
 	e.out = t.out[s.DataCentre]
 	// A report never shortens a cold start: it may have been on its way while the
@@ -192,6 +195,18 @@
 	}
 }
 
+// SetLost says that nothing comes from the endpoint at an address, or that it is back.
+func (t *Table) SetLost(address string, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.endpoints {
+		if e.Address == address {
+			e.lost = lost
+			t.busy[e] = struct{}{}
+		}
+	}
+}
+
 // Pick chooses an endpoint and takes a place on it.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, r *Request) (Choice, Miss) {
 	t.mu.Lock()
@@ -258,7 +273,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]Share, len(t.busy))
 	for e := range t.busy {
-		if avoided := now.Before(e.avoidUntil); avoided || e.running > 0 {
+		if avoided := e.lost || now.Before(e.avoidUntil); avoided || e.running > 0 {
 			out[e.ID] = Share{Work: e.running, Avoided: avoided}
 		} else if e.requests == 0 {
 			delete(t.busy, e)
