Stop naming a data centre's VMs once all of them fell silent

Change: fleet/gossip leaves out another data centre of which nothing was heard for 1 s, if it had two VMs or more.

The new test fails without the change.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -21,6 +21,11 @@
 	// freshRounds is how many rounds to a VM may be missed: one datagram in a hundred
 	// is lost, and a paused process misses a round.
 	freshRounds = 4
+	// centreSilence is how long nothing may be heard of any of a data centre's VMs,
+	// leastSilent or more, before none of them is named: two datagrams of each are missing
+	// then, and that all of them were lost by chance is less likely than the end of one VM.
+	centreSilence = 2*Interval + Interval/2
+	leastSilent   = 2
 	// forgotten is how long a silent VM is still sent a datagram now and then: it may
 	// have been cut off rather than gone.
 	forgotten = 2 * time.Minute
@@ -173,9 +178,10 @@
 func (t *Table) Usable(now time.Duration, dataCentre string) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	silent := t.silentCentres(now)
 	var out []Member
 	for _, p := range t.peers {
-		if p.ready && p.heard != 0 && now-p.heard < t.fresh() {
+		if p.ready && p.heard != 0 && now-p.heard < t.fresh() && !silent[p.DataCentre] {
 			out = append(out, p.Member)
 		}
 	}
@@ -191,6 +197,33 @@
 	return out
 }
 
+// silentCentres are other data centres whose VMs all fell silent at once, as when one loses
+// power or is cut off. Callers that were sent there would each wait a second for a
+// connection; together the VMs are missed sooner than one alone may be. Callers hold t.mu.
+func (t *Table) silentCentres(now time.Duration) map[string]bool {
+	type centre struct {
+		vms   int
+		heard time.Duration
+	}
+	centres := make(map[string]centre)
+	for _, p := range t.peers {
+		if p.heard == 0 || now-p.heard >= t.fresh() {
+			continue
+		}
+		c := centres[p.DataCentre]
+		c.vms++
+		c.heard = max(c.heard, p.heard)
+		centres[p.DataCentre] = c
+	}
+	out := make(map[string]bool)
+	for name, c := range centres {
+		if name != t.self.DataCentre && c.vms >= leastSilent && now-c.heard >= centreSilence {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // Peers returns the VMs to read from, this one not included: those that are ready, or
 // while a fleet starts and most aren't yet, all that are heard.
 func (t *Table) Peers(now time.Duration) []Member {
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// A data centre loses power. Callers that ask the others are sent to its VMs until these
+// are missed, and wait a second for a connection at each. A VM alone counts as alive for 1.6
+// to 2.8 s, since datagrams are lost; all of a data centre together are out after 1.2 s.
+func TestDataCentreIsLeftOut(t *testing.T) {
+	for _, n := range []int{7, 91} {
+		f := newFleet(n)
+		f.run(0, 20*time.Second)
+		for i := range n {
+			f.cut[i] = member(i).DataCentre == "dc1"
+		}
+		now := 20*time.Second + 3*Interval
+		f.run(20*time.Second, now)
+		for i, tb := range f.tables {
+			for _, m := range tb.Usable(now, "") {
+				require.False(t, !f.cut[i] && m.DataCentre == "dc1", "%d VMs: %s names %s", n, member(i).Name, m.Name)
+			}
+		}
+	}
+}
+
 // A VM says that it stops: the others leave it out with its next datagram.
 func TestStoppingVMIsLeftOut(t *testing.T) {
 	f := newFleet(7)
