--- a/fleet/tally/doc.go
+++ b/fleet/tally/doc.go
@@ -15,8 +15,8 @@
 //
 // A VM also says which endpoints broke or refused its connections a moment ago. A
 // crashed engine has the least work of all and would be the first choice of each of 88
-// VMs until it had learnt for itself: 430 requests of a heavy day found five dead ones in
-// a row and were refused.
+// VMs until it had learnt for itself, and requests that found several dead ones in a row
+// were refused.
 //
 // Nothing rests on it but the quality of a choice: a VM whose keeper is silent waits a
 // few ms once, goes to the next keeper, and chooses by what it has itself under way.
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -174,8 +174,7 @@
 func (c *call) tallied() bool { return c.route.Kind == catalog.Streaming }
 
 // workTokens is the prompt that the smallest model reads in the time that one more
-// running request costs the others at its engine, about 9 ms; weights of 0.5 to 3 for the
-// latter served alike within noise on 60 engines.
+// running request costs the others at its engine.
 const workTokens = 1000
 
 // choose picks an endpoint, or says why there is none.
--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -15,10 +15,8 @@
 	// firstMeeting is how long a fleet that starts for the first time meets before it
 	// reads anything: four rounds of datagrams, in which 91 VMs hear of most others. VMs
 	// that read at once each list four kinds and then watch them, since each believes
-	// that it ranks first; that took 1,000 of a calm day's 2,580 calls. At any other start
-	// a VM asks the platform at once: after a crash of all nobody knows more, callers come
-	// back within ms, and waits of 20 and 150 ms for others lost 0.02 and 0.11 of the
-	// worth of a day that ends so (seven VMs, means of four seeds).
+	// that it ranks first. At any other start a VM asks the platform at once: after a crash
+	// of all nobody knows more, and callers are back within ms.
 	firstMeeting = 1600 * time.Millisecond
 	// firstPatience is how long it then waits for those that read the platform, in a
 	// tree of three levels; traffic follows after ten seconds.
--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -75,9 +75,8 @@
 // Feed passes one kind's changes on to other VMs, so that a few VMs watch the platform
 // and the others watch these: calls to the platform don't grow with the fleet. A fleet
 // that starts for the first time, or whose revision the platform no longer knows, reads
-// whole kinds here too: 91 VMs that each listed four kinds then, and watched them until
-// they knew each other, made half of a heavy day's 5,800 calls. It is safe for concurrent
-// use; its mutex is a leaf.
+// whole kinds here too: otherwise each VM lists all kinds then, and watches them until it
+// knows the others. It is safe for concurrent use; its mutex is a leaf.
 type Feed struct {
 	clock Clock
 	limit time.Duration // without word of the platform, after which it gives none
--- a/policy/outlier/outlier.go
+++ b/policy/outlier/outlier.go
@@ -12,10 +12,9 @@
 // all load on the few that are left. A pool in which nearly everything fails opens
 // its circuit instead: Broken, and the caller refuses at once but for probes.
 //
-// There is no ejection by latency. It was built and measured: against an endpoint
-// ten times as slow, each return on probation cost as many requests as the slow
-// endpoint had held in the slots dealt to a VM. The adaptive limit and hedges
-// answer that pattern (docs/DECISIONS.md).
+// There is no ejection by latency: each return of a slow endpoint on probation costs as
+// many requests as it held before. The adaptive limit and hedges answer that pattern
+// (docs/DECISIONS.md).
 package outlier
 
 import (
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -37,9 +37,9 @@
 }
 
 const (
-	// sampleFrom is the number of endpoints from which a choice looks at a sample. A choice
-	// among 3,000 took 0.67 ms of a core and the outlook as much, three of each a stream:
-	// 300 VMs before 3,000 engines spent a third of a core each.
+	// sampleFrom is the number of endpoints from which a choice looks at a sample: each
+	// stream makes up to three choices, and each would cost processor time in proportion to
+	// the endpoints.
 	sampleFrom = 200
 	// sampled endpoints are looked at: the least loaded of a hundred is among the
 	// least loaded 3 in 100 of all in 95 of 100 choices.
--- a/policy/placement/doc.go
+++ b/policy/placement/doc.go
@@ -12,9 +12,8 @@
 // under way and draws everything.
 //
 // What the other VMs have under way is told to the table just before a choice
-// (SetElsewhere). Without it 88 VMs before 60 engines, each with one in 88 of the
-// requests, chose nearly at random: 4 in 100 of a calm day's streams came late, against
-// 0.6 in 100 with it.
+// (SetElsewhere). Without it dozens of VMs, each with a small part of the requests, choose
+// nearly at random, and streams queue at one engine while others are idle.
 //
 // A choice is made among the endpoints that may be used, by an estimate of the
 // work before the request: two candidates by the hash of its shared prompt part,
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -29,7 +29,7 @@
 
 const (
 	// firstAvoidance is how long an endpoint that broke a connection or refused one
-	// gets nothing; it doubles up to lastAvoidance. Grounds: a crashed endpoint is back
+	// gets nothing; it doubles up to lastAvoidance. A crashed endpoint is back
 	// after some seconds; a trial costs one request a few ms where it is refused and
 	// dialTimeout where it is silent.
 	firstAvoidance = 300 * time.Millisecond
@@ -68,9 +68,7 @@
 
 // load estimates the requests at the endpoint by what this VM has under way there. The
 // endpoint's own word on its load isn't added: it is there for those that answered
-// lately and not for the others, so that the others look empty. Taken for up to 2 s it
-// cost 0.04 of the worth of the heaviest days' requests on nine engines, and 0.017 on
-// twelve, against none.
+// lately and not for the others, so that the others look empty.
 func (e *endpoint) load(now time.Time) float64 {
 	if now.Before(e.fullUntil) {
 		return e.running + float64(e.Slots)
--- a/policy/placement/pace.go
+++ b/policy/placement/pace.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// firstPace is the time that engines take for a unit of work before any was seen; the
-	// two kinds of engine measured take 2.5 and 6 ms.
+	// firstPace is the time that engines take for a unit of work before any was seen.
 	firstPace = 4 * time.Millisecond
 	// paceGain is the weight of one request in the pace, about the last fifty.
 	paceGain = 0.02
@@ -47,10 +46,8 @@
 
 // Outlook estimates the time to a request's first event at the endpoint with the least
 // under way: the work there and its own, at the pace that the service's requests met
-// lately. Over 35,000 requests at 9 to 60 engines, calm and overloaded, the median time
-// was 4 to 9 ms a unit at one kind of engine and 2 to 4.5 at the other, from 10 to 400
-// units; 9 of 10 took less than twice that. The share of an engine's slots in use told
-// little: at a third of them requests waited from 0.1 to 2 s.
+// lately. The share of an engine's slots in use tells little of it: long prompts make
+// requests wait where most slots are free.
 func (t *Table) Outlook(now time.Time, rng *rand.Rand, r *Request) Outlook {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/policy/rollout/evidence.go
+++ b/policy/rollout/evidence.go
@@ -21,8 +21,7 @@
 
 // allowedRatio is how much worse the new version's rate of bad events may be: not
 // at all. What is too little to matter is left out by Settings.MinDifference; an
-// allowance of 1.2 cost a third more requests of a bad version (trials in
-// docs/design/roll-out.md).
+// allowance delays the verdict on a bad version (docs/design/roll-out.md).
 const allowedRatio = 1.0
 
 // worseRatios are the alternatives, evenly weighted: from what takes thousands of
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -2,14 +2,13 @@
 // hard a request they answer well.
 //
 // Load pattern: a mix in which somewhat over half of the requests are easy. Asking
-// the largest model for all costs ten times the engine time of the smallest; asking
-// the smallest for all loses nearly half of the answers' worth.
+// the largest model for all costs several times the engine time; asking the smallest
+// for all loses nearly half of the answers' worth.
 //
 // An endpoint says with the head of an answer, before its first event, how far the
 // model trusts it. A weak answer is dropped then, while the caller has received
-// nothing, and the largest model is asked. Sizes in between are passed over: with
-// 0.65 of the requests answered well against 0.56 by the smallest, a step there
-// mostly pays twice.
+// nothing, and the largest model is asked. Sizes in between are passed over: they answer
+// few more requests well than the smallest, so that a step there mostly pays twice.
 //
 // Whether there is room is judged by when the larger model's first event is expected
 // (package placement), which tells whether the answer comes in time, and by the share of
@@ -25,8 +24,7 @@
 
 const (
 	// Threshold is the confidence, of 100, below which an answer is dropped when the
-	// endpoints have room. Thresholds from 45 to 65 earned alike within 0.01 of the
-	// worth on mixes of two deployments; 55 lies in the middle.
+	// endpoints have room.
 	Threshold = 55
 	// busyThreshold applies when the endpoints are full: nothing is made again. The
 	// largest model takes seven times the smallest's time, and what is made again then
@@ -34,30 +32,25 @@
 	busyThreshold = 0
 	// calm and busy are the waits for others' work, as shares of the time in which a first
 	// event is wanted, between which the threshold falls. What is asked then delays
-	// those that come after by as much as it reads. From 0.02 to 0.15 up to 0.1 to 0.5 the
-	// mean worth of 15 overloaded plays on nine engines moved by 0.02; 0.2 to 0.8 lost 0.08
-	// with four engines of nine left.
+	// those that come after by as much as it reads.
 	calm = 0.04
 	busy = 0.2
 	// calmUse and busyUse are the shares of the slots in use between which it falls as
 	// well: the more requests run at an engine, the longer each answer takes, up to three
-	// times with all slots full, and the more of them a crash cuts off. By the wait alone a
-	// day that ended in a crash, with 33 engines of 60 under a burst, earned 0.19 against
-	// 0.27 with both (88 VMs). Lower bounds, 0.15 and 0.4, earn more on such days (0.31)
-	// and less on those without a crash (TestWorthUnderLoad).
+	// times with all slots full, and the more of them a crash of the VMs cuts off. Lower
+	// bounds leave more answers weak where nothing crashes (TestWorthUnderLoad).
 	calmUse = 0.25
 	busyUse = 0.6
 	// lateAt is the share of that time at which the larger model's first event may be
-	// expected: later ones come late too often. 0.6 made calm days' largest prompts
-	// poor, 0.007 of their worth.
+	// expected: later ones come late too often, and a lower share keeps the largest prompts
+	// from it even where nothing waits.
 	lateAt = 0.8
 	// leastLeft is the share of a caller's time that must be left for another model.
 	leastLeft = 0.5
 )
 
 // largestWork is the time that the largest model takes to read a prompt, in terms of the
-// smallest's: 60 against 8.9 ms a thousand tokens, medians of 1,600 attempts at engines
-// with little else to do.
+// smallest's.
 const largestWork = 7
 
 // Work is the time that model at of n models takes, in terms of the smallest's. Those
