--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -68,10 +68,7 @@
 		if e.elsewhere.Avoided && t.informed(now) {
 			cost += avoidedPenalty
 		}
-		if e.Slots > 0 && float64(e.requests) >= fullFactor*float64(e.Slots) {
-			// Above its slots a request waits for others to end; no saving is worth that.
-			cost += float64(e.Slots)
-		} else if e == keepers[0] || e == keepers[1] {
+		if e == keepers[0] || e == keepers[1] {
 			cost -= r.Saving
 		}
 		if e.DataCentre != t.DataCentre {
@@ -91,9 +88,9 @@
 // under is the work under way at an endpoint.
 func (t *Table) under(now time.Time, e *endpoint) float64 {
 	if t.informed(now) {
-		return e.load(now) + e.elsewhere.Work
+		return e.running + e.elsewhere.Work
 	}
-	return e.load(now)
+	return e.running
 }
 
 const (
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -34,10 +34,6 @@
 	// dialTimeout where it is silent.
 	firstAvoidance = 300 * time.Millisecond
 	lastAvoidance  = 3 * time.Second
-	// fullFor is how long an endpoint that refused for want of room is passed over while
-	// others have some: a plain request takes 15 to 30 ms, and a fifth of a second frees
-	// some places of an engine.
-	fullFor = 200 * time.Millisecond
 	// coldBurst is how many requests a cold endpoint gets at once from this VM: one,
 	// so that some VMs together stay below the endpoint's rate for a second.
 	coldBurst = 1.0
@@ -45,14 +41,15 @@
 
 type endpoint struct {
 	Spec
-	rank      rendezvous.Hash // of its id, for the keepers of shared parts
-	out       bool            // its data centre's endpoints get nothing
-	lost      bool            // nothing comes from it
-	running   float64         // work under way from this VM
-	elsewhere Share           // what the other VMs told, as of Table.toldAt
+	rank rendezvous.Hash // of its id, for the keepers of shared parts
+	out  bool            // its data centre's endpoints get nothing
+	lost bool            // nothing comes from it
+	// running is the work under way from this VM. The endpoint's own word on its load isn't
+	// added: it is there for those that answered lately and not for the others, so that the
+	// others look empty.
+	running   float64
+	elsewhere Share // what the other VMs told, as of Table.toldAt
 	requests  int
-	// fullUntil is set when the endpoint refused for want of room.
-	fullUntil time.Time
 
 	coldUntil  time.Time
 	coldTokens float64
@@ -66,16 +63,6 @@
 	detected   outlier.State
 }
 
-// load estimates the requests at the endpoint by what this VM has under way there. The
-// endpoint's own word on its load isn't added: it is there for those that answered
-// lately and not for the others, so that the others look empty.
-func (e *endpoint) load(now time.Time) float64 {
-	if now.Before(e.fullUntil) {
-		return e.running + float64(e.Slots)
-	}
-	return e.running
-}
-
 func (e *endpoint) cold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 // takeCold takes one of this VM's requests to a cold endpoint, if it has one.
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -34,7 +34,7 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Out: t.out[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
 			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Lost: e.lost, Detector: int(e.detected),
-			Load: e.load(now), Running: e.requests, Slots: e.Slots,
+			Load: e.running, Running: e.requests, Slots: e.Slots,
 		})
 	}
 	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -10,13 +10,9 @@
 	"goldcrestfork/policy/outlier"
 )
 
-const (
-	// affine is how many endpoints a shared prompt part is kept on: two, so that a
-	// part in demand has a second place when the first is busy or gone.
-	affine = 2
-	// fullFactor is the load, in slots, above which an endpoint counts as full.
-	fullFactor = 1.0
-)
+// affine is how many endpoints a shared prompt part is kept on: two, so that a
+// part in demand has a second place when the first is busy or gone.
+const affine = 2
 
 // Request is what a choice depends on.
 type Request struct {
@@ -320,7 +316,6 @@
 		e.failed(now)
 	case Full:
 		e.succeeded()
-		e.fullUntil = now.Add(fullFor)
 	case Neutral:
 		e.trial = false
 	}
