Give a request up at a silent endpoint by a reset

A request sent into a cut at 14.07 s was given up when its endpoint was found silent. The connection was closed in an orderly way, so that the kernel went on sending; the request arrived at 21.02 s, after the cut, at an endpoint that had said at 18.20 s that it leaves. Ruled out: the trial itself, which only changes who is where.

Change: such connections end with a reset, which takes back what isn't acknowledged.

The test fails with an orderly close.

--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -101,6 +102,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a := range p.open[addr] {
-		a.c.Close()
+		a.c.abort()
 	}
 }
+
+// abort closes the connection and takes back what the endpoint hasn't acknowledged. An
+// orderly close would have the kernel go on sending it: the request then reaches the
+// endpoint seconds later, when a cut heals, and runs beside the one sent elsewhere, or at
+// an endpoint that has drained meanwhile.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // on a connection that is closed already there is nothing to take back
+	}
+	c.Close()
+}
--- a/gateway/upstream/watch_test.go
+++ b/gateway/upstream/watch_test.go
@@ -48,7 +48,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
-	read, healed := make(chan struct{}, 2), make(chan struct{})
+	read, healed, ended := make(chan struct{}, 2), make(chan struct{}), make(chan error, 1)
 	go func() {
 		for range 2 {
 			c, err := l.Accept()
@@ -61,8 +61,13 @@
 				return
 			}
 			go func() {
+				if r.Header.Get(idHeader) == "1" {
+					_, err := c.Read(make([]byte, 1))
+					ended <- err
+					return
+				}
 				<-healed
-				ok(c, r.Header.Get(idHeader), "booked")
+				ok(c, "2", "booked")
 			}()
 			read <- struct{}{}
 		}
@@ -87,6 +92,8 @@
 	require.ErrorAs(t, <-lookup, &e)
 	require.True(t, e.Sent)
 	require.Equal(t, l.Addr().String(), <-lost)
+	// A reset takes back what is on its way; an orderly end would still deliver it.
+	require.ErrorIs(t, <-ended, syscall.ECONNRESET)
 	close(healed)
 	require.NoError(t, <-booking)
 }
