--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -13,8 +13,8 @@
 const (
 	// watchEvery is the time between looks at which endpoints are silent.
 	watchEvery = 50 * time.Millisecond
-	// heldUp is how much longer than it may take a question took if this VM itself was
-	// held up, by a pause or for want of processor time.
+	// heldUp is how far past its time a question may end and still tell of the endpoint.
+	// Beyond that this VM was paused or had no processor time, and an answer may be waiting.
 	heldUp = 100 * time.Millisecond
 )
 
@@ -32,6 +32,7 @@
 	p.open[a.addr][a] = struct{}{}
 }
 
+// end notes that a request waits no more.
 func (p *Pool) end(a *Answer) {
 	p.silent.Ended(a.addr)
 	p.mu.Lock()
