--- a/policy/silence/silence.go
+++ b/policy/silence/silence.go
@@ -7,8 +7,8 @@
 
 const (
 	// quietFor is how long nothing may come from an endpoint where requests wait before it
-	// is asked: longer than a prompt of usual size takes to be read, so that most requests
-	// never lead to a question.
+	// is asked. A shorter time asks engines that only read a prompt; a longer one leaves less
+	// of the caller's time for another endpoint.
 	quietFor = 300 * time.Millisecond
 	// questions that must stay unanswered in a row.
 	questions = 2
