Log which version served a session and why, and list moves between versions

Request lines now carry the session's mark, the versions that ran, the reason and the ages it rests on, and lines have milliseconds. goldcrest sessions lists from the logs of all VMs each request that ran on another version than the one before in its session. No decision is changed.

--- a/cmd/goldcrest-node/main.go
+++ b/cmd/goldcrest-node/main.go
@@ -25,6 +25,9 @@
 // counted, so that a reader that stands still never holds up a request.
 const logLines = 4096
 
+// logTime gives lines of several VMs an order within a second.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 type cli struct {
 	Settings string `help:"Path of the machine's settings file." placeholder:"FILE"`
 	Check    bool   `help:"Check the settings and exit."`
@@ -64,6 +67,7 @@
 		return err
 	}
 	zerolog.DurationFieldInteger = true
+	zerolog.TimeFieldFormat = logTime
 	log := zerolog.New(out).Level(lvl).With().Timestamp().Str("vm", s.VM).Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/goldcrest/app.go
+++ b/cmd/goldcrest/app.go
@@ -63,7 +63,8 @@
 	Bills   bills   `cmd:"" help:"Show the bills of a day."`
 	State   state   `cmd:"" help:"Show the state of each VM named."`
 
-	Explain explainRequest `cmd:"" help:"Say from goldcrest-node's logs what became of a request, and why."`
+	Explain  explainRequest `cmd:"" help:"Say from goldcrest-node's logs what became of a request, and why."`
+	Sessions sessionMoves   `cmd:"" help:"List from the logs of all VMs the requests that ran on another version than the one before in their session."`
 }
 
 // app is what commands work with.
--- a/cmd/goldcrest/explain.go
+++ b/cmd/goldcrest/explain.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"goldcrestfork/gateway/explain"
 )
@@ -18,27 +19,50 @@
 
 // Run says what became of a request and what its VM believed shortly before.
 func (e *explainRequest) Run(a *app) error {
-	var log explain.Log
-	for _, path := range e.Logs {
+	log, err := readLogs(a, e.Logs)
+	if err != nil {
+		return err
+	}
+	found, err := log.Write(a.out, e.ID)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return errNoRequest
+	}
+	return nil
+}
+
+type sessionMoves struct {
+	Pause time.Duration `help:"Longest pause within a session, as the machines' settings give it." required:""`
+	Logs  []string      `arg:"" type:"existingfile" help:"Log files of goldcrest-node, of all VMs."`
+}
+
+// Run lists the requests that ran on another version than the one before in their session.
+func (s *sessionMoves) Run(a *app) error {
+	log, err := readLogs(a, s.Logs)
+	if err != nil {
+		return err
+	}
+	return explain.WriteMoves(a.out, log.Moves(s.Pause))
+}
+
+// readLogs reads the logs of some VMs.
+func readLogs(a *app, paths []string) (*explain.Log, error) {
+	log := new(explain.Log)
+	for _, path := range paths {
 		f, err := os.Open(path)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		err = log.Read(f)
 		f.Close()
 		if err != nil {
-			return fmt.Errorf("%s: %w", path, err)
+			return nil, fmt.Errorf("%s: %w", path, err)
 		}
 	}
-	found, err := log.Write(a.out, e.ID)
-	if err != nil {
-		return err
-	}
 	if log.Unreadable > 0 {
 		fmt.Fprintf(a.err, "goldcrest: %d lines are no log lines of a VM\n", log.Unreadable)
 	}
-	if !found {
-		return errNoRequest
-	}
-	return nil
+	return log, nil
 }
--- a/gateway/explain/explain.go
+++ b/gateway/explain/explain.go
@@ -39,6 +39,12 @@
 	Ran      string    `json:"ran"`
 	Attempts string    `json:"attempts"`
 	Endpoint string    `json:"endpoint"`
+	// Session marks a session; Versions ran the request, in order, with spaces between.
+	Session    string `json:"session"`
+	Versions   string `json:"versions"`
+	Reason     string `json:"version_reason"`
+	RollOutAge int64  `json:"roll_out_age_ms"`
+	SessionAge int64  `json:"session_age_ms"`
 
 	raw string
 }
@@ -126,6 +132,9 @@
 	if r.Config != 0 {
 		fmt.Fprintf(b, "  decided by configuration %d, shown to be the newest %d ms before\n", r.Config, r.Age)
 	}
+	if r.Session != "" {
+		fmt.Fprintf(b, "  session %s ran on %q: %s\n", r.Session, r.Versions, r.Reason)
+	}
 	for _, a := range r.attempts() {
 		fmt.Fprintf(b, "  attempt at %s: %s\n", a.where, a.text())
 	}
--- a/gateway/explain/explain_test.go
+++ b/gateway/explain/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -53,12 +54,14 @@
 // A log may be cut anywhere or hold another program's lines.
 func FuzzRead(f *testing.F) {
 	f.Add(sample)
+	f.Add(`{"session":"s","versions":" ","message":"request"}` + "\n" + `{"session":"s","versions":"v1 v2","message":"request"}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		var log Log
 		if log.Read(strings.NewReader(text)) == nil {
 			var b strings.Builder
 			_, err := log.Write(&b, "r1")
 			require.NoError(t, err)
+			require.NoError(t, WriteMoves(&b, log.Moves(time.Hour)))
 		}
 	})
 }
--- /dev/null
+++ b/gateway/explain/moves.go
@@ -0,0 +1,86 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Move is a request that ran on another version than the one before in its session.
+type Move struct {
+	Before, After Line
+	From, To      string
+	// Gap is the time from the end of the request before to the start of this one;
+	// negative while that one was still under way.
+	Gap time.Duration
+}
+
+// Moves lists the requests of all VMs that were sent within pause of the end of the one
+// before in their session, and ran on another version.
+func (l *Log) Moves(pause time.Duration) []Move {
+	sessions := make(map[string][]Line)
+	for _, line := range l.Lines {
+		if line.Session != "" && len(strings.Fields(line.Versions)) > 0 {
+			sessions[line.Session] = append(sessions[line.Session], line)
+		}
+	}
+	var out []Move
+	for _, lines := range sessions {
+		slices.SortFunc(lines, func(a, b Line) int { return a.start().Compare(b.start()) })
+		for i := range lines {
+			out = append(out, moved(lines, i, pause)...)
+		}
+	}
+	slices.SortFunc(out, func(a, b Move) int {
+		return cmp.Or(a.After.start().Compare(b.After.start()), strings.Compare(a.After.Request, b.After.Request))
+	})
+	return out
+}
+
+// moved compares a session's i-th request with the one before, and its own runs with each other.
+func moved(lines []Line, i int, pause time.Duration) (out []Move) {
+	line := lines[i]
+	versions := strings.Fields(line.Versions)
+	if i > 0 {
+		before := lines[i-1]
+		ran := strings.Fields(before.Versions)
+		last, gap := ran[len(ran)-1], line.start().Sub(before.Time)
+		if last != versions[0] && gap < pause {
+			out = append(out, Move{Before: before, After: line, From: last, To: versions[0], Gap: gap})
+		}
+	}
+	for v := 1; v < len(versions); v++ {
+		out = append(out, Move{Before: line, After: line, From: versions[v-1], To: versions[v]})
+	}
+	return out
+}
+
+// start is when the request's head was in.
+func (r Line) start() time.Time { return r.Time.Add(-time.Duration(r.Took) * time.Millisecond) }
+
+// timeOfDay is a log line's time without its date.
+const timeOfDay = "15:04:05.000"
+
+// WriteMoves lists moves, a line each, and their number by reason.
+func WriteMoves(w io.Writer, moves []Move) error {
+	count := make(map[string]int)
+	for _, m := range moves {
+		count[m.After.Reason]++
+		if _, err := fmt.Fprintf(w, "%s session %s %s to %s (%s), request %s at %s; before: %s at %s, sent %d ms and ended %d ms earlier; roll-out %d ms old, old version last known of %d ms ago\n",
+			m.After.start().Format(timeOfDay), m.After.Session, m.From, m.To, m.After.Reason, m.After.Request, m.After.VM,
+			m.Before.Request, m.Before.VM, m.After.start().Sub(m.Before.start()).Milliseconds(), m.Gap.Milliseconds(),
+			m.After.RollOutAge, m.After.SessionAge); err != nil {
+			return err
+		}
+	}
+	for _, reason := range slices.Sorted(maps.Keys(count)) {
+		if _, err := fmt.Fprintf(w, "%d by reason %q\n", count[reason], reason); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -43,6 +43,7 @@
 	paid    bool     // the budget has granted the next attempt
 	ran     refusal.Ran
 	trail   []step
+	why     Why    // of the last choice of a version
 	opinion string // the last answer's confidence and the outlook of a larger model, for the log
 }
 
@@ -52,6 +53,7 @@
 	model    string
 	result   string
 	opinion  string
+	version  string
 }
 
 const (
@@ -161,7 +163,8 @@
 		c.h.cfg.Load.Ask(ctx)
 		defer c.h.cfg.Load.Changed()
 	}
-	v := c.h.cfg.Versions.Choose(c.service, c.r.Header.Get(c.h.cfg.Names.Session))
+	var v Choice
+	v, c.why = c.h.cfg.Versions.Choose(c.service, c.session())
 	ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(v))
 	if miss == placement.NoEndpoint && v.Only != "" {
 		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(Choice{Not: v.Not}))
@@ -169,6 +172,9 @@
 	return ch, miss
 }
 
+// session ties the request to others; empty for none.
+func (c *call) session() string { return c.r.Header.Get(c.h.cfg.Names.Session) }
+
 // tallied says that the request takes an endpoint long enough for the fleet's load to
 // matter.
 func (c *call) tallied() bool { return c.route.Kind == catalog.Streaming }
@@ -362,7 +368,7 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.model)
 	}
-	c.trail = append(c.trail, step{endpoint: ch.ID, model: model, result: result, opinion: c.opinion})
+	c.trail = append(c.trail, step{endpoint: ch.ID, model: model, result: result, opinion: c.opinion, version: ch.Version})
 	c.opinion = ""
 	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
 }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"goldcrestfork/policy/trial"
 	"goldcrestfork/router/refusal"
 )
 
@@ -73,6 +74,10 @@
 	if len(c.trail) > 0 {
 		e = e.Str("attempts", trailText(c.trail))
 	}
+	if id := c.session(); id != "" && c.service != "" {
+		e = e.Str("session", trial.SessionOf(c.service, id).String()).Str("versions", versionsText(c.trail)).
+			Str("version_reason", c.why.Reason).Dur("roll_out_age_ms", c.why.RollOutAge).Dur("session_age_ms", c.why.SeenAge)
+	}
 	e.Msg("request")
 }
 
@@ -94,3 +99,24 @@
 	}
 	return b.String()
 }
+
+// versionsText lists the versions that ran or may have run a request, in order and each
+// once in a row.
+func versionsText(trail []step) string {
+	var out []string
+	for _, s := range trail {
+		if didRun(s.result) && (len(out) == 0 || out[len(out)-1] != s.version) {
+			out = append(out, s.version)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// didRun says that an attempt with this result ran or may have run.
+func didRun(result string) bool {
+	switch result {
+	case "full", "misdirected", "unreached", "caller-left":
+		return false
+	}
+	return true
+}
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -28,7 +28,7 @@
 
 // Versions decides which version of a service's endpoints a request may use.
 type Versions interface {
-	Choose(service, session string) Choice
+	Choose(service, session string) (Choice, Why)
 	// Answered takes what an endpoint made of a request.
 	Answered(a Answered)
 }
@@ -41,6 +41,17 @@
 	Not string
 }
 
+// Why is what a choice rests on, for the request's log line.
+type Why struct {
+	// Reason is one of a few words; docs/OPERATIONS.md lists them.
+	Reason string
+	// RollOutAge is the time since the order as this VM knows it; 0 without one.
+	RollOutAge time.Duration
+	// SeenAge is how long ago the session was known to be at the old version; 0 if it
+	// isn't known.
+	SeenAge time.Duration
+}
+
 // Answered is one endpoint's answer, for the comparison of versions.
 type Answered struct {
 	Service, Version, Route, Model string
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -79,10 +79,10 @@
 	told   []Answered
 }
 
-func (v *fakeVersions) Choose(string, string) Choice {
+func (v *fakeVersions) Choose(string, string) (Choice, Why) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.choice
+	return v.choice, Why{}
 }
 
 func (v *fakeVersions) Answered(a Answered) {
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -116,31 +116,63 @@
 	return forward.Choice{Only: r.inUse[o.Service], Not: o.Target}
 }
 
+// Reasons for a choice of a version, as request lines give them.
+const (
+	whySettled    = "no-order-yet" // another version's order isn't known
+	whyNoRollOut  = "no-roll-out"
+	whyTaken      = "taken" // the roll-out moves or moved all requests
+	whyTakenBack  = "taken-back"
+	whyTrial      = "trial"
+	whyNotInTrial = "not-in-trial"
+	whyBefore     = "not-exposed" // the trial has not begun here, or is over
+	whyStays      = "stays"       // the session is at the old version
+)
+
 // Choose implements forward.Versions.
-func (r *rollouts) Choose(service, session string) forward.Choice {
+func (r *rollouts) Choose(service, session string) (forward.Choice, forward.Why) {
 	if v := r.n.view.Settled(service); v != "" {
-		return forward.Choice{Only: v}
+		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
 	}
 	now := bootClock()
 	s := trial.SessionOf(service, session)
 	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
 	o := r.order(service)
+	why := forward.Why{Reason: r.reason(now, o, s, tries)}
+	if o != nil {
+		why.RollOutAge = o.trial.Age(now)
+		why.SeenAge = r.sessions.Age(now, s)
+	}
 	var c forward.Choice
-	switch {
-	case o == nil:
-	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
-		return forward.Choice{Only: o.Target}
-	case o.State == catalog.RollOutRolledBack:
-		c = r.old(o)
-	case tries && o.trial.Exposes(now) && !r.sessions.Stays(now, s):
-		return forward.Choice{Only: o.Target}
+	switch why.Reason {
+	case whyNoRollOut:
+	case whyTaken, whyTrial:
+		return forward.Choice{Only: o.Target}, why
 	default:
 		c = r.old(o)
 	}
 	if session != "" && tries {
 		r.sessions.AtOld(now, s)
 	}
-	return c
+	return c, why
+}
+
+// reason decides about a session; o is the service's roll-out or nil.
+func (r *rollouts) reason(now time.Duration, o *order, s trial.Session, tries bool) string {
+	switch {
+	case o == nil:
+		return whyNoRollOut
+	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
+		return whyTaken
+	case o.State == catalog.RollOutRolledBack:
+		return whyTakenBack
+	case !tries:
+		return whyNotInTrial
+	case !o.trial.Exposes(now):
+		return whyBefore
+	case r.sessions.Stays(now, s):
+		return whyStays
+	}
+	return whyTrial
 }
 
 // Answered implements forward.Versions.
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -42,7 +42,8 @@
 func (o *orders) choices() map[forward.Choice]int {
 	out := make(map[forward.Choice]int)
 	for i := range 200 {
-		out[o.Choose("s", fmt.Sprint("session", i))]++
+		c, _ := o.Choose("s", fmt.Sprint("session", i))
+		out[c]++
 	}
 	return out
 }
--- a/policy/trial/sessions.go
+++ b/policy/trial/sessions.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 	return Session(xxhash.Sum64String(service + "/" + id))
 }
 
+// String is the mark as log lines give it.
+func (s Session) String() string { return fmt.Sprintf("%08x", uint32(s)) }
+
 // Tries says that the session belongs to a share that tries a new version.
 func (s Session) Tries(share float64) bool { return float64(s%1000) < share*1000 }
 
@@ -52,6 +56,16 @@
 	return ok && now-at < m.pause
 }
 
+// Age is how long ago the session was known to be at the old version; 0 if it isn't known.
+func (m *Sessions) Age(now time.Duration, s Session) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if at, ok := m.seen[s]; ok {
+		return max(now-at, 1)
+	}
+	return 0
+}
+
 // Heard takes another VM's word.
 func (m *Sessions) Heard(now time.Duration, list []Session) {
 	m.mu.Lock()
