--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -43,6 +43,7 @@
 	paid    bool     // the budget has granted the next attempt
 	ran     refusal.Ran
 	trail   []step
+	pin     Pin    // nil before the service is known
 	why     Why    // of the last choice of a version
 	opinion string // the last answer's confidence and the outlook of a larger model, for the log
 }
@@ -86,6 +87,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	c.pin = c.h.cfg.Versions.Begin(c.service, c.session(), c.deadline)
 	for {
 		choice, bad := c.choose(ctx)
 		if bad != nil {
@@ -164,7 +166,7 @@
 		defer c.h.cfg.Load.Changed()
 	}
 	var v Choice
-	v, c.why = c.h.cfg.Versions.Choose(c.service, c.session())
+	v, c.why = c.pin.Choose(ctx)
 	ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(v))
 	if miss == placement.NoEndpoint && v.Only != "" {
 		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.need(Choice{Not: v.Not}))
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -54,9 +54,17 @@
 	c.finish(string(r.Code), r.Status)
 }
 
-// finish writes the request's one log line and counts it.
+// finish releases the session's version, writes the request's one log line and counts it.
 func (c *call) finish(outcome string, status int) {
 	took := time.Since(c.start)
+	versions := versionsRun(c.trail)
+	if c.pin != nil {
+		last := ""
+		if len(versions) > 0 {
+			last = versions[len(versions)-1]
+		}
+		c.pin.End(last)
+	}
 	kind := "none"
 	if c.route != nil {
 		kind = c.route.Kind.String()
@@ -75,7 +83,7 @@
 		e = e.Str("attempts", trailText(c.trail))
 	}
 	if id := c.session(); id != "" && c.service != "" {
-		e = e.Str("session", trial.SessionOf(c.service, id).String()).Str("versions", versionsText(c.trail)).
+		e = e.Str("session", trial.SessionOf(c.service, id).String()).Str("versions", strings.Join(versions, " ")).
 			Str("version_reason", c.why.Reason).Dur("roll_out_age_ms", c.why.RollOutAge).Dur("session_age_ms", c.why.SeenAge)
 	}
 	e.Msg("request")
@@ -100,16 +108,15 @@
 	return b.String()
 }
 
-// versionsText lists the versions that ran or may have run a request, in order and each
+// versionsRun lists the versions that ran or may have run a request, in order and each
 // once in a row.
-func versionsText(trail []step) string {
-	var out []string
+func versionsRun(trail []step) (out []string) {
 	for _, s := range trail {
 		if didRun(s.result) && (len(out) == 0 || out[len(out)-1] != s.version) {
 			out = append(out, s.version)
 		}
 	}
-	return strings.Join(out, " ")
+	return out
 }
 
 // didRun says that an attempt with this result ran or may have run.
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -28,11 +28,20 @@
 
 // Versions decides which version of a service's endpoints a request may use.
 type Versions interface {
-	Choose(service, session string) (Choice, Why)
+	// Begin opens a request of a session ("" for none) that lasts until deadline at most.
+	Begin(service, session string, deadline time.Time) Pin
 	// Answered takes what an endpoint made of a request.
 	Answered(a Answered)
 }
 
+// Pin is one request's hold on the version of its session.
+type Pin interface {
+	// Choose returns the version for an attempt that is sent now.
+	Choose(ctx context.Context) (Choice, Why)
+	// End says that the request is over; version ran it last, "" if none did.
+	End(version string)
+}
+
 // Choice is the version that serves a session; both fields empty for any.
 type Choice struct {
 	// Only is the version to use as long as it has endpoints.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -77,14 +77,23 @@
 	mu     sync.Mutex
 	choice Choice
 	told   []Answered
+	ended  []string // versions, by request
 }
 
-func (v *fakeVersions) Choose(string, string) (Choice, Why) {
+func (v *fakeVersions) Begin(string, string, time.Time) Pin { return v }
+
+func (v *fakeVersions) Choose(context.Context) (Choice, Why) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.choice, Why{}
 }
 
+func (v *fakeVersions) End(version string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.ended = append(v.ended, version)
+}
+
 func (v *fakeVersions) Answered(a Answered) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -32,6 +32,7 @@
 // Lock order: rollouts.mu, then those of package trial.
 type rollouts struct {
 	n        *Node
+	clock    func() time.Duration
 	sessions *trial.Sessions
 
 	mu     sync.Mutex
@@ -56,14 +57,14 @@
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
-		n: n, sessions: trial.NewSessions(n.bounds().Session),
+		n: n, clock: bootClock, sessions: trial.NewSessions(n.bounds().Session),
 		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]float64),
 	}
 }
 
 // changed takes the operators' orders anew.
 func (r *rollouts) changed() {
-	now := bootClock()
+	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := make(map[string]bool)
@@ -116,65 +117,6 @@
 	return forward.Choice{Only: r.inUse[o.Service], Not: o.Target}
 }
 
-// Reasons for a choice of a version, as request lines give them.
-const (
-	whySettled    = "no-order-yet" // another version's order isn't known
-	whyNoRollOut  = "no-roll-out"
-	whyTaken      = "taken" // the roll-out moves or moved all requests
-	whyTakenBack  = "taken-back"
-	whyTrial      = "trial"
-	whyNotInTrial = "not-in-trial"
-	whyBefore     = "not-exposed" // the trial has not begun here, or is over
-	whyStays      = "stays"       // the session is at the old version
-)
-
-// Choose implements forward.Versions.
-func (r *rollouts) Choose(service, session string) (forward.Choice, forward.Why) {
-	if v := r.n.view.Settled(service); v != "" {
-		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
-	}
-	now := bootClock()
-	s := trial.SessionOf(service, session)
-	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
-	o := r.order(service)
-	why := forward.Why{Reason: r.reason(now, o, s, tries)}
-	if o != nil {
-		why.RollOutAge = o.trial.Age(now)
-		why.SeenAge = r.sessions.Age(now, s)
-	}
-	var c forward.Choice
-	switch why.Reason {
-	case whyNoRollOut:
-	case whyTaken, whyTrial:
-		return forward.Choice{Only: o.Target}, why
-	default:
-		c = r.old(o)
-	}
-	if session != "" && tries {
-		r.sessions.AtOld(now, s)
-	}
-	return c, why
-}
-
-// reason decides about a session; o is the service's roll-out or nil.
-func (r *rollouts) reason(now time.Duration, o *order, s trial.Session, tries bool) string {
-	switch {
-	case o == nil:
-		return whyNoRollOut
-	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
-		return whyTaken
-	case o.State == catalog.RollOutRolledBack:
-		return whyTakenBack
-	case !tries:
-		return whyNotInTrial
-	case !o.trial.Exposes(now):
-		return whyBefore
-	case r.sessions.Stays(now, s):
-		return whyStays
-	}
-	return whyTrial
-}
-
 // Answered implements forward.Versions.
 func (r *rollouts) Answered(a forward.Answered) {
 	o := r.order(a.Service)
@@ -239,7 +181,7 @@
 
 // tick takes the roll-outs under way on; the VM that ranks first for one records it.
 func (r *rollouts) tick(ctx context.Context) {
-	now := bootClock()
+	now := r.clock()
 	r.mu.Lock()
 	var due []*order
 	for _, o := range r.orders {
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -42,7 +43,7 @@
 func (o *orders) choices() map[forward.Choice]int {
 	out := make(map[forward.Choice]int)
 	for i := range 200 {
-		c, _ := o.Choose("s", fmt.Sprint("session", i))
+		c, _ := o.Begin("s", fmt.Sprint("session", i), time.Now().Add(time.Minute)).Choose(context.Background())
 		out[c]++
 	}
 	return out
