--- /dev/null
+++ b/gateway/node/pins_test.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/gateway/forward"
+	"goldcrestfork/gateway/view"
+	"goldcrestfork/policy/trial"
+)
+
+// clocked is a VM's roll-outs in virtual time.
+type clocked struct {
+	*orders
+	now time.Duration
+}
+
+func newClocked() *clocked {
+	c := &clocked{orders: newOrders(), now: time.Hour}
+	c.clock = func() time.Duration { return c.now }
+	return c
+}
+
+// begin sends a request of a session and returns its pin and the version that runs it.
+func begin(r *rollouts, session string) (forward.Pin, string) {
+	p := r.Begin("s", session, time.Now().Add(time.Minute))
+	c, _ := p.Choose(context.Background())
+	if c.Only == "v2" {
+		return p, "v2"
+	}
+	return p, "v1"
+}
+
+// request sends a request that ends at once.
+func request(r *rollouts, session string) string {
+	p, version := begin(r, session)
+	p.End(version)
+	return version
+}
+
+// tryingSession is the i-th session that would try a new version.
+func tryingSession(i int) string {
+	for n := 0; ; n++ {
+		id := fmt.Sprint("session", n)
+		if !trial.SessionOf("s", id).Tries(trial.Share(0.15)) {
+			continue
+		}
+		if i == 0 {
+			return id
+		}
+		i--
+	}
+}
+
+func (o *orders) endpoint(id, version string, created int64) {
+	o.view.ApplyEndpoints(view.Update[catalog.Endpoint]{Changes: []view.Change[catalog.Endpoint]{{Item: view.Item[catalog.Endpoint]{
+		Name: id, Revision: created, Created: created, Value: catalog.Endpoint{ID: id, Service: "s", Version: version, Address: "10.0.0.1:1"},
+	}}}})
+}
+
+// Guards against a session forgotten because it was served while word of its order lagged.
+func TestSessionServedBeforeWordOfItsOrderKeepsItsVersion(t *testing.T) {
+	c := newClocked()
+	c.endpoint("e1", "v1", 1)
+	c.told("v2", 2, catalog.RollOutRunning)
+	c.endpoint("e2", "v2", 50)
+	c.now += 2 * time.Second
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)))
+	c.revision = 60
+	c.told("v2", 2, catalog.RollOutRunning)
+	c.now += 4100 * time.Millisecond
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)), "a pause of 4.1 s of 5")
+	require.Equal(t, "v2", request(c.rollouts, tryingSession(1)))
+}
+
+// Guards against a session forgotten while its stream runs: the pause counts from its end.
+func TestSessionOfALongStreamKeepsItsVersion(t *testing.T) {
+	c := newClocked()
+	c.told("v2", 2, catalog.RollOutRunning)
+	p, version := begin(c.rollouts, tryingSession(0))
+	require.Equal(t, "v1", version)
+	c.now += 7 * time.Second
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)), "beside the stream")
+	c.now += time.Second
+	p.End(version)
+	c.now += 4900 * time.Millisecond
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)), "4.9 s after the stream's end")
+	c.now += 6100 * time.Millisecond
+	require.Equal(t, "v2", request(c.rollouts, tryingSession(0)))
+}
+
+const (
+	lossShare = 0.01 // of datagrams between VMs
+	delay     = 2 * time.Millisecond
+)
+
+// fleet is some VMs that hear of each other by datagrams, in virtual time.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Duration
+	vms     []*fleetVM
+	arrive  []arrival
+	pending []open
+}
+
+type fleetVM struct {
+	*orders
+	self  gossip.Member
+	table *gossip.Table
+}
+
+// arrival is a datagram under way.
+type arrival struct {
+	at   time.Duration
+	to   int
+	take func(*fleetVM)
+}
+
+// open is a request under way.
+type open struct {
+	end     time.Duration
+	session int
+	version string
+	pin     forward.Pin
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 21)), now: time.Hour}
+	members := make([]gossip.Member, n)
+	for i := range members {
+		members[i] = gossip.Member{Name: fmt.Sprint("vm", i), Peer: fmt.Sprint(i), DataCentre: fmt.Sprint("dc", i%4)}
+	}
+	for _, m := range members {
+		v := &fleetVM{orders: newOrders(), self: m, table: gossip.NewTable(m)}
+		v.clock = func() time.Duration { return f.now }
+		v.table.Learn(f.now, members...)
+		for i, other := range members {
+			if other != m {
+				v.table.Heard(f.now, &gossip.Message{From: other, Life: 1, Sequence: uint64(i + 1), Ready: true})
+			}
+		}
+		f.vms = append(f.vms, v)
+	}
+	return f
+}
+
+// round is one VM's datagrams of a round.
+func (f *fleet) round(i int, sequence uint64) {
+	v := f.vms[i]
+	words, sessions := v.word(f.now)
+	to, others, heard := v.table.Round(f.now, f.rng, len(words) > 0)
+	m := &gossip.Message{From: v.self, Life: 1, Sequence: sequence, Ready: true, Others: others, Words: heard}
+	for _, peer := range to {
+		if f.rng.Float64() < lossShare {
+			continue
+		}
+		var n int
+		fmt.Sscan(peer, &n)
+		f.arrive = append(f.arrive, arrival{f.now + delay, n, func(u *fleetVM) {
+			u.table.Heard(f.now, m)
+			u.take(f.now, v.self.Name, words, sessions)
+		}})
+	}
+}
+
+// sessions are those of one play, by number.
+type sessions struct {
+	last  map[int]open // the request of each that ended last
+	moved int
+}
+
+// play brings a version in over 24 s under perS requests a second of sessions that would
+// try it, half of them of sessions that go on, at any VM; it ends at half of that time,
+// before which no session may move, and returns how many requests moved.
+func (f *fleet) play(perS float64, longest time.Duration) int {
+	const step, duration = time.Millisecond, 24 * time.Second
+	s := sessions{last: make(map[int]open)}
+	ids := 0
+	begins := f.now
+	for ordered := false; f.now < begins+6*time.Second+duration/2; f.now += step {
+		if !ordered && f.now >= begins+6*time.Second {
+			ordered = true
+			for _, v := range f.vms {
+				v.told("v2", 10, catalog.RollOutRunning)
+				v.orders.rollouts.orders["s"].Duration = duration
+			}
+		}
+		at := int((f.now - begins) / step)
+		for i := range f.vms {
+			if at%400 == i*400/len(f.vms) {
+				f.round(i, uint64(1000+at))
+			}
+		}
+		f.deliver()
+		f.end(&s)
+		if f.rng.Float64() < perS*step.Seconds() {
+			f.send(&s, &ids, longest)
+		}
+	}
+	return s.moved
+}
+
+func (f *fleet) deliver() {
+	f.arrive = slices.DeleteFunc(f.arrive, func(a arrival) bool {
+		if a.at > f.now {
+			return false
+		}
+		a.take(f.vms[a.to])
+		return true
+	})
+}
+
+func (f *fleet) end(s *sessions) {
+	f.pending = slices.DeleteFunc(f.pending, func(o open) bool {
+		if o.end > f.now {
+			return false
+		}
+		o.pin.End(o.version)
+		s.last[o.session] = o
+		return true
+	})
+}
+
+// send sends a request of a session that goes on within its pause, or of a new one.
+func (f *fleet) send(s *sessions, ids *int, longest time.Duration) {
+	const pause = 5 * time.Second
+	session := *ids
+	if n := min(*ids, 100); n > 0 && f.rng.Float64() < 0.5 {
+		if recent := *ids - 1 - f.rng.IntN(n); !slices.ContainsFunc(f.pending, func(o open) bool { return o.session == recent }) {
+			session = recent
+		}
+	}
+	if session == *ids {
+		*ids++
+	}
+	pin, version := begin(f.vms[f.rng.IntN(len(f.vms))].rollouts, tryingID(session))
+	if before, ok := s.last[session]; ok && f.now-before.end < pause && before.version != version {
+		s.moved++
+	}
+	f.pending = append(f.pending, open{f.now + time.Duration(f.rng.Float64()*float64(longest)), session, version, pin})
+}
+
+var tryingIDs []string
+
+// tryingID is tryingSession, remembered.
+func tryingID(i int) string {
+	for n := len(tryingIDs); n <= i; n++ {
+		tryingIDs = append(tryingIDs, tryingSession(n))
+	}
+	return tryingIDs[i]
+}
+
+// Guards against a VM that takes a session for a new one because word of it is still on its way.
+func TestRoamingSessionKeepsItsVersionInALargeFleet(t *testing.T) {
+	require.Zero(t, newFleet(91, 1).play(80, 900*time.Millisecond))
+}
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -13,6 +13,7 @@
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/gateway/view"
+	"goldcrestfork/policy/placement"
 )
 
 // orders is a VM's roll-outs, as the platform tells of them.
@@ -25,7 +26,7 @@
 func newOrders() *orders {
 	n := &Node{inForce: new(atomic.Pointer[Bounds]), log: zerolog.Nop()}
 	n.inForce.Store(&Bounds{Session: 5 * time.Second, ExposureShare: 0.15})
-	n.view = view.New(view.Settings{Clock: bootClock, Log: zerolog.Nop()})
+	n.view = view.New(view.Settings{Table: placement.New("dc"), Clock: bootClock, Log: zerolog.Nop()})
 	n.rollouts = newRollouts(n)
 	return &orders{rollouts: n.rollouts, view: n.view}
 }
