Remember sessions that are served while word of their order lags

Callers saw a session change its version: it was served by the old one after its roll-out was ordered and before the VM's list of roll-outs was shown to be as new as the new version's endpoints. That path, for up to 2.5 s after each order, returned before the session was noted as being at the old version, and the trial then took it for a new one.

Class: a decision with several exits of which one leaves out the record that later decisions rest on. The record now stands behind all exits.

--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -41,30 +41,39 @@
 func (p *pin) End(string) {}
 
 func (r *rollouts) choose(service, session string) (forward.Choice, forward.Why) {
-	if v := r.n.view.Settled(service); v != "" {
-		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
-	}
 	now := r.clock()
 	s := trial.SessionOf(service, session)
 	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
+	c, why := r.version(now, service, s, tries)
+	switch why.Reason {
+	case whyTaken, whyTrial:
+	default:
+		// A later trial must find the session whatever kept it at the old version now.
+		if session != "" && tries {
+			r.sessions.AtOld(now, s)
+		}
+	}
+	return c, why
+}
+
+// version decides which version serves a session.
+func (r *rollouts) version(now time.Duration, service string, s trial.Session, tries bool) (forward.Choice, forward.Why) {
+	if v := r.n.view.Settled(service); v != "" {
+		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
+	}
 	o := r.order(service)
 	why := forward.Why{Reason: r.reason(now, o, s, tries)}
 	if o != nil {
 		why.RollOutAge = o.trial.Age(now)
 		why.SeenAge = r.sessions.Age(now, s)
 	}
-	var c forward.Choice
 	switch why.Reason {
 	case whyNoRollOut:
+		return forward.Choice{}, why
 	case whyTaken, whyTrial:
 		return forward.Choice{Only: o.Target}, why
-	default:
-		c = r.old(o)
 	}
-	if session != "" && tries {
-		r.sessions.AtOld(now, s)
-	}
-	return c, why
+	return r.old(o), why
 }
 
 // reason decides about a session; o is the service's roll-out or nil.
