Count a session's pause from the end of its last request

Callers may come back a pause after the end of an answer, and saw another version then: the memory of a session at the old version counted from the moment at which its request was sent, so that a stream of 4 s left 3.5 of 6.5 s, and one of over 7.5 s was forgotten while it ran.

Class: a lifetime that is counted from the wrong event. Requests under way at the old version are now held open, named to other VMs in each round, and refreshed at their end.

TestRoamingSessionKeepsItsVersionInALargeFleet still fails.

--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -23,49 +23,75 @@
 
 // pin is one request's hold on the version of its session.
 type pin struct {
-	r                *rollouts
-	service, session string
+	r       *rollouts
+	service string
+	session trial.Session
+	// tries says that the session would try a new version; remembered, that it is known
+	// by an id as well.
+	tries, remembered bool
+	atOld             bool // under way at the old version; guarded by r.mu
 }
 
 // Begin implements forward.Versions.
 func (r *rollouts) Begin(service, session string, _ time.Time) forward.Pin {
-	return &pin{r: r, service: service, session: session}
+	s := trial.SessionOf(service, session)
+	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
+	return &pin{r: r, service: service, session: s, tries: tries, remembered: tries && session != ""}
 }
 
 // Choose implements forward.Pin.
 func (p *pin) Choose(context.Context) (forward.Choice, forward.Why) {
-	return p.r.choose(p.service, p.session)
+	r, now := p.r, p.r.clock()
+	r.remember(now)
+	c, why := r.version(now, p)
+	if p.remembered {
+		r.note(now, p, why.Reason != whyTaken && why.Reason != whyTrial)
+	}
+	return c, why
 }
 
 // End implements forward.Pin.
-func (p *pin) End(string) {}
+func (p *pin) End(string) {
+	if p.remembered {
+		p.r.note(p.r.clock(), p, false)
+	}
+}
 
-func (r *rollouts) choose(service, session string) (forward.Choice, forward.Why) {
-	now := r.clock()
-	s := trial.SessionOf(service, session)
-	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
-	c, why := r.version(now, service, s, tries)
-	switch why.Reason {
-	case whyTaken, whyTrial:
-	default:
-		// A later trial must find the session whatever kept it at the old version now.
-		if session != "" && tries {
-			r.sessions.AtOld(now, s)
-		}
+// note keeps a request under way at the old version in memory, whatever sent it there, or
+// ends that: a session's pause counts from the end of its last request.
+func (r *rollouts) note(now time.Duration, p *pin, atOld bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.atOld || atOld {
+		r.sessions.AtOld(now, p.session)
+	}
+	p.atOld = atOld
+	if atOld {
+		r.open[p] = struct{}{}
+	} else {
+		delete(r.open, p)
+	}
+}
+
+// remember refreshes the sessions of requests under way at the old version.
+func (r *rollouts) remember(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.open {
+		r.sessions.AtOld(now, p.session)
 	}
-	return c, why
 }
 
-// version decides which version serves a session.
-func (r *rollouts) version(now time.Duration, service string, s trial.Session, tries bool) (forward.Choice, forward.Why) {
-	if v := r.n.view.Settled(service); v != "" {
+// version decides which version serves a request.
+func (r *rollouts) version(now time.Duration, p *pin) (forward.Choice, forward.Why) {
+	if v := r.n.view.Settled(p.service); v != "" {
 		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
 	}
-	o := r.order(service)
-	why := forward.Why{Reason: r.reason(now, o, s, tries)}
+	o := r.order(p.service)
+	why := forward.Why{Reason: r.reason(now, o, p.session, p.tries)}
 	if o != nil {
 		why.RollOutAge = o.trial.Age(now)
-		why.SeenAge = r.sessions.Age(now, s)
+		why.SeenAge = r.sessions.Age(now, p.session)
 	}
 	switch why.Reason {
 	case whyNoRollOut:
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -40,6 +40,8 @@
 	// inUse is the version that the last completed roll-out of a service brought in.
 	inUse map[string]string
 	usual map[string]float64
+	// open are the requests under way at the old version whose sessions would try a new one.
+	open map[*pin]struct{}
 }
 
 // order is a service's newest roll-out.
@@ -58,7 +60,7 @@
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, clock: bootClock, sessions: trial.NewSessions(n.bounds().Session),
-		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]float64),
+		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]float64), open: make(map[*pin]struct{}),
 	}
 }
 
@@ -156,6 +158,7 @@
 
 // word returns this VM's part of a datagram on the roll-outs under way.
 func (r *rollouts) word(now time.Duration) (orders []orderWord, sessions []trial.Session) {
+	r.remember(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
