Keep a session's version at two VMs that every VM asks

Callers saw sessions change their version in a trial: a request that came to another VM than the one before in its session was taken for a new session's. Each VM named the sessions that it had sent to the old version to twelve others each 400 ms, and nobody passed that on, so that among 91 VMs word was on its way for 3 s, while the trial waited for one second.

Class: a decision that rests on word that need not have come yet.

Now the two VMs that rank first for a session keep its version (fleet/sticky). Each VM asks both before it sends a request of a session that would try the new version; a keeper that does not know it takes the proposal, so that one decides for all. A request holds it from its first attempt and a pause beyond its end; sessions under way when an order becomes known are told then; a VM that stops hands its part over; where no keeper answers within 40 ms the old version serves. Word of sessions leaves the datagrams between VMs.

The play in policy/trial asserts no move where it allowed 40.

--- a/fleet/datagram/datagram.go
+++ b/fleet/datagram/datagram.go
@@ -13,7 +13,31 @@
 const Largest = 1400
 
 // Socket is one VM's end.
-type Socket struct{ conn *net.UDPConn }
+type Socket struct {
+	conn     *net.UDPConn
+	channels map[byte]func(b []byte, from string)
+}
+
+// Channel is a use of a socket beside its main one; its packets begin with a tag.
+type Channel struct {
+	socket *Socket
+	tag    byte
+}
+
+// Channel opens a use of the socket before Run. No packet of the main use may begin with
+// the tag: CBOR maps begin with 0xa0 to 0xbf. take must not keep b.
+func (s *Socket) Channel(tag byte, take func(b []byte, from string)) Channel {
+	if s.channels == nil {
+		s.channels = make(map[byte]func([]byte, string))
+	}
+	s.channels[tag] = take
+	return Channel{socket: s, tag: tag}
+}
+
+// Send sends a packet of the channel as Socket.Send does.
+func (c Channel) Send(b []byte, to string) error {
+	return c.socket.Send(append([]byte{c.tag}, b...), to)
+}
 
 // Listen opens a socket at an IP number and port; port 0 takes a free one.
 func Listen(address string) (*Socket, error) {
@@ -65,7 +89,12 @@
 		case err != nil:
 			failed(err)
 		default:
-			take(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+			address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
+			if n > 0 && s.channels[buf[0]] != nil {
+				s.channels[buf[0]](buf[1:n], address)
+			} else {
+				take(buf[:n], address)
+			}
 		}
 	}
 }
--- a/fleet/datagram/datagram_test.go
+++ b/fleet/datagram/datagram_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -40,3 +41,25 @@
 	<-done
 	<-done
 }
+
+// Guards against packets of one use of a socket that reach another's.
+func TestChannelsShareASocket(t *testing.T) {
+	a, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	got := make(chan string, 3)
+	channel := a.Channel(1, func(p []byte, from string) { got <- "channel " + string(p) + " from itself: " + strconv.FormatBool(from == a.Addr()) })
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		a.Run(ctx, func(p []byte, _ string) { got <- "main " + string(p) }, func(err error) { t.Error(err) })
+		close(done)
+	}()
+	require.NoError(t, channel.Send([]byte("x"), a.Addr()))
+	require.Equal(t, "channel x from itself: true", <-got)
+	require.NoError(t, a.Send([]byte("y"), a.Addr()))
+	require.Equal(t, "main y", <-got)
+	require.NoError(t, a.Send(nil, a.Addr()))
+	require.Equal(t, "main ", <-got)
+	cancel()
+	<-done
+}
--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -55,6 +55,11 @@
 	return s, nil
 }
 
+// Channel opens another use of the socket; call it before Run.
+func (s *Service) Channel(tag byte, take func(b []byte, from string)) datagram.Channel {
+	return s.socket.Channel(tag, take)
+}
+
 // Table is what the service knows.
 func (s *Service) Table() *Table { return s.table }
 
--- /dev/null
+++ b/fleet/sticky/service.go
@@ -0,0 +1,283 @@
+package sticky
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// askTimeout is how long keepers have to answer before they are asked once more: some
+	// round trips between data centres of a region.
+	askTimeout = 20 * time.Millisecond
+	// tries is how often keepers are asked; one datagram in a hundred is lost.
+	tries = 2
+)
+
+// Config sets a service.
+type Config struct {
+	// Self is this VM's name in rings.
+	Self  string
+	Clock func() time.Duration
+	// Ring returns the VMs that keep keys now.
+	Ring func() *Ring
+	// Send sends a packet without word of its arrival.
+	Send func(b []byte, to string) error
+	Log  zerolog.Logger
+	// Registerer takes the metrics; required.
+	Registerer prometheus.Registerer
+}
+
+// kind says what a message is.
+type kind uint8
+
+const (
+	hold    kind = iota + 1 // a question, which holds the key
+	held                    // its answer
+	set                     // a hold that decides, without an answer
+	release                 // the end of a hold
+)
+
+// message is one packet.
+type message struct {
+	Kind      kind   `cbor:"1,keyasint"`
+	From      string `cbor:"2,keyasint,omitempty"`
+	Ask       uint64 `cbor:"3,keyasint,omitempty"`
+	Key       Key    `cbor:"4,keyasint,omitempty"`
+	Holder    uint64 `cbor:"5,keyasint,omitempty"`
+	Value     Value  `cbor:"6,keyasint,omitempty"`
+	KeepForMs int64  `cbor:"7,keyasint,omitempty"`
+	// Age is in an answer.
+	Age time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// longestKeep bounds what another VM may ask for.
+const longestKeep = time.Hour
+
+func (m *message) keepFor() time.Duration {
+	return time.Duration(min(max(m.KeepForMs, 0), longestKeep.Milliseconds())) * time.Millisecond
+}
+
+func (m *message) hold() Hold {
+	return Hold{Key: m.Key, Holder: m.Holder, Longest: m.keepFor(), Proposal: m.Value}
+}
+
+// Service is one VM's part: it asks keepers, and keeps keys.
+type Service struct {
+	cfg   Config
+	board *Board
+	holds *prometheus.CounterVec
+
+	mu      sync.Mutex
+	waiting map[uint64]chan Held
+}
+
+// New returns a service; packets from other VMs go to Receive.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg, board: NewBoard(), waiting: make(map[uint64]chan Held), holds: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrest_sticky_holds_total", Help: "Questions for a key's value, by what became of them.",
+	}, []string{"result"})}
+	cfg.Registerer.MustRegister(s.holds)
+	return s
+}
+
+// Hold asks the key's keepers; ok is false where none answered. It waits tries*askTimeout
+// at most, and no longer than ctx.
+func (s *Service) Hold(ctx context.Context, h Hold) (out Held, ok bool) {
+	keepers := s.cfg.Ring().Keepers(h.Key)
+	answers := s.ask(ctx, keepers, h)
+	if len(answers) == 0 {
+		s.holds.WithLabelValues("silent").Inc()
+		return Held{}, false
+	}
+	// The keeper that has known the key for longest: another one may have lost its memory
+	// and taken a proposal since.
+	out = slices.MaxFunc(answers, func(a, b Held) int { return cmp.Compare(a.Age, b.Age) })
+	if out.Age > 0 {
+		s.holds.WithLabelValues("known").Inc()
+	} else {
+		s.holds.WithLabelValues("new").Inc()
+	}
+	s.correct(keepers, answers, h, out)
+	return out, true
+}
+
+// ask returns the answers by the keepers' rank. Keepers that are silent are asked again
+// unless another one knows the key.
+func (s *Service) ask(ctx context.Context, keepers []Keeper, h Hold) []Held {
+	ask, in := s.await()
+	defer s.forget(ask)
+	got := make(map[string]Held)
+	known := func() bool {
+		for _, a := range got {
+			if a.Age > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	for try := 0; try < tries && len(got) < len(keepers) && !known() && ctx.Err() == nil; try++ {
+		for _, k := range keepers {
+			if _, ok := got[k.Name]; !ok {
+				s.question(k, ask, h, got)
+			}
+		}
+		s.collect(ctx, in, got, len(keepers))
+	}
+	var out []Held
+	for _, k := range keepers {
+		if a, ok := got[k.Name]; ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// question asks one keeper; this VM answers itself at once.
+func (s *Service) question(k Keeper, ask uint64, h Hold, got map[string]Held) {
+	if k.Name == s.cfg.Self {
+		v, age := s.board.Hold(s.cfg.Clock(), h)
+		got[k.Name] = Held{Value: v, Age: age, Keeper: k.Name}
+		return
+	}
+	s.send(k, message{Kind: hold, Ask: ask, Key: h.Key, Holder: h.Holder, Value: h.Proposal, KeepForMs: h.Longest.Milliseconds()})
+}
+
+// collect takes answers until all keepers' came, for askTimeout at most.
+func (s *Service) collect(ctx context.Context, in <-chan Held, got map[string]Held, keepers int) {
+	t := time.NewTimer(askTimeout)
+	defer t.Stop()
+	for len(got) < keepers {
+		select {
+		case a := <-in:
+			if _, ok := got[a.Keeper]; !ok {
+				got[a.Keeper] = a
+			}
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// correct tells the value to the keepers that answered otherwise, or may have taken the
+// proposal instead.
+func (s *Service) correct(keepers []Keeper, answers []Held, h Hold, right Held) {
+	for _, k := range keepers {
+		has := h.Proposal
+		if i := slices.IndexFunc(answers, func(a Held) bool { return a.Keeper == k.Name }); i >= 0 {
+			has = answers[i].Value
+		}
+		if has != right.Value {
+			s.tell(k, message{Kind: set, Key: h.Key, Holder: h.Holder, Value: right.Value, KeepForMs: h.Longest.Milliseconds()})
+		}
+	}
+}
+
+// Set makes the proposal the key's value, as for a request that began before keys were asked for.
+func (s *Service) Set(h Hold) {
+	for _, k := range s.cfg.Ring().Keepers(h.Key) {
+		s.tell(k, message{Kind: set, Key: h.Key, Holder: h.Holder, Value: h.Proposal, KeepForMs: h.Longest.Milliseconds()})
+	}
+}
+
+// Release ends a hold.
+func (s *Service) Release(r Release) { s.release(s.cfg.Ring(), r) }
+
+func (s *Service) release(ring *Ring, r Release) {
+	for _, k := range ring.Keepers(r.Key) {
+		s.tell(k, message{Kind: release, Key: r.Key, Holder: r.Holder, Value: r.Value, KeepForMs: r.Rest.Milliseconds()})
+	}
+}
+
+// HandOver gives all keys to those that keep them on a ring without this VM.
+func (s *Service) HandOver(ring *Ring) int {
+	all := s.board.All(s.cfg.Clock())
+	for _, r := range all {
+		s.release(ring, r)
+	}
+	return len(all)
+}
+
+// Sweep forgets keys that are over, and returns how many are left.
+func (s *Service) Sweep() int { return s.board.Sweep(s.cfg.Clock()) }
+
+// tell gives a message without an answer to a keeper, which may be this VM.
+func (s *Service) tell(k Keeper, m message) {
+	if k.Name == s.cfg.Self {
+		s.keep(&m)
+		return
+	}
+	s.send(k, m)
+}
+
+func (s *Service) send(k Keeper, m message) { s.sendTo(k.Address, m) }
+
+func (s *Service) sendTo(address string, m message) {
+	m.From = s.cfg.Self
+	b, err := cbor.Marshal(&m)
+	if err == nil {
+		err = s.cfg.Send(b, address)
+	}
+	if err != nil {
+		s.cfg.Log.Warn().Err(err).Str("address", address).Msg("message on a key can't be sent")
+	}
+}
+
+// Receive takes a packet of another VM.
+func (s *Service) Receive(b []byte, from string) {
+	var m message
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		s.holds.WithLabelValues("unreadable").Inc()
+		return
+	}
+	switch m.Kind {
+	case hold:
+		v, age := s.board.Hold(s.cfg.Clock(), m.hold())
+		s.sendTo(from, message{Kind: held, Ask: m.Ask, Value: v, Age: age})
+	case held:
+		s.mu.Lock()
+		in := s.waiting[m.Ask]
+		s.mu.Unlock()
+		select {
+		case in <- Held{Value: m.Value, Age: m.Age, Keeper: m.From}:
+		default: // late, or not for this process
+		}
+	default:
+		s.keep(&m)
+	}
+}
+
+// keep takes a message that has no answer.
+func (s *Service) keep(m *message) {
+	now := s.cfg.Clock()
+	switch m.Kind {
+	case set:
+		s.board.Set(now, m.hold())
+	case release:
+		s.board.Release(now, Release{Key: m.Key, Holder: m.Holder, Value: m.Value, Rest: m.keepFor()})
+	}
+}
+
+// await opens a question.
+func (s *Service) await() (ask uint64, in chan Held) {
+	ask, in = rand.Uint64(), make(chan Held, copies*tries)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[ask] = in
+	return ask, in
+}
+
+func (s *Service) forget(ask uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, ask)
+}
--- /dev/null
+++ b/fleet/sticky/sticky_test.go
@@ -0,0 +1,214 @@
+package sticky
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	first Value = iota + 1
+	second
+)
+
+// fleet is some VMs with a network in memory, whose packets arrive at once or are lost.
+type fleet struct {
+	began time.Time
+	vms   map[string]*Service
+	ring  []Keeper
+	lose  func(from, to string) bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{began: time.Now(), vms: make(map[string]*Service), lose: func(string, string) bool { return false }}
+	for i := range n {
+		name := fmt.Sprint("vm", i)
+		f.ring = append(f.ring, Keeper{Name: name, Address: name})
+		f.start(name)
+	}
+	return f
+}
+
+// start starts a VM, without its memory if it ran before.
+func (f *fleet) start(name string) {
+	f.vms[name] = New(Config{
+		Self: name, Clock: func() time.Duration { return time.Since(f.began) }, Ring: func() *Ring { return NewRing(f.ring...) },
+		Send: func(b []byte, to string) error {
+			if vm := f.vms[to]; vm != nil && !f.lose(name, to) {
+				vm.Receive(b, name)
+			}
+			return nil
+		},
+		Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+	})
+}
+
+// ask has a VM propose a value for a key.
+func (f *fleet) ask(t *testing.T, vm string, k Key, holder uint64, proposal Value) Held {
+	h, ok := f.vms[vm].Hold(t.Context(), Hold{Key: k, Holder: holder, Longest: 20 * time.Second, Proposal: proposal})
+	require.True(t, ok)
+	return h
+}
+
+// Guards against two VMs that decide differently about a key that neither knew.
+func TestOneDecisionForAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(91)
+		for i := range 200 {
+			k := KeyOf(fmt.Sprint("key", i))
+			a := f.ask(t, fmt.Sprint("vm", i%91), k, 1, first)
+			b := f.ask(t, fmt.Sprint("vm", (i*7+1)%91), k, 2, second)
+			require.Equal(t, first, a.Value)
+			require.Zero(t, a.Age)
+			require.Equal(t, first, b.Value)
+			require.NotZero(t, b.Age)
+		}
+	})
+}
+
+// Guards against a key forgotten while a request holds it, or kept for ever after a lost release.
+func TestKeyIsKeptForItsRequestsAndARest(t *testing.T) {
+	b, k := NewBoard(), KeyOf("k")
+	hold := func(now time.Duration, holder uint64, proposal Value) Value {
+		v, _ := b.Hold(now, Hold{Key: k, Holder: holder, Longest: 10 * time.Second, Proposal: proposal})
+		return v
+	}
+	require.Equal(t, first, hold(0, 1, first))
+	require.Equal(t, first, hold(9*time.Second, 2, second))
+	b.Release(10*time.Second, Release{Key: k, Holder: 1, Value: first, Rest: 5 * time.Second})
+	require.Equal(t, first, hold(18*time.Second, 3, second), "held by the second request")
+	b.Release(18*time.Second, Release{Key: k, Holder: 3})
+	require.Equal(t, 1, b.Sweep(18999*time.Millisecond))
+	require.Equal(t, 0, b.Sweep(19*time.Second), "its release was lost")
+	require.Equal(t, second, hold(19*time.Second, 4, second))
+	b.Release(20*time.Second, Release{Key: k, Holder: 4, Value: first, Rest: 5 * time.Second})
+	require.Equal(t, first, hold(24*time.Second, 5, second), "the request ended with another value")
+}
+
+// Guards against a key forgotten with one of its keepers, which comes back empty and ranks first.
+func TestKeyOutlivesOneKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		k := KeyOf("k")
+		keepers := NewRing(f.ring...).Keepers(k)
+		f.ask(t, "vm0", k, 1, first)
+		for _, lost := range keepers {
+			f.start(lost.Name)
+			for _, vm := range f.ring {
+				require.Equal(t, first, f.ask(t, vm.Name, k, 2, second).Value, "%s after %s", vm.Name, lost.Name)
+			}
+		}
+	})
+}
+
+// Guards against keys lost with both keepers, stopped one after the other.
+func TestStoppingKeeperHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		k := KeyOf("k")
+		f.ask(t, "vm0", k, 1, first)
+		for len(f.ring) > 1 {
+			stopping := NewRing(f.ring...).Keepers(k)[0]
+			f.ring = without(f.ring, stopping)
+			require.Equal(t, 1, f.vms[stopping.Name].HandOver(NewRing(f.ring...)))
+			delete(f.vms, stopping.Name)
+			require.Equal(t, first, f.ask(t, f.ring[0].Name, k, 2, second).Value)
+		}
+	})
+}
+
+func without(all []Keeper, one Keeper) (out []Keeper) {
+	for _, k := range all {
+		if k != one {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// Guards against a caller held up, or an answer made up, where no keeper answers.
+func TestSilentKeepersDecideNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.lose = func(string, string) bool { return true }
+		k := KeyOf("k")
+		var asker string
+		for _, vm := range f.ring {
+			if keepers := NewRing(f.ring...).Keepers(k); vm != keepers[0] && vm != keepers[1] {
+				asker = vm.Name
+			}
+		}
+		began := time.Now()
+		_, ok := f.vms[asker].Hold(t.Context(), Hold{Key: k, Holder: 1, Longest: time.Second, Proposal: first})
+		require.False(t, ok)
+		require.Equal(t, tries*askTimeout, time.Since(began))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, ok = f.vms[asker].Hold(ctx, Hold{Key: k, Holder: 1, Longest: time.Second, Proposal: first})
+		require.False(t, ok)
+	})
+}
+
+// Guards against a value that changes while a request holds its key, at any VM, with lost
+// packets and one keeper at a time that loses its memory.
+func TestHeldKeyKeepsItsValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(21, 1))
+		f := newFleet(9)
+		f.lose = func(string, string) bool { return rng.Float64() < 0.01 }
+		changed, asked := 0, 0
+		for i := range 400 {
+			k := KeyOf(fmt.Sprint("key", i))
+			value := Value(1 + rng.IntN(2))
+			before := f.ask(t, f.ring[rng.IntN(9)].Name, k, 1, value).Value
+			for n := range 5 {
+				f.began = f.began.Add(-time.Second)
+				if n == 2 {
+					f.start(NewRing(f.ring...).Keepers(k)[rng.IntN(copies)].Name)
+				}
+				asked++
+				if f.ask(t, f.ring[rng.IntN(9)].Name, k, uint64(2+n), 3-value).Value != before {
+					changed++
+				}
+			}
+		}
+		require.LessOrEqual(t, changed, asked/1000, "both questions to a keeper are lost")
+	})
+}
+
+// The two keepers are the first two of the whole ranking, whatever the order of the VMs.
+func TestRingRanks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z0-9]{1,6}`), 0, 12, rapid.ID[string]).Draw(t, "names")
+		k := KeyOf(rapid.String().Draw(t, "key"))
+		var keepers []Keeper
+		for _, n := range names {
+			keepers = append(keepers, Keeper{Name: n})
+		}
+		got := NewRing(keepers...).Keepers(k)
+		require.Len(t, got, min(copies, len(names)))
+		require.Equal(t, got, NewRing(rapid.Permutation(keepers).Draw(t, "shuffled")...).Keepers(k))
+		if len(got) > 0 {
+			require.Equal(t, got[0], NewRing(got...).Keepers(k)[0])
+			require.NotContains(t, NewRing(without(keepers, got[0])...).Keepers(k), got[0])
+		}
+	})
+}
+
+// Another VM may send anything.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x01})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		fleet := newFleet(2)
+		fleet.vms["vm0"].Receive(b, "vm1")
+		fleet.vms["vm0"].Sweep()
+	})
+}
--- a/gateway/explain/explain.go
+++ b/gateway/explain/explain.go
@@ -44,6 +44,7 @@
 	Versions   string `json:"versions"`
 	Reason     string `json:"version_reason"`
 	RollOutAge int64  `json:"roll_out_age_ms"`
+	Keeper     string `json:"session_keeper"`
 	SessionAge int64  `json:"session_age_ms"`
 
 	raw string
--- a/gateway/explain/moves.go
+++ b/gateway/explain/moves.go
@@ -70,10 +70,10 @@
 	count := make(map[string]int)
 	for _, m := range moves {
 		count[m.After.Reason]++
-		if _, err := fmt.Fprintf(w, "%s session %s %s to %s (%s), request %s at %s; before: %s at %s, sent %d ms and ended %d ms earlier; roll-out %d ms old, old version last known of %d ms ago\n",
+		if _, err := fmt.Fprintf(w, "%s session %s %s to %s (%s), request %s at %s; before: %s at %s, sent %d ms and ended %d ms earlier; roll-out %d ms old, version told by %q, which knew the session for %d ms\n",
 			m.After.start().Format(timeOfDay), m.After.Session, m.From, m.To, m.After.Reason, m.After.Request, m.After.VM,
 			m.Before.Request, m.Before.VM, m.After.start().Sub(m.Before.start()).Milliseconds(), m.Gap.Milliseconds(),
-			m.After.RollOutAge, m.After.SessionAge); err != nil {
+			m.After.RollOutAge, m.After.Keeper, m.After.SessionAge); err != nil {
 			return err
 		}
 	}
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -84,7 +84,7 @@
 	}
 	if id := c.session(); id != "" && c.service != "" {
 		e = e.Str("session", trial.SessionOf(c.service, id).String()).Str("versions", strings.Join(versions, " ")).
-			Str("version_reason", c.why.Reason).Dur("roll_out_age_ms", c.why.RollOutAge).Dur("session_age_ms", c.why.SeenAge)
+			Str("version_reason", c.why.Reason).Dur("roll_out_age_ms", c.why.RollOutAge).Str("session_keeper", c.why.Keeper).Dur("session_age_ms", c.why.SessionAge)
 	}
 	e.Msg("request")
 }
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -56,9 +56,10 @@
 	Reason string
 	// RollOutAge is the time since the order as this VM knows it; 0 without one.
 	RollOutAge time.Duration
-	// SeenAge is how long ago the session was known to be at the old version; 0 if it
-	// isn't known.
-	SeenAge time.Duration
+	// Keeper is the VM that told the session's version, "" where none was asked, and
+	// SessionAge how long it has known the session; 0 for a new one.
+	Keeper     string
+	SessionAge time.Duration
 }
 
 // Answered is one endpoint's answer, for the comparison of versions.
--- /dev/null
+++ b/gateway/node/keepers.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"goldcrestfork/fleet/datagram"
+	"goldcrestfork/fleet/sticky"
+)
+
+// stickyTag marks packets on sessions among the datagrams between VMs.
+const stickyTag = 1
+
+// newSticky is this VM's part of the sessions' memory; its packets share gossip's socket.
+func (n *Node) newSticky() *sticky.Service {
+	var channel datagram.Channel
+	s := sticky.New(sticky.Config{
+		Self: n.s.VM, Clock: bootClock, Log: n.log, Registerer: n.registry,
+		Ring: func() *sticky.Ring { return n.ring.get(bootClock(), n.newRing) },
+		Send: func(b []byte, to string) error { return channel.Send(b, to) },
+	})
+	channel = n.gossip.Channel(stickyTag, s.Receive)
+	return s
+}
+
+// newRing lists the VMs that keep sessions: those that are ready, this one among them.
+func (n *Node) newRing() *sticky.Ring {
+	members := n.gossip.Table().Usable(bootClock(), "")
+	if n.Ready() {
+		members = append(members, n.self())
+	}
+	keepers := make([]sticky.Keeper, 0, len(members))
+	for _, m := range members {
+		keepers = append(keepers, sticky.Keeper{Name: m.Name, Address: m.Peer})
+	}
+	return sticky.NewRing(keepers...)
+}
+
+// handOver gives the sessions that this VM keeps to others; it isn't ready any more.
+func (n *Node) handOver() {
+	if keys := n.sticky.HandOver(n.newRing()); keys > 0 {
+		n.log.Info().Int("keys", keys).Msg("sessions handed over")
+	}
+}
--- a/gateway/node/listen.go
+++ b/gateway/node/listen.go
@@ -119,12 +119,14 @@
 	n.handler.Stop(began.Add(lameTime / 2))
 	n.log.Info().Int64("active", n.handler.Active()).Msg("stopping")
 	n.gossip.Nudge()
+	n.handOver()
 	withdrawn, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	if err := n.p.Withdraw(withdrawn, n.s.VM); err != nil {
 		n.log.Info().Err(err).Msg("entry not withdrawn, others find this VM silent")
 	}
 	time.Sleep(time.Until(began.Add(min(lameTime, n.bounds().GracePeriod/2))))
+	n.handOver() // what VMs that had not heard of the stop asked for since
 	end, cancel2 := context.WithDeadline(ctx, deadline)
 	defer cancel2()
 	err := n.front.Shutdown(end)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/fleet/tally"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
@@ -87,6 +88,7 @@
 	gossip   *gossip.Service
 	tally    *tally.Service
 	rollouts *rollouts
+	sticky   *sticky.Service
 	watchers *watchers
 	suspects *suspects
 	feeds    map[string]*view.Feed
@@ -102,6 +104,7 @@
 	// What choices need of the fleet, made anew now and then.
 	ownKeepers, farKeepers recent[[]tally.Keeper]
 	vms                    recent[[]string]
+	ring                   recent[*sticky.Ring]
 
 	registry *prometheus.Registry
 	wg       sync.WaitGroup
@@ -128,6 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.sticky = n.newSticky()
 	n.tally, err = n.newTally()
 	if err != nil {
 		return nil, err
@@ -267,6 +271,7 @@
 		case <-t.C:
 			n.view.Tick()
 			n.pool.Sweep()
+			n.sticky.Sweep()
 			n.rollouts.tick(ctx)
 		}
 	}
--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/trial"
@@ -19,104 +21,197 @@
 	whyNotInTrial = "not-in-trial"
 	whyBefore     = "not-exposed" // the trial has not begun here, or is over
 	whyStays      = "stays"       // the session is at the old version
+	whyNoKeeper   = "no-keeper"   // no VM that keeps the session answers
 )
 
+// The versions that a session may be at during a trial, as keepers know them.
+const (
+	atOld sticky.Value = iota + 1
+	atNew
+)
+
+// sessionMargin is kept beyond a session's longest pause: callers count it from the end of
+// an answer as they see it.
+const sessionMargin = time.Second
+
 // pin is one request's hold on the version of its session.
 type pin struct {
 	r       *rollouts
 	service string
+	id      string // the session's
 	session trial.Session
 	// tries says that the session would try a new version; remembered, that it is known
 	// by an id as well.
 	tries, remembered bool
-	atOld             bool // under way at the old version; guarded by r.mu
+	holder            uint64
+	deadline          time.Time
+
+	// Guarded by r.mu.
+	value sticky.Value // of the last choice; 0 for none
+	key   sticky.Key   // what keepers hold for the request; 0 for nothing
 }
 
 // Begin implements forward.Versions.
-func (r *rollouts) Begin(service, session string, _ time.Time) forward.Pin {
+func (r *rollouts) Begin(service, session string, deadline time.Time) forward.Pin {
 	s := trial.SessionOf(service, session)
 	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
-	return &pin{r: r, service: service, session: s, tries: tries, remembered: tries && session != ""}
+	return &pin{
+		r: r, service: service, id: session, session: s, tries: tries, remembered: tries && session != "",
+		holder: rand.Uint64(), deadline: deadline,
+	}
 }
 
 // Choose implements forward.Pin.
-func (p *pin) Choose(context.Context) (forward.Choice, forward.Why) {
-	r, now := p.r, p.r.clock()
-	r.remember(now)
-	c, why := r.version(now, p)
+func (p *pin) Choose(ctx context.Context) (forward.Choice, forward.Why) {
+	o := p.r.order(p.service)
+	c, why := p.version(ctx, o)
 	if p.remembered {
-		r.note(now, p, why.Reason != whyTaken && why.Reason != whyTrial)
+		value := atOld
+		if why.Reason == whyTaken || why.Reason == whyTrial {
+			value = atNew
+		}
+		p.note(o, value)
 	}
 	return c, why
 }
 
-// End implements forward.Pin.
-func (p *pin) End(string) {
-	if p.remembered {
-		p.r.note(p.r.clock(), p, false)
+// note remembers what was chosen. A choice that keepers weren't asked for is told to them: a
+// later one must find the session whatever kept it at the old version now.
+func (p *pin) note(o *order, value sticky.Value) {
+	r := p.r
+	r.mu.Lock()
+	p.value = value
+	r.open[p] = struct{}{}
+	tell := o != nil && !o.judged() && p.key != o.key(p)
+	if tell {
+		p.key = o.key(p)
+	}
+	r.mu.Unlock()
+	if tell {
+		r.n.sticky.Set(p.hold(o, value))
 	}
 }
 
-// note keeps a request under way at the old version in memory, whatever sent it there, or
-// ends that: a session's pause counts from the end of its last request.
-func (r *rollouts) note(now time.Duration, p *pin, atOld bool) {
+// End implements forward.Pin.
+func (p *pin) End(version string) {
+	if !p.remembered {
+		return
+	}
+	r := p.r
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if p.atOld || atOld {
-		r.sessions.AtOld(now, p.session)
+	delete(r.open, p)
+	r.mu.Unlock()
+	o := r.order(p.service)
+	if o == nil || o.judged() {
+		return
 	}
-	p.atOld = atOld
-	if atOld {
-		r.open[p] = struct{}{}
-	} else {
-		delete(r.open, p)
+	end := sticky.Release{Key: o.key(p), Holder: p.holder, Rest: r.rest()}
+	switch version {
+	case "":
+	case o.Target:
+		end.Value = atNew
+	default:
+		end.Value = atOld
 	}
+	r.n.sticky.Release(end)
 }
 
-// remember refreshes the sessions of requests under way at the old version.
-func (r *rollouts) remember(now time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for p := range r.open {
-		r.sessions.AtOld(now, p.session)
-	}
+// rest is how long a session is remembered after its last request.
+func (r *rollouts) rest() time.Duration { return r.n.bounds().Session + sessionMargin }
+
+// key names a request's session under this order.
+func (o *order) key(p *pin) sticky.Key { return sticky.KeyOf(o.id + "/" + p.id) }
+
+func (p *pin) hold(o *order, v sticky.Value) sticky.Hold {
+	return sticky.Hold{Key: o.key(p), Holder: p.holder, Longest: max(time.Until(p.deadline), 0) + p.r.rest(), Proposal: v}
 }
 
-// version decides which version serves a request.
-func (r *rollouts) version(now time.Duration, p *pin) (forward.Choice, forward.Why) {
+// version decides which version serves a request; o is its service's roll-out or nil.
+func (p *pin) version(ctx context.Context, o *order) (forward.Choice, forward.Why) {
+	r := p.r
 	if v := r.n.view.Settled(p.service); v != "" {
 		return forward.Choice{Only: v}, forward.Why{Reason: whySettled}
 	}
-	o := r.order(p.service)
-	why := forward.Why{Reason: r.reason(now, o, p.session, p.tries)}
-	if o != nil {
-		why.RollOutAge = o.trial.Age(now)
-		why.SeenAge = r.sessions.Age(now, p.session)
-	}
-	switch why.Reason {
-	case whyNoRollOut:
-		return forward.Choice{}, why
-	case whyTaken, whyTrial:
+	if o == nil {
+		return forward.Choice{}, forward.Why{Reason: whyNoRollOut}
+	}
+	why := forward.Why{RollOutAge: o.trial.Age(r.clock())}
+	switch {
+	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
+		why.Reason = whyTaken
+	case o.State == catalog.RollOutRolledBack:
+		why.Reason = whyTakenBack
+	default:
+		p.try(ctx, o, &why)
+	}
+	if why.Reason == whyTaken || why.Reason == whyTrial {
 		return forward.Choice{Only: o.Target}, why
 	}
 	return r.old(o), why
 }
 
-// reason decides about a session; o is the service's roll-out or nil.
-func (r *rollouts) reason(now time.Duration, o *order, s trial.Session, tries bool) string {
+// try decides while the trial is under way: a session that is at a version stays there, and
+// one that nobody knows tries the new one where it is exposed.
+func (p *pin) try(ctx context.Context, o *order, why *forward.Why) {
+	exposed := o.trial.Exposes(p.r.clock())
 	switch {
-	case o == nil:
-		return whyNoRollOut
-	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
-		return whyTaken
-	case o.State == catalog.RollOutRolledBack:
-		return whyTakenBack
-	case !tries:
-		return whyNotInTrial
-	case !o.trial.Exposes(now):
-		return whyBefore
-	case r.sessions.Stays(now, s):
-		return whyStays
-	}
-	return whyTrial
+	case !p.tries:
+		why.Reason = whyNotInTrial
+		return
+	case o.trial.Worse():
+		why.Reason = whyBefore
+		return
+	case !p.remembered:
+		why.Reason = whyBefore
+		if exposed {
+			why.Reason = whyTrial
+		}
+		return
+	}
+	proposal := atOld
+	if exposed {
+		proposal = atNew
+	}
+	value, ok := p.held(ctx, o, proposal, why)
+	switch {
+	case !ok:
+		why.Reason = whyNoKeeper
+	case value == atNew:
+		why.Reason = whyTrial
+	case exposed:
+		why.Reason = whyStays
+	default:
+		why.Reason = whyBefore
+	}
+}
+
+// held is the session's version as its keepers know it, asked once for a request.
+func (p *pin) held(ctx context.Context, o *order, proposal sticky.Value, why *forward.Why) (sticky.Value, bool) {
+	r := p.r
+	r.mu.Lock()
+	value, asked := p.value, p.key == o.key(p)
+	r.mu.Unlock()
+	if asked {
+		return value, true
+	}
+	h, ok := r.n.sticky.Hold(ctx, p.hold(o, proposal))
+	why.Keeper, why.SessionAge = h.Keeper, h.Age
+	if ok {
+		r.mu.Lock()
+		p.key = o.key(p)
+		r.mu.Unlock()
+	}
+	return h.Value, ok
+}
+
+// opened returns the requests under way of a service, as holds under its new order: they
+// began before it was known. Callers hold r.mu.
+func (r *rollouts) opened(o *order) (out []sticky.Hold) {
+	for p := range r.open {
+		if p.service == o.Service && p.value == atOld && !o.judged() {
+			p.key = o.key(p)
+			out = append(out, p.hold(o, atOld))
+		}
+	}
+	return out
 }
--- a/gateway/node/pins_test.go
+++ b/gateway/node/pins_test.go
@@ -5,12 +5,17 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/gateway/view"
@@ -115,12 +120,13 @@
 	*orders
 	self  gossip.Member
 	table *gossip.Table
+	ring  recent[*sticky.Ring]
 }
 
 // arrival is a datagram under way.
 type arrival struct {
 	at   time.Duration
-	to   int
+	to   *fleetVM
 	take func(*fleetVM)
 }
 
@@ -140,6 +146,7 @@
 	}
 	for _, m := range members {
 		v := &fleetVM{orders: newOrders(), self: m, table: gossip.NewTable(m)}
+		v.n.sticky = f.sticky(v)
 		v.clock = func() time.Duration { return f.now }
 		v.table.Learn(f.now, members...)
 		for i, other := range members {
@@ -152,21 +159,50 @@
 	return f
 }
 
+// sticky is a VM's memory of sessions; its packets arrive at once, or not.
+func (f *fleet) sticky(v *fleetVM) *sticky.Service {
+	return sticky.New(sticky.Config{
+		Self: v.self.Name, Clock: func() time.Duration { return f.now }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		Ring: func() *sticky.Ring {
+			return v.ring.get(f.now, func() *sticky.Ring {
+				keepers := []sticky.Keeper{{Name: v.self.Name, Address: v.self.Peer}}
+				for _, m := range v.table.Usable(f.now, "") {
+					keepers = append(keepers, sticky.Keeper{Name: m.Name, Address: m.Peer})
+				}
+				return sticky.NewRing(keepers...)
+			})
+		},
+		Send: func(b []byte, to string) error {
+			if f.rng.Float64() >= lossShare {
+				f.at(to).n.sticky.Receive(b, v.self.Peer)
+			}
+			return nil
+		},
+	})
+}
+
+// at is the VM at an address.
+func (f *fleet) at(address string) *fleetVM {
+	n, err := strconv.Atoi(address)
+	if err != nil {
+		panic(err)
+	}
+	return f.vms[n]
+}
+
 // round is one VM's datagrams of a round.
 func (f *fleet) round(i int, sequence uint64) {
 	v := f.vms[i]
-	words, sessions := v.word(f.now)
+	words := v.word(f.now)
 	to, others, heard := v.table.Round(f.now, f.rng, len(words) > 0)
 	m := &gossip.Message{From: v.self, Life: 1, Sequence: sequence, Ready: true, Others: others, Words: heard}
 	for _, peer := range to {
 		if f.rng.Float64() < lossShare {
 			continue
 		}
-		var n int
-		fmt.Sscan(peer, &n)
-		f.arrive = append(f.arrive, arrival{f.now + delay, n, func(u *fleetVM) {
+		f.arrive = append(f.arrive, arrival{f.now + delay, f.at(peer), func(u *fleetVM) {
 			u.table.Heard(f.now, m)
-			u.take(f.now, v.self.Name, words, sessions)
+			u.take(f.now, v.self.Name, words)
 		}})
 	}
 }
@@ -213,7 +249,7 @@
 		if a.at > f.now {
 			return false
 		}
-		a.take(f.vms[a.to])
+		a.take(a.to)
 		return true
 	})
 }
@@ -260,5 +296,7 @@
 
 // Guards against a VM that takes a session for a new one because word of it is still on its way.
 func TestRoamingSessionKeepsItsVersionInALargeFleet(t *testing.T) {
-	require.Zero(t, newFleet(91, 1).play(80, 900*time.Millisecond))
+	synctest.Test(t, func(t *testing.T) {
+		require.Zero(t, newFleet(91, 1).play(80, 900*time.Millisecond))
+	})
 }
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -10,6 +10,7 @@
 
 	"goldcrestfork/durable"
 	"goldcrestfork/fleet/rendezvous"
+	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/trial"
@@ -31,16 +32,15 @@
 //
 // Lock order: rollouts.mu, then those of package trial.
 type rollouts struct {
-	n        *Node
-	clock    func() time.Duration
-	sessions *trial.Sessions
+	n     *Node
+	clock func() time.Duration
 
 	mu     sync.Mutex
 	orders map[string]*order // by service
 	// inUse is the version that the last completed roll-out of a service brought in.
 	inUse map[string]string
 	usual map[string]float64
-	// open are the requests under way at the old version whose sessions would try a new one.
+	// open are the requests under way whose sessions would try a new version.
 	open map[*pin]struct{}
 }
 
@@ -59,13 +59,20 @@
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
-		n: n, clock: bootClock, sessions: trial.NewSessions(n.bounds().Session),
+		n: n, clock: bootClock,
 		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]float64), open: make(map[*pin]struct{}),
 	}
 }
 
 // changed takes the operators' orders anew.
 func (r *rollouts) changed() {
+	for _, h := range r.takeOrders() {
+		r.n.sticky.Set(h)
+	}
+}
+
+// takeOrders returns the sessions under way under new orders.
+func (r *rollouts) takeOrders() (open []sticky.Hold) {
 	now := r.clock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,12 +98,14 @@
 		r.orders[o.Service] = &order{RollOut: o, id: id, moving: now, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
 		r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).
 			Dur("duration_ms", o.Duration).Msg("roll-out ordered")
+		open = append(open, r.opened(r.orders[o.Service])...)
 	}
 	for service := range r.orders {
 		if !known[service] {
 			delete(r.orders, service)
 		}
 	}
+	return open
 }
 
 func (r *rollouts) order(service string) *order {
@@ -157,8 +166,7 @@
 }
 
 // word returns this VM's part of a datagram on the roll-outs under way.
-func (r *rollouts) word(now time.Duration) (orders []orderWord, sessions []trial.Session) {
-	r.remember(now)
+func (r *rollouts) word(now time.Duration) (orders []orderWord) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
@@ -166,15 +174,11 @@
 			orders = append(orders, orderWord{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.Own()})
 		}
 	}
-	if len(orders) == 0 {
-		return nil, nil
-	}
-	return orders, r.sessions.Word(now)
+	return orders
 }
 
 // take takes another VM's word.
-func (r *rollouts) take(now time.Duration, source string, orders []orderWord, sessions []trial.Session) {
-	r.sessions.Heard(now, sessions)
+func (r *rollouts) take(now time.Duration, source string, orders []orderWord) {
 	for _, ow := range orders {
 		if o := r.order(ow.Service); o != nil && o.id == ow.ID {
 			o.trial.Heard(now, source, ow.Age, ow.Counts)
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/gateway/view"
@@ -23,8 +25,13 @@
 	revision int64
 }
 
+// newOrders returns those of a VM that keeps all sessions itself.
 func newOrders() *orders {
 	n := &Node{inForce: new(atomic.Pointer[Bounds]), log: zerolog.Nop()}
+	n.sticky = sticky.New(sticky.Config{
+		Self: "vm", Clock: func() time.Duration { return n.rollouts.clock() }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		Ring: func() *sticky.Ring { return sticky.NewRing(sticky.Keeper{Name: "vm"}) },
+	})
 	n.inForce.Store(&Bounds{Session: 5 * time.Second, ExposureShare: 0.15})
 	n.view = view.New(view.Settings{Table: placement.New("dc"), Clock: bootClock, Log: zerolog.Nop()})
 	n.rollouts = newRollouts(n)
--- a/policy/trial/doc.go
+++ b/policy/trial/doc.go
@@ -10,11 +10,11 @@
 // is never taken.
 //
 // A session keeps its version: which sessions try the new one follows from a hash, the
-// same on each VM, and sessions that were served by the old one lately stay there;
-// VMs tell each other which (Sessions). The evidence is that of package rollout, whose
+// same on each VM, and sessions that were served by the old one lately stay there
+// (package sticky keeps which). The evidence is that of package rollout, whose
 // controller is for roll-outs of minutes and hours with steps.
 //
 // The package has no network and no clock.
 //
-// Lock order: Trial.mu and Sessions.mu are leaves.
+// Lock order: Trial.mu is a leaf.
 package trial
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -15,8 +15,8 @@
 	// second and an allowance of 0.15, six of them a second try it, and a version that
 	// fails a third is found after about two seconds.
 	shareTimes = 1.2
-	// settle is added to a session's longest pause before the trial starts: a round or
-	// two of word between VMs on which sessions stay.
+	// settle is added to a session's longest pause before the trial starts: VMs learn of
+	// the order at different moments.
 	settle = time.Second
 	// decideAt is the part of the roll-out's time at which a version without signs
 	// against it is taken: past the half in which sessions must stay on the old one, and
@@ -151,6 +151,13 @@
 	return !t.worse && now-t.began >= t.session+settle
 }
 
+// Worse says that a VM found the new version worse.
+func (t *Trial) Worse() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.worse
+}
+
 // Judge decides by what is known of all VMs; Reason says by what.
 func (t *Trial) Judge(now time.Duration) (d Decision, reason string) {
 	t.mu.Lock()
--- a/policy/trial/trial_test.go
+++ b/policy/trial/trial_test.go
@@ -10,7 +10,7 @@
 )
 
 // play runs one roll-out at vms VMs with some requests a second, each VM hearing the
-// others' word each 400 ms. bad says whether the new version fails or slows a request.
+// others' word each 400 ms, and all sessions' versions. bad says whether the new version fails or slows a request.
 type play struct {
 	vms      int
 	perS     float64
@@ -32,10 +32,9 @@
 func (p play) run() outcome {
 	const session, exposure, step = 5 * time.Second, 0.15, 20 * time.Millisecond
 	r := rand.New(rand.NewPCG(p.seed, 9))
-	trials, memories := make([]*Trial, p.vms), make([]*Sessions, p.vms)
+	trials := make([]*Trial, p.vms)
 	for v := range p.vms {
 		trials[v] = New(0, 0, p.duration, session, exposure)
-		memories[v] = NewSessions(session)
 	}
 	var o outcome
 	type last struct {
@@ -50,7 +49,6 @@
 				for u := range trials {
 					if u != v {
 						trials[v].Heard(now, fmt.Sprint(u), trials[u].Age(now), trials[u].Own())
-						memories[v].Heard(now, memories[u].Word(now))
 					}
 				}
 				trials[v].Judge(now)
@@ -66,11 +64,12 @@
 			}
 			s := SessionOf("svc", id)
 			tries := s.Tries(Share(exposure))
-			toNew := now >= 0 && tries && trials[v].Exposes(now) && !memories[v].Stays(now, s)
-			if !toNew && tries {
-				memories[v].AtOld(now, s)
+			toNew := now >= 0 && tries && trials[v].Exposes(now)
+			l, ok := lastOf[id]
+			if known := ok && now-l.at < session+settle; known && !trials[v].Worse() {
+				toNew = l.toNew
 			}
-			if l, ok := lastOf[id]; ok && now-l.at < session && l.toNew != toNew && now < p.duration/2 && o.decision == Undecided {
+			if ok && now-l.at < session && l.toNew != toNew && now < p.duration/2 && o.decision == Undecided {
 				o.split++
 			}
 			lastOf[id] = last{now, toNew}
@@ -117,8 +116,7 @@
 		}
 	}
 	require.GreaterOrEqual(t, taken, 38)
-	// Two VMs may meet a session within the 400 ms before they hear of each other.
-	require.Less(t, split, 40)
+	require.Zero(t, split)
 }
 
 // Versions that fail or slow a third of what they get, at once or after three seconds,
