Don't count a request beside one that changes its version as a move

goldcrest sessions listed a request at v1 that started 14 ms after another one of its session, at v1 as well, which went on to v2 100 ms later for a larger model: the line of the longer one names both versions, and the last of them was taken for the one before. Of a request that still runs any of its versions now counts.

--- a/gateway/explain/moves.go
+++ b/gateway/explain/moves.go
@@ -49,7 +49,12 @@
 		before := lines[i-1]
 		ran := strings.Fields(before.Versions)
 		last, gap := ran[len(ran)-1], line.start().Sub(before.Time)
-		if last != versions[0] && gap < pause {
+		// Of a request that still runs the line doesn't say which version it was at then.
+		differs := last != versions[0]
+		if gap < 0 {
+			differs = !slices.Contains(ran, versions[0])
+		}
+		if differs && gap < pause {
 			out = append(out, Move{Before: before, After: line, From: last, To: versions[0], Gap: gap})
 		}
 	}
