Hold sessions to a roll-out's decision until all VMs have word of it

Until then one VM sent sessions back that another one had moved.

From the part of a roll-out's time at which its version may be taken until the bound on word of roll-outs after the decision, the keepers now decide for all sessions, and a decision goes before what was chosen in the trial (rank). Of two keepers that differ the one with the later decision is right. The end of an earlier request no longer changes a session's version.

--- a/fleet/sticky/board.go
+++ b/fleet/sticky/board.go
@@ -24,21 +24,27 @@
 	Longest time.Duration
 	// Proposal is the value that the key takes where it has none.
 	Proposal Value
+	// Rank tells a decision that was Set from earlier ones, which have a lower rank;
+	// questions have none.
+	Rank uint8
 }
 
 // Release ends a hold.
 type Release struct {
 	Key    Key
 	Holder uint64
-	// Value is the value that the request ended with; None leaves the key's as it is.
+	// Value is the key's where it has none; None for a request that never ran, after which
+	// the key isn't kept.
 	Value Value
-	// Rest is how long the key is kept after it.
+	// Rest is how long the key is kept after the request.
 	Rest time.Duration
 }
 
 // Held is what a keeper answers.
 type Held struct {
 	Value Value
+	// Rank is that of the decision on the value.
+	Rank uint8
 	// Age is how long the keeper has known the key; 0 where it took the proposal.
 	Age time.Duration
 	// Keeper is the VM that answered.
@@ -47,6 +53,7 @@
 
 type entry struct {
 	value Value
+	rank  uint8
 	since time.Duration
 	until time.Duration
 	holds map[uint64]time.Duration // when each ends at the latest, by holder
@@ -84,31 +91,33 @@
 // NewBoard returns an empty memory.
 func NewBoard() *Board { return &Board{entries: make(map[Key]*entry)} }
 
-// Hold returns the key's value and since when it is known, and holds it; a key without one
-// takes the proposal.
-func (b *Board) Hold(now time.Duration, h Hold) (v Value, age time.Duration) {
+// Hold holds the key and returns its value; one without a value takes the proposal.
+func (b *Board) Hold(now time.Duration, h Hold) Held {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e, known := b.at(now, h.Key)
 	if e == nil {
-		return h.Proposal, 0
+		return Held{Value: h.Proposal}
 	}
-	if known {
-		age = max(now-e.since, 1)
-	} else {
+	e.holds[h.Holder] = now + h.Longest
+	if !known {
 		e.value = h.Proposal
+		return Held{Value: e.value}
 	}
-	e.holds[h.Holder] = now + h.Longest
-	return e.value, age
+	return Held{Value: e.value, Rank: e.rank, Age: max(now-e.since, 1)}
 }
 
-// Set makes a hold's proposal the key's value, whatever it was.
+// Set holds the key and makes the proposal its value, unless that was decided with a higher rank.
 func (b *Board) Set(now time.Duration, h Hold) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if e, _ := b.at(now, h.Key); e != nil {
-		e.value = h.Proposal
-		e.holds[h.Holder] = now + h.Longest
+	e, _ := b.at(now, h.Key)
+	if e == nil {
+		return
+	}
+	e.holds[h.Holder] = now + h.Longest
+	if h.Rank >= e.rank {
+		e.value, e.rank = h.Proposal, h.Rank
 	}
 }
 
@@ -123,7 +132,9 @@
 	delete(e.holds, r.Holder)
 	switch {
 	case r.Value != None:
-		e.value = r.Value
+		if !known {
+			e.value = r.Value
+		}
 		e.until = max(e.until, now+r.Rest)
 	case !known || !e.live(now):
 		delete(b.entries, r.Key)
@@ -157,14 +168,14 @@
 	return len(b.entries)
 }
 
-// All returns the keys as releases that keep them as long as they would be kept here.
-func (b *Board) All(now time.Duration) []Release {
+// All returns the keys as holds that keep them as long as they would be kept here.
+func (b *Board) All(now time.Duration) []Hold {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Release
+	var out []Hold
 	for k, e := range b.entries {
 		if e.live(now) {
-			out = append(out, Release{Key: k, Value: e.value, Rest: e.end() - now})
+			out = append(out, Hold{Key: k, Longest: e.end() - now, Proposal: e.value, Rank: e.rank})
 		}
 	}
 	return out
--- a/fleet/sticky/service.go
+++ b/fleet/sticky/service.go
@@ -54,6 +54,7 @@
 	Holder    uint64 `cbor:"5,keyasint,omitempty"`
 	Value     Value  `cbor:"6,keyasint,omitempty"`
 	KeepForMs int64  `cbor:"7,keyasint,omitempty"`
+	Rank      uint8  `cbor:"9,keyasint,omitempty"`
 	// Age is in an answer.
 	Age time.Duration `cbor:"8,keyasint,omitempty"`
 }
@@ -66,7 +67,7 @@
 }
 
 func (m *message) hold() Hold {
-	return Hold{Key: m.Key, Holder: m.Holder, Longest: m.keepFor(), Proposal: m.Value}
+	return Hold{Key: m.Key, Holder: m.Holder, Longest: m.keepFor(), Proposal: m.Value, Rank: m.Rank}
 }
 
 // Service is one VM's part: it asks keepers, and keeps keys.
@@ -97,9 +98,9 @@
 		s.holds.WithLabelValues("silent").Inc()
 		return Held{}, false
 	}
-	// The keeper that has known the key for longest: another one may have lost its memory
-	// and taken a proposal since.
-	out = slices.MaxFunc(answers, func(a, b Held) int { return cmp.Compare(a.Age, b.Age) })
+	// The latest decision; else the keeper that has known the key for longest: another one
+	// may have lost its memory and taken a proposal since.
+	out = slices.MaxFunc(answers, func(a, b Held) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Age, b.Age)) })
 	if out.Age > 0 {
 		s.holds.WithLabelValues("known").Inc()
 	} else {
@@ -143,8 +144,9 @@
 // question asks one keeper; this VM answers itself at once.
 func (s *Service) question(k Keeper, ask uint64, h Hold, got map[string]Held) {
 	if k.Name == s.cfg.Self {
-		v, age := s.board.Hold(s.cfg.Clock(), h)
-		got[k.Name] = Held{Value: v, Age: age, Keeper: k.Name}
+		a := s.board.Hold(s.cfg.Clock(), h)
+		a.Keeper = k.Name
+		got[k.Name] = a
 		return
 	}
 	s.send(k, message{Kind: hold, Ask: ask, Key: h.Key, Holder: h.Holder, Value: h.Proposal, KeepForMs: h.Longest.Milliseconds()})
@@ -177,32 +179,37 @@
 			has = answers[i].Value
 		}
 		if has != right.Value {
-			s.tell(k, message{Kind: set, Key: h.Key, Holder: h.Holder, Value: right.Value, KeepForMs: h.Longest.Milliseconds()})
+			s.tell(k, setting(Hold{Key: h.Key, Holder: h.Holder, Longest: h.Longest, Proposal: right.Value, Rank: right.Rank}))
 		}
 	}
 }
 
-// Set makes the proposal the key's value, as for a request that began before keys were asked for.
-func (s *Service) Set(h Hold) {
-	for _, k := range s.cfg.Ring().Keepers(h.Key) {
-		s.tell(k, message{Kind: set, Key: h.Key, Holder: h.Holder, Value: h.Proposal, KeepForMs: h.Longest.Milliseconds()})
+// Set makes the proposal the key's value, where no decision of a higher rank did.
+func (s *Service) Set(h Hold) { s.set(s.cfg.Ring(), h) }
+
+func (s *Service) set(ring *Ring, h Hold) {
+	for _, k := range ring.Keepers(h.Key) {
+		s.tell(k, setting(h))
 	}
 }
 
-// Release ends a hold.
-func (s *Service) Release(r Release) { s.release(s.cfg.Ring(), r) }
+func setting(h Hold) message {
+	return message{Kind: set, Key: h.Key, Holder: h.Holder, Value: h.Proposal, Rank: h.Rank, KeepForMs: h.Longest.Milliseconds()}
+}
 
-func (s *Service) release(ring *Ring, r Release) {
-	for _, k := range ring.Keepers(r.Key) {
+// Release ends a hold.
+func (s *Service) Release(r Release) {
+	for _, k := range s.cfg.Ring().Keepers(r.Key) {
 		s.tell(k, message{Kind: release, Key: r.Key, Holder: r.Holder, Value: r.Value, KeepForMs: r.Rest.Milliseconds()})
 	}
 }
 
-// HandOver gives all keys to those that keep them on a ring without this VM.
+// HandOver gives all keys to those that keep them on a ring without this VM, and returns
+// how many there were.
 func (s *Service) HandOver(ring *Ring) int {
 	all := s.board.All(s.cfg.Clock())
-	for _, r := range all {
-		s.release(ring, r)
+	for _, h := range all {
+		s.set(ring, h)
 	}
 	return len(all)
 }
@@ -241,14 +248,14 @@
 	}
 	switch m.Kind {
 	case hold:
-		v, age := s.board.Hold(s.cfg.Clock(), m.hold())
-		s.sendTo(from, message{Kind: held, Ask: m.Ask, Value: v, Age: age})
+		a := s.board.Hold(s.cfg.Clock(), m.hold())
+		s.sendTo(from, message{Kind: held, Ask: m.Ask, Value: a.Value, Rank: a.Rank, Age: a.Age})
 	case held:
 		s.mu.Lock()
 		in := s.waiting[m.Ask]
 		s.mu.Unlock()
 		select {
-		case in <- Held{Value: m.Value, Age: m.Age, Keeper: m.From}:
+		case in <- Held{Value: m.Value, Rank: m.Rank, Age: m.Age, Keeper: m.From}:
 		default: // late, or not for this process
 		}
 	default:
--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -21,6 +21,7 @@
 	whyNotInTrial = "not-in-trial"
 	whyBefore     = "not-exposed" // the trial has not begun here, or is over
 	whyStays      = "stays"       // the session is at the old version
+	whyMoved      = "moved"       // to the new version, by a VM that knew sooner that it is taken
 	whyNoKeeper   = "no-keeper"   // no VM that keeps the session answers
 )
 
@@ -30,21 +31,26 @@
 	atNew
 )
 
+// Ranks of what keepers are told: a decision on the roll-out goes before what was chosen
+// in its trial.
+const (
+	rankTrial uint8 = iota + 1
+	rankDecided
+)
+
 // sessionMargin is kept beyond a session's longest pause: callers count it from the end of
 // an answer as they see it.
 const sessionMargin = time.Second
 
 // pin is one request's hold on the version of its session.
 type pin struct {
-	r       *rollouts
-	service string
-	id      string // the session's
-	session trial.Session
-	// tries says that the session would try a new version; remembered, that it is known
-	// by an id as well.
-	tries, remembered bool
-	holder            uint64
-	deadline          time.Time
+	r        *rollouts
+	service  string
+	id       string // the session's, "" for none
+	session  trial.Session
+	tries    bool // a new version in a trial
+	holder   uint64
+	deadline time.Time
 
 	// Guarded by r.mu.
 	value sticky.Value // of the last choice; 0 for none
@@ -54,9 +60,8 @@
 // Begin implements forward.Versions.
 func (r *rollouts) Begin(service, session string, deadline time.Time) forward.Pin {
 	s := trial.SessionOf(service, session)
-	tries := s.Tries(trial.Share(r.n.bounds().ExposureShare))
 	return &pin{
-		r: r, service: service, id: session, session: s, tries: tries, remembered: tries && session != "",
+		r: r, service: service, id: session, session: s, tries: s.Tries(trial.Share(r.n.bounds().ExposureShare)),
 		holder: rand.Uint64(), deadline: deadline,
 	}
 }
@@ -65,9 +70,9 @@
 func (p *pin) Choose(ctx context.Context) (forward.Choice, forward.Why) {
 	o := p.r.order(p.service)
 	c, why := p.version(ctx, o)
-	if p.remembered {
+	if p.id != "" {
 		value := atOld
-		if why.Reason == whyTaken || why.Reason == whyTrial {
+		if newVersion(why.Reason) {
 			value = atNew
 		}
 		p.note(o, value)
@@ -75,17 +80,35 @@
 	return c, why
 }
 
+// kept says that VMs may differ about the session's version now, so that its keepers
+// decide: while it may try the new version, and from the moment at which that may be taken
+// until all VMs have word of the decision.
+func (p *pin) kept(o *order) bool {
+	now := p.r.clock()
+	switch {
+	case o == nil || p.id == "":
+		return false
+	case !o.judged():
+		return p.tries || o.trial.Deciding(now)
+	case now-o.learnt >= p.r.n.bound(kindOrders):
+		return false
+	}
+	return p.tries || o.State != catalog.RollOutRolledBack
+}
+
 // note remembers what was chosen. A choice that keepers weren't asked for is told to them: a
-// later one must find the session whatever kept it at the old version now.
+// later one must find the session whatever decided now.
 func (p *pin) note(o *order, value sticky.Value) {
-	r := p.r
+	r, kept := p.r, p.kept(o)
 	r.mu.Lock()
-	p.value = value
-	r.open[p] = struct{}{}
-	tell := o != nil && !o.judged() && p.key != o.key(p)
-	if tell {
+	tell := kept && (p.key != o.key(p) || p.value != value)
+	if kept {
 		p.key = o.key(p)
 	}
+	p.value = value
+	if p.tries {
+		r.open[p] = struct{}{}
+	}
 	r.mu.Unlock()
 	if tell {
 		r.n.sticky.Set(p.hold(o, value))
@@ -94,26 +117,17 @@
 
 // End implements forward.Pin.
 func (p *pin) End(version string) {
-	if !p.remembered {
-		return
-	}
 	r := p.r
 	r.mu.Lock()
 	delete(r.open, p)
+	end := sticky.Release{Key: p.key, Holder: p.holder, Value: p.value, Rest: r.rest()}
 	r.mu.Unlock()
-	o := r.order(p.service)
-	if o == nil || o.judged() {
-		return
+	if version == "" {
+		end.Value = sticky.None
 	}
-	end := sticky.Release{Key: o.key(p), Holder: p.holder, Rest: r.rest()}
-	switch version {
-	case "":
-	case o.Target:
-		end.Value = atNew
-	default:
-		end.Value = atOld
+	if end.Key != 0 {
+		r.n.sticky.Release(end)
 	}
-	r.n.sticky.Release(end)
 }
 
 // rest is how long a session is remembered after its last request.
@@ -123,7 +137,11 @@
 func (o *order) key(p *pin) sticky.Key { return sticky.KeyOf(o.id + "/" + p.id) }
 
 func (p *pin) hold(o *order, v sticky.Value) sticky.Hold {
-	return sticky.Hold{Key: o.key(p), Holder: p.holder, Longest: max(time.Until(p.deadline), 0) + p.r.rest(), Proposal: v}
+	rank := rankTrial
+	if o.judged() || o.trial.Worse() {
+		rank = rankDecided
+	}
+	return sticky.Hold{Key: o.key(p), Holder: p.holder, Longest: max(time.Until(p.deadline), 0) + p.r.rest(), Proposal: v, Rank: rank}
 }
 
 // version decides which version serves a request; o is its service's roll-out or nil.
@@ -144,27 +162,30 @@
 	default:
 		p.try(ctx, o, &why)
 	}
-	if why.Reason == whyTaken || why.Reason == whyTrial {
+	if newVersion(why.Reason) {
 		return forward.Choice{Only: o.Target}, why
 	}
 	return r.old(o), why
 }
 
+// newVersion says that a reason leads to the roll-out's version.
+func newVersion(reason string) bool {
+	return reason == whyTaken || reason == whyTrial || reason == whyMoved
+}
+
 // try decides while the trial is under way: a session that is at a version stays there, and
 // one that nobody knows tries the new one where it is exposed.
 func (p *pin) try(ctx context.Context, o *order, why *forward.Why) {
-	exposed := o.trial.Exposes(p.r.clock())
+	exposed := p.tries && o.trial.Exposes(p.r.clock())
+	why.Reason = whyBefore
 	switch {
-	case !p.tries:
-		why.Reason = whyNotInTrial
-		return
 	case o.trial.Worse():
-		why.Reason = whyBefore
 		return
-	case !p.remembered:
-		why.Reason = whyBefore
+	case !p.kept(o):
 		if exposed {
 			why.Reason = whyTrial
+		} else if !p.tries {
+			why.Reason = whyNotInTrial
 		}
 		return
 	}
@@ -176,12 +197,14 @@
 	switch {
 	case !ok:
 		why.Reason = whyNoKeeper
-	case value == atNew:
+	case value == atNew && p.tries:
 		why.Reason = whyTrial
+	case value == atNew:
+		why.Reason = whyMoved
 	case exposed:
 		why.Reason = whyStays
-	default:
-		why.Reason = whyBefore
+	case !p.tries:
+		why.Reason = whyNotInTrial
 	}
 }
 
@@ -189,7 +212,7 @@
 func (p *pin) held(ctx context.Context, o *order, proposal sticky.Value, why *forward.Why) (sticky.Value, bool) {
 	r := p.r
 	r.mu.Lock()
-	value, asked := p.value, p.key == o.key(p)
+	value, asked := p.value, p.value != sticky.None && p.key == o.key(p)
 	r.mu.Unlock()
 	if asked {
 		return value, true
@@ -198,7 +221,7 @@
 	why.Keeper, why.SessionAge = h.Keeper, h.Age
 	if ok {
 		r.mu.Lock()
-		p.key = o.key(p)
+		p.key, p.value = o.key(p), h.Value
 		r.mu.Unlock()
 	}
 	return h.Value, ok
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -51,7 +51,8 @@
 	trial  *trial.Trial
 	tried  time.Time // last try to record
 	logged trial.Decision
-	moving time.Duration // when the VM learnt that the new version gets all requests
+	// learnt is when the VM learnt of the decision.
+	learnt time.Duration
 }
 
 // judged says that the new version's answers don't count any more.
@@ -88,14 +89,14 @@
 			if old.State != o.State {
 				r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).Msg("roll-out recorded")
 			}
-			if o.State == catalog.RollOutMoving && old.State != catalog.RollOutMoving {
-				old.moving = now
+			if !old.judged() {
+				old.learnt = now
 			}
 			old.RollOut = o
 			continue
 		}
 		b := r.n.bounds()
-		r.orders[o.Service] = &order{RollOut: o, id: id, moving: now, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
+		r.orders[o.Service] = &order{RollOut: o, id: id, learnt: now, trial: trial.New(now, 0, o.Duration, b.Session, b.ExposureShare)}
 		r.n.log.Info().Str("roll_out", id).Str("state", string(o.State)).Int64("revision", o.Revision).
 			Dur("duration_ms", o.Duration).Msg("roll-out ordered")
 		open = append(open, r.opened(r.orders[o.Service])...)
@@ -209,7 +210,7 @@
 // next is the state that an order should be in; ok is false while the one recorded holds.
 func (r *rollouts) next(now time.Duration, o *order) (next catalog.RollOutState, ok bool) {
 	if o.State == catalog.RollOutMoving {
-		return catalog.RollOutCompleted, o.trial.Moved(now, now-o.moving)
+		return catalog.RollOutCompleted, o.trial.Moved(now, now-o.learnt)
 	}
 	if o.judged() {
 		return o.State, false
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -151,6 +151,13 @@
 	return !t.worse && now-t.began >= t.session+settle
 }
 
+// Deciding says that the new version may have been taken by now.
+func (t *Trial) Deciding(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return float64(now-t.began) >= decideAt*float64(t.duration)
+}
+
 // Worse says that a VM found the new version worse.
 func (t *Trial) Worse() bool {
 	t.mu.Lock()
