--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -49,6 +49,7 @@
 		body, err := readWhole(a)
 		if err != nil {
 			c.settle(ch, placement.Failed, "cut")
+			c.answered(ch, true, 0)
 			return c.unknown("the answer broke off")
 		}
 		return c.judge(ch, a, body, time.Since(began))
@@ -163,6 +164,7 @@
 		}
 		a.Close()
 		c.settle(ch, placement.Failed, "error")
+		c.answered(ch, true, 0)
 	}
 }
 
--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -110,3 +110,42 @@
 	require.NoError(t, r.err)
 	require.Equal(t, streamOf(1, 4), r.body)
 }
+
+// Guards against failures of a version on trial that nobody counts: an error cut short, and
+// failures at the endpoint that was to go on with a stream.
+func TestFailuresOfStreamsCountAgainstTheirVersion(t *testing.T) {
+	cutError := func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Length", "100")
+		rw.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(rw, "half")
+	}
+	onResume := func(h http.HandlerFunc) http.HandlerFunc {
+		return func(rw http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(testNames.LastEvent) == "" {
+				events(1, 3, true)(rw, r)
+				return
+			}
+			h(rw, r)
+		}
+	}
+	for name, h := range map[string]http.HandlerFunc{
+		"error cut short": cutError,
+		"error on resume": onResume(status(http.StatusInternalServerError)),
+		"unsound resume":  onResume(func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "no signature") }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 2)
+			w.all(h)
+			w.ask(http.MethodPost, "/stream/a", "x")
+			w.versions.mu.Lock()
+			defer w.versions.mu.Unlock()
+			failed := 0
+			for _, a := range w.versions.told {
+				if a.Failed {
+					failed++
+				}
+			}
+			require.EqualValues(t, w.runs(), failed)
+		})
+	}
+}
