--- a/fleet/sticky/board.go
+++ b/fleet/sticky/board.go
@@ -24,8 +24,8 @@
 	Longest time.Duration
 	// Proposal is the value that the key takes where it has none.
 	Proposal Value
-	// Rank tells a decision that was Set from earlier ones, which have a lower rank;
-	// questions have none.
+	// Rank orders decisions that were Set: an earlier one has a lower rank. Questions
+	// don't use it.
 	Rank uint8
 }
 
--- a/fleet/sticky/service.go
+++ b/fleet/sticky/service.go
@@ -54,9 +54,9 @@
 	Holder    uint64 `cbor:"5,keyasint,omitempty"`
 	Value     Value  `cbor:"6,keyasint,omitempty"`
 	KeepForMs int64  `cbor:"7,keyasint,omitempty"`
-	Rank      uint8  `cbor:"9,keyasint,omitempty"`
+	Rank      uint8  `cbor:"8,keyasint,omitempty"`
 	// Age is in an answer.
-	Age time.Duration `cbor:"8,keyasint,omitempty"`
+	Age time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // longestKeep bounds what another VM may ask for.
--- a/gateway/node/pins_test.go
+++ b/gateway/node/pins_test.go
@@ -102,6 +102,20 @@
 	require.Equal(t, "v2", request(c.rollouts, tryingSession(0)))
 }
 
+// Guards against a session forgotten because its stream began before the order was known.
+func TestSessionOfAStreamBegunBeforeTheOrderKeepsItsVersion(t *testing.T) {
+	c := newClocked()
+	p, version := begin(c.rollouts, tryingSession(0))
+	require.Equal(t, "v1", version)
+	c.told("v2", 2, catalog.RollOutRunning)
+	c.now += 6500 * time.Millisecond
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)))
+	require.Equal(t, "v2", request(c.rollouts, tryingSession(1)))
+	c.now += 6500 * time.Millisecond
+	require.Equal(t, "v1", request(c.rollouts, tryingSession(0)), "the stream still runs")
+	p.End(version)
+}
+
 const (
 	lossShare = 0.01 // of datagrams between VMs
 	delay     = 2 * time.Millisecond
--- a/gateway/node/state.go
+++ b/gateway/node/state.go
@@ -22,13 +22,15 @@
 	Endpoints   []placement.Row   `json:"endpoints"`
 	RollOuts    []catalog.RollOut `json:"rollOuts"`
 	IdleConns   int               `json:"idleConnections"`
+	// Sessions is how many sessions this VM keeps for the fleet.
+	Sessions int `json:"sessionsKept"`
 }
 
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	d := Dump{
 		VM: n.s.VM, Ready: n.Ready(), Stopping: n.stopping.Load(), Active: n.handler.Active(),
 		ConfigAgeMs: n.view.ConfigAge().Milliseconds(), VMs: n.gossip.Table().Names(bootClock()),
-		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(),
+		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(), Sessions: n.sticky.Sweep(),
 	}
 	if c := n.view.Config(); c != nil {
 		d.Config = c.Version
