--- a/fleet/datagram/datagram_test.go
+++ b/fleet/datagram/datagram_test.go
@@ -47,7 +47,9 @@
 	a, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	got := make(chan string, 3)
-	channel := a.Channel(1, func(p []byte, from string) { got <- "channel " + string(p) + " from itself: " + strconv.FormatBool(from == a.Addr()) })
+	channel := a.Channel(1, func(p []byte, from string) {
+		got <- "channel " + string(p) + " from itself: " + strconv.FormatBool(from == a.Addr())
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/fleet/sticky/sticky_test.go
+++ b/fleet/sticky/sticky_test.go
@@ -25,10 +25,11 @@
 	vms   map[string]*Service
 	ring  []Keeper
 	lose  func(from, to string) bool
+	count func(bytes int) // of each packet
 }
 
 func newFleet(n int) *fleet {
-	f := &fleet{began: time.Now(), vms: make(map[string]*Service), lose: func(string, string) bool { return false }}
+	f := &fleet{began: time.Now(), vms: make(map[string]*Service), lose: func(string, string) bool { return false }, count: func(int) {}}
 	for i := range n {
 		name := fmt.Sprint("vm", i)
 		f.ring = append(f.ring, Keeper{Name: name, Address: name})
@@ -42,6 +43,7 @@
 	f.vms[name] = New(Config{
 		Self: name, Clock: func() time.Duration { return time.Since(f.began) }, Ring: func() *Ring { return NewRing(f.ring...) },
 		Send: func(b []byte, to string) error {
+			f.count(len(b))
 			if vm := f.vms[to]; vm != nil && !f.lose(name, to) {
 				vm.Receive(b, name)
 			}
@@ -233,3 +235,22 @@
 		fleet.vms["vm0"].Sweep()
 	})
 }
+
+// One question to two of 91 keepers over a network in memory, with the bytes of its packets.
+func BenchmarkHold(b *testing.B) {
+	f := newFleet(91)
+	var sent, packets int
+	f.lose = func(string, string) bool { packets++; return false }
+	f.count = func(n int) { sent += n }
+	var asked uint64
+	for b.Loop() {
+		asked++
+		h := Hold{Key: KeyOf("k") + Key(asked%500), Holder: rand.Uint64(), Longest: 25 * time.Second, Proposal: first}
+		if _, ok := f.vms["vm0"].Hold(b.Context(), h); !ok {
+			b.Fatal("no keeper answered")
+		}
+		f.vms["vm0"].Release(Release{Key: h.Key, Holder: h.Holder, Value: first, Rest: 7 * time.Second})
+	}
+	b.ReportMetric(float64(sent)/float64(asked), "B/request")
+	b.ReportMetric(float64(packets)/float64(asked), "packets/request")
+}
