Let no stream of TestKilledVM end before the kill

Traced in the test: a stream took 250 times 5 ms at least, while the orders that have to reach the service first took longer than that on the busy machine, so that a stream was over when the VM was killed. The VM's code wasn't reached.

Streams now begin on engines with 200 ms between tokens, a pace that they keep, and those that go on at another VM get 5 ms: only orders that take 50 s could outlast them.

--- a/cmd/processtest/kill_test.go
+++ b/cmd/processtest/kill_test.go
@@ -37,6 +37,10 @@
 	const streams, orders, tokens = 8, 12, 250
 	w := newWorld(t, 3, 2)
 	w.faults(w.service, backend.ServiceFaults{Hold: 300 * time.Millisecond})
+	// A stream keeps the delay that it began with: none ends before the kill, and all go on quickly.
+	for _, e := range w.engines {
+		w.faults(e, backend.EngineFaults{TokenDelay: 200 * time.Millisecond})
+	}
 	ctx, cancel := context.WithTimeout(t.Context(), guard)
 	defer cancel()
 	var work sync.WaitGroup
@@ -57,6 +61,9 @@
 		})
 	}
 	until(t, "orders at the service", func() bool { return len(w.booked()) > orders/2 })
+	for _, e := range w.engines {
+		w.faults(e, backend.EngineFaults{TokenDelay: 5 * time.Millisecond})
+	}
 	w.vms[0].kill()
 	work.Wait()
 
