--- a/fleet/sticky/sticky_test.go
+++ b/fleet/sticky/sticky_test.go
@@ -180,8 +180,7 @@
 	})
 }
 
-// Guards against a value that changes while a request holds its key, at any VM, with lost
-// packets and one keeper at a time that loses its memory.
+// Guards against a held key that changes its value after lost packets and a keeper's restart.
 func TestHeldKeyKeepsItsValue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rng := rand.New(rand.NewPCG(21, 1))
--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -111,8 +111,7 @@
 	require.Equal(t, streamOf(1, 4), r.body)
 }
 
-// Guards against failures of a version on trial that nobody counts: an error cut short, and
-// failures at the endpoint that was to go on with a stream.
+// Guards against failures of a version on trial that nobody counts.
 func TestFailuresOfStreamsCountAgainstTheirVersion(t *testing.T) {
 	cutError := func(rw http.ResponseWriter, _ *http.Request) {
 		rw.Header().Set("Content-Length", "100")
