--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -19,7 +19,8 @@
 	whyTakenBack  = "taken-back"
 	whyTrial      = "trial"
 	whyNotInTrial = "not-in-trial"
-	whyBefore     = "not-exposed" // the trial has not begun here, or is over
+	whyWorse      = "worse"       // a VM found the new version worse
+	whyBefore     = "not-exposed" // the trial has not begun here
 	whyStays      = "stays"       // the session is at the old version
 	whyMoved      = "moved"       // to the new version, by a VM that knew sooner that it is taken
 	whyNoKeeper   = "no-keeper"   // no VM that keeps the session answers
@@ -180,6 +181,7 @@
 	why.Reason = whyBefore
 	switch {
 	case o.trial.Worse():
+		why.Reason = whyWorse
 		return
 	case !p.kept(o):
 		if exposed {
