Give sessions to keepers that come back

Five of the seven VMs were stopped one second apart and came back from 9.68 s on. Each gave what it kept to the VMs that ranked next, but nobody gave it back: the two that ranked first again knew nothing, and their answers agreed.

Now each VM looks at the ring each 250 ms and gives what it knows to VMs that became keepers since, with its age and rank, which hand-overs and corrections pass on as well: older knowledge goes before a proposal that an empty keeper took meanwhile.

TestKeyOutlivesKeepersThatRestartInTurn fails without the rebalancing (second where first is due). Request lines name the keeper for a request's later attempts too.

--- a/fleet/sticky/board.go
+++ b/fleet/sticky/board.go
@@ -40,6 +40,15 @@
 	Rest time.Duration
 }
 
+// Copy is what a keeper knows of a key.
+type Copy struct {
+	Key   Key
+	Value Value
+	Rank  uint8
+	// Age is how long the key is known, Rest how long it is kept at the longest.
+	Age, Rest time.Duration
+}
+
 // Held is what a keeper answers.
 type Held struct {
 	Value Value
@@ -121,6 +130,22 @@
 	}
 }
 
+// Copy takes what another keeper knows of a key, unless this one has a later decision, or
+// knows the key for longer.
+func (b *Board) Copy(now time.Duration, c Copy) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, known := b.at(now, c.Key)
+	if e == nil {
+		return
+	}
+	since := now - c.Age
+	if !known || c.Rank > e.rank || c.Rank == e.rank && since < e.since {
+		e.value, e.rank, e.since = c.Value, c.Rank, since
+	}
+	e.until = max(e.until, now+c.Rest)
+}
+
 // Release ends a hold and keeps the key for its rest.
 func (b *Board) Release(now time.Duration, r Release) {
 	b.mu.Lock()
@@ -168,14 +193,14 @@
 	return len(b.entries)
 }
 
-// All returns the keys as holds that keep them as long as they would be kept here.
-func (b *Board) All(now time.Duration) []Hold {
+// All returns what is known of all keys.
+func (b *Board) All(now time.Duration) []Copy {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var out []Hold
+	var out []Copy
 	for k, e := range b.entries {
 		if e.live(now) {
-			out = append(out, Hold{Key: k, Longest: e.end() - now, Proposal: e.value, Rank: e.rank})
+			out = append(out, Copy{Key: k, Value: e.value, Rank: e.rank, Age: max(now-e.since, 1), Rest: e.end() - now})
 		}
 	}
 	return out
--- a/fleet/sticky/ring.go
+++ b/fleet/sticky/ring.go
@@ -1,6 +1,10 @@
 package sticky
 
-import "goldcrestfork/fleet/rendezvous"
+import (
+	"slices"
+
+	"goldcrestfork/fleet/rendezvous"
+)
 
 // copies is how many VMs keep a key: one may go at any moment.
 const copies = 2
@@ -29,6 +33,9 @@
 	return r
 }
 
+// same says that the ring has the same VMs in the same order.
+func (r *Ring) same(other *Ring) bool { return r == other || slices.Equal(r.keepers, other.keepers) }
+
 // Keepers returns the VMs that keep a key, the first in rank first.
 func (r *Ring) Keepers(k Key) []Keeper {
 	first, second := -1, -1
--- a/fleet/sticky/service.go
+++ b/fleet/sticky/service.go
@@ -43,6 +43,7 @@
 	held                    // its answer
 	set                     // a hold that decides, without an answer
 	release                 // the end of a hold
+	known                   // what another keeper knows
 )
 
 // message is one packet.
@@ -55,7 +56,7 @@
 	Value     Value  `cbor:"6,keyasint,omitempty"`
 	KeepForMs int64  `cbor:"7,keyasint,omitempty"`
 	Rank      uint8  `cbor:"8,keyasint,omitempty"`
-	// Age is in an answer.
+	// Age is in an answer, and in what another keeper knows.
 	Age time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
@@ -78,6 +79,7 @@
 
 	mu      sync.Mutex
 	waiting map[uint64]chan Held
+	last    *Ring // of the last Rebalance
 }
 
 // New returns a service; packets from other VMs go to Receive.
@@ -116,7 +118,7 @@
 	ask, in := s.await()
 	defer s.forget(ask)
 	got := make(map[string]Held)
-	known := func() bool {
+	knows := func() bool {
 		for _, a := range got {
 			if a.Age > 0 {
 				return true
@@ -124,7 +126,7 @@
 		}
 		return false
 	}
-	for try := 0; try < tries && len(got) < len(keepers) && !known() && ctx.Err() == nil; try++ {
+	for try := 0; try < tries && len(got) < len(keepers) && !knows() && ctx.Err() == nil; try++ {
 		for _, k := range keepers {
 			if _, ok := got[k.Name]; !ok {
 				s.question(k, ask, h, got)
@@ -179,22 +181,21 @@
 			has = answers[i].Value
 		}
 		if has != right.Value {
-			s.tell(k, setting(Hold{Key: h.Key, Holder: h.Holder, Longest: h.Longest, Proposal: right.Value, Rank: right.Rank}))
+			s.copyTo(k, Copy{Key: h.Key, Value: right.Value, Rank: right.Rank, Age: max(right.Age, 1), Rest: h.Longest})
 		}
 	}
 }
 
 // Set makes the proposal the key's value, where no decision of a higher rank did.
-func (s *Service) Set(h Hold) { s.set(s.cfg.Ring(), h) }
-
-func (s *Service) set(ring *Ring, h Hold) {
-	for _, k := range ring.Keepers(h.Key) {
-		s.tell(k, setting(h))
+func (s *Service) Set(h Hold) {
+	for _, k := range s.cfg.Ring().Keepers(h.Key) {
+		s.tell(k, message{Kind: set, Key: h.Key, Holder: h.Holder, Value: h.Proposal, Rank: h.Rank, KeepForMs: h.Longest.Milliseconds()})
 	}
 }
 
-func setting(h Hold) message {
-	return message{Kind: set, Key: h.Key, Holder: h.Holder, Value: h.Proposal, Rank: h.Rank, KeepForMs: h.Longest.Milliseconds()}
+// copyTo gives a keeper what is known of a key.
+func (s *Service) copyTo(k Keeper, c Copy) {
+	s.tell(k, message{Kind: known, Key: c.Key, Value: c.Value, Rank: c.Rank, Age: c.Age, KeepForMs: c.Rest.Milliseconds()})
 }
 
 // Release ends a hold.
@@ -204,16 +205,39 @@
 	}
 }
 
-// HandOver gives all keys to those that keep them on a ring without this VM, and returns
-// how many there were.
+// HandOver gives what this VM knows to the keepers on a ring without it, and returns how
+// many keys that were.
 func (s *Service) HandOver(ring *Ring) int {
 	all := s.board.All(s.cfg.Clock())
-	for _, h := range all {
-		s.set(ring, h)
+	for _, c := range all {
+		for _, k := range ring.Keepers(c.Key) {
+			s.copyTo(k, c)
+		}
 	}
 	return len(all)
 }
 
+// Rebalance gives what this VM knows to VMs that became keepers of it since the last call,
+// by others' end or by their own start; one that starts knows nothing.
+func (s *Service) Rebalance() {
+	ring := s.cfg.Ring()
+	s.mu.Lock()
+	last := s.last
+	s.last = ring
+	s.mu.Unlock()
+	if last == nil || last.same(ring) {
+		return
+	}
+	for _, c := range s.board.All(s.cfg.Clock()) {
+		before := last.Keepers(c.Key)
+		for _, k := range ring.Keepers(c.Key) {
+			if !slices.Contains(before, k) {
+				s.copyTo(k, c)
+			}
+		}
+	}
+}
+
 // Sweep forgets keys that are over, and returns how many are left.
 func (s *Service) Sweep() int { return s.board.Sweep(s.cfg.Clock()) }
 
@@ -269,6 +293,8 @@
 	switch m.Kind {
 	case set:
 		s.board.Set(now, m.hold())
+	case known:
+		s.board.Copy(now, Copy{Key: m.Key, Value: m.Value, Rank: m.Rank, Age: min(max(m.Age, 1), longestKeep), Rest: m.keepFor()})
 	case release:
 		s.board.Release(now, Release{Key: m.Key, Holder: m.Holder, Value: m.Value, Rest: m.keepFor()})
 	}
--- a/fleet/sticky/sticky_test.go
+++ b/fleet/sticky/sticky_test.go
@@ -148,6 +148,34 @@
 // other is a VM that isn't the given one.
 func (f *fleet) other(k Keeper) string { return without(f.ring, k)[0].Name }
 
+// Guards against a key lost when its keepers stop in turn and come back empty.
+func TestKeyOutlivesKeepersThatRestartInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		k := KeyOf("k")
+		rebalance := func() {
+			for _, vm := range f.ring {
+				f.vms[vm.Name].Rebalance()
+			}
+		}
+		rebalance()
+		f.ask(t, "vm0", k, 1, first)
+		all := f.ring
+		keepers := NewRing(all...).Keepers(k)
+		for _, vm := range keepers {
+			f.ring = without(f.ring, vm)
+			f.vms[vm.Name].HandOver(NewRing(f.ring...))
+			rebalance()
+		}
+		f.ring = all
+		for _, vm := range keepers {
+			f.start(vm.Name)
+		}
+		rebalance()
+		require.Equal(t, first, f.ask(t, "vm0", k, 2, second).Value)
+	})
+}
+
 func without(all []Keeper, one Keeper) (out []Keeper) {
 	for _, k := range all {
 		if k != one {
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -272,6 +272,7 @@
 			n.view.Tick()
 			n.pool.Sweep()
 			n.sticky.Sweep()
+			n.sticky.Rebalance()
 			n.rollouts.tick(ctx)
 		}
 	}
--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -56,6 +56,7 @@
 	// Guarded by r.mu.
 	value sticky.Value // of the last choice; 0 for none
 	key   sticky.Key   // what keepers hold for the request; 0 for nothing
+	told  sticky.Held  // the keeper's answer
 }
 
 // Begin implements forward.Versions.
@@ -214,8 +215,9 @@
 func (p *pin) held(ctx context.Context, o *order, proposal sticky.Value, why *forward.Why) (sticky.Value, bool) {
 	r := p.r
 	r.mu.Lock()
-	value, asked := p.value, p.value != sticky.None && p.key == o.key(p)
+	value, asked, told := p.value, p.value != sticky.None && p.key == o.key(p), p.told
 	r.mu.Unlock()
+	why.Keeper, why.SessionAge = told.Keeper, told.Age
 	if asked {
 		return value, true
 	}
@@ -223,7 +225,7 @@
 	why.Keeper, why.SessionAge = h.Keeper, h.Age
 	if ok {
 		r.mu.Lock()
-		p.key, p.value = o.key(p), h.Value
+		p.key, p.value, p.told = o.key(p), h.Value, h
 		r.mu.Unlock()
 	}
 	return h.Value, ok
