--- a/policy/silence/silence_test.go
+++ b/policy/silence/silence_test.go
@@ -151,10 +151,7 @@
 	}
 }
 
-// A data centre with a third of the endpoints loses power. Requests there get no reset and
-// no event; without the detector they wait 3 s and more for the connection's own timeout.
-// All of them are free to go elsewhere within 0.8 s, and no endpoint that is only busy,
-// with up to 2 s to a first event, is given up.
+// Guards against requests that wait seconds at endpoints without power, and against busy ones given up.
 func TestDataCentreWithoutPower(t *testing.T) {
 	f := &fleet{rng: rand.New(rand.NewPCG(1, 2)), detector: New(), diesAt: 5000}
 	f.play(8000)
