Add up over the fleet what endpoints fail, and leave those that fail

Cause: an endpoint is judged by each VM's own attempts. Among 195 VMs one meets an endpoint twice in half a minute; the detector asks for more than that. Ruled out: the request itself as the cause (the same requests were served when sent to the other 40 endpoints).

Change: each VM keeps what became of its attempts with weights that fall to a third in 4 s, and reports them twice a second to the VM that keeps its data centre's tally; keepers exchange sums of endpoints that failed something. The answer gives each VM the fleet's sums; a choice costs 50 requests more at an endpoint that fails everything, less in proportion. One failure is taken for chance. An answer of another life is told as well, and believed from one VM: it is an answer. Refused connections don't count here, since the fleet hears of them with the load.

--- a/fleet/tally/board.go
+++ b/fleet/tally/board.go
@@ -60,11 +60,16 @@
 	mu        sync.Mutex
 	reports   map[string]*row // by VM of this data centre
 	summaries map[string]*row // by keeper of another data centre
+	// outcomes and farOutcomes are of attempts, by VM and by keeper as above.
+	outcomes, farOutcomes outcomeRows
 }
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{reports: make(map[string]*row), summaries: make(map[string]*row)}
+	return &Board{
+		reports: make(map[string]*row), summaries: make(map[string]*row),
+		outcomes: make(outcomeRows), farOutcomes: make(outcomeRows),
+	}
 }
 
 // Report takes a VM's state.
--- a/fleet/tally/service.go
+++ b/fleet/tally/service.go
@@ -50,7 +50,11 @@
 	State func() State
 	// Apply takes what all others say.
 	Apply func(State)
-	Log   zerolog.Logger
+	// Outcomes are what this VM's attempts told of the endpoints lately.
+	Outcomes func() []Outcomes
+	// ApplyOutcomes takes the sums over all VMs; endpoints that aren't named failed nothing.
+	ApplyOutcomes func([]Outcomes)
+	Log           zerolog.Logger
 	// Registerer takes the metrics; required.
 	Registerer prometheus.Registerer
 }
@@ -59,9 +63,12 @@
 type kind uint8
 
 const (
-	report  kind = iota + 1 // a VM's work under way; with Ask set, a question as well
-	totals                  // the answer: the work of all others
-	summary                 // a data centre's sums, for the other keepers
+	report        kind = iota + 1 // a VM's work under way; with Ask set, a question as well
+	totals                        // the answer: the work of all others
+	summary                       // a data centre's sums, for the other keepers
+	outcomes                      // what a VM's attempts told lately; answered by fleetOutcomes
+	outcomeSums                   // a data centre's sums of outcomes, for the other keepers
+	fleetOutcomes                 // the sums over all VMs
 )
 
 // message is one datagram.
@@ -72,6 +79,8 @@
 	Sequence uint64 `cbor:"4,keyasint"`
 	Ask      uint64 `cbor:"5,keyasint,omitempty"`
 	State    State  `cbor:"6,keyasint"`
+	// Outcomes is empty in all kinds but those named for it.
+	Outcomes []Outcomes `cbor:"7,keyasint,omitempty"`
 }
 
 // Service is one VM's part: it asks and reports, and keeps the tally when it is its turn.
@@ -126,6 +135,7 @@
 		if now := s.cfg.Clock(); now-last >= refresh {
 			last = now
 			s.Changed()
+			s.tellOutcomes()
 		}
 	}
 }
@@ -245,6 +255,8 @@
 		s.answer(m)
 	case summary:
 		s.board.Summary(now, m.From, m.Life, m.Sequence, m.State.Work)
+	case outcomes, outcomeSums, fleetOutcomes:
+		s.takeOutcomes(now, from, m)
 	}
 }
 
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +84,15 @@
 type vm struct {
 	*Service
 	state, told State
+	outcomes    atomic.Pointer[[]Outcomes]
+	fleet       atomic.Pointer[[]Outcomes]
+}
+
+func (v *vm) tellOutcomes() []Outcomes {
+	if list := v.outcomes.Load(); list != nil {
+		return *list
+	}
+	return nil
 }
 
 // open starts n VMs of one data centre that rank in order.
@@ -97,6 +107,7 @@
 			Clock:   func() time.Duration { return time.Minute + time.Since(began) },
 			Keepers: func() []Keeper { return keepers }, Others: func() []Keeper { return nil },
 			State: func() State { return v.state }, Apply: func(s State) { v.told = s },
+			Outcomes: v.tellOutcomes, ApplyOutcomes: func(o []Outcomes) { v.fleet.Store(&o) },
 			Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 		})
 		require.NoError(t, err)
@@ -169,6 +180,10 @@
 		if cbor.Unmarshal(b, &m) == nil {
 			board := NewBoard()
 			board.Report(0, m.From, m.Life, m.Sequence, m.State)
+			board.TakeOutcomes(0, m.From, m.Life, m.Sequence, m.Outcomes, false)
+			for _, o := range board.OutcomeSums(0, true) {
+				require.LessOrEqual(t, o.Failed, o.Runs)
+			}
 			board.Report(0, "own", 1, 1, State{Work: []Entry{{Endpoint: 1, Work: 1}}})
 			totals := board.Totals(0, "").Work
 			require.LessOrEqual(t, len(totals), mostEntries)
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -310,7 +310,7 @@
 	var e *upstream.Error
 	sent := !errors.As(err, &e) || e.Sent
 	if !sent && ctx.Err() == nil {
-		c.settle(ch, placement.Broken, "unreached")
+		c.settle(ch, placement.Unreached, "unreached")
 		c.dials++
 		c.tried = append(c.tried, ch.ID)
 		return again, nil
--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -22,7 +22,8 @@
 		Keepers: func() []tally.Keeper {
 			return n.ownKeepers.get(bootClock(), func() []tally.Keeper { return n.keepers(n.s.DataCentre) })
 		},
-		Others: func() []tally.Keeper { return n.farKeepers.get(bootClock(), n.otherKeepers) }, State: n.load, Apply: n.applyLoad, Log: n.log, Registerer: n.registry,
+		Others: func() []tally.Keeper { return n.farKeepers.get(bootClock(), n.otherKeepers) }, State: n.load, Apply: n.applyLoad,
+		Outcomes: n.outcomes, ApplyOutcomes: n.applyOutcomes, Log: n.log, Registerer: n.registry,
 	})
 }
 
@@ -95,3 +96,23 @@
 	}
 	n.table.SetElsewhere(time.Now(), byMark)
 }
+
+// outcomes is what this VM's attempts told of the endpoints.
+func (n *Node) outcomes() []tally.Outcomes {
+	records := n.table.Records(time.Now())
+	out := make([]tally.Outcomes, 0, len(records))
+	for id, r := range records {
+		out = append(out, tally.NewOutcomes(tally.Mark(id), r.Failed, r.Runs, r.OtherLife))
+	}
+	return out
+}
+
+// applyOutcomes takes what the attempts of all VMs told.
+func (n *Node) applyOutcomes(list []tally.Outcomes) {
+	records := make(map[uint32]placement.Record, len(list))
+	for _, o := range list {
+		failed, runs := o.Weights()
+		records[o.Endpoint] = placement.Record{Failed: failed, Runs: runs, OtherLife: o.OtherLife}
+	}
+	n.table.SetRecords(time.Now(), records)
+}
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -64,7 +64,7 @@
 	var best *endpoint
 	var least float64
 	for _, e := range list {
-		cost := t.under(now, e)
+		cost := t.under(now, e) + t.risk(now, e)
 		if e.elsewhere.Avoided && t.informed(now) {
 			cost += avoidedPenalty
 		}
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -50,6 +50,8 @@
 	running   float64
 	elsewhere Share // what the other VMs told, as of Table.toldAt
 	requests  int
+	record    record // of this VM's attempts
+	fleet     Record // of all VMs' attempts, as of Table.judgedAt
 
 	coldUntil  time.Time
 	coldTokens float64
--- /dev/null
+++ b/policy/placement/record.go
@@ -0,0 +1,106 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// recordLife is the time in which an attempt's weight in the record falls to a third: some
+	// dozens of an endpoint's requests in a fleet that keeps it busy.
+	recordLife = 4 * time.Second
+	// leastRuns is the weight below which a VM's attempts at an endpoint tell nothing any more.
+	leastRuns = 0.1
+	// otherLife is how long an endpoint gets nothing when another life answers at its address:
+	// by then its entry has lapsed or names the new one.
+	otherLife = 3 * time.Second
+	// recordsFor is how long the fleet's word on failures is believed.
+	recordsFor = 2 * time.Second
+	// fewRuns is the weight of attempts below which a share of failures is taken for chance.
+	fewRuns = 4.0
+	// failingPenalty is what an endpoint that fails all requests costs, in requests. A failed
+	// attempt costs the caller one of a few, and what it waited for so far.
+	failingPenalty = 50.0
+)
+
+// Record is what became of the attempts at an endpoint lately, with weights that fall with time.
+type Record struct {
+	// Failed are those that it answered with a failure or broke off, Runs all that it ran.
+	Failed, Runs float64
+	// OtherLife says that another life answered at its address.
+	OtherLife bool
+}
+
+type record struct {
+	failed, runs float64
+	at           time.Time // of the weights
+	goneUntil    time.Time
+}
+
+func (r *record) fall(now time.Time) {
+	if r.runs > 0 {
+		f := math.Exp(-now.Sub(r.at).Seconds() / recordLife.Seconds())
+		r.failed, r.runs = r.failed*f, r.runs*f
+	}
+	r.at = now
+}
+
+func (r *record) add(now time.Time, failed bool) {
+	r.fall(now)
+	r.runs++
+	if failed {
+		r.failed++
+	}
+}
+
+// tells says that there is something to report of the endpoint.
+func (r *record) tells(now time.Time) bool {
+	r.fall(now)
+	return r.runs >= leastRuns || now.Before(r.goneUntil)
+}
+
+// Records is what this VM's attempts told of the endpoints lately, by id.
+func (t *Table) Records(now time.Time) map[string]Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Record, len(t.busy))
+	for e := range t.busy {
+		if e.record.tells(now) {
+			out[e.ID] = Record{Failed: e.record.failed, Runs: e.record.runs, OtherLife: now.Before(e.record.goneUntil)}
+		}
+	}
+	return out
+}
+
+// SetRecords takes the sums over all VMs, by the endpoints' short names; of those not named
+// there is nothing to tell.
+func (t *Table) SetRecords(now time.Time, sums map[uint32]Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.judged {
+		e.fleet = Record{}
+	}
+	t.judged = t.judged[:0]
+	for short, r := range sums {
+		if e := t.short[short]; e != nil {
+			e.fleet = r
+			t.judged = append(t.judged, e)
+		}
+	}
+	t.judgedAt = now
+}
+
+// failing estimates the share of its requests that an endpoint fails. One failure is chance,
+// and few attempts tell little.
+func (r Record) failing() float64 { return max(r.Failed-1, 0) / (r.Runs + fewRuns) }
+
+// risk is what an endpoint costs for the failures that the fleet met there, in requests.
+func (t *Table) risk(now time.Time, e *endpoint) float64 {
+	if now.Sub(t.judgedAt) >= recordsFor {
+		return 0
+	}
+	if e.fleet.OtherLife {
+		return avoidedPenalty
+	}
+	return failingPenalty * e.fleet.failing()
+}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -77,7 +77,9 @@
 	Failed
 	// Full: it refused for want of room.
 	Full
-	// Broken: the connection could not be made or broke.
+	// Unreached: the connection could not be made.
+	Unreached
+	// Broken: the connection broke.
 	Broken
 	// Gone: another life answers at its address.
 	Gone
@@ -99,6 +101,9 @@
 	// told are the endpoints of which the other VMs told, at toldAt.
 	told   []*endpoint
 	toldAt time.Time
+	// judged are the endpoints of whose failures the fleet told, at judgedAt.
+	judged   []*endpoint
+	judgedAt time.Time
 }
 
 type pool struct {
@@ -271,7 +276,7 @@
 	for e := range t.busy {
 		if avoided := e.lost || now.Before(e.avoidUntil); avoided || e.running > 0 {
 			out[e.ID] = Share{Work: e.running, Avoided: avoided}
-		} else if e.requests == 0 {
+		} else if e.requests == 0 && !e.record.tells(now) {
 			delete(t.busy, e)
 		}
 	}
@@ -309,11 +314,19 @@
 	switch o {
 	case Good, Failed:
 		e.succeeded()
+		e.record.add(now, o == Failed)
 		if c, changed := t.services[e.Service].detect().Record(now, outlier.Result{Endpoint: e.ID, Failed: o == Failed}); changed {
 			e.detected = c.State
 		}
-	case Broken, Gone:
+	case Broken:
+		e.record.add(now, true)
 		e.failed(now)
+	case Unreached:
+		e.failed(now)
+	case Gone:
+		e.record.goneUntil = now.Add(otherLife)
+		e.failed(now)
+		e.avoidUntil = e.record.goneUntil
 	case Full:
 		e.succeeded()
 	case Neutral:
