Judge crowding at engines with few slots by their requests

Cause: bounds of a quarter and 0.6 of the slots, from engines with 64 to 128. An answer takes longer by about 3 in 100 for each request beside it, so that 16 requests lengthen it by half whatever the slots. Change: the bounds are at least 16 and 38 requests, or half and 0.8 of the slots where these are fewer; engines with 64 slots and more are judged as before.

--- a/gateway/forward/request.go
+++ b/gateway/forward/request.go
@@ -51,17 +51,17 @@
 // load is an endpoint's own word on its load, as of its answer.
 type load struct{ running, waiting, slots int }
 
-func readLoad(h string) (load, bool) {
+// readLoad reads it; what can't be read counts as no load.
+func readLoad(h string) load {
 	f := strings.Split(h, ",")
 	if len(f) != 3 {
-		return load{}, false
+		return load{}
 	}
-	l := load{running: number(f[0]), waiting: number(f[1]), slots: number(f[2])}
-	return l, l.slots > 0
+	return load{running: number(f[0]), waiting: number(f[1]), slots: number(f[2])}
 }
 
-// use is the share of its slots that the endpoint has requests for.
-func (l load) use() float64 { return float64(l.running+l.waiting) / float64(l.slots) }
+// under is how many requests the endpoint has.
+func (l load) under() int { return l.running + l.waiting }
 
 // number reads a count; what can't be read counts as 0, which only makes estimates worse.
 func number(s string) int {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -77,18 +77,15 @@
 		return 0, false
 	}
 	conf, err := strconv.Atoi(a.Header.Get(c.h.cfg.Names.Confidence))
-	use := 0.0
-	if load, ok := readLoad(a.Header.Get(c.h.cfg.Names.Load)); ok {
-		use = load.use()
-	}
+	load := readLoad(a.Header.Get(c.h.cfg.Names.Load))
 	now := time.Now()
 	look := c.h.cfg.Table.Outlook(now, newRand(), c.needOf(Choice{}, len(c.route.Models)-1))
 	if err == nil {
-		c.opinion = fmt.Sprintf("%d,%.2f,%d+%dms", conf, use, look.Wait.Milliseconds(), look.Read.Milliseconds())
+		c.opinion = fmt.Sprintf("%d,%d/%d,%d+%dms", conf, load.under(), load.slots, look.Wait.Milliseconds(), look.Read.Milliseconds())
 	}
 	return sizing.Next(sizing.Situation{
 		Models: c.route.Models, At: c.model, Confidence: conf, Known: err == nil,
-		Spent: now.Sub(c.start), Wait: look.Wait, Read: look.Read, Aim: c.route.Target, Use: use,
+		Spent: now.Sub(c.start), Wait: look.Wait, Read: look.Read, Aim: c.route.Target, Under: load.under(), Slots: load.slots,
 		AttemptsLeft: c.route.MaxAttempts - c.sends, Left: c.deadline.Sub(now), Whole: c.whole,
 	})
 }
--- a/policy/sizing/load_test.go
+++ b/policy/sizing/load_test.go
@@ -10,21 +10,21 @@
 	"github.com/stretchr/testify/require"
 )
 
-// rule decides whether a weak answer is made again, by the wait at the best engine and the
-// share of its slots in use.
-type rule func(s Situation, use float64) bool
+// rule decides whether a weak answer is made again.
+type rule func(s Situation) bool
 
 var rules = map[string]rule{
-	"always": func(s Situation, _ float64) bool { return s.Confidence < Threshold },
-	"by slots": func(s Situation, use float64) bool {
+	"always": func(s Situation) bool { return s.Confidence < Threshold },
+	"by slots": func(s Situation) bool {
+		use := float64(s.Under) / float64(s.Slots)
 		return float64(s.Confidence) < Threshold*(1-min(max((use-0.2)/0.4, 0), 1))
 	},
-	"by wait": func(s Situation, _ float64) bool {
+	"by wait": func(s Situation) bool {
+		s.Under = 0
 		_, up := Next(s)
 		return up
 	},
-	"by both": func(s Situation, use float64) bool {
-		s.Use = use
+	"by both": func(s Situation) bool {
 		_, up := Next(s)
 		return up
 	},
@@ -32,12 +32,11 @@
 
 const (
 	playEngines = 10
-	playSlots   = 64
 	playAim     = 2 * time.Second
 	playUnit    = 6 * time.Millisecond // for a thousand tokens by the smallest model
-	// playSlowdown is how much longer an answer takes with all slots in use: a step takes
-	// 2.89 ms and 0.101 ms for each request that runs.
-	playSlowdown = 2.2
+	// playSlowdown is how much longer an answer takes for each request that runs beside it: a
+	// step takes 2.89 ms and 0.101 ms for each.
+	playSlowdown = 0.035
 	// What an answer is worth that is poor, or right but late.
 	playPoor, playLate = 0.05, 0.1
 )
@@ -46,14 +45,15 @@
 // the smallest model and, as the rule says, by the largest, and returns the mean worth of
 // the answers. An answer takes longer to be made the more of the slots are in use, and with
 // crash those that aren't whole at the end are lost. load is the engines' time asked for
-// if all weak answers were made again, as a share of what there is.
-func play(load float64, crash bool, made rule) float64 {
+// if all weak answers were made again, as a share of what there is. A request waits for one
+// of an engine's slots.
+func play(load float64, crash bool, slots int, made rule) float64 {
 	r := rand.New(rand.NewPCG(11, 3))
 	const meanTokens = 5.0
 	each := meanTokens * (1 + 0.44*largestWork) * playUnit.Seconds()
 	gap := each / (load * playEngines)
 	var free [playEngines]float64
-	var ends []float64 // of requests that run
+	ends := make([]float64, playEngines*slots) // of the last request in each slot
 	worth, n := 0.0, 0
 	read := func(now, work float64) float64 {
 		best := 0
@@ -69,7 +69,13 @@
 		n++
 		tokens := meanTokens / math.Exp(0.5) * math.Exp(r.NormFloat64())
 		hard := r.Float64()
-		first := read(now, tokens)
+		slot := 0
+		for i, e := range ends {
+			if e < ends[slot] {
+				slot = i
+			}
+		}
+		first := read(max(now, ends[slot]), tokens)
 		least := free[0]
 		for _, f := range free {
 			least = min(least, f)
@@ -84,15 +90,16 @@
 			Models: make([]string, 3), Known: true, AttemptsLeft: 2, Left: time.Minute, Whole: time.Minute,
 			Confidence: int(min(max(50+160*(0.56-hard)+10*r.NormFloat64(), 0), 100)), Aim: playAim,
 			Spent: seconds(first - now), Wait: seconds(max(least-first, 0)), Read: seconds(largestWork * tokens * playUnit.Seconds()),
+			Under: running / playEngines, Slots: slots,
 		}
 		right, runs := hard < 0.56, 0.6
-		use := min(float64(running)/(playEngines*playSlots), 1)
-		if made(s, use) {
+		if made(s) {
 			first, right, runs = read(first, largestWork*tokens), true, 4
 		}
-		ends = append(ends, first+runs*(1+playSlowdown*use))
+		end := first + runs*(1+playSlowdown*float64(min(running/playEngines, slots)))
+		ends[slot] = end
 		switch {
-		case crash && ends[n-1] > 20:
+		case crash && end > 20:
 		case !right:
 			worth += playPoor
 		case first-now > playAim.Seconds():
@@ -117,7 +124,7 @@
 		for _, load := range []float64{0.4, 0.8, 1.5, 2, 4} {
 			got := make(map[string]float64)
 			for name, r := range rules {
-				got[name] = play(load, crash, r)
+				got[name] = play(load, crash, 64, r)
 			}
 			what := fmt.Sprintf("crash %v, load %.1f: %v", crash, load, got)
 			t.Log(what)
@@ -133,3 +140,19 @@
 		}
 	}
 }
+
+// Engines with few slots are quick with all of them in use: by the share of the slots alone
+// most weak answers were kept where the larger model's would have been in time.
+func TestWorthWithFewSlots(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		for _, load := range []float64{0.4, 0.8, 1.5, 4} {
+			share, both := play(load, crash, 16, rules["by slots"]), play(load, crash, 16, rules["by both"])
+			what := fmt.Sprintf("crash %v, load %.1f: by slots %.3f, by both %.3f, always %.3f", crash, load, share, both, play(load, crash, 16, rules["always"]))
+			t.Log(what)
+			require.Greater(t, both, share-0.01, what)
+			if load < 1 {
+				require.Greater(t, both, share+0.03, what)
+			}
+		}
+	}
+}
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -11,8 +11,8 @@
 // few more requests well than the smallest, so that a step there mostly pays twice.
 //
 // Whether there is room is judged by when the larger model's first event is expected
-// (package placement), which tells whether the answer comes in time, and by the share of
-// an engine's slots in use, which tells how long answers take there.
+// (package placement), which tells whether the answer comes in time, and by how many
+// requests an engine has, which tells how long answers take there.
 //
 // The package has no network, no clock and no locks.
 package sizing
@@ -36,11 +36,19 @@
 	calm = 0.04
 	busy = 0.2
 	// calmUse and busyUse are the shares of the slots in use between which it falls as
-	// well: the more requests run at an engine, the longer each answer takes, up to three
-	// times with all slots full, and the more of them a crash of the VMs cuts off. Lower
-	// bounds leave more answers weak where nothing crashes (TestWorthUnderLoad).
+	// well: the more requests run at an engine, the longer each answer takes, and the more
+	// of them a crash of the VMs cuts off. Lower bounds leave more answers weak where
+	// nothing crashes (TestWorthUnderLoad).
 	calmUse = 0.25
 	busyUse = 0.6
+	// calmRunning and busyRunning are the least of those bounds, in requests: each one that
+	// runs makes a step some 3 in 100 longer, so that fewer lengthen an answer by less
+	// than half, however few the slots.
+	calmRunning = 16
+	busyRunning = 38
+	// calmFull and busyFull bound them by the slots: what is asked for beyond them waits.
+	calmFull = 0.5
+	busyFull = 0.8
 	// lateAt is the share of that time at which the larger model's first event may be
 	// expected: later ones come late too often, and a lower share keeps the largest prompts
 	// from it even where nothing waits.
@@ -74,9 +82,9 @@
 	// at the best endpoint, and Read the largest model's time to read it. Aim is when its
 	// first event is wanted; 0 for not known.
 	Spent, Wait, Read, Aim time.Duration
-	// Use is the share of the slots in use at the endpoint that answered, by its own
-	// word in that answer.
-	Use float64
+	// Under are the requests that run or wait at the endpoint that answered, by its own word
+	// in that answer, and Slots how many it runs at once; 0 for not known.
+	Under, Slots int
 	// AttemptsLeft are the endpoints that the request may still be sent to.
 	AttemptsLeft int
 	// Left is the caller's remaining time, Whole what it had.
@@ -98,7 +106,7 @@
 // threshold falls from Threshold to busyThreshold as the wait for others' work or the
 // slots in use grow, and is busyThreshold where the larger model's answer would come late.
 func (s Situation) threshold() float64 {
-	full := fullness(s.Use, calmUse, busyUse)
+	full := s.crowding()
 	if s.Aim > 0 {
 		if float64(s.Spent+s.Wait+s.Read) > lateAt*float64(s.Aim) {
 			return busyThreshold
@@ -108,5 +116,16 @@
 	return Threshold + full*(busyThreshold-Threshold)
 }
 
+// crowding says how near the endpoint's requests are to where no answer is made again.
+func (s Situation) crowding() float64 {
+	slots := float64(s.Slots)
+	if slots <= 0 {
+		return 0
+	}
+	calm := max(calmUse*slots, min(calmRunning, calmFull*slots))
+	busy := max(busyUse*slots, min(busyRunning, busyFull*slots))
+	return fullness(float64(s.Under), calm, busy)
+}
+
 // fullness rises from 0 at calm to 1 at busy.
 func fullness(x, calm, busy float64) float64 { return min(max((x-calm)/(busy-calm), 0), 1) }
