Send requests elsewhere whose answer is overdue

Cause: a request waited for its answer as long as its caller had time, at an endpoint whose other answers came.

Change: policy/patience decides how long the head of an answer is waited for: four times the time estimated from the work under way, for the plain service the mean and four deviations of its answers, and at least 0.4 of the time in which it is wanted. Then it is sent elsewhere, if it may run again, has an attempt left and half of its time; the first endpoint's connection is reset, so that nothing arrives there later. A VM moves a fifth of its requests at most: in an overload all answers are late, and moving them makes it worse. The attempt counts as failed in the fleet's sums.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -305,10 +305,15 @@
 	}
 }
 
-// failed settles an attempt without an answer's head.
-func (c *call) failed(ctx context.Context, ch placement.Choice, err error) (verdict, *refusal.Refusal) {
+// failed settles an attempt without an answer's head; t is nil where it had no limit of its own.
+func (c *call) failed(ctx context.Context, ch placement.Choice, t *attempt, err error) (verdict, *refusal.Refusal) {
 	var e *upstream.Error
 	sent := !errors.As(err, &e) || e.Sent
+	if sent && t != nil && t.isOverdue() && ctx.Err() == nil {
+		c.ran = refusal.Unknown
+		c.moved(ch, t)
+		return again, nil
+	}
 	if !sent && ctx.Err() == nil {
 		c.settle(ch, placement.Unreached, "unreached")
 		c.dials++
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -129,10 +129,11 @@
 	stopping   atomic.Bool
 	lastStream atomic.Pointer[time.Time]
 	active     atomic.Int64
+	overdue    *overdue
 }
 
 // New returns a handler.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg} }
+func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue()} }
 
 // Stop makes each further answer the last on its connection, and turns streams away
 // that come after a time: they would not end before the VM does.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -145,6 +145,8 @@
 		{Name: "quick", Host: "h", Prefix: "/safe/quick/", Kind: catalog.Idempotent, MaxAttempts: 3, Services: branch, Timeout: 50 * time.Millisecond},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true},
 		{Name: "stream-once", Host: "h", Prefix: "/stream-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch},
+		{Name: "aimed", Host: "h", Prefix: "/aimed/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true, Target: 50 * time.Millisecond},
+		{Name: "aimed-once", Host: "h", Prefix: "/aimed-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Target: 50 * time.Millisecond},
 		{Name: "sized", Host: "h", Prefix: "/sized/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true, Models: []string{"small", "middle", "large"}},
 	}
 	keys := map[string]*catalog.Account{"k": {Name: "acme"}}
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -20,11 +20,13 @@
 // plain makes one attempt at a request with a whole answer. The answer is taken in
 // full before its first byte goes on: one that breaks off can then still be replaced.
 func (c *call) plain(ctx context.Context, ch placement.Choice) (verdict, *refusal.Refusal) {
-	began := time.Now()
-	a, err := c.send(ctx, ch, "")
+	t := c.begin(ctx, ch)
+	defer t.end()
+	a, err := c.send(t.ctx, ch, "")
 	if err != nil {
-		return c.failed(ctx, ch, err)
+		return c.failed(ctx, ch, t, err)
 	}
+	t.headed()
 	defer a.Close()
 	if c.refused(ch, a) {
 		drain(a)
@@ -43,7 +45,9 @@
 		c.answered(ch, true, 0)
 		return c.unknown("the answer broke off")
 	}
-	return c.judge(ch, a, body, time.Since(began))
+	took := time.Since(t.began)
+	c.h.overdue.times.Learn(c.service, took)
+	return c.judge(ch, a, body, took)
 }
 
 // judge decides what to do with a whole answer.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -32,11 +32,13 @@
 // stream runs a request whose answer is a stream of events, over as many endpoints
 // as it takes and the route allows.
 func (c *call) stream(ctx context.Context, ch placement.Choice) (verdict, *refusal.Refusal) {
-	began := time.Now()
-	a, err := c.send(ctx, ch, "")
+	t := c.begin(ctx, ch)
+	defer t.end()
+	a, err := c.send(t.ctx, ch, "")
 	if err != nil {
-		return c.failed(ctx, ch, err)
+		return c.failed(ctx, ch, t, err)
 	}
+	t.headed()
 	defer a.Close()
 	if c.refused(ch, a) {
 		drain(a)
@@ -52,14 +54,14 @@
 			c.answered(ch, true, 0)
 			return c.unknown("the answer broke off")
 		}
-		return c.judge(ch, a, body, time.Since(began))
+		return c.judge(ch, a, body, time.Since(t.began))
 	}
 	if !c.sound(a) {
 		c.settle(ch, placement.Failed, "unsound")
 		c.answered(ch, true, 0)
 		return c.unknown("the answer is not the endpoint's")
 	}
-	c.answered(ch, false, time.Since(began))
+	c.answered(ch, false, time.Since(t.began))
 	if next, up := c.larger(a); up && c.mayGoOn() {
 		c.settle(ch, placement.Good, "weak")
 		c.model = next
@@ -144,7 +146,7 @@
 		}
 		a, err := c.send(ctx, ch, last)
 		if err != nil {
-			if v, _ := c.failed(ctx, ch, err); v == stop {
+			if v, _ := c.failed(ctx, ch, nil, err); v == stop {
 				return ch, nil
 			}
 			continue
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -43,6 +43,10 @@
 // Unwrap gives the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// ErrOverdue is the cause with which a request's context ends whose answer is waited for no
+// longer: it is sent elsewhere, and must not arrive here later.
+var ErrOverdue = errors.New("the answer is overdue")
+
 // errStranger: the connection carries answers to other requests only.
 var errStranger = errors.New("answers on the connection belong to other requests")
 
@@ -81,7 +85,13 @@
 	}
 	a := &Answer{pool: p, addr: addr, c: c}
 	p.begin(a, !r.Once)
-	a.stop = context.AfterFunc(ctx, func() { c.Close() })
+	a.stop = context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), ErrOverdue) {
+			c.abort()
+			return
+		}
+		c.Close()
+	})
 	written, err := c.write(r)
 	if err != nil && written == 0 {
 		a.Close()
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -41,6 +41,9 @@
 	ID, Address, DataCentre, Version string
 	// Cold says that the endpoint is in cold start.
 	Cold bool
+	// Expected is when the request's first event is expected; only for work that tells it,
+	// as prompts do.
+	Expected time.Duration
 	// work is what the request counts for now; Began and Done change it.
 	work *float64
 	rest float64 // what it counts for when its prompt is read
@@ -242,7 +245,11 @@
 	if e.avoidFor > 0 {
 		e.trial = true
 	}
-	return Choice{ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now), work: &work, rest: r.Work, ahead: ahead, at: now}, Picked
+	return Choice{
+		ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now),
+		Expected: time.Duration(ahead * p.pace.get() * float64(time.Second)),
+		work:     &work, rest: r.Work, ahead: ahead, at: now,
+	}, Picked
 }
 
 func anyCold(now time.Time, p *pool) bool {
