--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -64,6 +64,9 @@
 	// readersLeaveAt is the failure in a row, watching.FirstPause after the one before, at
 	// which a feed sends its readers away and the VM counts as without word.
 	readersLeaveAt = 2
+	// mostStale is how many VMs without word a VM asks in one try: its parent and the roots of
+	// its tree, so that word reaches all from the roots at once.
+	mostStale = 3
 	// early is how much sooner than asked an empty answer may come and still count as waited out.
 	early = 100 * time.Millisecond
 	// probeWait is the wait of the first watch after a failure, so that a store that is
@@ -286,12 +289,15 @@
 	return max(s.Revision, revision), nil
 }
 
-// readOthers reads the kind's changes at another VM, in the order of the guide. It gives up
-// when its own word gets too old: each VM that is cut off costs a timeout. tried says that
-// there was one to read from.
+// readOthers reads the kind's changes at another VM, in the order of the guide. Once its own
+// word is too old it gives up at the first that doesn't answer, since each that is cut off
+// costs a timeout, and after a few that have no word themselves. tried says that there was
+// one to read from.
 func (f *Follower[T]) readOthers(ctx context.Context, revision int64) (next int64, tried bool, err error) {
+	stale := 0
 	for _, peer := range f.Guide.Sources() {
-		if tried && f.Guide.MayAsk(f.Feed.left()) && f.Feed.left() <= 0 {
+		old := f.Feed.left() <= 0 && f.Guide.MayAsk(f.Feed.left())
+		if tried && old && (!errors.Is(err, ErrStale) || stale >= mostStale) {
 			break
 		}
 		tried = true
@@ -299,6 +305,9 @@
 			f.Guide.Read(peer)
 			return next, true, nil
 		}
+		if errors.Is(err, ErrStale) {
+			stale++
+		}
 		f.Guide.Failed(peer, err)
 	}
 	return revision, tried, errNoWord
