Count datagrams and feeds between VMs by purpose

Which of the fleet's own messages cross between data centres could only be worked out. Each VM now counts packets and bytes by purpose (gossip, sessions, load) and direction, and the bytes of its feeds by kind, on the metrics address.

--- a/fleet/datagram/datagram_test.go
+++ b/fleet/datagram/datagram_test.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 )
@@ -14,9 +16,10 @@
 // A packet arrives with the address to answer to, and the end of the context ends both
 // sides without a goroutine left.
 func TestThereAndBack(t *testing.T) {
-	a, err := Listen("127.0.0.1:0")
+	traffic := NewTraffic(prometheus.NewRegistry())
+	a, err := Listen("127.0.0.1:0", "a", traffic)
 	require.NoError(t, err)
-	b, err := Listen("127.0.0.1:0")
+	b, err := Listen("127.0.0.1:0", "b", traffic)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{}, 2)
@@ -44,10 +47,11 @@
 
 // Guards against packets of one use of a socket that reach another's.
 func TestChannelsShareASocket(t *testing.T) {
-	a, err := Listen("127.0.0.1:0")
+	traffic := NewTraffic(prometheus.NewRegistry())
+	a, err := Listen("127.0.0.1:0", "main", traffic)
 	require.NoError(t, err)
 	got := make(chan string, 3)
-	channel := a.Channel(1, func(p []byte, from string) {
+	channel := a.Channel(1, "side", func(p []byte, from string) {
 		got <- "channel " + string(p) + " from itself: " + strconv.FormatBool(from == a.Addr())
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -62,6 +66,11 @@
 	require.Equal(t, "main y", <-got)
 	require.NoError(t, a.Send(nil, a.Addr()))
 	require.Equal(t, "main ", <-got)
+	for _, direction := range []string{"sent", "received"} {
+		require.Equal(t, 2.0, testutil.ToFloat64(traffic.bytes.WithLabelValues("side", direction)), "the tag counts")
+		require.Equal(t, 1.0, testutil.ToFloat64(traffic.bytes.WithLabelValues("main", direction)))
+		require.Equal(t, 2.0, testutil.ToFloat64(traffic.packets.WithLabelValues("main", direction)))
+	}
 	cancel()
 	<-done
 }
--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -24,8 +24,9 @@
 	Payload func() []byte
 	Take    func(from string, life uint64, payload []byte)
 	Log     zerolog.Logger
-	// Registerer takes the metrics; required.
+	// Registerer takes the metrics and Traffic counts the packets; both required.
 	Registerer prometheus.Registerer
+	Traffic    *datagram.Traffic
 }
 
 // Service sends and receives the datagrams of one VM.
@@ -41,7 +42,7 @@
 
 // Listen opens the socket at Self.Peer.
 func Listen(cfg Config) (*Service, error) {
-	socket, err := datagram.Listen(cfg.Self.Peer)
+	socket, err := datagram.Listen(cfg.Self.Peer, "gossip", cfg.Traffic)
 	if err != nil {
 		return nil, err
 	}
@@ -56,8 +57,8 @@
 }
 
 // Channel opens another use of the socket; call it before Run.
-func (s *Service) Channel(tag byte, take func(b []byte, from string)) datagram.Channel {
-	return s.socket.Channel(tag, take)
+func (s *Service) Channel(tag byte, purpose string, take func(b []byte, from string)) datagram.Channel {
+	return s.socket.Channel(tag, purpose, take)
 }
 
 // Table is what the service knows.
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/fleet/datagram"
 )
 
 // fleet is some VMs that exchange datagrams in virtual time.
@@ -207,7 +209,7 @@
 			Clock: func() time.Duration { return time.Second + time.Since(start) }, Ready: func() bool { return true },
 			Payload: func() []byte { return []byte{byte('a' + i)} },
 			Take:    func(from string, _ uint64, p []byte) { got <- from + string(p) },
-			Log:     zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+			Log:     zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
 		})
 		require.NoError(t, err)
 		s.cfg.Self.Peer = s.socket.Addr()
--- a/fleet/tally/service.go
+++ b/fleet/tally/service.go
@@ -55,8 +55,9 @@
 	// ApplyOutcomes takes the sums over all VMs; endpoints that aren't named failed nothing.
 	ApplyOutcomes func([]Outcomes)
 	Log           zerolog.Logger
-	// Registerer takes the metrics; required.
+	// Registerer takes the metrics and Traffic counts the packets; both required.
 	Registerer prometheus.Registerer
+	Traffic    *datagram.Traffic
 }
 
 // kind says what a message is.
@@ -100,7 +101,7 @@
 
 // Listen opens the socket at Address.
 func Listen(cfg Config) (*Service, error) {
-	socket, err := datagram.Listen(cfg.Address)
+	socket, err := datagram.Listen(cfg.Address, "load", cfg.Traffic)
 	if err != nil {
 		return nil, err
 	}
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -108,7 +108,7 @@
 			Keepers: func() []Keeper { return keepers }, Others: func() []Keeper { return nil },
 			State: func() State { return v.state }, Apply: func(s State) { v.told = s },
 			Outcomes: v.tellOutcomes, ApplyOutcomes: func(o []Outcomes) { v.fleet.Store(&o) },
-			Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+			Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
 		})
 		require.NoError(t, err)
 		v.Service, vms[i] = s, v
--- a/gateway/node/keepers.go
+++ b/gateway/node/keepers.go
@@ -16,7 +16,7 @@
 		Ring: func() *sticky.Ring { return n.ring.get(bootClock(), n.newRing) },
 		Send: func(b []byte, to string) error { return channel.Send(b, to) },
 	})
-	channel = n.gossip.Channel(stickyTag, s.Receive)
+	channel = n.gossip.Channel(stickyTag, "sessions", s.Receive)
 	return s
 }
 
--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -23,7 +23,7 @@
 			return n.ownKeepers.get(bootClock(), func() []tally.Keeper { return n.keepers(n.s.DataCentre) })
 		},
 		Others: func() []tally.Keeper { return n.farKeepers.get(bootClock(), n.otherKeepers) }, State: n.load, Apply: n.applyLoad,
-		Outcomes: n.outcomes, ApplyOutcomes: n.applyOutcomes, Log: n.log, Registerer: n.registry,
+		Outcomes: n.outcomes, ApplyOutcomes: n.applyOutcomes, Log: n.log, Registerer: n.registry, Traffic: n.traffic,
 	})
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"goldcrestfork/fleet/datagram"
 	"goldcrestfork/fleet/gossip"
 	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/fleet/tally"
@@ -93,6 +94,7 @@
 	suspects *suspects
 	feeds    map[string]*view.Feed
 	relays   *view.Relays
+	traffic  *datagram.Traffic
 	met      chan struct{} // closed when the VM has met others to read from
 	metOnce  sync.Once
 	servers  []*http.Server
@@ -122,11 +124,12 @@
 	for _, kind := range []string{kindConfig, kindEndpoints, kindOrders, kindOut} {
 		n.feeds[kind] = view.NewFeed(bootClock, share(n.bound(kind), silentShare))
 	}
-	n.relays = view.NewRelays(n.feeds)
+	n.relays = view.NewRelays(n.feeds, registry)
+	n.traffic = datagram.NewTraffic(registry)
 	var err error
 	n.gossip, err = gossip.Listen(gossip.Config{
 		Self: n.self(), Clock: bootClock, Ready: n.Ready, Payload: n.payload, Take: n.take,
-		Log: log, Registerer: registry,
+		Log: log, Registerer: registry, Traffic: n.traffic,
 	})
 	if err != nil {
 		return nil, err
--- a/gateway/node/watchers_test.go
+++ b/gateway/node/watchers_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/fleet/datagram"
 	"goldcrestfork/fleet/gossip"
 	"goldcrestfork/fleet/rendezvous"
 )
@@ -22,7 +23,7 @@
 	members = rendezvous.RankBy("watchers", members, func(m gossip.Member) string { return m.Name })
 	g, err := gossip.Listen(gossip.Config{
 		Self: gossip.Member{Name: members[rank].Name, Peer: "127.0.0.1:0"}, Clock: bootClock,
-		Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+		Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
 	})
 	require.NoError(t, err)
 	n := &Node{s: Settings{VM: members[rank].Name, PortFirst: 1}, gossip: g, log: zerolog.Nop()}
--- a/gateway/view/feed_test.go
+++ b/gateway/view/feed_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -203,7 +204,7 @@
 		own = append(own, source)
 		v := New(Settings{Clock: clock, Log: zerolog.Nop()})
 		feed := NewFeed(clock, time.Minute)
-		relays := NewRelays(map[string]*Feed{"kind": feed})
+		relays := NewRelays(map[string]*Feed{"kind": feed}, prometheus.NewRegistry())
 		server := httptest.NewServer(relays.Handler())
 		t.Cleanup(func() {
 			server.CloseClientConnections()
@@ -251,13 +252,13 @@
 	clock := sinceStart()
 	feed := NewFeed(clock, time.Minute)
 	feed.take(news{all: true, revision: 5, proof: clock() - 3*time.Second, heard: clock()})
-	server := httptest.NewServer(NewRelays(map[string]*Feed{"kind": feed}).Handler())
+	server := httptest.NewServer(NewRelays(map[string]*Feed{"kind": feed}, prometheus.NewRegistry()).Handler())
 	defer server.Close()
 	v := New(Settings{Clock: clock, Log: zerolog.Nop()})
 	v.ApplyConfig(Update[*catalog.Config]{All: true, Proof: clock() - time.Hour, Changes: []Change[*catalog.Config]{conf(5, 5)}})
 	f := &Follower[*catalog.Config]{
 		Kind: "kind", Source: &numbers{}, Clock: clock, Apply: v.ApplyConfig, Log: zerolog.Nop(),
-		Feed: NewFeed(clock, time.Minute), Reader: NewRelays(nil), Guide: newGuide(clock),
+		Feed: NewFeed(clock, time.Minute), Reader: NewRelays(nil, prometheus.NewRegistry()), Guide: newGuide(clock),
 	}
 	_, err := f.relay(t.Context(), strings.TrimPrefix(server.URL, "http://"), 5)
 	require.NoError(t, err)
@@ -291,14 +292,14 @@
 	clock := sinceStart()
 	feed := NewFeed(clock, time.Minute)
 	feed.take(news{all: true, revision: 5, proof: clock(), heard: clock(), entries: raw("iiiii")})
-	server := httptest.NewServer(NewRelays(map[string]*Feed{"kind": feed}).Handler())
+	server := httptest.NewServer(NewRelays(map[string]*Feed{"kind": feed}, prometheus.NewRegistry()).Handler())
 	defer server.Close()
 	v := New(Settings{Clock: clock, Log: zerolog.Nop()})
 	guide := newGuide(clock, strings.TrimPrefix(server.URL, "http://"))
 	source := &numbers{version: 5, wake: make(chan struct{})}
 	f := &Follower[*catalog.Config]{
 		Kind: "kind", Source: source, Wait: time.Hour, Clock: clock, Apply: v.ApplyConfig, Log: zerolog.Nop(),
-		Feed: NewFeed(clock, time.Minute), Reader: NewRelays(nil), Guide: guide, Patience: time.Hour,
+		Feed: NewFeed(clock, time.Minute), Reader: NewRelays(nil, prometheus.NewRegistry()), Guide: guide, Patience: time.Hour,
 	}
 	revision, err := f.whole(t.Context(), true)
 	require.NoError(t, err)
--- a/gateway/view/relay.go
+++ b/gateway/view/relay.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 const (
@@ -29,12 +30,17 @@
 type Relays struct {
 	client *http.Client
 	feeds  map[string]*Feed
+	bytes  *prometheus.CounterVec
 }
 
 // NewRelays returns relays that serve feeds by kind.
-func NewRelays(feeds map[string]*Feed) *Relays {
+func NewRelays(feeds map[string]*Feed, r prometheus.Registerer) *Relays {
+	bytes := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrest_feed_bytes_total", Help: "Bytes of feeds that other VMs read here, by kind, without HTTP heads.",
+	}, []string{"kind"})
+	r.MustRegister(bytes)
 	return &Relays{
-		feeds: feeds,
+		feeds: feeds, bytes: bytes,
 		client: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: len(feeds), IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 		}},
@@ -66,6 +72,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	r.bytes.WithLabelValues(req.PathValue("kind")).Add(float64(len(b)))
 	// A reader that left asks again elsewhere.
 	_, _ = w.Write(b)
 }
