Hold requests that reach a VM before it knows what it serves

Change: a VM holds requests in the first half second of its start until it knows both, for a quarter of the caller's time at most. Known nothing after that, it refuses at once as before. TestStartedVMHoldsRequests gets 503 without it.

--- a/gateway/forward/admit_test.go
+++ b/gateway/forward/admit_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,3 +134,34 @@
 	require.Equal(t, http.StatusServiceUnavailable, r.status)
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 }
+
+// All VMs come back at once: a caller that is sent away before the VM knows what it serves
+// would meet the next one that doesn't.
+func TestStartedVMHoldsRequests(t *testing.T) {
+	w := newWorld(t, 1)
+	config := w.state.config
+	w.state.known, w.state.config = make(chan struct{}), nil
+	w.handler.started = time.Now().Add(time.Minute)
+	var once sync.Once
+	w.state.asked = func() {
+		go once.Do(func() {
+			w.state.mu.Lock()
+			defer w.state.mu.Unlock()
+			w.state.config = config
+			close(w.state.known)
+		})
+	}
+	require.Equal(t, http.StatusOK, w.ask(http.MethodGet, "/safe/a", "").status)
+}
+
+// A VM that has long started, or a caller with little time, gets the refusal that nothing ran.
+func TestVMWithoutConfigurationRefuses(t *testing.T) {
+	for name, started := range map[string]time.Time{"long ago": {}, "just now, no time": time.Now().Add(time.Hour)} {
+		w := newWorld(t, 1)
+		w.state.known, w.state.config = make(chan struct{}), nil
+		w.handler.started = started
+		r := w.ask(http.MethodGet, "/safe/a", "", testNames.Deadline, "40")
+		require.Equal(t, http.StatusServiceUnavailable, r.status, name)
+		require.Equal(t, "not run", r.header.Get("X-Ran"), name)
+	}
+}
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -24,6 +24,8 @@
 	Config() *catalog.Config
 	// ConfigAge is how long ago the configuration was shown to be the newest.
 	ConfigAge() time.Duration
+	// Known is closed when a configuration and the endpoints are known for the first time.
+	Known() <-chan struct{}
 }
 
 // Versions decides which version of a service's endpoints a request may use.
@@ -130,10 +132,11 @@
 	lastStream atomic.Pointer[time.Time]
 	active     atomic.Int64
 	overdue    *overdue
+	started    time.Time
 }
 
 // New returns a handler.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue()} }
+func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue(), started: time.Now()} }
 
 // Stop makes each further answer the last on its connection, and turns streams away
 // that come after a time: they would not end before the VM does.
@@ -161,6 +164,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.cfg.Names.RequestID)}
+	h.awaitStart(r)
 	if h.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -175,6 +179,38 @@
 	c.run()
 }
 
+const (
+	// startTime is how long after its start a VM holds requests that come before it knows what
+	// it serves: mostly it does within a fifth of a second, and a caller that is sent away comes
+	// back to another VM that has just started as well.
+	startTime = 500 * time.Millisecond
+	// startShare of the caller's time bounds what it is held.
+	startShare = 0.25
+)
+
+// awaitStart holds a request to a VM that has just started.
+func (h *Handler) awaitStart(r *http.Request) {
+	select {
+	case <-h.cfg.State.Known():
+		return
+	default:
+	}
+	wait := time.Until(h.started.Add(startTime))
+	if given, ok := callerTime(r.Header, &h.cfg.Names); ok {
+		wait = min(wait, time.Duration(startShare*float64(given)))
+	}
+	if wait <= 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-h.cfg.State.Known():
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+}
+
 // admit finds out what the request may do.
 func (c *call) admit() *refusal.Refusal {
 	h := &c.h.cfg
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -57,6 +57,8 @@
 
 type fakeState struct {
 	mu     sync.Mutex
+	known  chan struct{}
+	asked  func() // called when Known is; nil for nothing
 	config *catalog.Config
 	age    time.Duration
 }
@@ -67,6 +69,13 @@
 	return s.config
 }
 
+func (s *fakeState) Known() <-chan struct{} {
+	if s.asked != nil {
+		s.asked()
+	}
+	return s.known
+}
+
 func (s *fakeState) ConfigAge() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,7 +144,7 @@
 // newWorld starts a VM before n endpoints of one service, with a route of each kind.
 func newWorld(t testing.TB, n int) *world {
 	t.Helper()
-	w := &world{t: t, table: placement.New("a"), state: &fakeState{}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{crashes: map[uint64]int{}}}
+	w := &world{t: t, table: placement.New("a"), state: &fakeState{known: make(chan struct{})}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{crashes: map[uint64]int{}}}
 	branch := []catalog.Weighted{{Service: "s", Weight: 1}}
 	routes := []*catalog.Route{
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.NonIdempotent, MaxAttempts: 3, Services: branch, Timeout: time.Minute},
@@ -160,6 +169,7 @@
 		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
 		KeyProof: func() time.Duration { return 4 * time.Second }, DenyProof: 2 * time.Second,
 	})
+	close(w.state.known)
 	w.front = httptest.NewServer(w.handler)
 	t.Cleanup(func() {
 		w.front.Close()
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -34,6 +34,9 @@
 	config atomic.Pointer[catalog.Config]
 	proof  atomic.Int64 // Clock time at which config was the newest; 0 for never
 
+	known     chan struct{} // closed when a configuration and the endpoints are known
+	knownOnce sync.Once
+
 	mu        sync.Mutex
 	endpoints map[string]known
 	listed    bool
@@ -55,11 +58,21 @@
 // New returns a view that knows nothing.
 func New(s Settings) *View {
 	return &View{
-		s: s, endpoints: make(map[string]known), missing: make(map[string]time.Duration),
+		s: s, known: make(chan struct{}), endpoints: make(map[string]known), missing: make(map[string]time.Duration),
 		rollouts: make(map[string]catalog.RollOut), settled: make(map[string]string), out: make(map[string]bool),
 	}
 }
 
+// Known is closed when a configuration and the endpoints are known for the first time.
+func (v *View) Known() <-chan struct{} { return v.known }
+
+// noteKnown closes Known when it is time.
+func (v *View) noteKnown(listed bool) {
+	if listed && v.Config() != nil {
+		v.knownOnce.Do(func() { close(v.known) })
+	}
+}
+
 // Config is the newest configuration known; nil for none.
 func (v *View) Config() *catalog.Config { return v.config.Load() }
 
@@ -116,6 +129,7 @@
 	for _, e := range v.endpoints {
 		v.set(e.Endpoint, 0)
 	}
+	v.noteKnown(v.listed)
 }
 
 // ApplyEndpoints takes changes of the endpoints' entries.
@@ -140,6 +154,7 @@
 			}
 		}
 	}
+	v.noteKnown(true)
 }
 
 func (v *View) applyEndpoint(now time.Duration, c Change[catalog.Endpoint]) {
