Prefer endpoints of the VM's own data centre by three requests

Bytes between data centres are billed, and another one costs a round trip more. At 0.3 requests the choice among 99 endpoints was decided by the random part (0.5) nearly always.

--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -102,7 +102,7 @@
 	avoidedPenalty = 1e4
 	// farPenalty is what another data centre costs, in requests: bytes between data
 	// centres are billed, and a round trip takes 1 to 2 ms more.
-	farPenalty = 0.3
+	farPenalty = 3.0
 	// jitter parts VMs that see the same loads, in requests.
 	jitter = 0.5
 )
