Let VMs that find no word at others be no watchers, and one kind ask for all

Causes: (1) three kinds of each VM asked the store before the first of them had failed, and each asked twice, since the short call after an outage got a second one beside it as well. (2) A VM whose sources all had no word a moment ago had an empty list of sources, which means that it watches the platform: 167 VMs began 400 watches that way 0.3 s after the restart, when the lists that prove nothing made each feed of orders answer that it has no word, and 200 ms of that counted for all kinds.

Change: a VM that found no word at others claims the platform for one kind (watching.Outage.Claim); short calls are made once; a VM that doesn't stand in asks the one again that had no word for longest; the first watch after a list that may be old is short, which brings the proof that readers wait for.

Tests seen to fail without: view TestSilenceCostsOneCallAVM (232 calls for 70), watching TestVMsWithoutWordMakeNoWatcher (195 of 195 VMs for 4). TestRestartOfAllCostsFewWatches plays the restart; it passed before the change too, since in it the kinds of a VM move in step.

--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -78,6 +78,9 @@
 // MayAsk implements view.Guide.
 func (w *watchers) MayAsk(left time.Duration) bool { return watching.MayAsk(w.rank(), left) }
 
+// Claim implements view.Guide.
+func (w *watchers) Claim() bool { return w.outage.Claim(bootClock(), w.rank()) }
+
 // Lost implements view.Guide.
 func (w *watchers) Lost() { w.outage.Lost(bootClock(), w.rank()) }
 
--- a/gateway/view/ask.go
+++ b/gateway/view/ask.go
@@ -26,6 +26,10 @@
 func (f *Follower[T]) ask(ctx context.Context, revision int64, wait time.Duration) (Changes[T], time.Duration, error) {
 	cctx, cancel := context.WithTimeout(ctx, wait+answerTime)
 	defer cancel()
+	if wait <= probeWait {
+		a := f.askOnce(cctx, revision, wait)
+		return a.changes, a.proof, a.err
+	}
 	answers := make(chan answer[T], 2)
 	go func() { answers <- f.askOnce(cctx, revision, wait) }()
 	overdue := time.NewTimer(wait + time.Duration(overdueShare*float64(wait)))
--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -126,6 +126,13 @@
 	f.rouse()
 }
 
+// isUnproved says that what is known may be some seconds old.
+func (f *Feed) isUnproved() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unproved
+}
+
 // rouse wakes the readers that wait. Callers hold f.mu.
 func (f *Feed) rouse() {
 	close(f.wake)
--- a/gateway/view/fleet_test.go
+++ b/gateway/view/fleet_test.go
@@ -31,6 +31,7 @@
 func (g *guide) Read(string)               {}
 func (g *guide) Failed(string, error)      {}
 func (g *guide) MayAsk(time.Duration) bool { return true }
+func (g *guide) Claim() bool               { return g.outage.Claim(g.clock(), 0) }
 func (g *guide) Lost()                     { g.outage.Lost(g.clock(), 0) }
 func (g *guide) Regained()                 { g.outage.Regained() }
 func (g *guide) Turn() (time.Duration, bool) {
@@ -52,6 +53,7 @@
 func (g *ranked) Read(peer string)               { g.peers.Read(peer) }
 func (g *ranked) Failed(peer string, err error)  { g.peers.Failed(g.clock(), peer, err == ErrStale) }
 func (g *ranked) MayAsk(left time.Duration) bool { return watching.MayAsk(g.rank, left) }
+func (g *ranked) Claim() bool                    { return g.outage.Claim(g.clock(), g.rank) }
 func (g *ranked) Lost()                          { g.outage.Lost(g.clock(), g.rank) }
 func (g *ranked) Turn() (time.Duration, bool) {
 	t := g.outage.Turn(g.clock(), func() int { return g.rank })
@@ -63,10 +65,12 @@
 	clock    Clock
 	platform *numbers
 	calls    atomic.Int64
+	watches  atomic.Int64
 
 	mu      sync.Mutex        // guards what follows
 	turned  func(vm int) bool // the platform turns the VM away
 	history int64             // the revision from which the platform keeps its history
+	silent  bool              // calls get no answer
 	hang    time.Duration     // watches that are to be answered before this time wait until then
 	vms     []*fleetVM
 }
@@ -74,6 +78,7 @@
 type fleetVM struct {
 	fleet *fleet
 	rank  int
+	late  time.Duration // after which it starts
 	feeds map[string]*Feed
 	view  *View
 }
@@ -109,6 +114,12 @@
 	return watching.VM{Address: fmt.Sprint(i), DataCentre: fmt.Sprint("dc", i*i%7%3)}
 }
 
+func (f *fleet) isSilent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silent
+}
+
 // set changes the fleet or its platform.
 func (f *fleet) set(change func()) {
 	f.mu.Lock()
@@ -142,10 +153,16 @@
 			Kind: kind, Source: vm, Wait: fleetBound / 2, Clock: vm.fleet.clock, Apply: func(Update[*catalog.Config]) {},
 			Log: zerolog.Nop(), Feed: vm.feeds[kind], Reader: vm, Guide: g, Patience: patience,
 		}
+		if patience == 0 {
+			f.Recent, f.Settle = kind == "roll-outs" || kind == "data-centres-out", 300*time.Millisecond
+		}
 		if kind == "configuration" {
 			f.Apply = vm.view.ApplyConfig
 		}
-		running.Go(func() { f.Run(ctx) })
+		running.Go(func() {
+			sleep(ctx, vm.late)
+			f.Run(ctx)
+		})
 	}
 }
 
@@ -183,9 +200,14 @@
 }
 
 func (vm *fleetVM) Watch(ctx context.Context, after int64, wait time.Duration) (Changes[*catalog.Config], error) {
+	vm.fleet.watches.Add(1)
 	if err := vm.call(); err != nil {
 		return Changes[*catalog.Config]{}, err
 	}
+	if vm.fleet.isSilent() {
+		<-ctx.Done()
+		return Changes[*catalog.Config]{}, durable.ErrUnavailable
+	}
 	vm.fleet.mu.Lock()
 	gone, hang := after < vm.fleet.history, vm.fleet.hang
 	vm.fleet.mu.Unlock()
@@ -243,6 +265,20 @@
 	})
 }
 
+// The store falls silent: of the kinds of a VM one asks it before the failure is known.
+func TestSilenceCostsOneCallAVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 60)
+		f.set(func() { f.silent = true })
+		f.pass(1400 * time.Millisecond) // the word of all gets too old at about the same time
+		require.LessOrEqual(t, f.pass(600*time.Millisecond), int64(70))
+		f.set(func() { f.silent = false })
+		f.platform.change()
+		f.pass(fleetBound)
+		f.requireVersion(t, 6)
+	})
+}
+
 // The store turns both VMs that watch it away, by errors, and serves the others. Those
 // must not all ask it: two that stand in do, and the others read from these. A change is
 // in force on them within the bound, as it would be on the watchers.
@@ -332,6 +368,34 @@
 	})
 }
 
+// All VMs start again and list for themselves; a list that proves nothing must not send each
+// of them to the platform for the other kinds as well.
+func TestRestartOfAllCostsFewWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 60
+		f := &fleet{clock: sinceStart(), platform: &numbers{version: 5, wake: make(chan struct{})}, turned: func(int) bool { return false }}
+		time.Sleep(time.Minute)
+		var names []watching.VM
+		for i := range n {
+			names = append(names, vmName(i))
+			vm := &fleetVM{
+				fleet: f, rank: i, late: time.Duration(i*37%n) * 4 * time.Millisecond,
+				feeds: make(map[string]*Feed), view: New(Settings{Clock: f.clock, Log: zerolog.Nop()}),
+			}
+			for _, kind := range fleetKinds {
+				vm.feeds[kind] = NewFeed(f.clock, 3*fleetBound/4)
+			}
+			f.vms = append(f.vms, vm)
+		}
+		for _, vm := range f.vms {
+			vm.run(t, names, 0)
+		}
+		f.pass(5 * time.Second)
+		f.requireVersion(t, 5)
+		require.LessOrEqual(t, f.watches.Load(), int64(100), "two VMs watch four kinds, each a second")
+	})
+}
+
 // A VM starts again while the store turns it away. It knows nothing, and serves nobody
 // until it does: it must learn the kinds from the others, not wait for the store.
 func TestRestartedVMThatIsTurnedAway(t *testing.T) {
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -72,7 +72,8 @@
 	// probeWait is the wait of the first watch after a failure, so that a store that is
 	// back is known to be. It is also that of the first call after a feed, whose word is
 	// older: a VM that waited out its watch then gave its own readers no word for longer
-	// than they wait, so that they asked the platform as well, and theirs after them.
+	// than they wait, so that they asked the platform as well, and theirs after them. After a
+	// listing that may be old it brings the proof that readers wait for.
 	probeWait = 50 * time.Millisecond
 )
 
@@ -326,9 +327,12 @@
 	if !ask || f.readPeer && !f.Guide.MayAsk(f.Feed.left()) {
 		return revision, errNoWord
 	}
-	if f.lostAt != 0 || f.readPeer {
+	if f.lostAt != 0 || f.readPeer || f.Feed.isUnproved() {
 		wait = probeWait
 	}
+	if f.readPeer && !f.Guide.Claim() {
+		return revision, errNoWord
+	}
 	f.readPeer, f.othersToo = false, f.readPeer
 	c, proof, err := f.ask(ctx, revision, wait)
 	if err != nil {
--- a/gateway/view/source.go
+++ b/gateway/view/source.go
@@ -73,6 +73,8 @@
 	// MayAsk says whether a VM that found no word at others asks the platform; left is
 	// how long its own word still holds, negative when it is too old.
 	MayAsk(left time.Duration) bool
+	// Claim asks for the platform for a VM that found no word at others: one kind at a time.
+	Claim() bool
 	// Lost notes that the VM has no word of the platform, Regained that it has.
 	Lost()
 	Regained()
--- a/policy/watching/outage.go
+++ b/policy/watching/outage.go
@@ -30,25 +30,43 @@
 	lost    bool
 	next    time.Duration // a try before it waits
 	nextAsk time.Duration // the platform isn't asked before it
+	granted bool          // the last turn may ask, and hasn't yet
 }
 
 // Lost notes that the VM has no word of the platform.
 func (o *Outage) Lost(now time.Duration, rank int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.lost {
-		return
+	if !o.lost {
+		o.begin(now, rank)
 	}
+}
+
+func (o *Outage) begin(now time.Duration, rank int) {
 	o.lost = true
 	o.next = now + turnPause
 	o.nextAsk = now + askPause(rank)
 }
 
+// Claim asks for the platform before a call of a VM that found no word at others: one kind
+// calls for all, also before the first call has failed. The call's success ends the outage.
+func (o *Outage) Claim(now time.Duration, rank int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.lost {
+		o.begin(now, rank)
+		return true
+	}
+	granted := o.granted
+	o.granted = false
+	return granted
+}
+
 // Regained notes word of the platform, from itself or another VM.
 func (o *Outage) Regained() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lost = false
+	o.lost, o.granted = false, false
 }
 
 // Turn is what one kind may do now.
@@ -72,6 +90,7 @@
 	o.next = now + turnPause
 	t := Turn{Ask: now >= o.nextAsk}
 	if t.Ask {
+		o.granted = true
 		o.nextAsk = now + askPause(rank())
 	}
 	return t
--- a/policy/watching/peers.go
+++ b/policy/watching/peers.go
@@ -1,6 +1,7 @@
 package watching
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -63,11 +64,16 @@
 	for _, i := range candidates(place.parent(rank), rank) {
 		peers = append(peers, ranked[i])
 	}
-	for _, peer := range append(peers, place.Last...) {
+	peers = append(peers, place.Last...)
+	for _, peer := range peers {
 		if now >= p.failed[peer].until && !slices.Contains(out, peer) {
 			out = append(out, peer)
 		}
 	}
+	if len(out) == 0 && (rank >= direct+standIns || len(place.Last) > 0) {
+		// None would have this VM watch the platform, as those do that stand in.
+		out = []string{slices.MinFunc(peers, func(a, b string) int { return cmp.Compare(p.failed[a].until, p.failed[b].until) })}
+	}
 	return out
 }
 
--- a/policy/watching/watching_test.go
+++ b/policy/watching/watching_test.go
@@ -72,6 +72,26 @@
 	require.Empty(t, p.Sources(now, at(ranked[2:], 0)), "the feed ended")
 }
 
+// All VMs to read from had no word a moment ago: one is asked again, since a VM that has none
+// to ask watches the platform, as two of the fleet do.
+func TestVMsWithoutWordMakeNoWatcher(t *testing.T) {
+	var ranked []VM
+	for i, name := range fleet(195) {
+		ranked = append(ranked, VM{Address: name, DataCentre: fmt.Sprint("dc", i%6)})
+	}
+	watch := 0
+	for rank := range ranked {
+		p, place := NewPeers(), PlaceOf(ranked, rank)
+		for _, s := range p.Sources(time.Minute, place) {
+			p.Failed(time.Minute, s, true)
+		}
+		if len(p.Sources(time.Minute, place)) == 0 {
+			watch++
+		}
+	}
+	require.Equal(t, direct+standIns, watch)
+}
+
 // A VM's feed breaks off by a reset connection and is there again: it is read again after
 // a moment. One that is cut off is tried less and less often, since each try costs a
 // timeout. One that says that it has no word may have it again any time.
