Send one datagram a round to other data centres, on the own one's VMs

Change: what crosses speaks of the sender's own data centre, of which the others hear nowhere else, so that far fewer carry as much: one of twelve at 30 VMs a data centre. Datagrams within name two members in place of one, so that VMs that know one other meet as fast.

Measured in virtual time, 91 VMs in three data centres (TestCalmFleetIsHeard): far datagrams 0.33 to 0.08 of all, VMs not heard 0.0003 or less to none in a hundred rounds, 302 to 330 B a datagram. TestFleetMeets failed with one member named.

--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -96,11 +96,9 @@
 // send sends a round.
 func (s *Service) send(rng *rand.Rand) {
 	payload := s.cfg.Payload()
-	to, others, words := s.table.Round(s.cfg.Clock(), rng, len(payload) > 0)
-	if len(to) == 0 {
-		return
+	for _, b := range s.table.Round(s.cfg.Clock(), rng, len(payload) > 0) {
+		s.sendTo(b.To, payload, b.Others, b.Words)
 	}
-	s.sendTo(to, payload, others, words)
 }
 
 func (s *Service) sendTo(to []string, payload []byte, others []Member, words []Word) {
--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -29,14 +29,16 @@
 	// forgotten is how long a silent VM is still sent a datagram now and then: it may
 	// have been cut off rather than gone.
 	forgotten = 2 * time.Minute
-	// farFanout is how many of those go to other data centres, where bytes are billed: what
-	// is heard there is passed on within. 91 VMs in three data centres miss no more of
-	// each other so than with equal parts.
+	// farFanout bounds those that go to other data centres, where bytes are billed: what is
+	// heard there is passed on within.
 	farFanout = 4
+	// farWords is how often in a round each VM of a data centre is spoken of to each other one,
+	// on the mean: one datagram in a hundred is lost, and words are drawn at random.
+	farWords = 3
 	// maxNamed bounds the members whose addresses a datagram gives, and maxNamedLarge does in
-	// a fleet that is larger than a round reaches: 60 bytes each, and many name some.
+	// a fleet that is larger than a round reaches: 60 bytes each.
 	maxNamed      = 4
-	maxNamedLarge = 1
+	maxNamedLarge = 2
 	// maxWords bounds the members, drawn at random, of which a datagram says when they
 	// were heard, 9 bytes each. A round brings 12 datagrams, so that in a fleet of 91 each
 	// VM is spoken of in three of them.
@@ -272,14 +274,21 @@
 // silentEvery is how often a VM that isn't heard is sent a datagram.
 const silentEvery = 5 * Interval
 
-// Round returns whom to send this round's message, members to name in it, and words on
-// some that are heard. VMs that were not sent to for longest come first. wide says that this
-// VM has something to add to the fleet's sums, which others don't pass on: the round then
-// goes to all data centres alike.
-func (t *Table) Round(now time.Duration, rng *rand.Rand, wide bool) (to []string, others []Member, words []Word) {
+// Batch is one datagram of a round and who gets it.
+type Batch struct {
+	To     []string
+	Others []Member // members to name in it
+	Words  []Word   // on some that are heard
+}
+
+// Round returns what to send this round. VMs that were not sent to for longest come first.
+// Words to other data centres are of this one's VMs, which these hear of nowhere else. wide
+// says that this VM has something to add to the fleet's sums, which others don't pass on: the
+// round then goes to all data centres alike.
+func (t *Table) Round(now time.Duration, rng *rand.Rand, wide bool) []Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var due, alive []*peer
+	var due, alive, own []*peer
 	for name, p := range t.peers {
 		if now-max(p.heard, p.learnt) > forgotten {
 			delete(t.peers, name)
@@ -293,40 +302,60 @@
 		if live {
 			alive = append(alive, p)
 		}
+		if live && p.DataCentre == t.self.DataCentre {
+			own = append(own, p)
+		}
 	}
 	// In an order of its own: VMs that start together would all send to the same ones at a time.
-	slices.SortFunc(due, func(a, b *peer) int { return strings.Compare(a.Name, b.Name) })
-	rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	shuffle(rng, due)
 	slices.SortStableFunc(due, func(a, b *peer) int { return cmp.Compare(a.sent, b.sent) })
-	for _, p := range t.spread(due, wide) {
-		p.sent = now
-		to = append(to, p.Peer)
+	near, far := t.spread(due, wide)
+	var out []Batch
+	for _, part := range []struct{ to, about []*peer }{{near, alive}, {far, own}} {
+		if len(part.to) == 0 {
+			continue
+		}
+		batch := Batch{}
+		for _, p := range part.to {
+			p.sent = now
+			batch.To = append(batch.To, p.Peer)
+		}
+		shuffle(rng, part.about)
+		batch.Others, batch.Words = t.tell(now, part.about)
+		out = append(out, batch)
 	}
-	slices.SortFunc(alive, func(a, b *peer) int { return strings.Compare(a.Name, b.Name) })
-	rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	return out
+}
+
+func shuffle(rng *rand.Rand, peers []*peer) {
+	slices.SortFunc(peers, func(a, b *peer) int { return strings.Compare(a.Name, b.Name) })
+	rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// tell is what a datagram says of some members, in random order. Callers hold t.mu.
+func (t *Table) tell(now time.Duration, about []*peer) (others []Member, words []Word) {
 	named := maxNamed
 	if len(t.peers) > fanout {
 		named = maxNamedLarge
 	}
-	for _, p := range alive[:min(named, len(alive))] {
+	for _, p := range about[:min(named, len(about))] {
 		others = append(others, p.Member)
 	}
 	if len(t.peers) <= fanout {
-		return to, others, nil // all are heard at first hand
+		return others, nil // all are heard at first hand
 	}
-	for _, p := range alive[:min(maxWords, len(alive))] {
+	for _, p := range about[:min(maxWords, len(about))] {
 		words = append(words, Word{Mark: markOf(p.Name), AgeMs: uint32((now - p.heard).Milliseconds()), Ready: p.ready})
 	}
-	return to, others, words
+	return others, words
 }
 
-// spread takes a round's receivers from those that are due, in the order given; mostly from
-// this VM's data centre unless wide.
-func (t *Table) spread(due []*peer, wide bool) []*peer {
+// spread takes a round's receivers from those that are due, in the order given: mostly from
+// this VM's data centre, or without distinction if wide. Callers hold t.mu.
+func (t *Table) spread(due []*peer, wide bool) (near, far []*peer) {
 	if wide || len(due) <= fanout {
-		return due[:min(fanout, len(due))]
+		return due[:min(fanout, len(due))], nil
 	}
-	var near, far []*peer
 	for _, p := range due {
 		if p.DataCentre == t.self.DataCentre {
 			near = append(near, p)
@@ -334,6 +363,20 @@
 			far = append(far, p)
 		}
 	}
-	n := min(len(near), fanout-min(farFanout, len(far)))
-	return append(near[:n:n], far[:min(len(far), fanout-n)]...)
+	n := min(len(near), fanout-min(t.farShare(), len(far)))
+	return near[:n], far[:min(len(far), fanout-n, t.farShare())]
+}
+
+// farShare is how many datagrams of a round go to other data centres. Callers hold t.mu.
+func (t *Table) farShare() int {
+	own, centres := 1, map[string]bool{}
+	for _, p := range t.peers {
+		if p.DataCentre == t.self.DataCentre {
+			own++
+		} else {
+			centres[p.DataCentre] = true
+		}
+	}
+	told := min(own, maxWords)
+	return min((farWords*len(centres)+told-1)/told, farFanout)
 }
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -51,27 +51,33 @@
 		if f.cut[i] {
 			continue
 		}
-		to, others, words := t.Round(now, f.rng, f.wide)
-		f.seq[i]++
-		for _, peer := range to {
-			f.sent++
-			var j int
-			fmt.Sscan(peer, &j)
-			if member(i).DataCentre != member(j).DataCentre {
-				f.far++
-			}
-			m := &Message{From: member(i), Life: f.life[i], Sequence: f.seq[i], Ready: f.ready[i], Others: others, Words: words}
-			if f.weigh {
-				b, _ := cbor.Marshal(m) // what can't be encoded is too light, and fails the test
-				f.bytes += len(b)
-			}
-			if !f.cut[j] && f.rng.IntN(100) > 0 {
-				f.tables[j].Heard(now, m)
+		for _, batch := range t.Round(now, f.rng, f.wide) {
+			f.seq[i]++
+			for _, peer := range batch.To {
+				f.send(now, i, peer, batch)
 			}
 		}
 	}
 }
 
+// send sends one datagram of a VM.
+func (f *fleet) send(now time.Duration, i int, peer string, batch Batch) {
+	f.sent++
+	var j int
+	fmt.Sscan(peer, &j)
+	if member(i).DataCentre != member(j).DataCentre {
+		f.far++
+	}
+	m := &Message{From: member(i), Life: f.life[i], Sequence: f.seq[i], Ready: f.ready[i], Others: batch.Others, Words: batch.Words}
+	if f.weigh {
+		b, _ := cbor.Marshal(m) // what can't be encoded is too light, and fails the test
+		f.bytes += len(b)
+	}
+	if !f.cut[j] && f.rng.IntN(100) > 0 {
+		f.tables[j].Heard(now, m)
+	}
+}
+
 func (f *fleet) run(from, to time.Duration) {
 	for now := from; now < to; now += Interval {
 		f.round(now)
@@ -261,7 +267,7 @@
 	require.NotZero(t, f.bytes)
 	t.Logf("%.5f not heard, %.2f of the datagrams far, %d bytes a datagram", float64(missing)/(n*(n-1)*rounds), float64(f.far)/float64(f.sent), f.bytes/f.sent)
 	require.Less(t, missing, n*(n-1)*rounds/1000)
-	require.Less(t, 5*f.far, 2*f.sent)
+	require.Less(t, 10*f.far, f.sent)
 	require.Less(t, f.bytes/f.sent, 400)
 }
 
--- a/gateway/node/pins_test.go
+++ b/gateway/node/pins_test.go
@@ -208,16 +208,17 @@
 func (f *fleet) round(i int, sequence uint64) {
 	v := f.vms[i]
 	words := v.word(f.now)
-	to, others, heard := v.table.Round(f.now, f.rng, len(words) > 0)
-	m := &gossip.Message{From: v.self, Life: 1, Sequence: sequence, Ready: true, Others: others, Words: heard}
-	for _, peer := range to {
-		if f.rng.Float64() < lossShare {
-			continue
+	for n, batch := range v.table.Round(f.now, f.rng, len(words) > 0) {
+		m := &gossip.Message{From: v.self, Life: 1, Sequence: 2*sequence + uint64(n), Ready: true, Others: batch.Others, Words: batch.Words}
+		for _, peer := range batch.To {
+			if f.rng.Float64() < lossShare {
+				continue
+			}
+			f.arrive = append(f.arrive, arrival{f.now + delay, f.at(peer), func(u *fleetVM) {
+				u.table.Heard(f.now, m)
+				u.take(f.now, v.self.Name, words)
+			}})
 		}
-		f.arrive = append(f.arrive, arrival{f.now + delay, f.at(peer), func(u *fleetVM) {
-			u.table.Heard(f.now, m)
-			u.take(f.now, v.self.Name, words)
-		}})
 	}
 }
 
