--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -181,9 +181,9 @@
 
 const (
 	// startTime is how long after its start a VM holds requests that come before it knows what
-	// it serves: mostly it does within a fifth of a second, and a caller that is sent away comes
-	// back to another VM that has just started as well.
-	startTime = 500 * time.Millisecond
+	// it serves. When hundreds come back at once a large configuration takes over half a second
+	// to reach them all; a caller that is sent away comes back to another that has just started.
+	startTime = time.Second
 	// startShare of the caller's time bounds what it is held.
 	startShare = 0.25
 )
