Find other VMs at a first start by a list that may be old

A list that has the VM's own entry is newer than that, so that of two VMs that start together one still reads the other's entry; one that lacks it is followed by a new list, as before.

--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -14,10 +14,9 @@
 
 // announce reads which VMs there are, and enters this one if it isn't there as it is:
 // after a restart it mostly is, which saves the write. A VM that entered itself reads
-// once more: of two that start together at least one then reads the other's entry,
-// and its datagrams tell the other, so that no watch is needed. When a fleet starts for
-// the first time nobody is there, and entering comes first. The first read after a restart
-// may be some seconds old: entries change when VMs are replaced, and most are as they were.
+// once more, a list that has its own entry: of two that start together at least one then
+// reads the other's, and its datagrams tell the other, so that no watch is needed. When a
+// fleet starts for the first time nobody is there, and entering comes first.
 func (n *Node) announce(ctx context.Context) {
 	entered := false
 	read := func(list func(context.Context) (view.Listing[gossip.Member], error)) func(context.Context) error {
@@ -34,6 +33,10 @@
 	}
 	if !entered {
 		n.retry(ctx, "announce", func(c context.Context) error { return n.p.Announce(c, n.self()) })
+		n.retry(ctx, "read VMs", read(n.p.VMs().Recent))
+	}
+	if !entered {
+		// The list is older than this VM's entry, and may lack those of VMs that started with it.
 		n.retry(ctx, "read VMs", read(n.p.VMs().List))
 	}
 	if n.s.FirstStart {
