Hold against an endpoint only what it fails beyond the usual

Change: an endpoint's share counts where it is above that of the pool's better quarter by more than two standard deviations of chance. TestFailuresOfRequestsShiftNoLoad (120 VMs, nine endpoints, 14 in 100 fail): without it half of all requests of half a second go to one endpoint.

--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -50,8 +50,9 @@
 	running   float64
 	elsewhere Share // what the other VMs told, as of Table.toldAt
 	requests  int
-	record    record // of this VM's attempts
-	fleet     Record // of all VMs' attempts, as of Table.judgedAt
+	record    record  // of this VM's attempts
+	fleet     Record  // of all VMs' attempts, as of Table.judgedAt
+	worse     float64 // share of its requests that it fails beyond what is usual in its pool
 
 	coldUntil  time.Time
 	coldTokens float64
--- a/policy/placement/record.go
+++ b/policy/placement/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	recordsFor = 2 * time.Second
 	// fewRuns is the weight of attempts below which a share of failures is taken for chance.
 	fewRuns = 4.0
+	// chances is by how many standard deviations a share must be above the usual one.
+	chances = 2.0
 	// failingPenalty is what an endpoint that fails all requests costs, in requests. A failed
 	// attempt costs the caller one of a few, and what it waited for so far.
 	failingPenalty = 50.0
@@ -77,16 +80,22 @@
 func (t *Table) SetRecords(now time.Time, sums map[uint32]Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	pools := make(map[*pool]struct{})
 	for _, e := range t.judged {
-		e.fleet = Record{}
+		e.fleet, e.worse = Record{}, 0
+		pools[t.services[e.Service]] = struct{}{}
 	}
 	t.judged = t.judged[:0]
 	for short, r := range sums {
 		if e := t.short[short]; e != nil {
 			e.fleet = r
 			t.judged = append(t.judged, e)
+			pools[t.services[e.Service]] = struct{}{}
 		}
 	}
+	for p := range pools {
+		p.judge()
+	}
 	t.judgedAt = now
 }
 
@@ -94,6 +103,22 @@
 // and few attempts tell little.
 func (r Record) failing() float64 { return max(r.Failed-1, 0) / (r.Runs + fewRuns) }
 
+// judge finds how much more of its requests each endpoint of a pool fails than what is usual in
+// the better quarter of the pool and the chance in its attempts explain: requests that fail
+// everywhere make no endpoint worse.
+func (p *pool) judge() {
+	shares := make([]float64, len(p.list))
+	for i, e := range p.list {
+		shares[i] = e.fleet.failing()
+	}
+	slices.Sort(shares)
+	usual := shares[len(shares)/4]
+	for _, e := range p.list {
+		chance := chances * math.Sqrt(usual*(1-min(usual, 1))/(e.fleet.Runs+fewRuns))
+		e.worse = max(e.fleet.failing()-usual-chance, 0)
+	}
+}
+
 // risk is what an endpoint costs for the failures that the fleet met there, in requests.
 func (t *Table) risk(now time.Time, e *endpoint) float64 {
 	if now.Sub(t.judgedAt) >= recordsFor {
@@ -102,5 +127,5 @@
 	if e.fleet.OtherLife {
 		return avoidedPenalty
 	}
-	return failingPenalty * e.fleet.failing()
+	return failingPenalty * e.worse
 }
--- a/policy/placement/record_test.go
+++ b/policy/placement/record_test.go
@@ -78,6 +78,36 @@
 	require.LessOrEqual(t, toldUnserved, aloneUnserved/4)
 }
 
+// Requests that fail everywhere must not send all VMs to the endpoints that failed fewest.
+func TestFailuresOfRequestsShiftNoLoad(t *testing.T) {
+	const vms, endpoints, perSecond, seconds = 120, 9, 160, 10
+	r := rand.New(rand.NewPCG(4, 1))
+	tables := make([]*Table, vms)
+	for i := range tables {
+		tables[i] = table(endpoints)
+	}
+	runs := make(map[string]int)
+	for i := range seconds * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		if i%(perSecond/2) == 0 {
+			sums := pooled(tables, now)
+			for _, t := range tables {
+				t.SetRecords(now, sums)
+			}
+			runs = make(map[string]int)
+		}
+		vm := tables[r.IntN(vms)]
+		c, _ := vm.Pick(now, r, &Request{Service: "s", Work: 1})
+		runs[c.ID]++
+		if r.Float64() < 0.14 {
+			vm.Done(now, c, Failed)
+		} else {
+			vm.Done(now, c, Good)
+		}
+		require.Less(t, runs[c.ID], 40, "of 80 requests in half a second")
+	}
+}
+
 // An engine that is the only one left must serve, whatever it failed before.
 func TestFailingEngineIsUsedWhereNoOtherIs(t *testing.T) {
 	tb := table(1)
