--- a/fleet/tally/doc.go
+++ b/fleet/tally/doc.go
@@ -18,6 +18,10 @@
 // VMs until it had learnt for itself, and requests that found several dead ones in a row
 // were refused.
 //
+// Twice a second a VM tells what became of its attempts lately, by endpoint, and is answered
+// with the sums over the fleet. An endpoint that fails one in three of its requests is met by
+// each of hundreds of VMs once or twice in that time, which tells none of them anything.
+//
 // Nothing rests on it but the quality of a choice: a VM whose keeper is silent waits a
 // few ms once, goes to the next keeper, and chooses by what it has itself under way.
 //
--- a/policy/placement/doc.go
+++ b/policy/placement/doc.go
@@ -15,6 +15,10 @@
 // (SetElsewhere). Without it dozens of VMs, each with a small part of the requests, choose
 // nearly at random, and streams queue at one engine while others are idle.
 //
+// What all VMs saw endpoints fail is told as well (SetRecords): among hundreds of VMs each
+// meets an endpoint too seldom to judge it. An endpoint that fails more of its requests than
+// is usual in its pool costs more, one at whose address another life answers is left.
+//
 // A choice is made among the endpoints that may be used, by an estimate of the
 // work before the request: two candidates by the hash of its shared prompt part,
 // the same on each VM, are taken unless the least loaded of all is better by more
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -8,20 +8,24 @@
 
 // Row is one endpoint in a state dump: why it gets work or not.
 type Row struct {
-	ID         string  `json:"id"`
-	Service    string  `json:"service"`
-	Address    string  `json:"address"`
-	DataCentre string  `json:"dataCentre"`
-	Version    string  `json:"version"`
-	Draining   bool    `json:"draining"`
-	Out        bool    `json:"dataCentreOut"`
-	ColdMs     int64   `json:"coldMs"`
-	AvoidMs    int64   `json:"avoidMs"`
-	Lost       bool    `json:"lost"`
-	Detector   int     `json:"detector"`
-	Load       float64 `json:"load"`
-	Running    int     `json:"running"`
-	Slots      int     `json:"slots"`
+	ID         string `json:"id"`
+	Service    string `json:"service"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
+	Version    string `json:"version"`
+	Draining   bool   `json:"draining"`
+	Out        bool   `json:"dataCentreOut"`
+	ColdMs     int64  `json:"coldMs"`
+	AvoidMs    int64  `json:"avoidMs"`
+	Lost       bool   `json:"lost"`
+	Detector   int    `json:"detector"`
+	// Failing is the share of its requests that the fleet saw it fail beyond what is usual in
+	// its service; OtherLife says that another life answers at its address.
+	Failing   float64 `json:"failing"`
+	OtherLife bool    `json:"otherLife"`
+	Load      float64 `json:"load"`
+	Running   int     `json:"running"`
+	Slots     int     `json:"slots"`
 }
 
 // Rows lists all endpoints by id.
@@ -34,6 +38,7 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Out: t.out[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
 			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Lost: e.lost, Detector: int(e.detected),
+			Failing: e.worse, OtherLife: e.fleet.OtherLife,
 			Load: e.running, Running: e.requests, Slots: e.Slots,
 		})
 	}
