Let a claim of the platform bring no pause by rank

Likely cause, not shown: a VM that claimed the platform for one kind counted as without word until the call had succeeded, and a call that came to nothing in such a VM was followed by the pause by rank, ten seconds for most. Change: a claim only keeps the other kinds back for the length of a short call; the pause follows a failure, and is five seconds at most.

--- a/gateway/node/watchers.go
+++ b/gateway/node/watchers.go
@@ -79,7 +79,7 @@
 func (w *watchers) MayAsk(left time.Duration) bool { return watching.MayAsk(w.rank(), left) }
 
 // Claim implements view.Guide.
-func (w *watchers) Claim() bool { return w.outage.Claim(bootClock(), w.rank()) }
+func (w *watchers) Claim() bool { return w.outage.Claim(bootClock()) }
 
 // Lost implements view.Guide.
 func (w *watchers) Lost() { w.outage.Lost(bootClock(), w.rank()) }
--- a/gateway/view/fleet_test.go
+++ b/gateway/view/fleet_test.go
@@ -31,7 +31,7 @@
 func (g *guide) Read(string)               {}
 func (g *guide) Failed(string, error)      {}
 func (g *guide) MayAsk(time.Duration) bool { return true }
-func (g *guide) Claim() bool               { return g.outage.Claim(g.clock(), 0) }
+func (g *guide) Claim() bool               { return g.outage.Claim(g.clock()) }
 func (g *guide) Lost()                     { g.outage.Lost(g.clock(), 0) }
 func (g *guide) Regained()                 { g.outage.Regained() }
 func (g *guide) Turn() (time.Duration, bool) {
@@ -53,7 +53,7 @@
 func (g *ranked) Read(peer string)               { g.peers.Read(peer) }
 func (g *ranked) Failed(peer string, err error)  { g.peers.Failed(g.clock(), peer, err == ErrStale) }
 func (g *ranked) MayAsk(left time.Duration) bool { return watching.MayAsk(g.rank, left) }
-func (g *ranked) Claim() bool                    { return g.outage.Claim(g.clock(), g.rank) }
+func (g *ranked) Claim() bool                    { return g.outage.Claim(g.clock()) }
 func (g *ranked) Lost()                          { g.outage.Lost(g.clock(), g.rank) }
 func (g *ranked) Turn() (time.Duration, bool) {
 	t := g.outage.Turn(g.clock(), func() int { return g.rank })
--- a/policy/watching/outage.go
+++ b/policy/watching/outage.go
@@ -11,6 +11,9 @@
 	// turnPause is the time between two tries of a VM, of whichever kind, to get word from
 	// others: each is some round trips within the data centres.
 	turnPause = 200 * time.Millisecond
+	// claimFor is how long one kind may ask for all: a short call, which is given up after a
+	// second.
+	claimFor = 1200 * time.Millisecond
 	// firstAsk is the time between two calls of the VM that ranks first to a platform that
 	// doesn't answer. With the tries at others, 60 VMs know of its return within a second.
 	firstAsk = 500 * time.Millisecond
@@ -18,9 +21,9 @@
 	// as the first. 91 VMs ask 37 times a second then, in place of 710.
 	rankShare = 4
 	// lastAsk bounds that pause: a VM that alone is served, or finds no other VM, is back
-	// within it. The first 76 VMs ask more often, 24 times a second together; each hundred
-	// more adds ten.
-	lastAsk = 10 * time.Second
+	// within it. The first 36 VMs ask more often, 18 times a second together; each hundred
+	// more adds 20.
+	lastAsk = 5 * time.Second
 )
 
 // Outage paces one VM's calls while it has no word of the platform, over all kinds: one of
@@ -31,42 +34,44 @@
 	next    time.Duration // a try before it waits
 	nextAsk time.Duration // the platform isn't asked before it
 	granted bool          // the last turn may ask, and hasn't yet
+	claimed time.Duration // a kind is asking for all until then
 }
 
 // Lost notes that the VM has no word of the platform.
 func (o *Outage) Lost(now time.Duration, rank int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.lost {
-		o.begin(now, rank)
+	if o.lost {
+		return
 	}
-}
-
-func (o *Outage) begin(now time.Duration, rank int) {
 	o.lost = true
 	o.next = now + turnPause
 	o.nextAsk = now + askPause(rank)
 }
 
 // Claim asks for the platform before a call of a VM that found no word at others: one kind
-// calls for all, also before the first call has failed. The call's success ends the outage.
-func (o *Outage) Claim(now time.Duration, rank int) bool {
+// calls for all until it is known whether the platform answers. No pause follows from it: a VM
+// that is only short of processor time must not be without word for a pause by rank.
+func (o *Outage) Claim(now time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.lost {
-		o.begin(now, rank)
-		return true
+	if o.lost {
+		granted := o.granted
+		o.granted = false
+		return granted
+	}
+	if now < o.claimed {
+		return false
 	}
-	granted := o.granted
-	o.granted = false
-	return granted
+	o.claimed = now + claimFor
+	return true
 }
 
 // Regained notes word of the platform, from itself or another VM.
 func (o *Outage) Regained() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lost, o.granted = false, false
+	o.lost, o.granted, o.claimed = false, false, 0
 }
 
 // Turn is what one kind may do now.
--- a/policy/watching/watching_test.go
+++ b/policy/watching/watching_test.go
@@ -149,6 +149,21 @@
 	require.LessOrEqual(t, turns, 5*vms*int(length/time.Second))
 }
 
+// A VM of high rank whose first call came to nothing by itself must ask again soon: only a
+// failure of the platform brings the pause by rank.
+func TestClaimBringsNoPause(t *testing.T) {
+	var o Outage
+	now := time.Minute
+	require.True(t, o.Claim(now))
+	require.False(t, o.Claim(now+time.Second), "another kind")
+	require.True(t, o.Turn(now, func() int { return 200 }).Ask)
+	require.True(t, o.Claim(now+claimFor))
+	o.Regained()
+	require.True(t, o.Claim(now+claimFor))
+	o.Lost(now+claimFor, 200)
+	require.False(t, o.Claim(now+2*claimFor), "by turns from now on")
+}
+
 // One kind's try brings word: the others, which waited for it, go on at once.
 func TestWordEndsTheOutage(t *testing.T) {
 	var o Outage
