Log what the fleet holds against an endpoint when that changes

The fleet's sums change where a VM sends its requests, and no line said so. A VM writes one when it takes an endpoint for bad (a tenth of its requests beyond the usual, or another life) and one when for good again. TestChangedJudgementsAreTold.

--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -114,5 +114,7 @@
 		failed, runs := o.Weights()
 		records[o.Endpoint] = placement.Record{Failed: failed, Runs: runs, OtherLife: o.OtherLife}
 	}
-	n.table.SetRecords(time.Now(), records)
+	for _, j := range n.table.SetRecords(time.Now(), records) {
+		n.log.Info().Str("endpoint", j.ID).Float64("failing", j.Failing).Bool("other_life", j.OtherLife).Msg("endpoint judged by the fleet")
+	}
 }
--- a/policy/placement/record.go
+++ b/policy/placement/record.go
@@ -19,6 +19,9 @@
 	recordsFor = 2 * time.Second
 	// fewRuns is the weight of attempts below which a share of failures is taken for chance.
 	fewRuns = 4.0
+	// badShare is the share beyond the usual from which an endpoint gets hardly any work: it
+	// costs five requests then.
+	badShare = 0.1
 	// chances is by how many standard deviations a share must be above the usual one.
 	chances = 2.0
 	// failingPenalty is what an endpoint that fails all requests costs, in requests. A failed
@@ -75,11 +78,26 @@
 	return out
 }
 
+// Judgement is what the fleet holds against an endpoint.
+type Judgement struct {
+	ID string
+	// Failing is the share of its requests that it fails beyond what is usual in its service.
+	Failing   float64
+	OtherLife bool
+}
+
+// bad says that the judgement keeps most work away from the endpoint.
+func (e *endpoint) bad() bool { return e.fleet.OtherLife || e.worse >= badShare }
+
 // SetRecords takes the sums over all VMs, by the endpoints' short names; of those not named
-// there is nothing to tell.
-func (t *Table) SetRecords(now time.Time, sums map[uint32]Record) {
+// there is nothing to tell. It returns the judgements that became bad or good by it.
+func (t *Table) SetRecords(now time.Time, sums map[uint32]Record) (changed []Judgement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := make(map[*endpoint]bool, len(t.judged))
+	for _, e := range t.judged {
+		before[e] = e.bad()
+	}
 	pools := make(map[*pool]struct{})
 	for _, e := range t.judged {
 		e.fleet, e.worse = Record{}, 0
@@ -97,6 +115,17 @@
 		p.judge()
 	}
 	t.judgedAt = now
+	for _, e := range t.judged {
+		if _, ok := before[e]; !ok {
+			before[e] = false
+		}
+	}
+	for e, was := range before {
+		if e.bad() != was {
+			changed = append(changed, Judgement{ID: e.ID, Failing: e.worse, OtherLife: e.fleet.OtherLife})
+		}
+	}
+	return changed
 }
 
 // failing estimates the share of its requests that an endpoint fails. One failure is chance,
--- a/policy/placement/record_test.go
+++ b/policy/placement/record_test.go
@@ -118,6 +118,18 @@
 	tb.Done(start, c, Good)
 }
 
+// A judgement is told when it becomes bad and when it becomes good, not in between.
+func TestChangedJudgementsAreTold(t *testing.T) {
+	tb := table(4)
+	short := tb.endpoints["e00"].rank.Short()
+	bad := map[uint32]Record{short: {Failed: 9, Runs: 16}}
+	require.Equal(t, []Judgement{{ID: "e00", Failing: 0.4}}, tb.SetRecords(start, bad))
+	require.Empty(t, tb.SetRecords(start, bad))
+	require.Equal(t, []Judgement{{ID: "e00"}}, tb.SetRecords(start, nil))
+	require.Empty(t, tb.SetRecords(start, map[uint32]Record{short: {Failed: 1, Runs: 16}}), "one failure is chance")
+	require.Equal(t, []Judgement{{ID: "e00", OtherLife: true}}, tb.SetRecords(start, map[uint32]Record{short: {OtherLife: true}}))
+}
+
 // Old word must not keep an engine empty that has recovered.
 func TestOldRecordsAreForgotten(t *testing.T) {
 	tb := table(2)
