Let VMs of fleets of hundreds go on hearing of each other

A datagram speaks of 24 others: of what a VM says of itself to twelve, less than one is passed on at that size, and it dies out. So rankings differ from VM to VM, and those that read feeds choose VMs without word.

--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -101,7 +101,7 @@
 	}
 }
 
-func (s *Service) sendTo(to []string, payload []byte, others []Member, words []Word) {
+func (s *Service) sendTo(to []string, payload []byte, others []Member, words Words) {
 	m := Message{
 		From: s.cfg.Self, Life: s.life, Sequence: s.sequence.Add(1), Ready: s.cfg.Ready(),
 		Payload: payload, Others: others, Words: words,
--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -7,8 +7,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -39,10 +37,12 @@
 	// a fleet that is larger than a round reaches: 60 bytes each.
 	maxNamed      = 4
 	maxNamedLarge = 2
-	// maxWords bounds the members, drawn at random, of which a datagram says when they
-	// were heard, 9 bytes each. A round brings 12 datagrams, so that in a fleet of 91 each
-	// VM is spoken of in three of them.
-	maxWords = 24
+	// wordsShare of the members, drawn at random, are those of which a datagram says when they
+	// were heard: what a VM says of itself to twelve others must be passed on by more than one of
+	// them to as many. mostWords bounds them for a datagram of one frame.
+	wordsShare = 4
+	leastWords = 24
+	mostWords  = 160
 	// secondHandRounds is how many rounds more a VM may be silent in a fleet that is
 	// larger than a round reaches, where most is heard at second hand.
 	secondHandRounds = 3
@@ -70,20 +70,9 @@
 	// Others are members that the sender heard lately, a few at a time.
 	Others []Member `cbor:"6,keyasint,omitempty"`
 	// Words say when the sender heard others, at first or second hand.
-	Words []Word `cbor:"7,keyasint,omitempty"`
-}
-
-// Word is what a VM knows of another: a mark of its name, how long ago it last said
-// something, and whether it was ready then.
-type Word struct {
-	_     struct{} `cbor:",toarray"`
-	Mark  uint32
-	AgeMs uint32
-	Ready bool
+	Words Words `cbor:"7,keyasint,omitempty"`
 }
 
-func markOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
-
 type peer struct {
 	Member
 	life, sequence uint64
@@ -155,14 +144,11 @@
 
 // takeWords takes what others heard later than this VM did. A word's age counts from
 // the VM's own datagram, so that passing it on keeps nobody alive. Callers hold t.mu.
-func (t *Table) takeWords(now time.Duration, words []Word) {
-	for _, w := range words {
-		p := t.marks[w.Mark]
-		heard := now - time.Duration(w.AgeMs)*time.Millisecond
-		if p == nil || heard <= p.heard {
-			continue
+func (t *Table) takeWords(now time.Duration, words Words) {
+	for w := range words.all() {
+		if p := t.marks[w.mark]; p != nil && now-w.age > p.heard {
+			p.heard, p.ready = now-w.age, w.ready
 		}
-		p.heard, p.ready = heard, w.Ready
 	}
 }
 
@@ -278,7 +264,7 @@
 type Batch struct {
 	To     []string
 	Others []Member // members to name in it
-	Words  []Word   // on some that are heard
+	Words  Words    // on some that are heard
 }
 
 // Round returns what to send this round. VMs that were not sent to for longest come first.
@@ -333,7 +319,7 @@
 }
 
 // tell is what a datagram says of some members, in random order. Callers hold t.mu.
-func (t *Table) tell(now time.Duration, about []*peer) (others []Member, words []Word) {
+func (t *Table) tell(now time.Duration, about []*peer) (others []Member, words Words) {
 	named := maxNamed
 	if len(t.peers) > fanout {
 		named = maxNamedLarge
@@ -344,12 +330,15 @@
 	if len(t.peers) <= fanout {
 		return others, nil // all are heard at first hand
 	}
-	for _, p := range about[:min(maxWords, len(about))] {
-		words = append(words, Word{Mark: markOf(p.Name), AgeMs: uint32((now - p.heard).Milliseconds()), Ready: p.ready})
+	for _, p := range about[:min(t.words(), len(about))] {
+		words = words.add(word{mark: markOf(p.Name), age: now - p.heard, ready: p.ready})
 	}
 	return others, words
 }
 
+// words is how many members a datagram speaks of. Callers hold t.mu.
+func (t *Table) words() int { return min(max(len(t.peers)/wordsShare, leastWords), mostWords) }
+
 // spread takes a round's receivers from those that are due, in the order given: mostly from
 // this VM's data centre, or without distinction if wide. Callers hold t.mu.
 func (t *Table) spread(due []*peer, wide bool) (near, far []*peer) {
@@ -377,6 +366,6 @@
 			centres[p.DataCentre] = true
 		}
 	}
-	told := min(own, maxWords)
+	told := min(own, t.words())
 	return min((farWords*len(centres)+told-1)/told, farFanout)
 }
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -271,6 +272,48 @@
 	require.Less(t, f.bytes/f.sent, 400)
 }
 
+// Half of 300 VMs are killed and come back with an old list: each must hear of all within the
+// seconds in which they choose whom to read from, and go on hearing of them.
+func TestLargeFleetHearsOfAll(t *testing.T) {
+	const n = 300
+	f := newFleet(n)
+	learn := func(now time.Duration, tb *Table) {
+		for i := range n {
+			tb.Learn(now, member(i))
+		}
+	}
+	for _, tb := range f.tables {
+		learn(0, tb)
+	}
+	f.run(0, 6*time.Second)
+	missing := func(now time.Duration) (out int) {
+		for _, tb := range f.tables {
+			out += n - 1 - len(tb.Usable(now, ""))
+		}
+		return out
+	}
+	require.Less(t, missing(6*time.Second), n*(n-1)/1000, "calm")
+	for i := range n / 2 {
+		f.life[i], f.seq[i], f.tables[i] = 2, 0, NewTable(member(i))
+		learn(6*time.Second, f.tables[i])
+	}
+	f.run(6*time.Second, 8*time.Second)
+	require.Less(t, missing(8*time.Second), n*(n-1)/1000, "two seconds after the restart")
+}
+
+// Guards against a word that keeps a dead VM alive, and bytes that are no word.
+func TestWordsArePacked(t *testing.T) {
+	var ws Words
+	in := []word{{mark: 1, age: 0, ready: true}, {mark: 1 << 31, age: 120 * time.Millisecond}, {mark: 7, age: mostAge, ready: true}}
+	for _, w := range in {
+		ws = ws.add(w)
+	}
+	require.Len(t, ws.add(word{mark: 9, age: mostAge + 1}), len(ws), "too old to tell")
+	in[1].age = 150 * time.Millisecond
+	require.Equal(t, in, slices.Collect(append(ws, 1, 2, 3).all()))
+	require.Empty(t, slices.Collect(Words("abc").all()))
+}
+
 // Guards against VMs that learnt of each other together and all send to the same ones at a time.
 func TestVMsThatStartTogetherHearOfAll(t *testing.T) {
 	const n, rounds = 91, 50
