Judge no endpoint that has left, and leave another life met after a success

Cause: a service without endpoints was judged, since an endpoint that had left was still held as judged. Change: endpoints that leave are judged no more, and a service without any isn't. TestRemovedEndpointIsJudgedNoMore panicked.

Beside it, found by reading: after a success ended an avoidance, another life met within the old avoidance's time was not avoided by the VM itself. TestOtherLifeIsLeftAfterASuccess failed.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -13,8 +13,7 @@
 	// Interval is the time between two rounds of datagrams. A VM that stops is out of
 	// the others' answers after freshRounds of them.
 	Interval = 400 * time.Millisecond
-	// fanout bounds the datagrams of a round, so that a VM's cost stays flat as VMs are
-	// added: 12 of about 380 bytes each 400 ms are 11 KB/s.
+	// fanout bounds the datagrams of a round, so that their number stays flat as VMs are added.
 	fanout = 12
 	// freshRounds is how many rounds to a VM may be missed: one datagram in a hundred
 	// is lost, and a paused process misses a round.
@@ -37,9 +36,9 @@
 	// a fleet that is larger than a round reaches: 60 bytes each.
 	maxNamed      = 4
 	maxNamedLarge = 2
-	// wordsShare of the members, drawn at random, are those of which a datagram says when they
-	// were heard: what a VM says of itself to twelve others must be passed on by more than one of
-	// them to as many. mostWords bounds them for a datagram of one frame.
+	// A datagram says of one in wordsShare members, drawn at random, when they were heard: what
+	// a VM says of itself to twelve others must be passed on by more than one of them to as many.
+	// mostWords bounds them for a datagram of one frame.
 	wordsShare = 4
 	leastWords = 24
 	mostWords  = 160
--- a/policy/placement/record.go
+++ b/policy/placement/record.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// recordLife is the time in which an attempt's weight in the record falls to a third: some
-	// dozens of an endpoint's requests in a fleet that keeps it busy.
+	// recordLife is the time in which an attempt's weight in the record falls to a third.
 	recordLife = 4 * time.Second
 	// leastRuns is the weight below which a VM's attempts at an endpoint tell nothing any more.
 	leastRuns = 0.1
@@ -136,6 +135,9 @@
 // the better quarter of the pool and the chance in its attempts explain: requests that fail
 // everywhere make no endpoint worse.
 func (p *pool) judge() {
+	if len(p.list) == 0 {
+		return
+	}
 	shares := make([]float64, len(p.list))
 	for i, e := range p.list {
 		shares[i] = e.fleet.failing()
--- a/policy/placement/record_test.go
+++ b/policy/placement/record_test.go
@@ -118,6 +118,35 @@
 	tb.Done(start, c, Good)
 }
 
+// Requests that were under way end well after a broken one: another life that is met then must
+// be left all the same.
+func TestOtherLifeIsLeftAfterASuccess(t *testing.T) {
+	tb, r := table(2), rng()
+	var under []Choice
+	for range 3 {
+		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1, Exclude: []string{"e01"}})
+		under = append(under, c)
+	}
+	for i, o := range []Outcome{Broken, Good, Gone} {
+		tb.Done(start, under[i], o)
+	}
+	for range 20 {
+		c, _ := tb.Pick(start.Add(otherLife/2), r, &Request{Service: "s", Work: 1})
+		require.Equal(t, "e01", c.ID)
+		tb.Done(start, c, Good)
+	}
+}
+
+// The last endpoint of a service leaves while the fleet holds something against it.
+func TestRemovedEndpointIsJudgedNoMore(t *testing.T) {
+	tb := table(1)
+	short := tb.endpoints["e00"].rank.Short()
+	tb.SetRecords(start, map[uint32]Record{short: {Failed: 9, Runs: 16}})
+	tb.Remove("e00")
+	require.Empty(t, tb.SetRecords(start, map[uint32]Record{short: {Failed: 9, Runs: 16}}))
+	require.Empty(t, tb.SetRecords(start, nil))
+}
+
 // A judgement is told when it becomes bad and when it becomes good, not in between.
 func TestChangedJudgementsAreTold(t *testing.T) {
 	tb := table(4)
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -169,6 +169,7 @@
 	delete(t.endpoints, id)
 	delete(t.short, e.rank.Short())
 	delete(t.busy, e)
+	t.judged = slices.DeleteFunc(t.judged, func(o *endpoint) bool { return o == e })
 	p := t.services[e.Service]
 	p.list = slices.DeleteFunc(p.list, func(o *endpoint) bool { return o == e })
 	p.changed = true
@@ -333,7 +334,7 @@
 	case Gone:
 		e.record.goneUntil = now.Add(otherLife)
 		e.failed(now)
-		e.avoidUntil = e.record.goneUntil
+		e.avoidFor, e.avoidUntil = max(e.avoidFor, firstAvoidance), e.record.goneUntil
 	case Full:
 		e.succeeded()
 	case Neutral:
