--- a/policy/patience/patience_test.go
+++ b/policy/patience/patience_test.go
@@ -52,10 +52,9 @@
 	require.Zero(t, times.Within("other"))
 }
 
-// play sends 20 s of lookups to ten servers that work on one after the other and loses the
-// answers of a share of them; with waits each is waited out. It returns the shares answered within the aim and never.
-// load is the servers' time asked for by one attempt each. A request that was given up is no
-// more worked on if its turn hadn't come.
+// play sends 20 s of lookups to ten servers that lose the answers of a share of them; with waits
+// each is waited out. It returns the shares answered within the aim and never. load is the
+// servers' time asked for by one attempt each.
 func play(load, lost float64, waits bool) (inAim, never float64) {
 	const (
 		servers = 10
--- a/policy/placement/record_test.go
+++ b/policy/placement/record_test.go
@@ -9,10 +9,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// playLostAnswers lets 120 VMs send 300 requests a second to 100 engines, of which 60 lose four
-// answers in ten from the second second on, and returns how many requests of the last six
-// seconds failed at three engines in a row, and how many attempts failed. With told, a VM
-// takes the fleet's records twice a second.
+// playLostAnswers lets 120 VMs send to 100 engines, of which 60 lose four answers in ten from the
+// second second on, and returns how many requests failed at three engines in a row, and how
+// many attempts. With told, a VM takes the fleet's records twice a second.
 func playLostAnswers(told bool) (unserved, failed int) {
 	const vms, engines, perSecond, seconds = 120, 100, 300, 8
 	r := rand.New(rand.NewPCG(3, 9))
