--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -374,7 +374,7 @@
 
 // reportAnswer reports the result of an attempt for the comparison of versions.
 func (c *call) reportAnswer(ch placement.Choice, failed bool, took time.Duration) {
-	a := AnswerResult{Service: c.service, Version: ch.Version, Route: c.route.Name, Failed: failed, Took: took}
+	a := AnswerResult{Service: c.service, Version: ch.Version, Endpoint: ch.ID, Route: c.route.Name, Failed: failed, Took: took}
 	if c.prompt.wildcard {
 		a.Model = c.route.Models[c.model]
 	}
