Take the counts by endpoint out of the judgement of versions again

Open: endpoints of the new version that are faulty when its trial starts still look like a bad version (docs/findings.md).

--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -67,7 +67,7 @@
 
 // AnswerResult is the result of one attempt, for the comparison of versions.
 type AnswerResult struct {
-	Service, Version, Endpoint, Route, Model string
+	Service, Version, Route, Model string
 	// Failed is set if the endpoint failed the request, by an error or a broken answer.
 	Failed bool
 	// Took is the time to the answer's head (streams) or its end; 0 if unknown.
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -135,12 +135,8 @@
 func (r *rollouts) RecordAnswer(a forward.AnswerResult) {
 	o := r.order(a.Service)
 	slow := r.slow(a, o)
-	switch {
-	case o == nil || o.decided():
-	case a.Version == o.Target:
-		o.trial.CountNew(rendezvous.HashOf(a.Endpoint).Short(), a.Failed, slow)
-	default:
-		o.trial.CountOld(r.clock(), a.Failed, slow)
+	if o != nil && !o.decided() {
+		o.trial.CountAnswer(r.clock(), a.Version == o.Target, a.Failed, slow)
 	}
 }
 
@@ -226,10 +222,10 @@
 	d, reason := o.trial.Decide(now)
 	if d != o.loggedDecision {
 		o.loggedDecision = d
-		from, to := o.trial.Sum()
+		s := o.trial.Sum()
 		r.n.log.Info().Str("roll_out", o.id).Int("decision", int(d)).Str("reason", reason).
-			Uint64("from", from.Requests).Uint64("from_errors", from.Errors).Uint64("from_slow", from.Slow).
-			Uint64("to", to.Requests).Uint64("to_errors", to.Errors).Uint64("to_slow", to.Slow).
+			Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
+			Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow).
 			Dur("age_ms", o.trial.Age(now)).Msg("roll-out judged")
 	}
 	switch d {
