--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -80,6 +80,27 @@
 	require.Equal(t, streamOf(1, 1), r.body)
 }
 
+// The smallest model is somewhat unsure: the next larger one is asked, and the largest only if
+// that one is unsure too. The caller gets the last answer alone.
+func TestMiddlingAnswerIsRepeatedByNextModel(t *testing.T) {
+	for middleConfidence, runs := range map[string]int64{"70": 2, "20": 3} {
+		w := newTestEnv(t, 2)
+		w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+			switch r.Header.Get(testNames.Model) {
+			case "small":
+				events(1, 1, false, testNames.Confidence, "50")(rw, r)
+			case "middle":
+				events(1, 2, false, testNames.Confidence, middleConfidence)(rw, r)
+			case "large":
+				events(1, 3, false, testNames.Confidence, "30")(rw, r)
+			}
+		})
+		r := w.send(http.MethodPost, "/sized/a", "x", testNames.Model, "*")
+		require.Equal(t, streamOf(1, int(runs)), r.body)
+		require.Equal(t, runs, w.totalRuns())
+	}
+}
+
 // A caller that names a model gets that model.
 func TestNamedModelIsKept(t *testing.T) {
 	w := newTestEnv(t, 1)
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -28,7 +28,8 @@
 	// have capacity.
 	Threshold = 55
 	// minNextConfidence and nextThreshold bound the confidence at which the next larger model is
-	// asked: it answers most of these requests well and takes a third of the largest's time.
+	// asked: it answers most of these requests well and takes a third of the largest's time. If
+	// the endpoints are busy they fall as Threshold does.
 	minNextConfidence = 44
 	nextThreshold     = 63
 	// secondThreshold replaces Threshold for the answer of a model in between: two models that
@@ -67,8 +68,7 @@
 const largestWork = 7
 
 // Work returns the time that the model with index at, of n models by size, takes, as a multiple
-// of the smallest model's. Models in between, which are seldom asked, are spaced in geometric
-// progression.
+// of the smallest model's. Models in between are spaced in geometric progression.
 func Work(at, n int) float64 {
 	if n < 2 || at <= 0 {
 		return 1
