--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -12,17 +12,9 @@
 // announcePause is the pause between attempts to write this VM's entry or to read the others.
 const announcePause = 500 * time.Millisecond
 
-const (
-	// recentReads is how often a VM that wrote its entry reads a list that may be old, which
-	// costs a tenth, before it reads one that includes the entry for certain.
-	recentReads = 3
-	// recentReadPause is the pause between these reads. Such a list is some seconds old at most.
-	recentReadPause = time.Second
-)
-
 // announce reads the entries of the VMs and writes this VM's entry if it is missing or
 // different; after a restart it is mostly right, which saves the write. After writing, the VM
-// reads lists until one includes its own entry. Of two VMs that start together at least one then
+// reads a list that includes its own entry. Of two VMs that start together at least one then
 // reads the other's entry, and its datagrams inform the other, so that no watch is needed. At
 // the first start of a fleet there are no entries yet, and the write comes first.
 func (n *Node) announce(ctx context.Context) {
@@ -42,10 +34,6 @@
 	if !entered {
 		n.retry(ctx, "announce", func(c context.Context) error { return n.p.Announce(c, n.self()) })
 		n.retry(ctx, "read VMs", read(n.p.VMs().Recent))
-		for i := 1; i < recentReads && !entered; i++ {
-			sleep(ctx, recentReadPause)
-			n.retry(ctx, "read VMs", read(n.p.VMs().Recent))
-		}
 	}
 	if !entered {
 		// The list is older than this VM's entry and may lack the entries of VMs that started at
--- a/gateway/node/announce_test.go
+++ b/gateway/node/announce_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -12,13 +11,11 @@
 	"goldcrestfork/gateway/view"
 )
 
-// directory holds the VMs' entries on a platform and an older state of them, which the first
-// oldLists of the lists that may be old return; all if negative.
+// directory holds the VMs' entries on a platform and an older state of them.
 type directory struct {
 	Platform
 	view.Source[gossip.Member]
 	now, old []gossip.Member
-	oldLists int
 	lists    []string
 }
 
@@ -37,10 +34,9 @@
 
 func (d *directory) Recent(context.Context) (view.Listing[gossip.Member], error) {
 	d.lists = append(d.lists, "old")
-	if d.oldLists == 0 {
+	if d.old == nil {
 		return listing(d.now), nil
 	}
-	d.oldLists--
 	return listing(d.old), nil
 }
 
@@ -55,30 +51,27 @@
 // be old.
 func TestVMsThatStartTogetherFindEachOther(t *testing.T) {
 	for name, c := range map[string]struct {
-		first    bool
-		entry    bool // the VM's own entry exists already
-		oldLists int
-		lists    []string
+		first bool
+		entry bool // the VM's own entry exists already
+		old   []gossip.Member
+		lists []string
 	}{
 		"first start":                {first: true, lists: []string{"enter", "old"}},
-		"first start, an old list":   {first: true, oldLists: 1, lists: []string{"enter", "old", "old"}},
-		"first start, old lists":     {first: true, oldLists: -1, lists: []string{"enter", "old", "old", "old", "new"}},
+		"first start, an old list":   {first: true, old: []gossip.Member{}, lists: []string{"enter", "old", "new"}},
 		"restart":                    {entry: true, lists: []string{"old"}},
 		"replaced VM":                {lists: []string{"old", "enter", "old"}},
-		"replaced VM, lists are old": {oldLists: -1, lists: []string{"old", "enter", "old", "old", "old", "new"}},
+		"replaced VM, lists are old": {old: []gossip.Member{}, lists: []string{"old", "enter", "old", "new"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				n, members := nodeOfRank(t, 2, 0)
-				d := &directory{now: []gossip.Member{members[1]}, oldLists: c.oldLists}
-				if c.entry {
-					d.now = append(d.now, n.self())
-				}
-				n.s.FirstStart, n.p, n.peersKnown = c.first, d, make(chan struct{})
-				n.announce(t.Context())
-				require.Equal(t, c.lists, d.lists)
-				require.Contains(t, known(n), members[1].Peer)
-			})
+			n, members := nodeOfRank(t, 2, 0)
+			d := &directory{now: []gossip.Member{members[1]}, old: c.old}
+			if c.entry {
+				d.now = append(d.now, n.self())
+			}
+			n.s.FirstStart, n.p, n.peersKnown = c.first, d, make(chan struct{})
+			n.announce(t.Context())
+			require.Equal(t, c.lists, d.lists)
+			require.Contains(t, known(n), members[1].Peer)
 		})
 	}
 }
