Say in comments what a busy fleet does to a trial, and what a reroute doesn't count for

Read as a newcomer: doc comments for the two functions that had none, the load that the judgement of versions answers, and why a rerouted attempt adds nothing to the budget. No behaviour changes.

--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -43,6 +43,7 @@
 func (c *call) beginAttempt(ctx context.Context, ch placement.Choice) *timedAttempt {
 	a := &timedAttempt{began: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	// A rerouted attempt does not add to the budget of further ones.
 	if !c.rerouted {
 		c.h.overdue.rerouteBudget.RecordFirst(a.began)
 	}
--- a/policy/sizing/load_test.go
+++ b/policy/sizing/load_test.go
@@ -60,6 +60,7 @@
 	return simulateSeed(11, load, crash, slots, escalates)
 }
 
+// simulateSeed is simulate with requests and confidences drawn by the given seed.
 func simulateSeed(seed uint64, load float64, crash bool, slots int, escalates escalationRule) (out simResult) {
 	r := rand.New(rand.NewPCG(seed, 3))
 	const meanTokens = 5.0
--- a/policy/trial/doc.go
+++ b/policy/trial/doc.go
@@ -4,7 +4,8 @@
 //
 // Load pattern: a roll-out of 12 to 24 s under the usual traffic. The new version is good, or
 // it fails or slows a third or half of its requests: at once, after some seconds, or under load
-// only.
+// only. In a busy fleet dozens of a good version's answers fail as well, when endpoints of both
+// versions crash.
 //
 // Without it: all sessions use the new version at once, or none does and a good one is never
 // accepted.
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -162,6 +162,7 @@
 	return t.isExposing(now)
 }
 
+// isExposing is IsExposing for a caller that holds t.mu.
 func (t *Trial) isExposing(now time.Duration) bool {
 	return !t.worse && now-t.began >= t.session+startDelay
 }
