Log request limits that endpoints state, and when each attempt was sent

The lines of the incident couldn't tell its hypotheses apart: they named neither a limit that an endpoint stated, nor the moment at which a VM learnt it, nor when an attempt was sent. Now each change of that belief has a line (endpoint, limit, request that learnt it), a request's line has sent_ms beside attempts, and the state dump has the limit of each endpoint. Nothing is decided by it yet: placement and forwarding send as before.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
@@ -51,10 +53,12 @@
 	// sizingNote holds, for the log, the last answer's confidence and load and the estimate for the
 	// largest model.
 	sizingNote string
+	sentAt     time.Time // when the current attempt was sent
 }
 
 // attemptRecord is one attempt in the request's log line.
 type attemptRecord struct {
+	sentAt     time.Duration // since the request's start
 	endpoint   string
 	model      string
 	result     string
@@ -290,6 +294,7 @@
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
 	}
 	c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint)
+	c.sentAt = time.Now()
 	a, err := c.h.cfg.Pool.Send(ctx, ch.Address, req)
 	if err == nil {
 		c.recordAnswerHead(ch, a)
@@ -314,6 +319,30 @@
 	if ms := parseCount(a.Header.Get(n.ColdRemaining)); ms > 0 {
 		c.h.cfg.Table.MarkCold(now, ch.ID, time.Duration(ms)*time.Millisecond)
 	}
+	if a.Status != http.StatusMisdirectedRequest {
+		c.recordLimit(now, ch, a)
+	}
+}
+
+// recordLimit records the request limit that an answer states or doesn't state.
+func (c *call) recordLimit(now time.Time, ch placement.Choice, a *upstream.Answer) {
+	n := &c.h.cfg.Names
+	line := func() *zerolog.Event { return c.h.cfg.Log.Info().Str("endpoint", ch.ID).Str("by_request", c.id) }
+	stated := a.Header.Get(n.RateLimit)
+	if rate, ok := parseRate(stated); ok {
+		if c.h.cfg.Table.SetLimit(now, ch.ID, rate) {
+			line().Float64("per_s", rate).Msg("endpoint states a request limit")
+		}
+		return
+	}
+	if stated != "" {
+		line().Str("value", stated).Msg("request limit can't be read, passed over")
+		return
+	}
+	// An answer without a signature may not be the endpoint's own.
+	if a.Header.Get(n.Signature) != "" && c.h.cfg.Table.EndLimit(now, ch.ID, c.sentAt) {
+		line().Msg("endpoint states no request limit any more")
+	}
 }
 
 // handleSendError ends an attempt that got no answer head; t is nil if the attempt had no time
@@ -404,7 +433,7 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.model)
 	}
-	c.attemptRecords = append(c.attemptRecords, attemptRecord{endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version})
+	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version})
 	c.sizingNote = ""
 	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
 }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -81,7 +82,7 @@
 			Dur("wait_ms", c.timeout).Str("ran", string(c.ran))
 	}
 	if len(c.attemptRecords) > 0 {
-		e = e.Str("attempts", formatAttempts(c.attemptRecords))
+		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords))
 	}
 	if id := c.session(); id != "" && c.service != "" {
 		e = e.Str("session", trial.HashSession(c.service, id).String()).Str("versions", strings.Join(versions, " ")).
@@ -109,6 +110,16 @@
 	return b.String()
 }
 
+// formatSendTimes formats when each attempt was sent, in ms since the request's start, separated
+// by spaces.
+func formatSendTimes(attempts []attemptRecord) string {
+	out := make([]string, len(attempts))
+	for i, s := range attempts {
+		out[i] = strconv.FormatInt(s.sentAt.Milliseconds(), 10)
+	}
+	return strings.Join(out, " ")
+}
+
 // versionsRun lists the versions that ran or may have run a request, in order and without
 // consecutive duplicates.
 func versionsRun(attempts []attemptRecord) (out []string) {
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -21,6 +21,9 @@
 	ExpectInstance string
 	// Load is an endpoint's load as "running,waiting,slots".
 	Load string
+	// RateLimit is the number of requests a second that an endpoint takes from all VMs together,
+	// a decimal number; it applies until an answer comes without it.
+	RateLimit string
 	// NotRun marks an endpoint's refusal of a request that it did not run.
 	NotRun string
 	// Signature is the endpoint's signature of an answer; a success without it is not accepted.
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -108,7 +108,7 @@
 	}
 	c.w.WriteHeader(a.Status)
 	if _, err := c.w.Write(body); err != nil {
-		c.attemptRecords = append(c.attemptRecords, attemptRecord{result: "caller-left"})
+		c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), result: "caller-left"})
 	}
 }
 
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -5,6 +5,7 @@
 
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
+	"goldcrestfork/policy/ratelimit"
 )
 
 // Spec is the configured and reported state of an endpoint.
@@ -55,6 +56,8 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
+	limit ratelimit.Statement // as the endpoint stated it in answers
+
 	coldUntil  time.Time
 	coldTokens float64
 	coldFilled time.Time
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -23,9 +23,11 @@
 	// service, over all VMs; OtherLife says that another incarnation answers at its address.
 	Failing   float64 `json:"failing"`
 	OtherLife bool    `json:"otherLife"`
-	Load      float64 `json:"load"`
-	Running   int     `json:"running"`
-	Slots     int     `json:"slots"`
+	// Limit is the request limit that the endpoint stated, in requests a second; null for none.
+	Limit   *float64 `json:"limit"`
+	Load    float64  `json:"load"`
+	Running int      `json:"running"`
+	Slots   int      `json:"slots"`
 }
 
 // Rows returns all endpoints, sorted by ID.
@@ -34,12 +36,16 @@
 	defer t.mu.Unlock()
 	out := make([]Row, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
+		var limit *float64
+		if e.limit.Limited {
+			limit = &e.limit.Rate
+		}
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
 			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Lost: e.lost, Detector: int(e.outlierState),
 			Failing: e.excessFailures, OtherLife: e.fleetRecord.OtherLife,
-			Load: e.load, Running: e.requests, Slots: e.Slots,
+			Limit: limit, Load: e.load, Running: e.requests, Slots: e.Slots,
 		})
 	}
 	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
