Grant requests at endpoints with a stated limit by one VM for all

Operators saw endpoints that had stated a limit of one request a second get 12 to 14 in four seconds, from VMs that had passed the statement on.

Cause: no VM read the statement. It was one of the headers that an answer carries to its caller; placement knew a rate for endpoints in cold start only.

Now placement marks an endpoint's choice as limited, and forwarding asks the VM that keeps the limit (fleet/quota) before it sends; first attempts, repeats, larger models and resumed streams all come through that choice. The decision is policy/ratelimit, without network or clock: a token bucket for each endpoint at the VM that ranks first among those alive in its region, an eighth of the rate at the deputy. While no keeper answers nothing is sent there. If every eligible endpoint's limit is used up the caller is refused at once, not run, with when to come back.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -250,17 +250,27 @@
 	return n
 }
 
-// AliveNames returns the sorted names of the VMs that are alive, this one included.
-func (t *Table) AliveNames(now time.Duration) []string {
+// Alive returns the VMs that are alive, this one included, sorted by name.
+func (t *Table) Alive(now time.Duration) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := []string{t.self.Name}
+	out := []Member{t.self}
 	for _, p := range t.peers {
 		if p.heardAt != 0 && now-p.heardAt < t.freshness() {
-			out = append(out, p.Name)
+			out = append(out, p.Member)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// AliveNames returns the names of the VMs in Alive.
+func (t *Table) AliveNames(now time.Duration) []string {
+	alive := t.Alive(now)
+	out := make([]string, len(alive))
+	for i, m := range alive {
+		out[i] = m.Name
+	}
 	return out
 }
 
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
@@ -54,6 +55,13 @@
 	// largest model.
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
+	limitNotes []limitNote
+}
+
+// limitNote is, for the log, a decision on the request within an endpoint's request limit.
+type limitNote struct {
+	endpoint string
+	quota.Answer
 }
 
 // attemptRecord is one attempt in the request's log line.
@@ -183,13 +191,36 @@
 	}
 	var v VersionChoice
 	v, c.rationale = c.pin.Choose(ctx)
-	ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), c.placementRequest(v))
+	ch, miss := c.pickWithinLimits(ctx, c.placementRequest(v))
 	if miss == placement.NoEndpoint && v.Version != "" {
-		ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), c.placementRequest(VersionChoice{ExcludedVersion: v.ExcludedVersion}))
+		ch, miss = c.pickWithinLimits(ctx, c.placementRequest(VersionChoice{ExcludedVersion: v.ExcludedVersion}))
 	}
 	return ch, miss
 }
 
+// maxLimitQueries bounds the endpoints whose request limits are asked for in one choice; each
+// takes a round trip to another VM. After them only endpoints without a limit are considered.
+const maxLimitQueries = 4
+
+// pickWithinLimits picks an endpoint whose request limit, if it has one, allows the request.
+func (c *call) pickWithinLimits(ctx context.Context, r *placement.Request) (placement.Choice, placement.NoChoiceReason) {
+	for query := 0; ; query++ {
+		r.SkipLimited = query >= maxLimitQueries
+		ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), r)
+		if miss != placement.Picked || !ch.Limited {
+			return ch, miss
+		}
+		a := c.h.cfg.Limits.Take(ctx, ch.ID, ch.Limit)
+		c.limitNotes = append(c.limitNotes, limitNote{endpoint: ch.ID, Answer: a})
+		if a.Wait == 0 {
+			return ch, miss
+		}
+		now := time.Now()
+		c.h.cfg.Table.Done(now, ch, placement.NoSignal)
+		c.h.cfg.Table.PauseLimited(now, ch.ID, a.Wait)
+	}
+}
+
 // session returns the id of the request's session; empty for none.
 func (c *call) session() string { return c.r.Header.Get(c.h.cfg.Names.Session) }
 
@@ -238,6 +269,7 @@
 	placement.NoEndpoint: "no endpoint serves this now",
 	placement.AllCold:    "the endpoints are in cold start",
 	placement.AllTried:   "all endpoints were tried",
+	placement.AllLimited: "the endpoints take no more requests now",
 }
 
 // refuseFurther returns the refusal if no further attempt is made. It states whether an earlier
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -84,6 +85,9 @@
 	if len(c.attemptRecords) > 0 {
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords))
 	}
+	if len(c.limitNotes) > 0 {
+		e = e.Str("limits", formatLimitNotes(c.limitNotes))
+	}
 	if id := c.session(); id != "" && c.service != "" {
 		e = e.Str("session", trial.HashSession(c.service, id).String()).Str("versions", strings.Join(versions, " ")).
 			Str("version_reason", c.rationale.Reason).Dur("roll_out_age_ms", c.rationale.RollOutAge).Str("session_keeper", c.rationale.Keeper).Dur("session_age_ms", c.rationale.SessionAge)
@@ -110,6 +114,16 @@
 	return b.String()
 }
 
+// formatLimitNotes formats decisions as "endpoint=wait@keeper", separated by spaces. The wait is
+// 0ms if the request was allowed, and the keeper is missing if none answered.
+func formatLimitNotes(notes []limitNote) string {
+	out := make([]string, len(notes))
+	for i, a := range notes {
+		out[i] = fmt.Sprintf("%s=%dms@%s", a.endpoint, a.Wait.Milliseconds(), a.Keeper)
+	}
+	return strings.Join(out, " ")
+}
+
 // formatSendTimes formats when each attempt was sent, in ms since the request's start, separated
 // by spaces.
 func formatSendTimes(attempts []attemptRecord) string {
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
@@ -84,6 +85,7 @@
 	Budget   RetryBudget
 	Poison   Poison
 	Load     LoadExchange
+	Limits   RateLimits
 	Metrics  *Metrics
 	Log      zerolog.Logger
 	// MaxKeyConfigAge returns the configuration age (State.ConfigAge) up to which keys are
@@ -111,6 +113,13 @@
 	ReportChange()
 }
 
+// RateLimits shares the request limits of endpoints among the VMs.
+type RateLimits interface {
+	// Take asks for one request at an endpoint that takes rate requests a second from all VMs
+	// together. It waits for a few round trips at most.
+	Take(ctx context.Context, endpoint string, rate float64) quota.Answer
+}
+
 // Poison detects requests that crash the endpoints that run them. A fingerprint identifies a
 // request's content. Begin and End are called once for each attempt.
 type Poison interface {
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
@@ -53,6 +54,7 @@
 	versions  *fakeVersions
 	budget    *fakeBudget
 	poison    *fakePoison
+	limits    fakeLimits
 	endpoints []*fakeEndpoint
 }
 
@@ -167,7 +169,7 @@
 	registry := prometheus.NewRegistry()
 	w.handler = New(Config{
 		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry), Versions: w.versions,
-		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
+		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
 	close(w.state.loaded)
@@ -332,6 +334,16 @@
 	return b.String()
 }
 
+// fakeLimits grants requests at limited endpoints while grants is positive.
+type fakeLimits struct{ grants atomic.Int64 }
+
+func (l *fakeLimits) Take(context.Context, string, float64) quota.Answer {
+	if l.grants.Add(-1) < 0 {
+		return quota.Answer{Wait: time.Hour, Keeper: "a"}
+	}
+	return quota.Answer{Keeper: "a"}
+}
+
 // noLoad implements LoadExchange for a fleet of one VM, in which no other VM has work in progress.
 type noLoad struct{}
 
--- a/gateway/forward/limit_test.go
+++ b/gateway/forward/limit_test.go
@@ -19,6 +19,7 @@
 // Guards against passing over a limit in an answer, and against keeping one that the endpoint no longer states.
 func TestStatedLimitFollowsAnswers(t *testing.T) {
 	w := newTestEnv(t, 1)
+	w.limits.grants.Store(100)
 	limit := func() *float64 { return w.table.Rows(time.Now())[0].Limit }
 	w.setHandlers(limited("1000.5"), limited("none"), answerOK, limited("1000.5"), status(http.StatusMisdirectedRequest))
 	w.send(http.MethodGet, "/safe/a", "")
@@ -31,3 +32,34 @@
 	w.send(http.MethodGet, "/safe/a", "")
 	require.InDelta(t, 1000.5, *limit(), 0, "another incarnation")
 }
+
+// Guards against requests at a limited endpoint without a grant: first attempts, and those for a larger model.
+func TestLimitedEndpointGetsNoRequestWithoutGrant(t *testing.T) {
+	w := newTestEnv(t, 2)
+	w.endpoints[0].handlers = []http.HandlerFunc{limited("1")}
+	for w.endpoints[0].runs.Load() == 0 {
+		require.Equal(t, http.StatusOK, w.send(http.MethodGet, "/safe/a", "").status)
+	}
+	w.setHandlers(events(1, 2, false, testNames.Confidence, "0", testNames.RateLimit, "1"))
+	w.endpoints[1].handlers = []http.HandlerFunc{events(1, 2, false, testNames.Confidence, "0")}
+	for range 20 {
+		require.Equal(t, http.StatusOK, w.send(http.MethodPost, "/sized/a", "x", testNames.Model, anyModel).status)
+	}
+	require.EqualValues(t, 1, w.endpoints[0].runs.Load())
+	require.Greater(t, w.endpoints[1].runs.Load(), int64(20), "larger models were asked")
+}
+
+// Guards against holding a request, or running it, while no endpoint's limit allows it.
+func TestRequestIsRefusedWhileAllLimitsAreUsedUp(t *testing.T) {
+	w := newTestEnv(t, 2)
+	w.limits.grants.Store(1)
+	w.setHandlers(limited("1"))
+	for range 3 {
+		require.Equal(t, http.StatusOK, w.send(http.MethodPost, "/once/a", "x").status)
+	}
+	r := w.send(http.MethodPost, "/once/a", "x")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "not run", r.header.Get("X-Ran"))
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.EqualValues(t, 3, w.totalRuns())
+}
--- /dev/null
+++ b/gateway/node/limits.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"time"
+
+	"goldcrestfork/fleet/datagram"
+	"goldcrestfork/fleet/quota"
+	"goldcrestfork/fleet/rendezvous"
+	"goldcrestfork/fleet/sticky"
+	"goldcrestfork/policy/ratelimit"
+)
+
+const (
+	// quotaTag marks the datagrams of package quota between VMs.
+	quotaTag = 2
+	// quotaTimeout is how long the keeper of an endpoint's request limit has to answer: several
+	// round trips between the data centres of a region.
+	quotaTimeout = 20 * time.Millisecond
+	// remoteQuotaTimeout applies instead if the endpoint is in another region.
+	remoteQuotaTimeout = 250 * time.Millisecond
+)
+
+// newQuota returns this VM's part of the endpoints' request limits; its datagrams use gossip's
+// socket.
+func (n *Node) newQuota() *quota.Service {
+	var channel datagram.Channel
+	s := quota.New(quota.Config{
+		Self: n.s.VM, Ring: n.limitRing, Timeout: n.limitTimeout, Log: n.log, Registerer: n.registry,
+		Decide: func(endpoint string, rate float64, deputy bool) time.Duration {
+			role := ratelimit.First
+			if deputy {
+				role = ratelimit.Deputy
+			}
+			return n.buckets.Take(time.Now(), rendezvous.HashOf(endpoint), rate, role)
+		},
+		Send: func(b []byte, to string) error { return channel.Send(b, to) },
+	})
+	channel = n.gossip.Channel(quotaTag, "limits", s.Receive)
+	return s
+}
+
+// limitRing returns the ring of the VMs that may keep an endpoint's request limit: those that are
+// alive in its region, or all if there are none. VMs that aren't ready belong to it, since they
+// may still serve callers, and all VMs can be not ready at once.
+func (n *Node) limitRing(endpoint string) *sticky.Ring {
+	rings := n.limitRings.get(bootClock(), n.newLimitRings)
+	if r := rings[n.table.Region(endpoint)]; r != nil {
+		return r
+	}
+	return rings[anyRegion]
+}
+
+// anyRegion is the key of the ring of all VMs.
+const anyRegion = ""
+
+// newLimitRings returns the rings of limitRing by region.
+func (n *Node) newLimitRings() map[string]*sticky.Ring {
+	keepers := make(map[string][]sticky.Keeper)
+	for _, m := range n.gossip.Table().Alive(bootClock()) {
+		k := sticky.Keeper{Name: m.Name, Address: m.Peer}
+		keepers[anyRegion] = append(keepers[anyRegion], k)
+		if region := n.s.Regions[m.DataCentre]; region != anyRegion {
+			keepers[region] = append(keepers[region], k)
+		}
+	}
+	rings := make(map[string]*sticky.Ring, len(keepers))
+	for region, list := range keepers {
+		rings[region] = sticky.NewRing(list...)
+	}
+	return rings
+}
+
+func (n *Node) limitTimeout(endpoint string) time.Duration {
+	if region := n.table.Region(endpoint); region != anyRegion && region != n.s.Regions[n.s.DataCentre] {
+		return remoteQuotaTimeout
+	}
+	return quotaTimeout
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -16,6 +16,7 @@
 
 	"goldcrestfork/fleet/datagram"
 	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/fleet/quota"
 	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/fleet/tally"
 	"goldcrestfork/gateway/catalog"
@@ -23,6 +24,7 @@
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/gateway/view"
 	"goldcrestfork/policy/placement"
+	"goldcrestfork/policy/ratelimit"
 )
 
 // Platform is the part of the platform's store that a VM uses.
@@ -100,6 +102,8 @@
 	tally          *tally.Service
 	rollouts       *rollouts
 	sticky         *sticky.Service
+	quota          *quota.Service
+	buckets        *ratelimit.Buckets
 	sourcePolicy   *sourcePolicy
 	suspects       *suspects
 	feeds          map[string]*view.Feed
@@ -117,6 +121,7 @@
 	localKeepers, remoteKeepers cached[[]tally.Keeper]
 	vms                         cached[[]string]
 	ring                        cached[*sticky.Ring]
+	limitRings                  cached[map[string]*sticky.Ring]
 
 	registry *prometheus.Registry
 	wg       sync.WaitGroup
@@ -125,7 +130,7 @@
 // New connects the parts of a VM and opens its sockets for datagrams. Run starts serving.
 func New(s Settings, p Platform, edge Edge, registry *prometheus.Registry, log zerolog.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	n := &Node{s: s, currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), pool: upstream.NewPool(registry)}
+	n := &Node{s: s, currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets(), pool: upstream.NewPool(registry)}
 	n.currentBounds.Store(&s.Bounds)
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
@@ -145,6 +150,7 @@
 		return nil, err
 	}
 	n.sticky = n.newSticky()
+	n.quota = n.newQuota()
 	n.tally, err = n.newTally()
 	if err != nil {
 		return nil, err
@@ -155,7 +161,7 @@
 	})
 	n.handler = forward.New(forward.Config{
 		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
-		Budget: newBudgets(n), Poison: n.suspects, Load: n.tally, Metrics: forward.NewMetrics(registry), Log: log,
+		Budget: newBudgets(n), Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
 	return n, nil
@@ -300,6 +306,8 @@
 			n.pool.Sweep()
 			n.sticky.Sweep()
 			n.sticky.Rebalance()
+			n.quota.Sweep()
+			n.buckets.Sweep(time.Now())
 			n.rollouts.tick(ctx)
 		}
 	}
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -57,6 +57,8 @@
 	excessFailures float64 // failure share above what is usual in the pool
 
 	limit ratelimit.Statement // as the endpoint stated it in answers
+	// limitPausedUntil is when its limit allows the next request.
+	limitPausedUntil time.Time
 
 	coldUntil  time.Time
 	coldTokens float64
@@ -96,8 +98,19 @@
 	return true
 }
 
+// paused reports whether the endpoint's request limit allows no request now.
+func (e *endpoint) paused(now time.Time, r *Request) bool {
+	return e.limit.Limited && (r.SkipLimited || now.Before(e.limitPausedUntil))
+}
+
 // usable reports whether the endpoint may get the request now.
 func (e *endpoint) usable(now time.Time, r *Request) bool {
+	return !e.paused(now, r) && e.usableButForLimit(now, r)
+}
+
+// usableButForLimit reports whether the endpoint may get the request as far as its request limit
+// allows it.
+func (e *endpoint) usableButForLimit(now time.Time, r *Request) bool {
 	if e.Draining || e.dataCentreOut || e.lost || e.outlierState == outlier.Ejected {
 		return false
 	}
--- a/policy/placement/limit.go
+++ b/policy/placement/limit.go
@@ -23,3 +23,23 @@
 	}
 	return ended
 }
+
+// PauseLimited leaves an endpoint out of choices until its request limit allows a request, after
+// the given time.
+func (t *Table) PauseLimited(now time.Time, id string, wait time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil {
+		e.limitPausedUntil = now.Add(wait)
+	}
+}
+
+// Region returns the region of an endpoint, "" if it isn't known.
+func (t *Table) Region(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil {
+		return e.Region
+	}
+	return ""
+}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -24,6 +24,8 @@
 	Regions []string
 	// Exclude lists the IDs of endpoints that the request was already sent to.
 	Exclude []string
+	// SkipLimited leaves out the endpoints that have stated a request limit.
+	SkipLimited bool
 	// Affinity identifies the shared prompt prefix and the model that reads it; empty for none.
 	Affinity string
 	// Saving is the work that an endpoint with the prefix in its cache saves, in requests.
@@ -43,6 +45,10 @@
 	ID, Address, DataCentre, Version string
 	// Cold says that the endpoint is in cold start.
 	Cold bool
+	// Limited says that the endpoint takes Limit requests a second from all VMs together. The
+	// request may be sent only once the limit allows it.
+	Limited bool
+	Limit   float64
 	// Expected is the estimated time to the request's first event. It is meaningful only if the
 	// request's work is known, as for prompts.
 	Expected time.Duration
@@ -69,6 +75,8 @@
 	AllCold
 	// AllTried: the request was already sent to all eligible endpoints.
 	AllTried
+	// AllLimited: the request limits of the eligible endpoints allow no request now.
+	AllLimited
 )
 
 // Outcome is the result of an attempt, as far as it concerns the endpoint.
@@ -236,6 +244,8 @@
 		e = t.best(now, rng, cold, r)
 		if e == nil {
 			switch {
+			case anyPaused(now, p, r):
+				return Choice{}, AllLimited
 			case tried && len(warm)+len(cold) == 0:
 				return Choice{}, AllTried
 			case anyCold(now, p):
@@ -255,11 +265,17 @@
 	}
 	return Choice{
 		ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now),
+		Limited: e.limit.Limited, Limit: e.limit.Rate,
 		Expected: time.Duration(ahead * p.unitTime.get() * float64(time.Second)),
 		work:     &work, workAfterPrompt: r.Work, ahead: ahead, sentAt: now,
 	}, Picked
 }
 
+// anyPaused reports whether the request would have an endpoint if there were no request limits.
+func anyPaused(now time.Time, p *pool, r *Request) bool {
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.paused(now, r) && e.usableButForLimit(now, r) })
+}
+
 func anyCold(now time.Time, p *pool) bool {
 	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.cold(now) })
 }
