Take a VM's share of a cold endpoint's rate from the fleet as it is now

What callers could have seen: an endpoint in cold start that crashes under more requests than it bears.

Cause: the share was worked out when the endpoint's entry or the configuration was read, and kept until the entry changed. A VM that starts reads the endpoints before it has heard of the others, so that it takes the whole rate for its own, and an endpoint may turn cold long after that by its own answers. Evidence: TestColdShareFollowsFleet on the code before: a VM whose share has become 0 goes on sending to the endpoint.

Now placement asks for the share when it considers a cold endpoint, and keeps it for 200 ms. The tests of placement, view, forward and node pass.

--- a/gateway/forward/plain_test.go
+++ b/gateway/forward/plain_test.go
@@ -211,7 +211,7 @@
 // The cold time that an endpoint reports in an answer takes effect at once.
 func TestReportedColdTimeApplies(t *testing.T) {
 	w := newTestEnv(t, 1)
-	w.table.Set(time.Now(), placement.Spec{ID: "e0", Service: "s", Address: w.endpoints[0].address(), DataCentre: "a", Slots: 8, ColdLimited: true})
+	w.table.Set(time.Now(), placement.Spec{ID: "e0", Service: "s", Address: w.endpoints[0].address(), DataCentre: "a", Slots: 8, ColdRate: func() float64 { return 0 }})
 	w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
 		rw.Header().Set(testNames.ColdRemaining, "60000")
 		answerOK(rw, r)
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -21,8 +21,8 @@
 	HoldTime func() time.Duration
 	// Regions maps each data centre to its region.
 	Regions map[string]string
-	// ColdShare returns how many requests a second this VM may send to a cold endpoint, which
-	// accepts rate requests a second from all VMs together; 0 for none.
+	// ColdShare returns how many requests a second this VM may send now to a cold endpoint, which
+	// accepts rate requests a second from all VMs together; 0 for none. It must not use Table.
 	ColdShare func(endpoint string, rate float64) float64
 	// OnRemove is called with the address of each endpoint that is removed.
 	OnRemove func(address string)
@@ -191,17 +191,16 @@
 
 // setInTable writes an endpoint to the table. Callers hold v.mu.
 func (v *View) setInTable(e catalog.Endpoint, cold time.Duration) {
-	rate, limited := 0.0, false
+	var coldRate func() float64
 	if c := v.config.Load(); c != nil {
 		if s := c.Services[e.Service]; s != nil && s.ColdRate > 0 {
-			limited = true
-			rate = v.s.ColdShare(e.ID, s.ColdRate)
+			coldRate = func() float64 { return v.s.ColdShare(e.ID, s.ColdRate) }
 		}
 	}
 	v.s.Table.Set(time.Now(), placement.Spec{
 		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 		Region: v.s.Regions[e.DataCentre], Version: e.Version, Slots: e.Slots,
-		Draining: e.Draining, Cold: cold, ColdLimited: limited, ColdRate: rate,
+		Draining: e.Draining, Cold: cold, ColdRate: coldRate,
 	})
 }
 
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -329,3 +329,17 @@
 		require.EqualValues(t, 20, v.Config().Revision)
 	})
 }
+
+// Guards against a share of a cold endpoint's rate from the time at which the VM knew fewer others.
+func TestColdShareFollowsFleet(t *testing.T) {
+	d := newTestView()
+	share := 10.0
+	d.s.ColdShare = func(string, float64) float64 { return share }
+	c := catalog.NewConfig(1, 1, nil, []*catalog.Service{{Name: "s", ColdRate: 10}}, nil, false, catalog.Limits{})
+	d.ApplyConfig(Update[*catalog.Config]{Changes: []Change[*catalog.Config]{{Item: Item[*catalog.Config]{Name: "main", Revision: 1, Value: c}}}})
+	d.ApplyEndpoints(Update[catalog.Endpoint]{Changes: []Change[catalog.Endpoint]{entry("a", 2, false)}})
+	require.NotEmpty(t, d.served())
+	share = 0 // other VMs were heard, and six of them rank before this one
+	d.table.MarkCold(time.Now(), "a", time.Hour)
+	require.Empty(t, d.served())
+}
--- a/policy/placement/doc.go
+++ b/policy/placement/doc.go
@@ -29,5 +29,5 @@
 //
 // The package has no network and no clock; time and randomness are arguments.
 //
-// Lock order: Table.mu is a leaf.
+// Lock order: Table.mu, then what Spec.ColdRate locks.
 package placement
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -22,10 +22,9 @@
 	Draining bool
 	// Cold is the remaining time of the cold start.
 	Cold time.Duration
-	// ColdLimited says that the endpoint accepts only a limited request rate while it is cold.
-	// ColdRate is this VM's share of that rate in requests per second, 0 for none.
-	ColdLimited bool
-	ColdRate    float64
+	// ColdRate returns this VM's current share of the request rate that the endpoint accepts
+	// while it is cold, in requests a second; 0 for none. It is nil if the rate isn't limited.
+	ColdRate func() float64
 }
 
 const (
@@ -38,6 +37,9 @@
 	// coldBurst is the number of requests that this VM sends to a cold endpoint at once. With
 	// one each, several VMs together stay below the endpoint's rate within a second.
 	coldBurst = 1.0
+	// coldRateAge is how long a share is used. The share follows the fleet's members, and
+	// computing it ranks all VMs.
+	coldRateAge = 200 * time.Millisecond
 )
 
 // endpoint is the state of one endpoint as this VM sees it.
@@ -63,6 +65,8 @@
 	coldUntil  time.Time
 	coldTokens float64
 	coldFilled time.Time
+	coldRate   float64 // the result of Spec.ColdRate at coldRateAt
+	coldRateAt time.Time
 
 	// avoidUntil is when a probe may be sent after a connection failure; probing says that one
 	// request is under way as the probe.
@@ -77,14 +81,17 @@
 // admitCold reports whether this VM may send a request to the cold endpoint; with take it also
 // consumes a token of the rate limit.
 func (e *endpoint) admitCold(now time.Time, take bool) bool {
-	if !e.ColdLimited {
+	if e.ColdRate == nil {
 		return true
 	}
-	if e.ColdRate <= 0 {
+	if e.coldRateAt.IsZero() || now.Sub(e.coldRateAt) >= coldRateAge {
+		e.coldRate, e.coldRateAt = e.ColdRate(), now
+	}
+	if e.coldRate <= 0 {
 		return false
 	}
 	if !e.coldFilled.IsZero() {
-		e.coldTokens = min(coldBurst, e.coldTokens+e.ColdRate*now.Sub(e.coldFilled).Seconds())
+		e.coldTokens = min(coldBurst, e.coldTokens+e.coldRate*now.Sub(e.coldFilled).Seconds())
 	} else {
 		e.coldTokens = coldBurst
 	}
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -110,7 +110,7 @@
 	var at []time.Time
 	for v := range vms {
 		tb := New("a")
-		tb.Set(start, Spec{ID: "e", Service: "s", DataCentre: "a", Slots: 8, Cold: time.Minute, ColdLimited: true, ColdRate: rate / vms})
+		tb.Set(start, Spec{ID: "e", Service: "s", DataCentre: "a", Slots: 8, Cold: time.Minute, ColdRate: func() float64 { return rate / vms }})
 		r := rand.New(rand.NewPCG(uint64(v), 1))
 		for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
 			if c, miss := tb.Pick(now, r, &Request{Service: "s", Work: 1}); miss == Picked {
@@ -136,13 +136,13 @@
 // A VM without a share of a cold endpoint's rate sends it nothing; warm endpoints go first.
 func TestColdEndpoints(t *testing.T) {
 	tb, r := table(1), rng()
-	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdLimited: true, ColdRate: 5})
+	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdRate: func() float64 { return 5 }})
 	for range 20 {
 		c, _ := tb.Pick(start, r, &Request{Service: "s", Work: 1})
 		require.Equal(t, "e00", c.ID)
 	}
 	tb = New("a")
-	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdLimited: true})
+	tb.Set(start, Spec{ID: "cold", Service: "s", DataCentre: "a", Slots: 8, Cold: 3 * time.Second, ColdRate: func() float64 { return 0 }})
 	_, miss := tb.Pick(start, r, &Request{Service: "s", Work: 1})
 	require.Equal(t, AllCold, miss)
 	_, miss = tb.Pick(start.Add(4*time.Second), r, &Request{Service: "s", Work: 1})
