Grant whole limits only at VMs that see most of the fleet

What callers could have seen: VMs that start together, or a data centre cut from the others, each take themselves for the keeper of an endpoint's limit and grant the whole of it.

The new tests (quota TestVMApartFromTheFleetDecidesAsDeputy, gossip TestMajorityOfKnownVMs) have no counterpart on the code before, where each of seven such VMs decided as first by construction.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -264,6 +264,24 @@
 	return out
 }
 
+// SeesMajority reports whether most of the VMs that this one knows are alive, this one included.
+// VMs that are silent since they stopped being ready, as a VM that leaves does, aren't counted.
+func (t *Table) SeesMajority(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alive, known := 1, 1
+	for _, p := range t.peers {
+		switch {
+		case p.heardAt != 0 && now-p.heardAt < t.freshness():
+			alive++
+			known++
+		case p.heardAt == 0 || p.ready:
+			known++
+		}
+	}
+	return 2*alive > known
+}
+
 // AliveNames returns the names of the VMs in Alive.
 func (t *Table) AliveNames(now time.Duration) []string {
 	alive := t.Alive(now)
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -338,3 +338,29 @@
 	}
 	require.Less(t, missing, n*(n-1)*rounds/1000)
 }
+
+// Guards against a VM that takes the few VMs which it hears for the whole fleet.
+func TestMajorityOfKnownVMs(t *testing.T) {
+	hear := func(tb *Table, now time.Duration, ready bool, ids ...int) {
+		for _, i := range ids {
+			ok, _ := tb.Apply(now, &Message{From: member(i), Incarnation: 1, Sequence: uint64(now), Ready: ready})
+			require.True(t, ok)
+		}
+	}
+	tb := NewTable(member(0))
+	require.True(t, tb.SeesMajority(time.Second), "the only VM")
+	for i := 1; i < 7; i++ {
+		tb.Learn(time.Second, member(i))
+	}
+	require.False(t, tb.SeesMajority(time.Second), "just started")
+	hear(tb, time.Second, true, 1, 2, 3)
+	require.True(t, tb.SeesMajority(time.Second))
+	hear(tb, time.Second, true, 4, 5, 6)
+	later := time.Second + tb.freshness()
+	hear(tb, later, true, 1, 2)
+	require.False(t, tb.SeesMajority(later), "four VMs fell silent")
+	hear(tb, later, false, 3, 4)
+	require.True(t, tb.SeesMajority(later+tb.freshness()/2))
+	hear(tb, later+tb.freshness(), true, 1, 2)
+	require.True(t, tb.SeesMajority(later+tb.freshness()), "two of the four silent VMs had left in order")
+}
--- a/fleet/quota/doc.go
+++ b/fleet/quota/doc.go
@@ -10,6 +10,9 @@
 // is silent, the VM asks the one that ranks second, its deputy, which grants a small part of the
 // limit. If that one is silent too, the request isn't sent to the endpoint.
 //
+// A VM that isn't in touch with most of the VMs that it knows, as after its start or in a
+// partition, decides as a deputy: others may rank first without its knowledge.
+//
 // A keeper keeps nothing beyond its process: one that takes over begins with a full bucket.
 //
 // Lock order: Service.mu is a leaf and isn't held over the network.
--- a/fleet/quota/quota_test.go
+++ b/fleet/quota/quota_test.go
@@ -21,13 +21,14 @@
 	vms   map[string]*Service
 	rings map[string][]string        // the VMs that a VM knows; all by default
 	lose  func(from, to string) bool // whether a packet is lost
+	apart map[string]bool            // the VMs that aren't in touch with most of the fleet
 	left  map[string]int             // grants left, by VM and role
 }
 
 const granted = 2
 
 func newFleet(n int) *fleet {
-	f := &fleet{vms: make(map[string]*Service), rings: make(map[string][]string), lose: func(string, string) bool { return false }, left: make(map[string]int)}
+	f := &fleet{vms: make(map[string]*Service), rings: make(map[string][]string), lose: func(string, string) bool { return false }, apart: make(map[string]bool), left: make(map[string]int)}
 	var all []string
 	for i := range n {
 		all = append(all, fmt.Sprint("vm", i))
@@ -36,7 +37,8 @@
 		f.rings[name] = all
 		f.vms[name] = New(Config{
 			Self: name, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
-			Ring: func(string) *sticky.Ring { return f.ring(name) }, Timeout: func(string) time.Duration { return 20 * time.Millisecond },
+			Ring: func(string) *sticky.Ring { return f.ring(name) }, SeesMajority: func() bool { return !f.apart[name] },
+			Timeout: func(string) time.Duration { return 20 * time.Millisecond },
 			Decide: func(endpoint string, _ float64, deputy bool) time.Duration {
 				k := fmt.Sprint(name, endpoint, deputy)
 				if _, ok := f.left[k]; !ok {
@@ -148,6 +150,21 @@
 	})
 }
 
+// Guards against VMs that each grant the whole limit while they know no others, as after a start of the whole fleet.
+func TestVMApartFromTheFleetDecidesAsDeputy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(7)
+		for vm := range f.rings {
+			f.rings[vm], f.apart[vm] = []string{vm}, true
+		}
+		f.take(t, "e")
+		require.Len(t, f.left, 7)
+		for vm := range f.rings {
+			require.Contains(t, f.left, vm+"etrue")
+		}
+	})
+}
+
 // Guards against a grant by a packet that isn't valid: any host can send to the port.
 func FuzzMessage(f *testing.F) {
 	b, err := cbor.Marshal(&message{Kind: kindTake, RequestID: 1, Endpoint: "e", Rate: 1})
@@ -158,7 +175,7 @@
 	f.Add(b)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		s := New(Config{
-			Self: "a", Ring: func(string) *sticky.Ring { return sticky.NewRing(sticky.Keeper{Name: "a"}) }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
+			Self: "a", Ring: func(string) *sticky.Ring { return sticky.NewRing(sticky.Keeper{Name: "a"}) }, SeesMajority: func() bool { return true }, Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(),
 			Decide: func(_ string, rate float64, _ bool) time.Duration {
 				require.GreaterOrEqual(t, rate, 0.0)
 				require.LessOrEqual(t, rate, maxRate)
--- a/fleet/quota/service.go
+++ b/fleet/quota/service.go
@@ -29,6 +29,8 @@
 	Self string
 	// Ring returns the ring of the VMs that can keep an endpoint's limit now.
 	Ring func(endpoint string) *sticky.Ring
+	// SeesMajority reports whether this VM is in touch with most of the VMs that it knows.
+	SeesMajority func() bool
 	// Timeout returns how long a keeper of an endpoint has to answer.
 	Timeout func(endpoint string) time.Duration
 	// Decide decides on one request at an endpoint that takes rate requests a second, as its
@@ -122,9 +124,9 @@
 }
 
 // decide decides on one request. Unless this VM ranks first by its own ring and by that of the VM
-// that asks, it decides as the deputy.
+// that asks, and is in touch with most VMs, it decides as the deputy.
 func (s *Service) decide(endpoint string, rate float64, deputy bool) time.Duration {
-	if first := s.cfg.Ring(endpoint).Keepers(sticky.KeyOf(endpoint)); len(first) == 0 || first[0].Name != s.cfg.Self {
+	if first := s.cfg.Ring(endpoint).Keepers(sticky.KeyOf(endpoint)); len(first) == 0 || first[0].Name != s.cfg.Self || !s.cfg.SeesMajority() {
 		deputy = true
 	}
 	wait := s.cfg.Decide(endpoint, rate, deputy)
--- a/gateway/node/announce.go
+++ b/gateway/node/announce.go
@@ -69,6 +69,7 @@
 		entered = entered || it.Value == n.self()
 		n.gossip.Table().Learn(bootClock(), it.Value)
 	}
+	n.membersRead.Store(true)
 	n.gossip.TriggerRound()
 	return entered, nil
 }
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -116,6 +116,7 @@
 	stopping       atomic.Bool
 	rollOutsListed atomic.Bool // whether the roll-outs were listed
 	outListed      atomic.Bool // whether the data centres that are out were listed
+	membersRead    atomic.Bool // whether the entries of the VMs were read
 
 	// Values derived from the fleet's members, recomputed when they are older than fleetAge.
 	localKeepers, remoteKeepers cached[[]tally.Keeper]
