Share a cold endpoint's rate among known VMs while few of them are heard

What callers could have seen: an endpoint in cold start that gets the whole rate from each VM, and crashes, after all VMs were started at the same time or a data centre was cut off.

Cause: a VM split the rate among the VMs that it had heard. One that has just started has heard none.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -282,6 +283,16 @@
 	return 2*alive > known
 }
 
+// KnownNames returns the sorted names of all VMs that this one knows, alive or not, itself
+// included.
+func (t *Table) KnownNames() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := append(slices.Collect(maps.Keys(t.peers)), t.self.Name)
+	slices.Sort(out)
+	return out
+}
+
 // AliveNames returns the names of the VMs in Alive.
 func (t *Table) AliveNames(now time.Duration) []string {
 	alive := t.Alive(now)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -319,12 +319,3 @@
 	n.table.SetLost(address, lost)
 	n.log.Info().Str("address", address).Bool("lost", lost).Msg("silent endpoint")
 }
-
-// coldShare returns this VM's part of a cold endpoint's rate. The rate is split among a few VMs
-// by rank, so that even one request from each of them at once stays within it; the others get
-// none.
-func (n *Node) coldShare(endpoint string, rate float64) float64 {
-	now := bootClock()
-	vms := n.vms.get(now, func() []string { return n.gossip.Table().AliveNames(now) })
-	return coldShare(vms, n.s.VM, endpoint, rate)
-}
