Tell all VMs of request limits with the datagrams between them

What operators could have seen: in a large fleet each VM sends an endpoint in need one more request before its own answer says that the endpoint has a limit; 195 VMs are up to 195 requests at an endpoint that takes one a second. The rule counts only VMs that were told, but the limit is meant for all requests.

Now VMs report what endpoints stated up to ten seconds ago, also what they heard from others, with its age; the newer statement wins, ends of limits included. The payload stays under a fifth of a packet and is sent only while limits are stated.

--- a/gateway/node/limits.go
+++ b/gateway/node/limits.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"time"
 
 	"goldcrestfork/fleet/datagram"
@@ -82,3 +83,49 @@
 	}
 	return quotaTimeout
 }
+
+const (
+	// statementTTL is how long other VMs are told what an endpoint stated, several times the time
+	// that it takes to reach all VMs.
+	statementTTL = 10 * time.Second
+	// maxStatements bounds the statements in one datagram, 15 bytes each.
+	maxStatements = 12
+)
+
+// limitReport is what an endpoint stated about its request limit.
+type limitReport struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint uint32   // rendezvous.Hash.Short of its ID
+	Rate     float32  // requests a second
+	Limited  bool     // whether Rate applies
+	AgeMs    uint32
+}
+
+// limitReports returns this VM's part of a datagram about request limits, also those that it
+// learnt from other VMs: in a large fleet few VMs have requests at the endpoint.
+func (n *Node) limitReports() (out []limitReport) {
+	now := time.Now()
+	for short, s := range n.table.LimitStatements(now, statementTTL) { // in random order
+		if len(out) == maxStatements {
+			break
+		}
+		out = append(out, limitReport{Endpoint: short, Rate: float32(s.Rate), Limited: s.Limited, AgeMs: uint32(max(now.Sub(s.At).Milliseconds(), 0))})
+	}
+	return out
+}
+
+// mergeLimitReports applies another VM's reports, and passes over those that are invalid.
+func (n *Node) mergeLimitReports(from string, reports []limitReport) {
+	now := time.Now()
+	for _, r := range reports {
+		age := time.Duration(r.AgeMs) * time.Millisecond
+		if !(r.Rate >= 0 && r.Rate <= math.MaxFloat32) || age > statementTTL { // true for NaN
+			continue
+		}
+		id, changed := n.table.MergeLimit(r.Endpoint, ratelimit.Statement{Rate: float64(r.Rate), Limited: r.Limited, At: now.Add(-age)})
+		if changed {
+			n.log.Info().Str("endpoint", id).Bool("limited", r.Limited).Float32("per_s", r.Rate).Str("from", from).Dur("age_ms", age).
+				Msg("request limit heard from another VM")
+		}
+	}
+}
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -12,6 +12,7 @@
 type gossipPayload struct {
 	Orders   []rollOutReport           `cbor:"1,keyasint,omitempty"`
 	Suspects map[string][]poison.Count `cbor:"3,keyasint,omitempty"` // by service
+	Limits   []limitReport             `cbor:"4,keyasint,omitempty"`
 }
 
 // payload encodes this VM's gossipPayload; nil if there is nothing to report.
@@ -19,7 +20,8 @@
 	var w gossipPayload
 	w.Orders = n.rollouts.reports(bootClock())
 	w.Suspects = n.suspects.recentCrashes()
-	if len(w.Orders)+len(w.Suspects) == 0 {
+	w.Limits = n.limitReports()
+	if len(w.Orders)+len(w.Suspects)+len(w.Limits) == 0 {
 		return nil
 	}
 	b, err := cbor.Marshal(&w)
@@ -39,4 +41,5 @@
 	}
 	n.rollouts.mergeReports(bootClock(), from+"/"+strconv.FormatUint(incarnation, 36), w.Orders)
 	n.suspects.merge(w.Suspects)
+	n.mergeLimitReports(from, w.Limits)
 }
--- a/policy/placement/limit.go
+++ b/policy/placement/limit.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"goldcrestfork/policy/ratelimit"
+)
 
 // SetLimit records that an endpoint stated a request limit in an answer, in requests a second
 // from all VMs together. It reports whether the limit is new or differs from the last one.
@@ -43,3 +47,30 @@
 	}
 	return ""
 }
+
+// LimitStatements returns what endpoints stated about their request limits up to maxAge ago, by
+// the endpoints' short names (rendezvous.Hash.Short). It includes the ends of limits.
+func (t *Table) LimitStatements(now time.Time, maxAge time.Duration) map[uint32]ratelimit.Statement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[uint32]ratelimit.Statement)
+	for _, e := range t.endpoints {
+		if !e.limit.At.IsZero() && now.Sub(e.limit.At) <= maxAge {
+			out[e.idHash.Short()] = e.limit
+		}
+	}
+	return out
+}
+
+// MergeLimit applies what an endpoint, given by its short name, stated to another VM. It returns
+// the endpoint's ID and whether its limit changed; unknown names are ignored.
+func (t *Table) MergeLimit(short uint32, s ratelimit.Statement) (id string, changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.byShortName[short]
+	if e == nil {
+		return "", false
+	}
+	e.limit, changed = e.limit.Merge(s)
+	return e.ID, changed
+}
--- a/policy/ratelimit/statement.go
+++ b/policy/ratelimit/statement.go
@@ -27,3 +27,17 @@
 	}
 	return Statement{At: now}, true
 }
+
+// mergeMargin is how much newer a statement from another VM must be to replace an equal one. Its
+// time includes the time on the network, and would advance at each exchange otherwise.
+const mergeMargin = 200 * time.Millisecond
+
+// Merge returns the newer of the own statement and that of another VM, and whether the limit
+// changed.
+func (s Statement) Merge(other Statement) (Statement, bool) {
+	same := s.Limited == other.Limited && s.Rate == other.Rate
+	if !other.At.After(s.At) || same && other.At.Sub(s.At) < mergeMargin {
+		return s, false
+	}
+	return other, !same
+}
