Let an endpoint state a request limit in the soak

In the soak one of four endpoints now states a limit of 0.5 to 6.5 requests a second, by the seed, while VMs are killed, frozen, stopped and lose the store; requests of VMs that know the limit and had no fault in the last three seconds are counted in any four seconds against the rule. The order of faults of a seed is unchanged, the records of earlier failures stay.

--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -144,6 +144,7 @@
 // that endpoints ran it.
 type record struct {
 	nonRepeatable bool
+	vm            int // the VM that it was sent to
 	key           string
 	sent          time.Time
 	status        int
@@ -156,6 +157,7 @@
 	store   *platformtest.Store
 	vms     []*vm
 	proxies []*proxy
+	limit   *limitRecord
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -182,7 +184,10 @@
 		id := r.Header.Get(n.RequestID)
 		w.mu.Lock()
 		w.requestCounts[name]++
-		fault := 100
+		fault, from := 100, 0
+		if rec := w.records[id]; rec != nil {
+			from = rec.vm
+		}
 		if w.faultsActive {
 			fault = w.rng.IntN(100)
 		}
@@ -195,15 +200,21 @@
 		}
 		w.mu.Unlock()
 		rw.Header().Set(n.RequestID, id)
+		answered := func() {}
+		if name == soakLimited {
+			answered = w.limit.arrive(rw, from)
+		}
 		switch {
 		case fault < 5:
 			rw.Header().Set(n.NotRun, "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
+			answered()
 			return
 		case fault < 10:
 			panic(http.ErrAbortHandler)
 		case fault < 13:
 			rw.WriteHeader(http.StatusInternalServerError)
+			answered()
 			return
 		case fault < 16:
 			rw.Header().Set(n.Signature, "sig")
@@ -215,6 +226,7 @@
 		}
 		rw.Header().Set(n.Signature, "sig")
 		_, _ = io.WriteString(rw, "whole:"+id)
+		answered()
 	}
 }
 
@@ -244,7 +256,8 @@
 	w.mu.Lock()
 	rec := &record{nonRepeatable: w.rng.IntN(2) == 0, key: w.keys[w.rng.IntN(len(w.keys))], sent: time.Now()}
 	w.records[id] = rec
-	front := w.vms[w.rng.IntN(len(w.vms))].front
+	rec.vm = w.rng.IntN(len(w.vms))
+	front := w.vms[rec.vm].front
 	w.mu.Unlock()
 	method, path := http.MethodGet, "/again/"+id
 	if rec.nonRepeatable {
@@ -289,6 +302,9 @@
 		background(func() {
 			signalLocks[i].Lock()
 			defer signalLocks[i].Unlock()
+			if sig != syscall.SIGHUP {
+				defer w.limit.excuse(i, restart)()
+			}
 			started := v.hasStarted()
 			_ = v.cmd.Process.Signal(sig)
 			if sig == syscall.SIGHUP {
@@ -362,6 +378,7 @@
 	w := &soakTestbed{
 		t: t, store: store, rng: rand.New(rand.NewPCG(seed, 1)), records: map[string]*record{},
 		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: map[string]time.Time{}, requestCounts: map[string]int{}, faultsActive: true,
+		limit: newLimitRecord(seed),
 	}
 	w.configure(w.keys)
 	addresses := map[string]string{}
@@ -413,6 +430,7 @@
 	w.mu.Lock()
 	w.faultsActive = false
 	w.mu.Unlock()
+	w.limit.end()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	n := 0
 	require.Eventually(w.t, func() bool {
@@ -463,6 +481,8 @@
 			served++
 		}
 	}
+	w.violations = append(w.violations, w.limit.violations()...)
+	w.t.Logf("seed %d: %d requests at the endpoint with a limit of %v a second were counted", seed, len(w.limit.counted), w.limit.limit)
 	w.t.Logf("seed %d: %d requests, %d served, %d keys revoked", seed, len(w.records), served, len(w.revokedAt))
 	require.Empty(w.t, w.violations, "seed %d", seed)
 }
