Keep a weak answer until another endpoint within its limit is found

What callers could have seen: a weak answer that is dropped for a larger model, and then a 502, because the limits of all endpoints are used up.

Cause: the weak answer's stream was closed before the next endpoint was picked. Evidence: TestWeakAnswerIsKeptWhileLimitsAreUsedUp gives 502 on the code before.

Now, if no usable endpoint is without a request limit, the endpoint for the larger model is picked while the weak answer is still open, and the weak answer is passed on if there is none. Where endpoints without a limit are usable the order stays as it was. A caller that leaves while its VM asks for a grant no longer pauses the endpoint at that VM.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -56,6 +56,8 @@
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
 	limitNotes []limitNote
+	scarce     bool              // the next model may find no endpoint
+	reserved   *placement.Choice // the endpoint for the next attempt, if it was picked already
 }
 
 // limitNote is, for the log, a decision on the request within an endpoint's request limit.
@@ -113,7 +115,7 @@
 	defer cancel()
 	c.pin = c.h.cfg.Versions.Begin(c.service, c.session(), c.deadline)
 	for {
-		choice, refused := c.nextEndpoint(ctx)
+		choice, refused := c.reservedOrNextEndpoint(ctx)
 		if refused != nil {
 			c.refuse(refused)
 			return
@@ -217,6 +219,9 @@
 		}
 		now := time.Now()
 		c.h.cfg.Table.Done(now, ch, placement.NoSignal)
+		if ctx.Err() != nil {
+			return placement.Choice{}, placement.AllLimited // the wait is not the keeper's
+		}
 		c.h.cfg.Table.PauseLimited(now, ch.ID, a.Wait)
 	}
 }
@@ -232,6 +237,15 @@
 // many tokens in the time by which one more running request delays the others at its engine.
 const tokensPerWorkUnit = 1000
 
+// reservedOrNextEndpoint returns the endpoint that was picked for the next attempt, or picks one.
+func (c *call) reservedOrNextEndpoint(ctx context.Context) (placement.Choice, *refusal.Refusal) {
+	if r := c.reserved; r != nil {
+		c.reserved = nil
+		return *r, nil
+	}
+	return c.nextEndpoint(ctx)
+}
+
 // nextEndpoint picks the endpoint for the next attempt, or returns a refusal if no attempt is
 // allowed or possible.
 func (c *call) nextEndpoint(ctx context.Context) (placement.Choice, *refusal.Refusal) {
--- a/gateway/forward/limit_test.go
+++ b/gateway/forward/limit_test.go
@@ -63,3 +63,14 @@
 	require.NotEmpty(t, r.header.Get("Retry-After"))
 	require.EqualValues(t, 3, w.totalRuns())
 }
+
+// Guards against dropping a weak answer for a larger model while no endpoint's limit allows another request.
+func TestWeakAnswerIsKeptWhileLimitsAreUsedUp(t *testing.T) {
+	w := newTestEnv(t, 1)
+	w.limits.grants.Store(1)
+	w.setHandlers(limited("1"), events(1, 2, false, testNames.Confidence, "0", testNames.RateLimit, "1"))
+	require.Equal(t, http.StatusOK, w.send(http.MethodGet, "/safe/a", "").status)
+	r := w.send(http.MethodPost, "/sized/a", "x", testNames.Model, anyModel)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, streamOf(1, 2), r.body)
+}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -62,10 +62,8 @@
 		return c.outcomeUnknown("the answer is not the endpoint's")
 	}
 	c.reportAnswer(ch, false, time.Since(t.began))
-	if next, escalate := c.largerModel(a); escalate && c.reserveRetry() {
+	if next, escalate := c.largerModel(a); escalate && c.reserveRetry() && c.switchModel(ctx, next) {
 		c.finishAttempt(ch, placement.Good, "weak")
-		c.model = next
-		c.tried = nil // another model may run on an endpoint that was already tried
 		return tryNext, nil
 	}
 	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
@@ -73,6 +71,24 @@
 	return done, nil
 }
 
+// switchModel makes the next attempt ask another model. If that attempt might find no endpoint, it
+// is picked now; switchModel returns false if there is none.
+func (c *call) switchModel(ctx context.Context, next int) bool {
+	model, tried := c.model, c.tried
+	c.model = next
+	c.tried = nil // another model may run on an endpoint that was already tried
+	if !c.scarce {
+		return true
+	}
+	choice, refused := c.nextEndpoint(ctx)
+	if refused != nil {
+		c.model, c.tried = model, tried
+		return false
+	}
+	c.reserved = &choice
+	return true
+}
+
 // largerModel decides by the head of an answer whether a larger model is asked instead, and
 // returns its index.
 func (c *call) largerModel(a *upstream.Answer) (int, bool) {
@@ -83,6 +99,7 @@
 	load := parseLoad(a.Header.Get(c.h.cfg.Names.Load))
 	now := time.Now()
 	outlook := c.h.cfg.Table.EstimateWait(now, newRand(), c.requestFor(VersionChoice{}, len(c.route.Models)-1))
+	c.scarce = outlook.Scarce
 	if err == nil {
 		c.sizingNote = fmt.Sprintf("%d,%d/%d,%d+%dms", confidence, load.inFlight(), load.slots, outlook.Wait.Milliseconds(), outlook.Read.Milliseconds())
 	}
--- a/policy/placement/pace.go
+++ b/policy/placement/pace.go
@@ -45,6 +45,9 @@
 	// Wait is the time for the work ahead of the request, Read the time for reading its own
 	// prompt.
 	Wait, Read time.Duration
+	// Scarce says that no usable endpoint is without a request limit, so that the request may not
+	// get one.
+	Scarce bool
 }
 
 // EstimateWait estimates the time to a request's first event at the usable endpoint with the least
@@ -61,12 +64,13 @@
 	if len(warm) == 0 {
 		warm = cold
 	}
-	least := -1.0
+	least, scarce := -1.0, true
 	for _, e := range warm {
+		scarce = scarce && e.limit.Limited
 		if under := t.workAt(now, e); least < 0 || under < least {
 			least = under
 		}
 	}
 	unit := p.unitTime.get() * float64(time.Second)
-	return WaitEstimate{Wait: time.Duration(max(least, 0) * unit), Read: time.Duration((r.Work + r.Prefill) * unit)}
+	return WaitEstimate{Wait: time.Duration(max(least, 0) * unit), Read: time.Duration((r.Work + r.Prefill) * unit), Scarce: scarce}
 }
