--- a/gateway/node/limits.go
+++ b/gateway/node/limits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"goldcrestfork/fleet/datagram"
+	"goldcrestfork/fleet/gossip"
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/fleet/sticky"
@@ -50,7 +51,9 @@
 // alive in its region, or all if there are none. VMs that aren't ready belong to it, since they
 // may still serve callers, and all VMs can be not ready at once.
 func (n *Node) limitRing(endpoint string) *sticky.Ring {
-	rings := n.limitRings.get(bootClock(), n.newLimitRings)
+	rings := n.limitRings.get(bootClock(), func() map[string]*sticky.Ring {
+		return newLimitRings(n.gossip.Table().Alive(bootClock()), n.s.Regions)
+	})
 	if r := rings[n.table.Region(endpoint)]; r != nil {
 		return r
 	}
@@ -60,13 +63,14 @@
 // anyRegion is the key of the ring of all VMs.
 const anyRegion = ""
 
-// newLimitRings returns the rings of limitRing by region.
-func (n *Node) newLimitRings() map[string]*sticky.Ring {
+// newLimitRings returns the rings of the VMs that are alive by region. regions maps data centres
+// to regions.
+func newLimitRings(alive []gossip.Member, regions map[string]string) map[string]*sticky.Ring {
 	keepers := make(map[string][]sticky.Keeper)
-	for _, m := range n.gossip.Table().Alive(bootClock()) {
+	for _, m := range alive {
 		k := sticky.Keeper{Name: m.Name, Address: m.Peer}
 		keepers[anyRegion] = append(keepers[anyRegion], k)
-		if region := n.s.Regions[m.DataCentre]; region != anyRegion {
+		if region := regions[m.DataCentre]; region != anyRegion {
 			keepers[region] = append(keepers[region], k)
 		}
 	}
