Split the slack of retries among known VMs while few of them are heard

What callers could have seen: more attempts beyond the first of each request than the bound over all VMs allows, after all VMs were started at the same time.

Cause: a VM took its part of the slack as one of the VMs that it had heard. Evidence: TestStartingVMsShareRetrySlack on the code before: 20 starting VMs allow 800 attempts for a slack of 40. Now the slack is split as the rate of cold endpoints is, by Node.sharingVMs: among the VMs alive while most known ones are, among all known ones otherwise, and not at all before the other VMs' entries are read (the ratio of own requests applies then). The test gives 40. gossip.Table.AliveCount, now unused, goes.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -238,19 +238,6 @@
 	return heard
 }
 
-// AliveCount returns the number of VMs that are alive, this one included.
-func (t *Table) AliveCount(now time.Duration) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 1
-	for _, p := range t.peers {
-		if p.heardAt != 0 && now-p.heardAt < t.freshness() {
-			n++
-		}
-	}
-	return n
-}
-
 // Alive returns the VMs that are alive, this one included, sorted by name.
 func (t *Table) Alive(now time.Duration) []Member {
 	t.mu.Lock()
--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -38,5 +38,5 @@
 
 // TakeExtra implements forward.RetryBudget.
 func (b *budgets) TakeExtra(service string) bool {
-	return b.window(service).TakeExtra(time.Now(), b.n.gossip.Table().AliveCount(bootClock()))
+	return b.window(service).TakeExtra(time.Now(), len(b.n.sharingVMs()))
 }
--- a/gateway/node/cold.go
+++ b/gateway/node/cold.go
@@ -4,19 +4,9 @@
 
 // coldShare returns this VM's part of a cold endpoint's rate. The rate is split among a few VMs
 // by rank, so that even one request from each of them at once stays within it; the others get
-// none. A VM that isn't in touch with most of the fleet ranks all VMs that it knows, and gets
-// none before it has read their entries.
+// none.
 func (n *Node) coldShare(endpoint string, rate float64) float64 {
-	vms := n.vms.get(bootClock(), func() []string {
-		switch now := bootClock(); {
-		case n.seesMajority():
-			return n.gossip.Table().AliveNames(now)
-		case n.membersRead.Load():
-			return n.gossip.Table().KnownNames()
-		}
-		return nil
-	})
-	return coldShare(vms, n.s.VM, endpoint, rate)
+	return coldShare(n.sharingVMs(), n.s.VM, endpoint, rate)
 }
 
 // maxColdVMs bounds the VMs that may send to one cold endpoint. Each may send one request at
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -58,7 +58,7 @@
 }
 
 // TakeExtra counts one more attempt and reports true if the window allows it. vms is the
-// number of VMs that share the slack.
+// number of VMs that share the slack; with 0 there is no slack.
 func (w *Window) TakeExtra(now time.Time, vms int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,7 +68,11 @@
 		first += w.first[i]
 		extra += w.extra[i]
 	}
-	if float64(extra+1) > w.ratio*float64(first)+w.slack/float64(max(vms, 1)) {
+	slack := 0.0
+	if vms > 0 {
+		slack = w.slack / float64(vms)
+	}
+	if float64(extra+1) > w.ratio*float64(first)+slack {
 		return false
 	}
 	w.extra[w.bucket%bucketCount]++
