End a request limit by a success only

What operators could have seen: a limit that is forgotten while the endpoint still states it, because one answer, of a failure or a refusal, comes without the header. Now only a signed success to a request that was sent after the limit was stated ends it.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -385,8 +385,9 @@
 		line().Str("value", stated).Msg("request limit can't be read, passed over")
 		return
 	}
-	// An answer without a signature may not be the endpoint's own.
-	if a.Header.Get(n.Signature) != "" && c.h.cfg.Table.EndLimit(now, ch.ID, c.sentAt) {
+	// An endpoint may answer a request that it doesn't run without its usual headers, and an
+	// answer without a signature may not be its own.
+	if a.Status < 300 && a.Header.Get(n.Signature) != "" && c.h.cfg.Table.EndLimit(now, ch.ID, c.sentAt) {
 		line().Msg("endpoint states no request limit any more")
 	}
 }
