Ask for limited endpoints in proportion to their limits, and on before refusing

What callers could have seen: a refusal while limits allow requests. What operators could have seen: control traffic over its bound at 400 VMs.

Cause: an endpoint with a limit has the least work of all, so that every choice tries it first. After four denials a choice looked at endpoints without a limit only: of 160 requests at seven VMs, all of whose nine endpoints take one a second, 28 were refused for eight a second asked. And a VM asked again as soon as a request might be granted: 115 questions a second and VM at 400 VMs with 200 limited endpoints, 28 KB/s for a bound of 14.

Now a choice goes on to all limited endpoints that may allow a request, up to sixteen and 100 ms, before the caller is refused. A VM that was denied leaves the endpoint to others for a time that grows with the fleet and falls with the limit, unless the request has no other endpoint.

TestRequestFindsTheEndpointThatIsLeft has the two cases at one VM.

--- a/fleet/quota/quota_test.go
+++ b/fleet/quota/quota_test.go
@@ -79,6 +79,17 @@
 	return n
 }
 
+// Guards against questions that cost more traffic than they were designed for.
+func TestQuestionIsSmall(t *testing.T) {
+	ask, err := cbor.Marshal(&message{Kind: kindTake, RequestID: 1 << 63, Endpoint: "i-0123456789", Rate: 1.2, Deputy: true})
+	require.NoError(t, err)
+	answer, err := cbor.Marshal(&message{Kind: kindTaken, RequestID: 1 << 63, WaitMs: 1000})
+	require.NoError(t, err)
+	t.Log(len(ask), len(answer))
+	require.LessOrEqual(t, len(ask)+1, 46)
+	require.LessOrEqual(t, len(answer)+1, 20)
+}
+
 // Guards against VMs that each use an endpoint's whole limit.
 func TestOneVMGrantsForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -129,7 +140,7 @@
 			if name == keepers[0].Name || name == keepers[1].Name {
 				continue
 			}
-			require.Equal(t, Answer{Wait: silentBackoff}, s.Take(t.Context(), "e", 1))
+			require.Equal(t, Answer{Wait: silentBackoff, VMs: 7}, s.Take(t.Context(), "e", 1))
 		}
 	})
 }
--- a/fleet/quota/service.go
+++ b/fleet/quota/service.go
@@ -50,6 +50,8 @@
 	Wait time.Duration
 	// Keeper is the VM that decided, "" if none answered.
 	Keeper string
+	// VMs is the number of VMs that share the limit, as far as this VM knows.
+	VMs int
 }
 
 // kind is the type of a message.
@@ -108,19 +110,20 @@
 }
 
 func (s *Service) take(ctx context.Context, endpoint string, rate float64) Answer {
-	for i, k := range s.cfg.Ring(endpoint).Keepers(sticky.KeyOf(endpoint)) {
+	ring := s.cfg.Ring(endpoint)
+	for i, k := range ring.Keepers(sticky.KeyOf(endpoint)) {
 		deputy := i > 0
 		if k.Name == s.cfg.Self {
-			return Answer{Wait: s.decide(endpoint, rate, deputy), Keeper: k.Name}
+			return Answer{Wait: s.decide(endpoint, rate, deputy), Keeper: k.Name, VMs: ring.Len()}
 		}
 		if s.isSilent(k.Name) {
 			continue
 		}
 		if wait, ok := s.ask(ctx, k, message{Endpoint: endpoint, Rate: rate, Deputy: deputy}); ok {
-			return Answer{Wait: wait, Keeper: k.Name}
+			return Answer{Wait: wait, Keeper: k.Name, VMs: ring.Len()}
 		}
 	}
-	return Answer{Wait: silentBackoff}
+	return Answer{Wait: silentBackoff, VMs: ring.Len()}
 }
 
 // decide decides on one request. Unless this VM ranks first by its own ring and by that of the VM
--- a/fleet/sticky/ring.go
+++ b/fleet/sticky/ring.go
@@ -33,6 +33,9 @@
 	return r
 }
 
+// Len returns the number of VMs.
+func (r *Ring) Len() int { return len(r.keepers) }
+
 // equal reports whether the rings have the same VMs in the same order.
 func (r *Ring) equal(other *Ring) bool { return r == other || slices.Equal(r.keepers, other.keepers) }
 
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -14,6 +14,7 @@
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/ratelimit"
 	"goldcrestfork/policy/sizing"
 	"goldcrestfork/router/refusal"
 )
@@ -200,30 +201,63 @@
 	return ch, miss
 }
 
-// maxLimitQueries bounds the endpoints whose request limits are asked for in one choice; each
-// takes a round trip to another VM. After them only endpoints without a limit are considered.
-const maxLimitQueries = 4
-
-// pickWithinLimits picks an endpoint whose request limit, if it has one, allows the request.
-func (c *call) pickWithinLimits(ctx context.Context, r *placement.Request) (placement.Choice, placement.NoChoiceReason) {
-	for query := 0; ; query++ {
-		r.SkipLimited = query >= maxLimitQueries
-		ch, miss := c.h.cfg.Table.Pick(time.Now(), newRand(), r)
-		if miss != placement.Picked || !ch.Limited {
-			return ch, miss
-		}
-		a := c.h.cfg.Limits.Take(ctx, ch.ID, ch.Limit)
-		c.limitNotes = append(c.limitNotes, limitNote{endpoint: ch.ID, Answer: a})
-		if a.Wait == 0 {
-			return ch, miss
-		}
-		now := time.Now()
-		c.h.cfg.Table.Done(now, ch, placement.NoSignal)
-		if ctx.Err() != nil {
-			return placement.Choice{}, placement.AllLimited // the wait is not the keeper's
+const (
+	// maxLimitQueries bounds the endpoints whose request limits are asked for in one choice while
+	// others may be free; each takes a round trip to another VM.
+	maxLimitQueries = 4
+	// maxNeededQueries applies instead if all other endpoints are out of the question.
+	maxNeededQueries = 16
+	// maxLimitQueryTime is the time after which a choice makes no further query, as when keepers
+	// are silent.
+	maxLimitQueryTime = 100 * time.Millisecond
+)
+
+// pickWithinLimits picks an endpoint whose request limit, if it has one, allows the request. If the
+// limits that were asked for are used up it picks an endpoint without a limit, and if there is none
+// it asks for further limits.
+func (c *call) pickWithinLimits(ctx context.Context, r *placement.Request) (ch placement.Choice, miss placement.NoChoiceReason) {
+	began := time.Now()
+	for _, step := range []struct {
+		use     placement.LimitedUse
+		queries int
+	}{{placement.LimitedPaced, maxLimitQueries}, {placement.LimitedNone, 1}, {placement.LimitedNeeded, maxNeededQueries}} {
+		r.Limited = step.use
+		for query := 0; query < step.queries; query++ {
+			if step.use != placement.LimitedNone && time.Since(began) > maxLimitQueryTime {
+				break
+			}
+			ch, miss = c.h.cfg.Table.Pick(time.Now(), newRand(), r)
+			if miss == placement.AllLimited {
+				break
+			}
+			if miss != placement.Picked || c.withinLimit(ctx, ch) {
+				return ch, miss
+			}
+			if ctx.Err() != nil {
+				return placement.Choice{}, placement.AllLimited
+			}
 		}
-		c.h.cfg.Table.PauseLimited(now, ch.ID, a.Wait)
 	}
+	return placement.Choice{}, placement.AllLimited
+}
+
+// withinLimit reports whether the request limit of a chosen endpoint, if it has one, allows the
+// request. Otherwise it takes the choice back.
+func (c *call) withinLimit(ctx context.Context, ch placement.Choice) bool {
+	if !ch.Limited {
+		return true
+	}
+	a := c.h.cfg.Limits.Take(ctx, ch.ID, ch.Limit)
+	c.limitNotes = append(c.limitNotes, limitNote{endpoint: ch.ID, Answer: a})
+	if a.Wait == 0 {
+		return true
+	}
+	now := time.Now()
+	c.h.cfg.Table.Done(now, ch, placement.NoSignal)
+	if ctx.Err() == nil { // otherwise the wait is not the keeper's
+		c.h.cfg.Table.DenyLimited(now, ch.ID, a.Wait, ratelimit.AskInterval(a.VMs, ch.Limit))
+	}
+	return false
 }
 
 // session returns the id of the request's session; empty for none.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -334,14 +334,17 @@
 	return b.String()
 }
 
-// fakeLimits grants requests at limited endpoints while grants is positive.
-type fakeLimits struct{ grants atomic.Int64 }
+// fakeLimits grants requests at the limited endpoint only, or at any while grants is positive.
+type fakeLimits struct {
+	grants atomic.Int64
+	only   atomic.Pointer[string]
+}
 
-func (l *fakeLimits) Take(context.Context, string, float64) quota.Answer {
-	if l.grants.Add(-1) < 0 {
-		return quota.Answer{Wait: time.Hour, Keeper: "a"}
+func (l *fakeLimits) Take(_ context.Context, endpoint string, _ float64) quota.Answer {
+	if only := l.only.Load(); only != nil && *only == endpoint || only == nil && l.grants.Add(-1) >= 0 {
+		return quota.Answer{Keeper: "a", VMs: 1}
 	}
-	return quota.Answer{Keeper: "a"}
+	return quota.Answer{Wait: time.Hour, Keeper: "a", VMs: 1}
 }
 
 // noLoad implements LoadExchange for a fleet of one VM, in which no other VM has work in progress.
--- a/gateway/forward/limit_test.go
+++ b/gateway/forward/limit_test.go
@@ -76,3 +76,26 @@
 	require.Equal(t, http.StatusOK, r.status)
 	require.Equal(t, streamOf(1, 2), r.body)
 }
+
+// Guards against a refusal while an endpoint without a limit, or one whose limit allows a request, is left among many that are used up.
+func TestRequestFindsTheEndpointThatIsLeft(t *testing.T) {
+	for name, free := range map[string]bool{"without a limit": true, "within its limit": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t, 9)
+			w.setHandlers(limited("1"))
+			if free {
+				w.endpoints[8].handlers = []http.HandlerFunc{answerOK}
+			}
+			for _, e := range w.endpoints {
+				if e.id != "e8" || !free {
+					w.table.SetLimit(time.Now(), e.id, 1)
+				}
+			}
+			w.limits.only.Store(&w.endpoints[8].id)
+			for range 20 {
+				require.Equal(t, http.StatusOK, w.send(http.MethodPost, "/once/a", "x").status)
+			}
+			require.EqualValues(t, 20, w.endpoints[8].runs.Load())
+		})
+	}
+}
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -58,9 +58,8 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
-	limit ratelimit.Statement // as the endpoint stated it in answers
-	// limitPausedUntil is when its limit allows the next request.
-	limitPausedUntil time.Time
+	limit     ratelimit.Statement // as the endpoint stated it in answers
+	limitPace ratelimit.Pace      // of this VM's questions for requests within the limit
 
 	coldUntil  time.Time
 	coldTokens float64
@@ -105,9 +104,12 @@
 	return true
 }
 
-// paused reports whether the endpoint's request limit allows no request now.
+// paused reports whether the endpoint's request limit keeps it out of the choice.
 func (e *endpoint) paused(now time.Time, r *Request) bool {
-	return e.limit.Limited && (r.SkipLimited || now.Before(e.limitPausedUntil))
+	if !e.limit.Limited {
+		return false
+	}
+	return r.Limited == LimitedNone || !e.limitPace.MayAsk(now, r.Limited == LimitedNeeded)
 }
 
 // usable reports whether the endpoint may get the request now.
--- a/policy/placement/limit.go
+++ b/policy/placement/limit.go
@@ -28,13 +28,13 @@
 	return ended
 }
 
-// PauseLimited leaves an endpoint out of choices until its request limit allows a request, after
-// the given time.
-func (t *Table) PauseLimited(now time.Time, id string, wait time.Duration) {
+// DenyLimited records that an endpoint's limit allows no request before wait has passed, and that
+// this VM leaves the endpoint to others for the interval (ratelimit.AskInterval).
+func (t *Table) DenyLimited(now time.Time, id string, wait, interval time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[id]; e != nil {
-		e.limitPausedUntil = now.Add(wait)
+		e.limitPace.Denied(now, wait, interval)
 	}
 }
 
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -24,8 +24,8 @@
 	Regions []string
 	// Exclude lists the IDs of endpoints that the request was already sent to.
 	Exclude []string
-	// SkipLimited leaves out the endpoints that have stated a request limit.
-	SkipLimited bool
+	// Limited says which endpoints with a request limit are considered.
+	Limited LimitedUse
 	// Affinity identifies the shared prompt prefix and the model that reads it; empty for none.
 	Affinity string
 	// Saving is the work that an endpoint with the prefix in its cache saves, in requests.
@@ -37,6 +37,19 @@
 	Prefill float64
 }
 
+// LimitedUse says which endpoints that have stated a request limit a choice considers.
+type LimitedUse int
+
+// Values of LimitedUse.
+const (
+	// LimitedPaced: those that this VM may ask a request for beside the other VMs.
+	LimitedPaced LimitedUse = iota
+	// LimitedNone: none.
+	LimitedNone
+	// LimitedNeeded: all that may allow a request now.
+	LimitedNeeded
+)
+
 func (r *Request) inRegion(region string) bool { return slices.Contains(r.Regions, region) }
 func (r *Request) excluded(id string) bool     { return slices.Contains(r.Exclude, id) }
 
