Copy an endpoint's limit into the state dump, and bound rates at the sender

The state dump pointed into the live table, which changes while the dump is written. A limit above a million a second was sent as stated and passed over by the keeper as invalid, so that the endpoint got nothing; the sender now bounds it. Both found by reading.

--- a/fleet/quota/service.go
+++ b/fleet/quota/service.go
@@ -19,7 +19,7 @@
 	silentBackoff = time.Second
 	// maxWait bounds the waits that other VMs name.
 	maxWait = 10 * time.Second
-	// maxRate bounds the rates that other VMs name, in requests a second.
+	// maxRate bounds the rates that VMs name, in requests a second.
 	maxRate = 1e6
 )
 
@@ -97,7 +97,7 @@
 // Take asks for one request at an endpoint that takes the given number of requests a second. It
 // waits for at most two timeouts, and no longer than ctx.
 func (s *Service) Take(ctx context.Context, endpoint string, rate float64) Answer {
-	a := s.take(ctx, endpoint, rate)
+	a := s.take(ctx, endpoint, min(rate, maxRate))
 	switch {
 	case a.Keeper == "":
 		s.takes.WithLabelValues("silent").Inc()
--- a/policy/placement/limit.go
+++ b/policy/placement/limit.go
@@ -38,16 +38,6 @@
 	}
 }
 
-// Region returns the region of an endpoint, "" if it isn't known.
-func (t *Table) Region(id string) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.endpoints[id]; e != nil {
-		return e.Region
-	}
-	return ""
-}
-
 // LimitStatements returns what endpoints stated about their request limits up to maxAge ago, by
 // the endpoints' short names (rendezvous.Hash.Short). It includes the ends of limits.
 func (t *Table) LimitStatements(now time.Time, maxAge time.Duration) map[uint32]ratelimit.Statement {
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -37,8 +37,8 @@
 	out := make([]Row, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
 		var limit *float64
-		if e.limit.Limited {
-			limit = &e.limit.Rate
+		if rate := e.limit.Rate; e.limit.Limited {
+			limit = &rate
 		}
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -217,6 +217,16 @@
 	return p.detector
 }
 
+// Region returns the region of an endpoint, "" if it isn't known.
+func (t *Table) Region(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil {
+		return e.Region
+	}
+	return ""
+}
+
 // SetOut sets the data centres whose endpoints get no requests.
 func (t *Table) SetOut(out map[string]bool) {
 	t.mu.Lock()
