Give a VM that starts in an outage its parts of the fleet's bounds

What callers could have seen: refusals of endpoints in cold start, and limits granted by an eighth only, at VMs that started while the store was away, for as long as it stayed away. TestVMStartedInAnOutageHasItsPart has no part at the start and one of three after that time; on the code before it had none.

--- a/gateway/node/cold_test.go
+++ b/gateway/node/cold_test.go
@@ -21,3 +21,14 @@
 	require.LessOrEqual(t, before, rate, "before the other VMs' entries are read")
 	require.InDelta(t, rate, learnt, 1e-9, "no VM has heard another")
 }
+
+// Guards against a VM without parts of any bound because it started while the platform doesn't return the VMs' entries.
+func TestVMStartedInAnOutageHasItsPart(t *testing.T) {
+	n, members := nodeOfRank(t, 3, 1)
+	n.startedAt = bootClock()
+	receiveFrom(n, 1, true, members...)
+	require.Empty(t, n.sharingVMs(), "just started")
+	n.startedAt -= discoveryTime
+	n.vms = cached[[]string]{}
+	require.Len(t, n.sharingVMs(), 3)
+}
--- a/gateway/node/limits.go
+++ b/gateway/node/limits.go
@@ -43,12 +43,6 @@
 	return s
 }
 
-// seesMajority reports whether this VM is in touch with most of the fleet. Before it has read the
-// entries of the other VMs it doesn't know the fleet's size.
-func (n *Node) seesMajority() bool {
-	return n.membersRead.Load() && n.gossip.Table().SeesMajority(bootClock())
-}
-
 // limitRing returns the ring of the VMs that may keep an endpoint's request limit: those that are
 // alive in its region, or all if there are none. VMs that aren't ready belong to it, since they
 // may still serve callers, and all VMs can be not ready at once.
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -114,9 +114,10 @@
 	servers        []*http.Server
 	front          *http.Server
 	stopping       atomic.Bool
-	rollOutsListed atomic.Bool // whether the roll-outs were listed
-	outListed      atomic.Bool // whether the data centres that are out were listed
-	membersRead    atomic.Bool // whether the entries of the VMs were read
+	rollOutsListed atomic.Bool   // whether the roll-outs were listed
+	outListed      atomic.Bool   // whether the data centres that are out were listed
+	membersRead    atomic.Bool   // whether the entries of the VMs were read
+	startedAt      time.Duration // bootClock time of New
 
 	// Values derived from the fleet's members, recomputed when they are older than fleetAge.
 	localKeepers, remoteKeepers cached[[]tally.Keeper]
@@ -133,7 +134,7 @@
 // New connects the parts of a VM and opens its sockets for datagrams. Run starts serving.
 func New(s Settings, p Platform, edge Edge, registry *prometheus.Registry, log zerolog.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	n := &Node{s: s, currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets(), pool: upstream.NewPool(registry)}
+	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets(), pool: upstream.NewPool(registry)}
 	n.currentBounds.Store(&s.Bounds)
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
