--- /dev/null
+++ b/fleet/gossip/alive.go
@@ -0,0 +1,60 @@
+package gossip
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Alive returns the VMs that are alive, this one included, sorted by name.
+func (t *Table) Alive(now time.Duration) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := []Member{t.self}
+	for _, p := range t.peers {
+		if p.heardAt != 0 && now-p.heardAt < t.freshness() {
+			out = append(out, p.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// SeesMajority reports whether most of the VMs that this one knows are alive, this one included.
+// VMs that are silent since they stopped being ready, as a VM that leaves does, aren't counted.
+func (t *Table) SeesMajority(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	alive, known := 1, 1
+	for _, p := range t.peers {
+		switch {
+		case p.heardAt != 0 && now-p.heardAt < t.freshness():
+			alive++
+			known++
+		case p.heardAt == 0 || p.ready:
+			known++
+		}
+	}
+	return 2*alive > known
+}
+
+// KnownNames returns the sorted names of all VMs that this one knows, alive or not, itself
+// included.
+func (t *Table) KnownNames() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := append(slices.Collect(maps.Keys(t.peers)), t.self.Name)
+	slices.Sort(out)
+	return out
+}
+
+// AliveNames returns the names of the VMs in Alive.
+func (t *Table) AliveNames(now time.Duration) []string {
+	alive := t.Alive(now)
+	out := make([]string, len(alive))
+	for i, m := range alive {
+		out[i] = m.Name
+	}
+	return out
+}
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -114,16 +113,6 @@
 	return b.String()
 }
 
-// formatLimitNotes formats decisions as "endpoint=wait@keeper", separated by spaces. The wait is
-// 0ms if the request was allowed, and the keeper is missing if none answered.
-func formatLimitNotes(notes []limitNote) string {
-	out := make([]string, len(notes))
-	for i, a := range notes {
-		out[i] = fmt.Sprintf("%s=%dms@%s", a.endpoint, a.Wait.Milliseconds(), a.Keeper)
-	}
-	return strings.Join(out, " ")
-}
-
 // formatSendTimes formats when each attempt was sent, in ms since the request's start, separated
 // by spaces.
 func formatSendTimes(attempts []attemptRecord) string {
--- a/gateway/forward/request.go
+++ b/gateway/forward/request.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -65,13 +64,6 @@
 // inFlight returns the number of requests that run or wait at the endpoint.
 func (l endpointLoad) inFlight() int { return l.running + l.waiting }
 
-// parseRate parses a rate in requests a second, a decimal number; ok is false if it is
-// malformed or negative.
-func parseRate(s string) (rate float64, ok bool) {
-	rate, err := strconv.ParseFloat(strings.TrimSpace(s), 64)
-	return rate, err == nil && rate >= 0 && !math.IsInf(rate, 0)
-}
-
 // parseCount parses a count. A malformed or negative one counts as 0, which only makes
 // estimates less accurate.
 func parseCount(s string) int {
