--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -343,3 +343,16 @@
 	d.table.MarkCold(time.Now(), "a", time.Hour)
 	require.Empty(t, d.served())
 }
+
+// Guards against requests to an endpoint that left while a VM had no word for a moment, later than the drain bound after the last proof that it was there.
+func TestEndpointThatLeavesInAShortLossOfWordIsLeft(t *testing.T) {
+	d := newTestView()
+	d.ApplyEndpoints(Update[catalog.Endpoint]{All: true, ConfirmedAt: d.now, Changes: []Change[catalog.Endpoint]{entry("e1", 1, false), entry("e2", 2, false)}})
+	d.now += 1600 * time.Millisecond
+	gone := entry("e1", 3, false)
+	gone.Deleted = true
+	d.ApplyEndpoints(Update[catalog.Endpoint]{ConfirmedAt: d.now, Outage: 100 * time.Millisecond, Changes: []Change[catalog.Endpoint]{gone}})
+	d.now += 400 * time.Millisecond
+	d.Tick()
+	require.Equal(t, map[string]bool{"e2": true}, d.served(), "2 s after the last proof, the drain bound")
+}
