Pass request limits between VMs without rounding

What operators would have seen: at a limit of 1.2 a log line for each datagram and each answer, since VMs rounded a limit from others to 32 bits and took it for another one than the endpoint's own; the bucket was set anew each time. The new test fails on the code before: a VM that heard 1.2 takes the endpoint's 1.2 for a change. Rates are now passed as they are, four bytes longer.

--- a/gateway/node/limits.go
+++ b/gateway/node/limits.go
@@ -88,7 +88,7 @@
 	// statementTTL is how long other VMs are told what an endpoint stated, several times the time
 	// that it takes to reach all VMs.
 	statementTTL = 10 * time.Second
-	// maxStatements bounds the statements in one datagram, 15 bytes each.
+	// maxStatements bounds the statements in one datagram, 19 bytes each.
 	maxStatements = 12
 )
 
@@ -96,7 +96,7 @@
 type limitReport struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint uint32   // rendezvous.Hash.Short of its ID
-	Rate     float32  // requests a second
+	Rate     float64  // requests a second
 	Limited  bool     // whether Rate applies
 	AgeMs    uint32
 }
@@ -115,7 +115,7 @@
 	for i := range min(len(shorts), maxStatements) {
 		short := shorts[(first+i)%len(shorts)]
 		s := statements[short]
-		out = append(out, limitReport{Endpoint: short, Rate: float32(s.Rate), Limited: s.Limited, AgeMs: uint32(max(now.Sub(s.At).Milliseconds(), 0))})
+		out = append(out, limitReport{Endpoint: short, Rate: s.Rate, Limited: s.Limited, AgeMs: uint32(max(now.Sub(s.At).Milliseconds(), 0))})
 		n.lastReported.Store(short)
 	}
 	return out
@@ -126,12 +126,12 @@
 	now := time.Now()
 	for _, r := range reports {
 		age := time.Duration(r.AgeMs) * time.Millisecond
-		if !(r.Rate >= 0 && r.Rate <= math.MaxFloat32) || age > statementTTL { // true for NaN
+		if !(r.Rate >= 0 && r.Rate <= math.MaxFloat64) || age > statementTTL { // true for NaN
 			continue
 		}
-		id, changed := n.table.MergeLimit(r.Endpoint, ratelimit.Statement{Rate: float64(r.Rate), Limited: r.Limited, At: now.Add(-age)})
+		id, changed := n.table.MergeLimit(r.Endpoint, ratelimit.Statement{Rate: r.Rate, Limited: r.Limited, At: now.Add(-age)})
 		if changed {
-			n.log.Info().Str("endpoint", id).Bool("limited", r.Limited).Float32("per_s", r.Rate).Str("from", from).Dur("age_ms", age).
+			n.log.Info().Str("endpoint", id).Bool("limited", r.Limited).Float64("per_s", r.Rate).Str("from", from).Dur("age_ms", age).
 				Msg("request limit heard from another VM")
 		}
 	}
--- a/gateway/node/limits_test.go
+++ b/gateway/node/limits_test.go
@@ -90,6 +90,19 @@
 	require.Zero(t, f.knowing("e0"), "2 s after it ended")
 }
 
+// Guards against a limit that differs by rounding at each VM, so that every datagram and answer counts as a change.
+func TestLimitIsTheSameAtAllVMs(t *testing.T) {
+	f := newLimitFleet(3, 1)
+	f.nodes[0].table.SetLimit(time.Now(), "e0", 1.2)
+	for range 4 {
+		f.round(t)
+	}
+	require.Equal(t, 3, f.knowing("e0"))
+	for _, n := range f.nodes {
+		require.False(t, n.table.SetLimit(time.Now(), "e0", 1.2), "the endpoint states it again")
+	}
+}
+
 // Guards against datagrams that are too large, or limits that never get a turn, when many endpoints state one.
 func TestManyLimitsFitDatagrams(t *testing.T) {
 	const vms, endpoints = 50, 40
