--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -80,8 +80,7 @@
 	require.Equal(t, streamOf(1, 1), r.body)
 }
 
-// The smallest model is somewhat unsure: the next larger one is asked, and the largest only if
-// that one is unsure too. The caller gets the last answer alone.
+// Guards against asking the largest model where the next larger one is sure enough, and against an answer made of two.
 func TestMiddlingAnswerIsRepeatedByNextModel(t *testing.T) {
 	for middleConfidence, runs := range map[string]int64{"70": 2, "20": 3} {
 		w := newTestEnv(t, 2)
--- a/policy/retry/window_test.go
+++ b/policy/retry/window_test.go
@@ -63,9 +63,7 @@
 	require.True(t, w.TakeExtra(now.Add(11*time.Second), 7))
 }
 
-// Guards against VMs that deny attempts while the fleet is far from the bound: each VM of a large
-// fleet sees few requests, and by chance more of them need another attempt than elsewhere. Here 300
-// requests per second reach 89 VMs at random and need 70 more attempts per 100 requests, of 90 allowed.
+// Guards against VMs of a large fleet, each with few requests, that deny attempts while the fleet is far from the bound.
 func TestLargeFleetUsesItsBudget(t *testing.T) {
 	const vms, perS, ratio, slack, seconds = 89, 300, 0.9, 218.0, 60
 	const needsFirst, needsSecond = 0.55, 0.27
--- a/policy/sizing/load_test.go
+++ b/policy/sizing/load_test.go
@@ -176,10 +176,7 @@
 	}
 }
 
-// Guards against answers of middling confidence that are all kept or all made again by the largest
-// model: most of them are within reach of the next model, which takes a third of its time. From idle
-// to fourfold overload the answers must be worth what they are with the largest alone, and more in total
-// and where the engines are idle.
+// Guards against answers of middling confidence that are all kept, or all made again by the largest model.
 func TestNextModelUnderLoad(t *testing.T) {
 	const seeds = 8
 	total := 0.0
--- a/policy/trial/trial_test.go
+++ b/policy/trial/trial_test.go
@@ -128,9 +128,7 @@
 	require.Zero(t, split)
 }
 
-// Guards against a good version that is rolled back because dozens of its answers fail with a fault
-// that is not its own: in a busy fleet the trial gets over fifty requests per second, and endpoints
-// of both versions fail 8% of them throughout, or half of them for a second.
+// Guards against a good version that is rolled back because of faults that both versions share.
 func TestGoodVersionIsTakenDuringFaults(t *testing.T) {
 	crash := func(age time.Duration, r *rand.Rand) (bool, bool) {
 		return age > 10*time.Second && age < 11*time.Second && r.Float64() < 0.5, false
@@ -186,9 +184,7 @@
 	}
 }
 
-// In a fleet with fifty requests per second in the trial, the fiftieth bad answer comes within seconds,
-// and most of them may be due to a fault of both versions. The version must be rolled back within the
-// five seconds after it that operators allow.
+// Guards against a bad version of a large fleet that is rolled back later than the bound after its fiftieth bad answer.
 func TestBadVersionOfALargeFleetIsTakenBack(t *testing.T) {
 	const rollBack = 5 * time.Second
 	third := func(_ time.Duration, r *rand.Rand) (bool, bool) { return r.Float64() < 0.31, false }
