Log the crashes that a VM finds and the requests that it quarantines

The record of the incident on crashing requests can't tell its hypotheses apart: no line said that a VM took an endpoint for crashed, which of its requests ran there, or when and by whose report a request was quarantined. Each broken connection that is checked now gives a line with the result and the fingerprints, each start and end of a quarantine another, and a request's line has its fingerprint. No decision changes.

--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/trial"
 	"goldcrestfork/router/refusal"
 )
@@ -84,6 +85,9 @@
 	if len(c.attemptRecords) > 0 {
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords))
 	}
+	if c.fingerprint != 0 {
+		e = e.Str("fingerprint", poison.Fingerprint(c.fingerprint).String())
+	}
 	if len(c.limitNotes) > 0 {
 		e = e.Str("limits", formatLimitNotes(c.limitNotes))
 	}
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/poison"
 )
@@ -32,6 +34,7 @@
 type suspects struct {
 	// connects reports whether an address accepts a new connection.
 	connects func(address string) bool
+	log      zerolog.Logger
 
 	mu    sync.Mutex
 	pools map[string]*suspectPool
@@ -41,10 +44,12 @@
 	tracker *poison.Tracker
 	running map[string][]poison.Fingerprint // by endpoint
 	crashed map[string]time.Time            // by endpoint
+	// quarantined holds the requests for whose quarantine a line was logged.
+	quarantined map[poison.Fingerprint]bool
 }
 
-func newSuspects(connects func(string) bool) *suspects {
-	return &suspects{connects: connects, pools: make(map[string]*suspectPool)}
+func newSuspects(connects func(string) bool, log zerolog.Logger) *suspects {
+	return &suspects{connects: connects, log: log, pools: make(map[string]*suspectPool)}
 }
 
 // pool returns the pool of a service. Callers hold s.mu.
@@ -53,6 +58,7 @@
 	if p == nil {
 		p = &suspectPool{
 			tracker: poison.New(poolSize), running: make(map[string][]poison.Fingerprint), crashed: make(map[string]time.Time),
+			quarantined: make(map[poison.Fingerprint]bool),
 		}
 		s.pools[service] = p
 	}
@@ -105,12 +111,57 @@
 
 // blame records a crash against the requests that ran at the endpoint, if the endpoint is down.
 func (s *suspects) blame(a forward.Attempt, inFlight []poison.Fingerprint) {
-	if s.connects(a.Address) {
+	up := s.connects(a.Address)
+	s.log.Info().Str("service", a.Service).Str("endpoint", a.Endpoint).Bool("crashed", !up).Int("in_flight", len(inFlight)).
+		Strs("fingerprints", fingerprints(inFlight)).Msg("endpoint checked after a broken connection")
+	if up {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool(a.Service).tracker.RecordCrash(time.Now(), a.Endpoint, inFlight, 0)
+	s.logQuarantined(a.Service, "")
+}
+
+// maxLoggedFingerprints bounds the fingerprints in one log line.
+const maxLoggedFingerprints = 16
+
+// fingerprints formats requests for a log line.
+func fingerprints(requests []poison.Fingerprint) []string {
+	var out []string
+	for _, f := range requests[:min(len(requests), maxLoggedFingerprints)] {
+		out = append(out, f.String())
+	}
+	return out
+}
+
+// logQuarantined writes a line for each request of a service that is newly in quarantine, or no
+// longer. from is the VM whose report was applied last, "" for this VM. Callers hold s.mu.
+func (s *suspects) logQuarantined(service, from string) {
+	now, p := time.Now(), s.pool(service)
+	suspected := make(map[poison.Fingerprint]bool)
+	for _, c := range p.tracker.Counts(now) {
+		in := p.tracker.IsQuarantined(now, c.Fingerprint)
+		if suspected[c.Fingerprint] = true; in == p.quarantined[c.Fingerprint] {
+			continue
+		}
+		p.setQuarantined(c.Fingerprint, in)
+		s.log.Info().Str("service", service).Str("fingerprint", c.Fingerprint.String()).Bool("quarantined", in).Int("endpoints", len(c.Blame)).
+			Int("survived", c.Survived).Int("unrelated", c.Unrelated).Dur("age_ms", c.Age).Str("from", from).Msg("request that crashes endpoints")
+	}
+	for f := range p.quarantined {
+		if !suspected[f] {
+			p.setQuarantined(f, false)
+		}
+	}
+}
+
+func (p *suspectPool) setQuarantined(f poison.Fingerprint, in bool) {
+	if in {
+		p.quarantined[f] = true
+	} else {
+		delete(p.quarantined, f)
+	}
 }
 
 // recentCrashes returns the requests that were in flight at recent crashes, by service, for
@@ -134,12 +185,13 @@
 	return out
 }
 
-// merge applies another VM's report of crashes.
-func (s *suspects) merge(crashes map[string][]poison.Count) {
+// merge applies a report of crashes from another VM.
+func (s *suspects) merge(from string, crashes map[string][]poison.Count) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, counts := range crashes {
 		s.pool(service).tracker.Merge(now, counts)
+		s.logQuarantined(service, from)
 	}
 }
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/gateway/forward"
@@ -20,7 +21,7 @@
 // requests that ran beside it must not be blamed.
 func TestCrashingRequestRunsNowhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, b := newSuspects(func(string) bool { return false }), newSuspects(func(string) bool { return false })
+		a, b := newSuspects(func(string) bool { return false }, zerolog.Nop()), newSuspects(func(string) bool { return false }, zerolog.Nop())
 		next := uint64(100)
 		for i := range 3 {
 			require.False(t, a.Quarantined("s", 7))
@@ -40,7 +41,7 @@
 			synctest.Wait()
 			time.Sleep(4 * time.Second)
 		}
-		b.merge(a.recentCrashes())
+		b.merge("a", a.recentCrashes())
 		for _, s := range []*suspects{a, b} {
 			require.True(t, s.Quarantined("s", 7))
 			for f := uint64(101); f <= next; f++ {
@@ -54,7 +55,7 @@
 // Guards against blaming a request for reset connections of endpoints that are up.
 func TestResetConnectionIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspects(func(string) bool { return true })
+		s := newSuspects(func(string) bool { return true }, zerolog.Nop())
 		for i := range 200 {
 			e := fmt.Sprint("e", i%9)
 			s.Begin("s", e, 7)
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -40,6 +40,6 @@
 		return
 	}
 	n.rollouts.mergeReports(bootClock(), from+"/"+strconv.FormatUint(incarnation, 36), w.Orders)
-	n.suspects.merge(w.Suspects)
+	n.suspects.merge(from, w.Suspects)
 	n.mergeLimitReports(from, w.Limits)
 }
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -25,6 +25,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -79,6 +80,9 @@
 	return Fingerprint(d.Sum64())
 }
 
+// String returns the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Count is the record of one request in the form that VMs exchange.
 type Count struct {
 	Fingerprint Fingerprint `cbor:"1,keyasint"`
