Add a failing test: requests that crash endpoints reach far more than three

The test plays a fleet in virtual time with the code that records crashes and the exchange between VMs: contents that crash every endpoint, sent again about once a second, VMs that drop two of three answers before the crash, crashes of another cause, VMs that are replaced.

The reports also exceed half a datagram; one that does not fit is sent without any payload.

--- /dev/null
+++ b/gateway/node/suspects_fleet_test.go
@@ -0,0 +1,299 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/fleet/datagram"
+	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/forward"
+	"goldcrestfork/policy/poison"
+)
+
+const (
+	crashService = "s"
+	// crashDelay is the time from the start of a run to the crash of its endpoint, and answerDelay
+	// the time to the head of its answer, after which a weak answer is dropped.
+	crashDelay, answerDelay = 80 * time.Millisecond, 20 * time.Millisecond
+	endpointDown            = 3 * time.Second
+	crashAttempts           = 3  // endpoints that one request may be sent to
+	crashFanout             = 12 // VMs that get a VM's report in a round
+)
+
+// crashEndpoint is an endpoint of a crashFleet; each start has a new id.
+type crashEndpoint struct {
+	name    string
+	life    int
+	up      bool
+	running int
+	crashed chan struct{} // closed when this life ends
+}
+
+func (e *crashEndpoint) id() string { return fmt.Sprint(e.name, "-", e.life) }
+
+// crashingContent is a request that crashes the endpoints that run it, and that its callers repeat.
+type crashingContent struct {
+	fingerprint uint64
+	dropped     int         // attempts of a request whose answer the VM drops before the crash
+	crashes     []time.Time // of endpoints
+	sent        []time.Time // by the caller, for each arrival at an endpoint
+	next        time.Time   // when it is sent again
+}
+
+// crashFleet is a fleet of suspects before endpoints, in virtual time.
+type crashFleet struct {
+	mu        sync.Mutex // protects all fields; never held while time passes
+	rng       *rand.Rand
+	vms       []*suspects
+	startedAt []time.Time
+	endpoints []*crashEndpoint
+	refused   int // harmless requests that were refused
+	largest   int // bytes of the largest report
+	next      uint64
+
+	nextOther, nextReplaced, nextRound time.Time
+}
+
+func newCrashFleet(vms, endpoints int, seed uint64) *crashFleet {
+	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), next: 1000, vms: make([]*suspects, vms), startedAt: make([]time.Time, vms)}
+	for i := range endpoints {
+		f.endpoints = append(f.endpoints, &crashEndpoint{name: fmt.Sprint("e", i), up: true, crashed: make(chan struct{})})
+	}
+	for i := range vms {
+		f.startVM(i)
+	}
+	clear(f.startedAt)
+	return f
+}
+
+// startVM starts a VM, or replaces it by one that knows nothing.
+func (f *crashFleet) startVM(i int) {
+	f.vms[i] = newSuspects(func(address string) bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, e := range f.endpoints {
+			if e.name == address {
+				return e.up
+			}
+		}
+		return false
+	}, zerolog.Nop())
+	f.startedAt[i] = time.Now()
+}
+
+// pick returns the endpoint with the least requests, nil if none is up. Callers hold f.mu.
+func (f *crashFleet) pick(tried map[string]bool) (best *crashEndpoint) {
+	for _, i := range f.rng.Perm(len(f.endpoints)) {
+		if e := f.endpoints[i]; e.up && !tried[e.id()] && (best == nil || e.running < best.running) {
+			best = e
+		}
+	}
+	return best
+}
+
+// crash ends an endpoint's life and all its requests; it is back after endpointDown. Callers hold
+// f.mu.
+func (f *crashFleet) crash(e *crashEndpoint) {
+	if !e.up {
+		return
+	}
+	e.up = false
+	close(e.crashed)
+	go func() {
+		time.Sleep(endpointDown)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		e.life, e.up, e.running, e.crashed = e.life+1, true, 0, make(chan struct{})
+	}()
+}
+
+// attempt starts a run of a request on a VM; ok is false if the request is refused or no endpoint
+// is up.
+func (f *crashFleet) attempt(v *suspects, content uint64, tried map[string]bool) (a forward.Attempt, e *crashEndpoint, crashed chan struct{}, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e = f.pick(tried)
+	if e == nil {
+		return a, nil, nil, false
+	}
+	tried[e.id()] = true
+	e.running++
+	v.Begin(crashService, e.id(), content)
+	return forward.Attempt{Service: crashService, Endpoint: e.id(), Address: e.name, Fingerprint: content}, e, e.crashed, true
+}
+
+// randomVM returns a VM and whether it has run for long enough to know of earlier crashes.
+func (f *crashFleet) randomVM() (v *suspects, inTouch bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.rng.IntN(len(f.vms))
+	return f.vms[i], time.Since(f.startedAt[i]) >= contact
+}
+
+// harmless sends a request that runs for the given time and is sent elsewhere if its endpoint
+// crashes.
+func (f *crashFleet) harmless(content uint64, length time.Duration) {
+	v, _ := f.randomVM()
+	if v.Quarantined(crashService, content) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.refused++
+		return
+	}
+	tried := make(map[string]bool)
+	for range crashAttempts {
+		a, e, crashed, ok := f.attempt(v, content, tried)
+		if !ok {
+			return
+		}
+		select {
+		case <-crashed:
+			a.ConnectionBroke = true
+		case <-time.After(length):
+			a.Survived = true
+			f.mu.Lock()
+			e.running--
+			f.mu.Unlock()
+		}
+		v.End(a)
+		if a.Survived {
+			return
+		}
+	}
+}
+
+// crashing sends a request that crashes each endpoint that runs it.
+func (f *crashFleet) crashing(c *crashingContent) {
+	v, inTouch := f.randomVM()
+	sent := time.Now()
+	if v.Quarantined(crashService, c.fingerprint) {
+		return
+	}
+	tried := make(map[string]bool)
+	for attempt := range crashAttempts {
+		a, e, crashed, ok := f.attempt(v, c.fingerprint, tried)
+		if !ok {
+			return
+		}
+		f.mu.Lock()
+		if inTouch {
+			c.sent = append(c.sent, sent)
+		}
+		f.mu.Unlock()
+		go func() {
+			time.Sleep(crashDelay)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if e.id() == a.Endpoint && e.up {
+				c.crashes = append(c.crashes, time.Now())
+				f.crash(e)
+			}
+		}()
+		if attempt < c.dropped {
+			time.Sleep(answerDelay)
+		} else {
+			<-crashed
+			a.ConnectionBroke = true
+		}
+		v.End(a)
+	}
+}
+
+// exchange sends each VM's report to as many others as a round of datagrams reaches.
+func (f *crashFleet) exchange(t *testing.T) {
+	for i, v := range f.vms {
+		b, err := cbor.Marshal(v.recentCrashes())
+		assert.NoError(t, err)
+		f.largest = max(f.largest, len(b))
+		for n, j := range f.rng.Perm(len(f.vms)) {
+			if j == i || n > crashFanout {
+				continue
+			}
+			var crashes map[string][]poison.Count
+			assert.NoError(t, cbor.Unmarshal(b, &crashes))
+			f.vms[j].merge(fmt.Sprint(i), crashes)
+		}
+	}
+}
+
+// step starts what happens at one moment.
+func (f *crashFleet) step(t *testing.T, now time.Time, contents []*crashingContent) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next++
+	content, length := f.next, time.Duration(100+f.rng.IntN(2000))*time.Millisecond
+	go f.harmless(content, length)
+	for _, c := range contents {
+		if !now.Before(c.next) {
+			c.next = now.Add(time.Duration(400+f.rng.IntN(800)) * time.Millisecond)
+			go f.crashing(c)
+		}
+	}
+	if !now.Before(f.nextOther) {
+		f.nextOther = now.Add(time.Duration(500+f.rng.IntN(3000)) * time.Millisecond)
+		f.crash(f.endpoints[f.rng.IntN(len(f.endpoints))])
+	}
+	if !now.Before(f.nextReplaced) {
+		f.nextReplaced = now.Add(time.Second)
+		f.startVM(f.rng.IntN(len(f.vms)))
+	}
+	if !now.Before(f.nextRound) {
+		f.nextRound = now.Add(gossip.Interval)
+		f.exchange(t)
+	}
+}
+
+// run plays the fleet for a time: harmless requests, crashing ones that come again, crashes of
+// other causes, and in the second half VMs that are replaced.
+func (f *crashFleet) run(t *testing.T, length time.Duration, contents []*crashingContent) {
+	start := time.Now()
+	f.nextOther, f.nextReplaced = start.Add(2*time.Second), start.Add(length/2)
+	for time.Since(start) < length {
+		time.Sleep(time.Second / time.Duration(4*len(f.endpoints)))
+		f.step(t, time.Now(), contents)
+	}
+	time.Sleep(time.Minute) // all requests and restarts end
+}
+
+// Guards against requests that reach endpoints again and again after they have crashed three, when several do so at once and answers are dropped before the crash.
+func TestCrashingRequestsStopAfterThreeCrashes(t *testing.T) {
+	const maxLaterArrivals = 3
+	for _, c := range []struct{ vms, endpoints, contents, dropped int }{
+		{7, 9, 1, 0}, {7, 9, 4, 0}, {30, 36, 8, 0}, {7, 9, 1, 2}, {7, 9, 4, 2}, {30, 36, 8, 2},
+	} {
+		t.Run(fmt.Sprintf("%d VMs, %d endpoints, %d contents, %d dropped", c.vms, c.endpoints, c.contents, c.dropped), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newCrashFleet(c.vms, c.endpoints, 38)
+				var contents []*crashingContent
+				for i := range c.contents {
+					contents = append(contents, &crashingContent{fingerprint: uint64(1 + i), dropped: c.dropped})
+				}
+				f.run(t, 40*time.Second, contents)
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for _, content := range contents {
+					later := 0
+					for _, sent := range content.sent {
+						if len(content.crashes) >= 3 && sent.Sub(content.crashes[2]) > contact {
+							later++
+						}
+					}
+					t.Logf("content %d: %d endpoints crashed, %d arrivals, %d of them sent later than %s after the third crash", content.fingerprint, len(content.crashes), len(content.sent), later, contact)
+					assert.LessOrEqual(t, later, maxLaterArrivals)
+				}
+				t.Logf("%d of %d harmless requests refused", f.refused, f.next-1000)
+				require.Zero(t, f.refused, "harmless requests refused")
+				require.Less(t, f.largest, datagram.MaxPacketSize/2, "bytes of a report, which must leave room in a datagram")
+			})
+		})
+	}
+}
