Judge crashes by their cause, so that crashing requests don't acquit each other

What callers saw: one content crashed endpoint after endpoint, most generations failed. Cause: each crash within 2 s that a request was not part of divided all of its blame once more, for good. Two contents that crash endpoints at once, crashes of another cause, and the same crash as other VMs saw it by their own requests, all counted so. Ruled out as a mend: no such discount at all.

Now VMs exchange which requests were in flight at which crashes in place of sums of blame, so that a crash is one crash whoever saw it, and blame is worked out from the whole. A crash counts a twelfth if it belongs to a run of crashes, each within 100 ms of the one before, of which some ran without the request; otherwise in full. Crashes that a quarantined request explains are left out of such runs. Nothing is for good: a later report changes what an earlier one suggested.

router/dispatch's test compared the blame itself, which is no longer exchanged; it now compares the crashes that make it up. The keys 2 and 5 of the exchanged record are no longer used, so that VMs of both versions read each other.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -146,8 +146,8 @@
 			continue
 		}
 		p.setQuarantined(c.Fingerprint, in)
-		s.log.Info().Str("service", service).Str("fingerprint", c.Fingerprint.String()).Bool("quarantined", in).Int("endpoints", len(c.Blame)).
-			Int("survived", c.Survived).Int("unrelated", c.Unrelated).Dur("age_ms", c.Age).Str("from", from).Msg("request that crashes endpoints")
+		s.log.Info().Str("service", service).Str("fingerprint", c.Fingerprint.String()).Bool("quarantined", in).Int("endpoints", len(c.Crashes)).
+			Int("survived", c.Survived).Dur("age_ms", c.Age).Str("from", from).Msg("request that crashes endpoints")
 	}
 	for f := range p.quarantined {
 		if !suspected[f] {
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -1,9 +1,12 @@
 // Package poison finds requests that crash each endpoint that runs them.
 //
-// Such a request has an input that makes the engine crash. It is retried on the next
-// endpoint, and its caller sends it again. Without quarantine, each dispatch takes an
-// endpoint out of service for its restart and cold start, together with all requests
-// that run there, and a pool of nine endpoints is lost within seconds.
+// Load pattern: such a request has an input that makes the engine crash. It is retried on the
+// next endpoint, and its caller sends it again. Several of them come at the same time, while
+// endpoints crash for other reasons too, alone or a whole data centre at once.
+//
+// Without quarantine, each dispatch takes an endpoint out of service for its restart and cold
+// start, together with all requests that run there, and a pool of nine endpoints is lost within
+// seconds.
 //
 // A crash distributes one unit of blame over the requests that ran on the endpoint, in
 // proportion to the blame that each already has: a request that was in flight at an
@@ -15,12 +18,13 @@
 //   - A suspect, which was in flight at a crash and has not completed since, runs apart
 //     from other suspects, so that one crash never adds blame to two of them. IsSuspect
 //     serves as a filter when an endpoint is picked.
-//   - When other endpoints crash at about the same time without the request, the pool
-//     itself is failing, and the request's blame counts for less, including the blame
-//     for earlier crashes.
+//   - A crash among those of other endpoints that ran without the request counts sharedWeight,
+//     since endpoints that crash together have a common cause, such as their power. This
+//     doesn't apply to crashes that a request in quarantine explains.
 //
-// Blame is kept per endpoint and merged by maximum, so that VMs may exchange it in any
-// order and repeatedly.
+// The evidence is which requests were in flight at which crashes. Blame is computed from it when
+// it is asked for, so that VMs may exchange evidence in any order and repeatedly, and a later
+// report corrects what an earlier one suggested.
 package poison
 
 import (
@@ -50,16 +54,15 @@
 	// odds of 1/8; a new request has far lower ones, since most requests never crash an
 	// endpoint.
 	baseOdds = 0.01
-	// crashWindow is the time within which crashes count as related. A pool that loses
-	// its power or network fails within it, whereas a caller repeats a poison request one
-	// attempt after the other.
-	crashWindow = 2 * time.Second
 	// recordLifetime is the time after the last crash at which a record is dropped, so
 	// that a repaired engine receives the request again.
 	recordLifetime = 10 * time.Minute
 	// maxRecords bounds the table. It holds ten times the requests of 12 simultaneous
 	// crashes with 16 requests in flight each.
 	maxRecords = 2048
+	// maxCrashes bounds the endpoints in a record and the crashes without requests, several
+	// times those that decide.
+	maxCrashes = 64
 )
 
 // Fingerprint identifies a request by its account, target and body.
@@ -83,61 +86,60 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Count is the record of one request in the form that VMs exchange.
-type Count struct {
-	Fingerprint Fingerprint `cbor:"1,keyasint"`
-	// Blame holds the units of blame by the name of the crashed endpoint.
-	Blame map[string]float64 `cbor:"2,keyasint"`
-	// Survived is the number of complete answers to the request.
-	Survived int `cbor:"3,keyasint"`
-	// Unrelated is the number of crashes at about the same time on endpoints that did not
-	// run the request.
-	Unrelated int `cbor:"5,keyasint,omitempty"`
-	// Age is the time since the last crash. It is a duration because the clocks of VMs
-	// differ.
-	Age time.Duration `cbor:"4,keyasint"`
-}
-
-// record holds the blame of one request.
+// record is the evidence about one request.
 type record struct {
-	// blame holds the units of blame by endpoint, and survived the number of complete
-	// answers.
-	blame    map[string]float64
+	// crashes holds the first crash of each endpoint that the request was part of. Later ones of
+	// the same endpoint don't count: it may crash repeatedly for its own reasons.
+	crashes map[string]presence
+	// survived is the number of complete answers.
 	survived int
-	// unrelated is the number of crashes within crashWindow of the request's own crashes
-	// that it was not part of.
-	unrelated int
 	// last is the time of the last crash.
 	last time.Time
 }
 
-// score returns the sum of the blame, reduced by complete answers and unrelated crashes.
-func (r *record) score() float64 {
-	sum := 0.0
-	for _, b := range r.blame {
-		sum += b
-	}
-	return sum / float64((1+r.survived)*(1+r.unrelated))
+// presence is a request's part in a crash.
+type presence struct {
+	at time.Time
+	// running is the number of requests that ran there, as far as the VM that found the crash knew.
+	running int
 }
 
-// crash is a recent crash of an endpoint with the requests that ran there.
-type crash struct {
-	at       time.Time
-	suspects []Fingerprint
+// add records a crash. Of two reports of an endpoint's crash it keeps the earlier.
+func (r *record) add(endpoint string, p presence) (changed bool) {
+	old, known := r.crashes[endpoint]
+	if !known && len(r.crashes) >= maxCrashes {
+		return false
+	}
+	next := p
+	if known {
+		next.running = max(old.running, p.running)
+		if old.at.Before(p.at) {
+			next.at = old.at
+		}
+	}
+	r.crashes[endpoint] = next
+	return !known || next != old
 }
 
-// Tracker records crashes and blame for the requests of one pool. It is safe for
-// concurrent use. Its mutex is a leaf of the lock order.
+// Tracker records crashes for the requests of one pool, and decides which requests are in
+// quarantine. It is safe for concurrent use. Its mutex is a leaf of the lock order.
 type Tracker struct {
-	mu            sync.Mutex
-	minEndpoints  int
-	records       map[Fingerprint]*record
-	recentCrashes []crash
+	mu           sync.Mutex
+	minEndpoints int
+	rules        rules
+	records      map[Fingerprint]*record
+	// empty holds the crashes of endpoints without a known request.
+	empty []crash
+	// quarantined is the decision on the evidence so far. It is computed anew if the evidence
+	// has changed (stale) or may count differently by now (validUntil).
+	quarantined map[Fingerprint]bool
+	stale       bool
+	validUntil  time.Time
 }
 
 // New returns a tracker for a pool with the given number of endpoints.
 func New(endpoints int) *Tracker {
-	t := &Tracker{records: make(map[Fingerprint]*record)}
+	t := &Tracker{records: make(map[Fingerprint]*record), rules: defaultRules}
 	t.Resize(endpoints)
 	return t
 }
@@ -146,22 +148,24 @@
 func (t *Tracker) Resize(endpoints int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.stale = true
 	t.minEndpoints = DistinctLarge
 	if endpoints < smallPoolSize {
 		t.minEndpoints = DistinctSmall
 	}
 }
 
-// IsQuarantined reports whether the request is to be refused. It costs one map lookup,
-// usually in an empty map.
+// IsQuarantined reports whether the request is to be refused. It costs one map lookup for a
+// request that was in flight at few crashes, usually in an empty map.
 func (t *Tracker) IsQuarantined(now time.Time, f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[f]
-	if r == nil || now.Sub(r.last) > recordLifetime {
+	if r == nil || len(r.crashes) < t.minEndpoints || now.Sub(r.last) > recordLifetime {
 		return false
 	}
-	return len(r.blame) >= t.minEndpoints && r.score() >= Threshold
+	t.decide(now)
+	return t.quarantined[f]
 }
 
 // IsSuspect reports whether the request was in flight at a crash and has not completed
@@ -173,29 +177,37 @@
 	return r != nil && r.survived == 0 && now.Sub(r.last) <= recordLifetime
 }
 
-// RecordCrash distributes the blame for the crash of an endpoint over the requests that this VM
-// had in flight there. Blame is kept by the name of the endpoint, so that a crash seen
-// by several VMs counts once, and so does an endpoint that crashes repeatedly for its own
-// reasons. others is the number of requests of other VMs that ran there according to the
-// endpoint's last report; they take their part of the blame.
+// RecordCrash records the crash of an endpoint with the requests that this VM had in flight
+// there. Crashes are kept by the name of the endpoint, so that a crash seen by several VMs counts
+// once, and so does an endpoint that crashes repeatedly for its own reasons. others is the number
+// of requests of other VMs that ran there according to the endpoint's last report; they take
+// their part of the blame.
 func (t *Tracker) RecordCrash(now time.Time, endpoint string, inFlight []Fingerprint, others int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
+	t.stale = true
 	suspects := slices.Compact(slices.Sorted(slices.Values(inFlight)))
-	total := float64(max(others, 0)) * baseOdds
 	for _, f := range suspects {
-		total += t.odds(f)
+		if r := t.recordOf(f); r != nil {
+			r.add(endpoint, presence{at: now, running: len(suspects) + max(others, 0)})
+			r.last = now
+		}
 	}
-	for _, f := range suspects {
-		t.addBlame(now, f, endpoint, t.odds(f)/total)
+	if len(suspects) == 0 && len(t.empty) < maxCrashes {
+		t.empty = append(t.empty, crash{at: now, endpoint: endpoint})
 	}
-	for f, r := range t.records {
-		if _, found := slices.BinarySearch(suspects, f); !found && now.Sub(r.last) <= crashWindow {
-			r.unrelated++
-		}
+}
+
+// recordOf returns the record of a request, a new one if there is none, or nil if the table is
+// full.
+func (t *Tracker) recordOf(f Fingerprint) *record {
+	r := t.records[f]
+	if r == nil && len(t.records) < maxRecords {
+		r = &record{crashes: make(map[string]presence)}
+		t.records[f] = r
 	}
-	t.recentCrashes = append(t.recentCrashes, crash{at: now, suspects: suspects})
+	return r
 }
 
 // RecordSuccess records a complete answer. A request that an endpoint survives is either
@@ -206,6 +218,7 @@
 	defer t.mu.Unlock()
 	if r := t.records[f]; r != nil {
 		r.survived++
+		t.stale = true
 	}
 }
 
@@ -214,97 +227,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.records, f)
+	t.stale = true
 }
 
-// Counts returns the records of all requests, sorted by fingerprint, for the other VMs.
-func (t *Tracker) Counts(now time.Time) []Count {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.prune(now)
-	out := make([]Count, 0, len(t.records))
-	for f, r := range t.records {
-		blame := make(map[string]float64, len(r.blame))
-		for k, v := range r.blame {
-			blame[k] = v
-		}
-		out = append(out, Count{Fingerprint: f, Blame: blame, Survived: r.survived, Unrelated: r.unrelated, Age: now.Sub(r.last)})
-	}
-	slices.SortFunc(out, func(a, b Count) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-// Merge merges the records of another VM. It is commutative and idempotent, since all
-// values merge by maximum.
-func (t *Tracker) Merge(now time.Time, counts []Count) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range counts {
-		if c.Age > recordLifetime || c.Age < 0 {
-			continue
-		}
-		r := t.records[c.Fingerprint]
-		if r == nil && len(t.records) >= maxRecords {
-			continue
-		}
-		if r == nil {
-			r = &record{blame: make(map[string]float64)}
-			t.records[c.Fingerprint] = r
-		}
-		for k, v := range c.Blame {
-			r.blame[k] = max(r.blame[k], v)
-		}
-		r.survived = max(r.survived, c.Survived)
-		r.unrelated = max(r.unrelated, c.Unrelated)
-		if at := now.Add(-c.Age); at.After(r.last) {
-			r.last = at
-		}
-	}
-}
-
-// odds returns the weight of a request in the distribution of blame.
-func (t *Tracker) odds(f Fingerprint) float64 {
-	if r := t.records[f]; r != nil {
-		return baseOdds + r.score()
-	}
-	return baseOdds
-}
-
-// addBlame records the units of blame that a request has for the crash of an endpoint.
-func (t *Tracker) addBlame(now time.Time, f Fingerprint, endpoint string, units float64) {
-	r := t.records[f]
-	if r == nil {
-		if len(t.records) >= maxRecords {
-			return
-		}
-		r = &record{blame: make(map[string]float64), unrelated: t.countUnrelated(f)}
-		t.records[f] = r
-	}
-	r.blame[endpoint] = max(r.blame[endpoint], units)
-	r.last = now
-}
-
-// countUnrelated returns the number of recent crashes that the request was not part of.
-func (t *Tracker) countUnrelated(f Fingerprint) int {
-	n := 0
-	for _, c := range t.recentCrashes {
-		if _, found := slices.BinarySearch(c.suspects, f); !found {
-			n++
-		}
-	}
-	return n
-}
-
-// prune drops expired crashes and records.
+// prune drops expired records.
 func (t *Tracker) prune(now time.Time) {
-	t.recentCrashes = slices.DeleteFunc(t.recentCrashes, func(c crash) bool { return now.Sub(c.at) > crashWindow })
+	t.empty = slices.DeleteFunc(t.empty, func(c crash) bool { return now.Sub(c.at) > recordLifetime })
 	for f, r := range t.records {
 		if now.Sub(r.last) > recordLifetime {
 			delete(t.records, f)
+			t.stale = true
 		}
 	}
 }
--- a/router/dispatch/poison_test.go
+++ b/router/dispatch/poison_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config"
-	"goldcrestfork/policy/poison"
 )
 
 // allSlots assigns every warm slot to this VM.
@@ -58,9 +59,11 @@
 			}
 			time.Sleep(time.Second)
 		}
-		blame := func(d *Dispatcher) poison.Count { return d.RecentPoisonCounts(time.Hour, limit)["v"][0] }
-		require.Equal(t, blame(vms[0]).Blame, blame(vms[1]).Blame)
-		require.Contains(t, blame(vms[1]).Blame, ticket.Endpoint)
+		endpoints := func(d *Dispatcher) []string {
+			return slices.Sorted(maps.Keys(d.RecentPoisonCounts(time.Hour, limit)["v"][0].Crashes))
+		}
+		require.Equal(t, []string{ticket.Endpoint}, endpoints(vms[0]))
+		require.Equal(t, []string{ticket.Endpoint}, endpoints(vms[1]))
 		for _, vm := range vms {
 			require.Empty(t, vm.RecentPoisonCounts(maxAge, limit))
 		}
