Report crashes to other VMs each in turn, and final decisions as long as they hold

What callers saw: a request that one VM refused crashed endpoints through the others. Cause: a datagram took four requests of a service, those with the lowest fingerprints, and only for 15 s after a crash. Beside some dozens of requests that were in flight at recent crashes the right one was never reported, so that each VM had to see three crashes itself; a VM that started later learnt nothing.

A decision against a request that has stood for 3 s after its last crash is final for ten minutes and is reported as such. The reports were not bounded in bytes: a request with many crashes could make a datagram too large, which is then sent without any payload, that of roll-outs and limits included. The datagram's key and the peer method are new, so that VMs of the version before pass over what they can't read.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -18,8 +18,6 @@
 	// suspectTTL is how long a crash is reported to other VMs, some dozens of rounds of
 	// datagrams.
 	suspectTTL = 15 * time.Second
-	// maxSuspects bounds the requests of a service in one datagram, about 100 bytes each.
-	maxSuspects = 4
 	// poolSize is the number of endpoints that the trackers assume in every pool. With it, a
 	// tracker quarantines a request after crashes of three endpoints, as operators expect.
 	poolSize = 16
@@ -46,6 +44,7 @@
 	crashed map[string]time.Time            // by endpoint
 	// quarantined holds the requests for whose quarantine a line was logged.
 	quarantined map[poison.Fingerprint]bool
+	reported    map[string]reportState // by endpoint
 }
 
 func newSuspects(connects func(string) bool, log zerolog.Logger) *suspects {
@@ -58,7 +57,7 @@
 	if p == nil {
 		p = &suspectPool{
 			tracker: poison.New(poolSize), running: make(map[string][]poison.Fingerprint), crashed: make(map[string]time.Time),
-			quarantined: make(map[poison.Fingerprint]bool),
+			quarantined: make(map[poison.Fingerprint]bool), reported: make(map[string]reportState),
 		}
 		s.pools[service] = p
 	}
@@ -120,7 +119,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool(a.Service).tracker.RecordCrash(time.Now(), a.Endpoint, inFlight, 0)
-	s.logQuarantined(a.Service, "")
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
@@ -135,63 +133,25 @@
 	return out
 }
 
-// logQuarantined writes a line for each request of a service that is newly in quarantine, or no
-// longer. from is the VM whose report was applied last, "" for this VM. Callers hold s.mu.
-func (s *suspects) logQuarantined(service, from string) {
-	now, p := time.Now(), s.pool(service)
-	suspected := make(map[poison.Fingerprint]bool)
-	for _, c := range p.tracker.Counts(now) {
-		in := p.tracker.IsQuarantined(now, c.Fingerprint)
-		if suspected[c.Fingerprint] = true; in == p.quarantined[c.Fingerprint] {
-			continue
-		}
-		p.setQuarantined(c.Fingerprint, in)
-		s.log.Info().Str("service", service).Str("fingerprint", c.Fingerprint.String()).Bool("quarantined", in).Int("endpoints", len(c.Crashes)).
-			Int("survived", c.Survived).Dur("age_ms", c.Age).Str("from", from).Msg("request that crashes endpoints")
-	}
-	for f := range p.quarantined {
-		if !suspected[f] {
-			p.setQuarantined(f, false)
-		}
-	}
-}
-
-func (p *suspectPool) setQuarantined(f poison.Fingerprint, in bool) {
-	if in {
-		p.quarantined[f] = true
-	} else {
-		delete(p.quarantined, f)
-	}
-}
-
-// recentCrashes returns the requests that were in flight at recent crashes, by service, for
-// other VMs.
-func (s *suspects) recentCrashes() map[string][]poison.Count {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out map[string][]poison.Count
+// logQuarantined writes a line for each request that is newly in quarantine, or no longer.
+// Callers hold s.mu.
+func (s *suspects) logQuarantined(now time.Time) {
 	for service, p := range s.pools {
-		for _, c := range p.tracker.Counts(now) {
-			if c.Age > suspectTTL || len(out[service]) >= maxSuspects {
-				continue
+		in := p.tracker.Quarantined(now)
+		line := func(f poison.Fingerprint, quarantined bool) {
+			s.log.Info().Str("service", service).Str("fingerprint", f.String()).Bool("quarantined", quarantined).Msg("request that crashes endpoints")
+		}
+		for _, f := range in {
+			if !p.quarantined[f] {
+				p.quarantined[f] = true
+				line(f, true)
 			}
-			if out == nil {
-				out = make(map[string][]poison.Count)
+		}
+		for f := range p.quarantined {
+			if !slices.Contains(in, f) {
+				delete(p.quarantined, f)
+				line(f, false)
 			}
-			out[service] = append(out[service], c)
 		}
 	}
-	return out
-}
-
-// merge applies a report of crashes from another VM.
-func (s *suspects) merge(from string, crashes map[string][]poison.Count) {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for service, counts := range crashes {
-		s.pool(service).tracker.Merge(now, counts)
-		s.logQuarantined(service, from)
-	}
 }
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -16,7 +16,6 @@
 	"goldcrestfork/fleet/datagram"
 	"goldcrestfork/fleet/gossip"
 	"goldcrestfork/gateway/forward"
-	"goldcrestfork/policy/poison"
 )
 
 const (
@@ -56,15 +55,15 @@
 	vms       []*suspects
 	startedAt []time.Time
 	endpoints []*crashEndpoint
+	sent      int // harmless requests
 	refused   int // harmless requests that were refused
 	largest   int // bytes of the largest report
-	next      uint64
 
 	nextOther, nextReplaced, nextRound time.Time
 }
 
 func newCrashFleet(vms, endpoints int, seed uint64) *crashFleet {
-	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), next: 1000, vms: make([]*suspects, vms), startedAt: make([]time.Time, vms)}
+	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), vms: make([]*suspects, vms), startedAt: make([]time.Time, vms)}
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &crashEndpoint{name: fmt.Sprint("e", i), up: true, crashed: make(chan struct{})})
 	}
@@ -211,16 +210,16 @@
 // exchange sends each VM's report to as many others as a round of datagrams reaches.
 func (f *crashFleet) exchange(t *testing.T) {
 	for i, v := range f.vms {
-		b, err := cbor.Marshal(v.recentCrashes())
+		b, err := cbor.Marshal(v.report())
 		assert.NoError(t, err)
 		f.largest = max(f.largest, len(b))
 		for n, j := range f.rng.Perm(len(f.vms)) {
 			if j == i || n > crashFanout {
 				continue
 			}
-			var crashes map[string][]poison.Count
-			assert.NoError(t, cbor.Unmarshal(b, &crashes))
-			f.vms[j].merge(fmt.Sprint(i), crashes)
+			var r crashReports
+			assert.NoError(t, cbor.Unmarshal(b, &r))
+			f.vms[j].merge(fmt.Sprint(i), &r)
 		}
 	}
 }
@@ -229,8 +228,8 @@
 func (f *crashFleet) step(t *testing.T, now time.Time, contents []*crashingContent) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.next++
-	content, length := f.next, time.Duration(100+f.rng.IntN(2000))*time.Millisecond
+	f.sent++
+	content, length := f.rng.Uint64(), time.Duration(100+f.rng.IntN(2000))*time.Millisecond
 	go f.harmless(content, length)
 	for _, c := range contents {
 		if !now.Before(c.next) {
@@ -274,8 +273,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newCrashFleet(c.vms, c.endpoints, 38)
 				var contents []*crashingContent
-				for i := range c.contents {
-					contents = append(contents, &crashingContent{fingerprint: uint64(1 + i), dropped: c.dropped})
+				for range c.contents {
+					contents = append(contents, &crashingContent{fingerprint: f.rng.Uint64(), dropped: c.dropped})
 				}
 				f.run(t, 40*time.Second, contents)
 				f.mu.Lock()
@@ -287,10 +286,10 @@
 							later++
 						}
 					}
-					t.Logf("content %d: %d endpoints crashed, %d arrivals, %d of them sent later than %s after the third crash", content.fingerprint, len(content.crashes), len(content.sent), later, contact)
+					t.Logf("content %x: %d endpoints crashed, %d arrivals, %d of them sent later than %s after the third crash", content.fingerprint, len(content.crashes), len(content.sent), later, contact)
 					assert.LessOrEqual(t, later, maxLaterArrivals)
 				}
-				t.Logf("%d of %d harmless requests refused", f.refused, f.next-1000)
+				t.Logf("%d of %d harmless requests refused", f.refused, f.sent)
 				require.Zero(t, f.refused, "harmless requests refused")
 				require.Less(t, f.largest, datagram.MaxPacketSize/2, "bytes of a report, which must leave room in a datagram")
 			})
--- /dev/null
+++ b/gateway/node/suspects_report.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"goldcrestfork/policy/poison"
+)
+
+const (
+	// maxReportBytes bounds the crashes in one datagram.
+	maxReportBytes = 500
+	// crashBytes and requestBytes are the most that a crash takes in a datagram without the
+	// endpoint's name and the requests, and that each request takes.
+	crashBytes, requestBytes = 20, 16
+	// maxReportedRequests bounds the requests of one crash in a datagram. Those that were part of
+	// the most crashes are reported.
+	maxReportedRequests = 20
+	// maxReportRounds is the number of rounds in which the same is reported of a crash. A round
+	// reaches a dozen VMs, and each of them sends it on.
+	maxReportRounds = 8
+	// maxReportedVerdicts bounds the verdicts of a service in one datagram, 16 bytes each. If
+	// there are more, they are drawn at random.
+	maxReportedVerdicts = 8
+)
+
+// crashReports is a VM's part of a datagram about crashes, by service.
+type crashReports struct {
+	Crashes  map[string][]poison.Crash   `cbor:"1,keyasint,omitempty"`
+	Verdicts map[string][]poison.Verdict `cbor:"2,keyasint,omitempty"`
+}
+
+// reportState is what other VMs were told about a crash.
+type reportState struct {
+	requests int // known at the last report
+	rounds   int // that reported as many
+}
+
+// crashReport is a crash that may be reported.
+type crashReport struct {
+	poison.Crash
+	service string
+	reportState
+	order uint64 // random
+}
+
+// bytes returns the size of the encoded report, at most.
+func (r *crashReport) bytes() int {
+	return crashBytes + len(r.Endpoint) + requestBytes*len(r.Requests)
+}
+
+// report returns this VM's part of a datagram about crashes, also those that it learnt of from
+// other VMs; nil if there is nothing to report. The crashes that were reported least often come
+// first, so that each is reported however many there are.
+func (s *suspects) report() *crashReports {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.logQuarantined(now)
+	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict)}
+	left := maxReportBytes
+	for _, r := range s.recentCrashes(now) {
+		if left -= r.bytes(); left < 0 {
+			break
+		}
+		out.Crashes[r.service] = append(out.Crashes[r.service], r.Crash)
+		r.rounds++
+		s.pools[r.service].reported[r.Endpoint] = r.reportState
+	}
+	for service, p := range s.pools {
+		if v := p.tracker.Verdicts(now); len(v) > 0 {
+			rand.Shuffle(len(v), func(i, j int) { v[i], v[j] = v[j], v[i] })
+			out.Verdicts[service] = v[:min(len(v), maxReportedVerdicts)]
+		}
+	}
+	if len(out.Crashes)+len(out.Verdicts) == 0 {
+		return nil
+	}
+	return out
+}
+
+// recentCrashes returns the crashes to report, in the order in which they are to be. Callers hold
+// s.mu.
+func (s *suspects) recentCrashes(now time.Time) (out []*crashReport) {
+	for service, p := range s.pools {
+		known := make(map[string]bool)
+		for _, c := range p.tracker.Crashes(now) {
+			known[c.Endpoint] = true
+			r := &crashReport{Crash: c, service: service, reportState: p.reported[c.Endpoint], order: rand.Uint64()}
+			if r.requests != len(c.Requests) {
+				r.reportState = reportState{requests: len(c.Requests)}
+			}
+			if c.Age() <= suspectTTL && r.rounds < maxReportRounds {
+				r.Requests = mostSuspect(c.Requests)
+				out = append(out, r)
+			}
+		}
+		for endpoint := range p.reported {
+			if !known[endpoint] {
+				delete(p.reported, endpoint)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *crashReport) int {
+		return cmp.Or(cmp.Compare(a.rounds, b.rounds), cmp.Compare(a.order, b.order))
+	})
+	return out
+}
+
+// mostSuspect returns the requests that were part of the most crashes, maxReportedRequests at most.
+func mostSuspect(requests []poison.Request) []poison.Request {
+	if len(requests) <= maxReportedRequests {
+		return requests
+	}
+	out := slices.Clone(requests)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b poison.Request) int { return cmp.Compare(b.Endpoints, a.Endpoints) })
+	return out[:maxReportedRequests]
+}
+
+// merge applies another VM's part of a datagram about crashes.
+func (s *suspects) merge(from string, r *crashReports) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service, crashes := range r.Crashes {
+		if s.pool(service).tracker.Merge(now, crashes) {
+			s.log.Info().Str("service", service).Str("from", from).Strs("endpoints", endpointsOf(crashes)).Msg("crashes heard from another VM")
+		}
+	}
+	for service, verdicts := range r.Verdicts {
+		if s.pool(service).tracker.MergeVerdicts(now, verdicts) {
+			s.log.Info().Str("service", service).Str("from", from).Int("verdicts", len(verdicts)).Msg("requests that crash endpoints heard from another VM")
+		}
+	}
+}
+
+func endpointsOf(crashes []poison.Crash) (out []string) {
+	for i := range crashes {
+		out = append(out, crashes[i].Endpoint)
+	}
+	return out
+}
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -6,9 +6,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/fleet/datagram"
 	"goldcrestfork/gateway/forward"
 )
 
@@ -41,7 +43,7 @@
 			synctest.Wait()
 			time.Sleep(4 * time.Second)
 		}
-		b.merge("a", a.recentCrashes())
+		b.merge("a", a.report())
 		for _, s := range []*suspects{a, b} {
 			require.True(t, s.Quarantined("s", 7))
 			for f := uint64(101); f <= next; f++ {
@@ -52,6 +54,71 @@
 	})
 }
 
+// crashWith lets an endpoint crash while the given requests run there.
+func crashWith(s *suspects, endpoint string, requests ...uint64) {
+	for _, f := range requests {
+		s.Begin("s", endpoint, f)
+	}
+	for _, f := range requests {
+		at := attempt(endpoint, f)
+		at.ConnectionBroke = true
+		s.End(at)
+	}
+}
+
+// Guards against reports that leave out most crashes, or that don't fit a datagram.
+func TestEachCrashIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspects(func(string) bool { return false }, zerolog.Nop())
+		const crashes, perCrash = 40, 30
+		for i := range crashes {
+			var requests []uint64
+			for j := range perCrash {
+				requests = append(requests, uint64(1000*i+j+1))
+			}
+			crashWith(s, fmt.Sprint("endpoint-", i), requests...)
+		}
+		synctest.Wait()
+		reported := make(map[string]bool)
+		for range 2 * crashes {
+			r := s.report()
+			b, err := cbor.Marshal(r)
+			require.NoError(t, err)
+			require.Less(t, len(b), datagram.MaxPacketSize/2)
+			for _, c := range r.Crashes["s"] {
+				require.Len(t, c.Requests, maxReportedRequests)
+				require.EqualValues(t, perCrash, c.Running)
+				reported[c.Endpoint] = true
+			}
+		}
+		require.Len(t, reported, crashes)
+	})
+}
+
+// Guards against a VM that has started since the last crash and lets the request crash three endpoints more.
+func TestStartedVMLearnsOfOldCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := make([]*suspects, 3)
+		for i := range vms {
+			vms[i] = newSuspects(func(string) bool { return false }, zerolog.Nop())
+		}
+		for i := range 3 {
+			crashWith(vms[0], fmt.Sprint("e", i), 7)
+			synctest.Wait()
+			time.Sleep(time.Second)
+		}
+		for _, s := range vms[1:] {
+			time.Sleep(time.Minute)
+			s.merge("before", vms[0].report())
+			require.True(t, s.Quarantined("s", 7))
+			vms[0] = s // the one before is lost
+		}
+		time.Sleep(10 * time.Minute)
+		require.False(t, vms[2].Quarantined("s", 7), "a repaired engine gets the request again")
+		require.Nil(t, vms[2].report())
+	})
+}
+
 // Guards against blaming a request for reset connections of endpoints that are up.
 func TestResetConnectionIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -66,7 +133,7 @@
 			synctest.Wait()
 		}
 		require.False(t, s.Quarantined("s", 7))
-		require.Empty(t, s.recentCrashes())
+		require.Nil(t, s.report())
 	})
 }
 
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -4,24 +4,23 @@
 	"strconv"
 
 	"github.com/fxamacker/cbor/v2"
-
-	"goldcrestfork/policy/poison"
 )
 
 // gossipPayload is what a VM adds to each datagram of package gossip.
 type gossipPayload struct {
-	Orders   []rollOutReport           `cbor:"1,keyasint,omitempty"`
-	Suspects map[string][]poison.Count `cbor:"3,keyasint,omitempty"` // by service
-	Limits   []limitReport             `cbor:"4,keyasint,omitempty"`
+	Orders []rollOutReport `cbor:"1,keyasint,omitempty"`
+	Limits []limitReport   `cbor:"4,keyasint,omitempty"`
+	// Crashes is nil if there is nothing to report. The key 3 belonged to sums of blame.
+	Crashes *crashReports `cbor:"5,keyasint,omitempty"`
 }
 
 // payload encodes this VM's gossipPayload; nil if there is nothing to report.
 func (n *Node) payload() []byte {
 	var w gossipPayload
 	w.Orders = n.rollouts.reports(bootClock())
-	w.Suspects = n.suspects.recentCrashes()
+	w.Crashes = n.suspects.report()
 	w.Limits = n.limitReports()
-	if len(w.Orders)+len(w.Suspects)+len(w.Limits) == 0 {
+	if len(w.Orders)+len(w.Limits) == 0 && w.Crashes == nil {
 		return nil
 	}
 	b, err := cbor.Marshal(&w)
@@ -40,6 +39,8 @@
 		return
 	}
 	n.rollouts.mergeReports(bootClock(), from+"/"+strconv.FormatUint(incarnation, 36), w.Orders)
-	n.suspects.merge(from, w.Suspects)
+	if w.Crashes != nil {
+		n.suspects.merge(from, w.Crashes)
+	}
 	n.mergeLimitReports(from, w.Limits)
 }
--- a/policy/loadtest/run.go
+++ b/policy/loadtest/run.go
@@ -210,16 +210,16 @@
 	}
 }
 
-// sharePoison merges each VM's crash counts into those of the other VMs.
+// sharePoison merges the crashes that each VM knows into those of the other VMs.
 func (r *run) sharePoison() {
-	var all [][]poison.Count
+	var all [][]poison.Crash
 	for _, v := range r.vms {
-		all = append(all, v.poison.Counts(r.loop.now))
+		all = append(all, v.poison.Crashes(r.loop.now))
 	}
 	for i, v := range r.vms {
-		for j, counts := range all {
+		for j, crashes := range all {
 			if i != j {
-				v.poison.Merge(r.loop.now, counts)
+				v.poison.Merge(r.loop.now, crashes)
 			}
 		}
 	}
--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -1,9 +1,7 @@
 package poison
 
 import (
-	"cmp"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -23,70 +21,26 @@
 
 var defaultRules = rules{simultaneous: 100 * time.Millisecond, sharedWeight: 1.0 / 12, explain: true}
 
-// sameCrash is the time within which reports of one endpoint's crash are about the same crash. An
-// endpoint takes longer to start again.
-const sameCrash = 2 * time.Second
-
-// crash is the crash of an endpoint with the requests that were in flight there.
-type crash struct {
-	at       time.Time
-	endpoint string
-	suspects []Fingerprint // sorted
-	running  int           // requests at the endpoint, at least
-}
-
-func (c *crash) has(f Fingerprint) bool {
-	_, found := slices.BinarySearch(c.suspects, f)
-	return found
-}
-
-// crashes returns all known crashes in the order of time.
-func (t *Tracker) crashes() []*crash {
-	var single []*crash
-	for f, r := range t.records {
-		for endpoint, p := range r.crashes {
-			single = append(single, &crash{at: p.at, endpoint: endpoint, suspects: []Fingerprint{f}, running: p.running})
-		}
-	}
-	for i := range t.empty {
-		c := t.empty[i]
-		single = append(single, &c)
-	}
-	slices.SortFunc(single, func(a, b *crash) int {
-		return cmp.Or(strings.Compare(a.endpoint, b.endpoint), a.at.Compare(b.at))
-	})
-	var out []*crash
-	for _, c := range single {
-		if n := len(out); n > 0 && out[n-1].endpoint == c.endpoint && c.at.Sub(out[n-1].at) <= sameCrash {
-			out[n-1].suspects = append(out[n-1].suspects, c.suspects...)
-			out[n-1].running = max(out[n-1].running, c.running)
-			continue
-		}
-		out = append(out, c)
-	}
-	for _, c := range out {
-		slices.Sort(c.suspects)
-	}
-	slices.SortFunc(out, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), strings.Compare(a.endpoint, b.endpoint)) })
-	return out
-}
-
 // decide computes which requests are in quarantine. Callers hold t.mu.
 func (t *Tracker) decide(now time.Time) {
 	if !t.stale && now.Before(t.validUntil) {
 		return
 	}
-	all := t.crashes()
-	t.stale, t.validUntil = false, now.Add(recordLifetime)
-	for _, c := range all {
+	t.prune(now)
+	t.stale, t.validUntil = false, now.Add(maxDecisionAge)
+	for _, c := range t.crashes {
 		if settled := c.at.Add(t.rules.simultaneous); settled.After(now) && settled.Before(t.validUntil) {
 			t.validUntil = settled
 		}
 	}
+	suspects := t.suspects()
 	quarantined := make(map[Fingerprint]bool)
+	for f := range t.verdicts {
+		quarantined[f] = true
+	}
 	for {
 		before := len(quarantined)
-		for f, score := range t.scores(now, all, quarantined) {
+		for f, score := range t.scores(now, suspects, quarantined) {
 			if len(t.records[f].crashes) >= t.minEndpoints && score >= Threshold {
 				quarantined[f] = true
 			}
@@ -96,6 +50,56 @@
 		}
 	}
 	t.quarantined = quarantined
+	t.keepVerdicts(now)
+}
+
+// keepVerdicts makes the decisions final whose evidence has settled.
+func (t *Tracker) keepVerdicts(now time.Time) {
+	for f := range t.quarantined {
+		r := t.records[f]
+		if r == nil {
+			continue
+		}
+		var last time.Time
+		for _, c := range r.crashes {
+			if c.at.After(last) {
+				last = c.at
+			}
+		}
+		if now.Sub(last) >= verdictDelay {
+			t.addVerdict(f, last)
+		}
+	}
+}
+
+// addVerdict records that a request crashes endpoints. It reports whether that is new.
+func (t *Tracker) addVerdict(f Fingerprint, last time.Time) bool {
+	known, found := t.verdicts[f]
+	if !found && len(t.verdicts) >= maxVerdicts {
+		return false
+	}
+	if last.After(known) {
+		t.verdicts[f] = last
+	}
+	return !found
+}
+
+// maxDecisionAge is how long a decision is used while the evidence doesn't change.
+const maxDecisionAge = time.Second
+
+// suspects returns, by the index of each crash, the requests that were part of several crashes and
+// to which this one counts. Most requests are part of one only.
+func (t *Tracker) suspects() [][]Fingerprint {
+	out := make([][]Fingerprint, len(t.crashes))
+	for i, c := range t.crashes {
+		for f := range c.requests {
+			if r := t.records[f]; len(r.crashes) > 1 && r.crashes[c.endpoint] == c {
+				out[i] = append(out[i], f)
+			}
+		}
+		slices.Sort(out[i])
+	}
+	return out
 }
 
 // scores returns the blame of each request, reduced by its complete answers. Blame for crashes with
@@ -103,23 +107,23 @@
 // request from those beside it. The first crash of a cluster looks like one by a request; for a
 // request that was part of a cluster before, it counts as one of a cluster until it is old enough
 // that no other crash can follow. quarantined are the requests that are known to crash endpoints.
-func (t *Tracker) scores(now time.Time, all []*crash, quarantined map[Fingerprint]bool) map[Fingerprint]float64 {
-	blame := make(map[Fingerprint]float64, len(t.records))
-	scores := make(map[Fingerprint]float64, len(t.records))
+func (t *Tracker) scores(now time.Time, suspects [][]Fingerprint, quarantined map[Fingerprint]bool) map[Fingerprint]float64 {
+	blame := make(map[Fingerprint]float64)
+	scores := make(map[Fingerprint]float64)
 	shared := make(map[Fingerprint]bool) // was part of a crash with a common cause
-	clusters := t.clusters(all, quarantined)
-	for i, c := range all {
-		total := baseOdds * float64(max(c.running-len(c.suspects), 0))
-		units := make([]float64, len(c.suspects))
-		for j, f := range c.suspects {
+	clusters := t.clusters(quarantined)
+	for i, c := range t.crashes {
+		total := baseOdds * float64(max(c.running, len(c.requests))-len(suspects[i]))
+		units := make([]float64, len(suspects[i]))
+		for j, f := range suspects[i] {
 			units[j] = baseOdds + blame[f]
 			total += units[j]
 		}
-		for j, f := range c.suspects {
+		for j, f := range suspects[i] {
 			u := units[j] / total / float64(1+t.records[f].survived)
 			blame[f] += u
 			mayGrow := now.Sub(c.at) < t.rules.simultaneous
-			if hasCommonCause(all, clusters, i, f) || mayGrow && shared[f] {
+			if t.hasCommonCause(clusters, i, f) || mayGrow && shared[f] {
 				u *= t.rules.sharedWeight
 				shared[f] = true
 			}
@@ -132,16 +136,25 @@
 // cluster is a run of crashes that follow each other closely.
 type cluster struct{ first, last int } // indices
 
+func (c *crash) hasAny(requests map[Fingerprint]bool) bool {
+	for f := range requests {
+		if c.has(f) {
+			return true
+		}
+	}
+	return false
+}
+
 // clusters returns the cluster of each crash, by index. A crash with a request in quarantine has
 // a known cause; it forms no cluster with others and has a nil entry.
-func (t *Tracker) clusters(all []*crash, quarantined map[Fingerprint]bool) []*cluster {
-	out := make([]*cluster, len(all))
+func (t *Tracker) clusters(quarantined map[Fingerprint]bool) []*cluster {
+	out := make([]*cluster, len(t.crashes))
 	var open *cluster
-	for i, c := range all {
-		if t.rules.explain && slices.ContainsFunc(c.suspects, func(f Fingerprint) bool { return quarantined[f] }) {
+	for i, c := range t.crashes {
+		if t.rules.explain && c.hasAny(quarantined) {
 			continue
 		}
-		if open == nil || c.at.Sub(all[open.last].at) >= t.rules.simultaneous {
+		if open == nil || c.at.Sub(t.crashes[open.last].at) >= t.rules.simultaneous {
 			open = &cluster{first: i}
 		}
 		open.last, out[i] = i, open
@@ -151,13 +164,13 @@
 
 // hasCommonCause reports whether the crash with the given index may have the cause of others, as
 // far as request f is concerned: whether its cluster has one without f.
-func hasCommonCause(all []*crash, clusters []*cluster, index int, f Fingerprint) bool {
+func (t *Tracker) hasCommonCause(clusters []*cluster, index int, f Fingerprint) bool {
 	own := clusters[index]
 	if own == nil {
 		return false
 	}
 	for i := own.first; i <= own.last; i++ {
-		if clusters[i] == own && !all[i].has(f) {
+		if clusters[i] == own && !t.crashes[i].has(f) {
 			return true
 		}
 	}
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -28,9 +28,12 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,15 +57,21 @@
 	// odds of 1/8; a new request has far lower ones, since most requests never crash an
 	// endpoint.
 	baseOdds = 0.01
-	// recordLifetime is the time after the last crash at which a record is dropped, so
-	// that a repaired engine receives the request again.
-	recordLifetime = 10 * time.Minute
-	// maxRecords bounds the table. It holds ten times the requests of 12 simultaneous
-	// crashes with 16 requests in flight each.
+	// crashLifetime is the time for which a crash counts, so that a repaired engine receives the
+	// request again.
+	crashLifetime = 10 * time.Minute
+	// sameCrash is the time within which reports of one endpoint's crash are about the same crash.
+	// An endpoint takes longer to start again.
+	sameCrash = 2 * time.Second
+	// maxRecords bounds the requests. It holds ten times those of 12 simultaneous crashes with 16
+	// requests in flight each.
 	maxRecords = 2048
-	// maxCrashes bounds the endpoints in a record and the crashes without requests, several
-	// times those that decide.
-	maxCrashes = 64
+	// maxCrashes bounds the crashes; the oldest give way.
+	maxCrashes = 512
+	// verdictDelay is the time after a request's last crash at which a decision against it is
+	// final. By then the evidence of all VMs is known.
+	verdictDelay = 3 * time.Second
+	maxVerdicts  = 256
 )
 
 // Fingerprint identifies a request by its account, target and body.
@@ -86,39 +95,28 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// crash is the crash of an endpoint with the requests that were in flight there.
+type crash struct {
+	at       time.Time
+	endpoint string
+	requests map[Fingerprint]struct{}
+	// running is the number of requests that ran there, as far as a VM that found the crash knew. It
+	// may be larger than that of the known requests.
+	running int
+}
+
+func (c *crash) has(f Fingerprint) bool {
+	_, found := c.requests[f]
+	return found
+}
+
 // record is the evidence about one request.
 type record struct {
 	// crashes holds the first crash of each endpoint that the request was part of. Later ones of
 	// the same endpoint don't count: it may crash repeatedly for its own reasons.
-	crashes map[string]presence
+	crashes map[string]*crash
 	// survived is the number of complete answers.
 	survived int
-	// last is the time of the last crash.
-	last time.Time
-}
-
-// presence is a request's part in a crash.
-type presence struct {
-	at time.Time
-	// running is the number of requests that ran there, as far as the VM that found the crash knew.
-	running int
-}
-
-// add records a crash. Of two reports of an endpoint's crash it keeps the earlier.
-func (r *record) add(endpoint string, p presence) (changed bool) {
-	old, known := r.crashes[endpoint]
-	if !known && len(r.crashes) >= maxCrashes {
-		return false
-	}
-	next := p
-	if known {
-		next.running = max(old.running, p.running)
-		if old.at.Before(p.at) {
-			next.at = old.at
-		}
-	}
-	r.crashes[endpoint] = next
-	return !known || next != old
 }
 
 // Tracker records crashes for the requests of one pool, and decides which requests are in
@@ -128,18 +126,20 @@
 	minEndpoints int
 	rules        rules
 	records      map[Fingerprint]*record
-	// empty holds the crashes of endpoints without a known request.
-	empty []crash
+	crashes      []*crash // in the order of time
 	// quarantined is the decision on the evidence so far. It is computed anew if the evidence
 	// has changed (stale) or may count differently by now (validUntil).
 	quarantined map[Fingerprint]bool
 	stale       bool
 	validUntil  time.Time
+	// verdicts holds the last crash of each request that was found to crash endpoints, by this VM
+	// or another, once the evidence had settled.
+	verdicts map[Fingerprint]time.Time
 }
 
 // New returns a tracker for a pool with the given number of endpoints.
 func New(endpoints int) *Tracker {
-	t := &Tracker{records: make(map[Fingerprint]*record), rules: defaultRules}
+	t := &Tracker{records: make(map[Fingerprint]*record), verdicts: make(map[Fingerprint]time.Time), rules: defaultRules}
 	t.Resize(endpoints)
 	return t
 }
@@ -160,54 +160,131 @@
 func (t *Tracker) IsQuarantined(now time.Time, f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if last, found := t.verdicts[f]; found && now.Sub(last) <= crashLifetime {
+		return true
+	}
 	r := t.records[f]
-	if r == nil || len(r.crashes) < t.minEndpoints || now.Sub(r.last) > recordLifetime {
+	if r == nil || len(r.crashes) < t.minEndpoints {
 		return false
 	}
 	t.decide(now)
 	return t.quarantined[f]
 }
 
+// Quarantined returns all requests that are to be refused.
+func (t *Tracker) Quarantined(now time.Time) []Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide(now)
+	return slices.Sorted(maps.Keys(t.quarantined))
+}
+
 // IsSuspect reports whether the request was in flight at a crash and has not completed
 // since. It must not share an endpoint with another suspect.
 func (t *Tracker) IsSuspect(now time.Time, f Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[f]
-	return r != nil && r.survived == 0 && now.Sub(r.last) <= recordLifetime
+	if r == nil || r.survived > 0 {
+		return false
+	}
+	for _, c := range r.crashes {
+		if now.Sub(c.at) <= crashLifetime {
+			return true
+		}
+	}
+	return false
 }
 
 // RecordCrash records the crash of an endpoint with the requests that this VM had in flight
-// there. Crashes are kept by the name of the endpoint, so that a crash seen by several VMs counts
-// once, and so does an endpoint that crashes repeatedly for its own reasons. others is the number
-// of requests of other VMs that ran there according to the endpoint's last report; they take
-// their part of the blame.
+// there. others is the number of requests of other VMs that ran there according to the endpoint's
+// last report; they take their part of the blame.
 func (t *Tracker) RecordCrash(now time.Time, endpoint string, inFlight []Fingerprint, others int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
+	c, _ := t.crashOf(now, endpoint)
+	for _, f := range inFlight {
+		t.addRequest(c, f)
+	}
+	c.running = max(c.running, len(inFlight)+max(others, 0))
 	t.stale = true
-	suspects := slices.Compact(slices.Sorted(slices.Values(inFlight)))
-	for _, f := range suspects {
-		if r := t.recordOf(f); r != nil {
-			r.add(endpoint, presence{at: now, running: len(suspects) + max(others, 0)})
-			r.last = now
+}
+
+// crashOf returns the crash of an endpoint at about the given time, a new one if there is none
+// yet. Of two reports it keeps the earlier time.
+func (t *Tracker) crashOf(at time.Time, endpoint string) (c *crash, isNew bool) {
+	for _, c := range t.crashes {
+		if c.endpoint == endpoint && c.at.Sub(at).Abs() <= sameCrash {
+			if at.Before(c.at) {
+				c.at = at
+				t.sortCrashes()
+			}
+			return c, false
 		}
 	}
-	if len(suspects) == 0 && len(t.empty) < maxCrashes {
-		t.empty = append(t.empty, crash{at: now, endpoint: endpoint})
+	if len(t.crashes) >= maxCrashes {
+		t.dropCrashes(1)
 	}
+	c = &crash{at: at, endpoint: endpoint, requests: make(map[Fingerprint]struct{})}
+	t.crashes = append(t.crashes, c)
+	t.sortCrashes()
+	return c, true
+}
+
+func (t *Tracker) sortCrashes() {
+	slices.SortFunc(t.crashes, func(a, b *crash) int { return cmp.Or(a.at.Compare(b.at), strings.Compare(a.endpoint, b.endpoint)) })
 }
 
-// recordOf returns the record of a request, a new one if there is none, or nil if the table is
-// full.
-func (t *Tracker) recordOf(f Fingerprint) *record {
+// addRequest records that a request was part of a crash. It reports whether that is new.
+func (t *Tracker) addRequest(c *crash, f Fingerprint) bool {
 	r := t.records[f]
-	if r == nil && len(t.records) < maxRecords {
-		r = &record{crashes: make(map[string]presence)}
+	if c.has(f) || r == nil && len(t.records) >= maxRecords {
+		return false
+	}
+	if r == nil {
+		r = &record{crashes: make(map[string]*crash)}
 		t.records[f] = r
 	}
-	return r
+	c.requests[f] = struct{}{}
+	if first := r.crashes[c.endpoint]; first == nil || c.at.Before(first.at) {
+		r.crashes[c.endpoint] = c
+	}
+	return true
+}
+
+// dropCrashes drops the oldest crashes, and the requests that were part of no other.
+func (t *Tracker) dropCrashes(n int) {
+	for _, c := range t.crashes[:n] {
+		for f := range c.requests {
+			r := t.records[f]
+			if r != nil && r.crashes[c.endpoint] == c {
+				delete(r.crashes, c.endpoint)
+			}
+			if r != nil && len(r.crashes) == 0 {
+				delete(t.records, f)
+			}
+		}
+	}
+	t.crashes = slices.Delete(t.crashes, 0, n)
+	t.stale = true
+}
+
+// prune drops expired crashes.
+func (t *Tracker) prune(now time.Time) {
+	n := 0
+	for n < len(t.crashes) && now.Sub(t.crashes[n].at) > crashLifetime {
+		n++
+	}
+	if n > 0 {
+		t.dropCrashes(n)
+	}
+	for f, last := range t.verdicts {
+		if now.Sub(last) > crashLifetime {
+			delete(t.verdicts, f)
+			t.stale = true
+		}
+	}
 }
 
 // RecordSuccess records a complete answer. A request that an endpoint survives is either
@@ -227,16 +304,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.records, f)
-	t.stale = true
-}
-
-// prune drops expired records.
-func (t *Tracker) prune(now time.Time) {
-	t.empty = slices.DeleteFunc(t.empty, func(c crash) bool { return now.Sub(c.at) > recordLifetime })
-	for f, r := range t.records {
-		if now.Sub(r.last) > recordLifetime {
-			delete(t.records, f)
-			t.stale = true
-		}
+	delete(t.verdicts, f)
+	for _, c := range t.crashes {
+		delete(c.requests, f)
 	}
+	t.stale = true
 }
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -45,7 +45,7 @@
 				}
 			}
 			require.LessOrEqual(t, crashes, c.most)
-			require.False(t, tracker.IsQuarantined(now.Add(recordLifetime+1), culprit), "a repaired engine gets the request again")
+			require.False(t, tracker.IsQuarantined(now.Add(crashLifetime+1), culprit), "a repaired engine gets the request again")
 		})
 	}
 }
@@ -93,8 +93,8 @@
 	require.False(t, tracker.IsSuspect(start, culprit))
 }
 
-// TestMerge checks that VMs which exchange counts in any order and repeatedly reach the
-// same counts.
+// TestMerge checks that VMs which exchange crashes in any order and repeatedly reach the
+// same evidence.
 func TestMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := []*Tracker{New(9), New(9), New(9)}
@@ -109,15 +109,15 @@
 			}
 		}
 		now := start.Add(time.Minute)
-		counts := [][]Count{vms[0].Counts(now), vms[1].Counts(now), vms[2].Counts(now)}
+		reports := [][]Crash{vms[0].Crashes(now), vms[1].Crashes(now), vms[2].Crashes(now)}
 		orders := [][]int{{0, 1, 2}, {2, 1, 0, 2, 1}, {1, 0, 2, 0, 0}}
 		for i, vm := range vms {
 			for _, j := range orders[i] {
-				vm.Merge(now, counts[j])
+				vm.Merge(now, reports[j])
 			}
 		}
-		require.Equal(t, vms[0].Counts(now), vms[1].Counts(now))
-		require.Equal(t, vms[0].Counts(now), vms[2].Counts(now))
+		require.Equal(t, vms[0].Crashes(now), vms[1].Crashes(now))
+		require.Equal(t, vms[0].Crashes(now), vms[2].Crashes(now))
 	})
 }
 
--- a/router/dispatch/dump.go
+++ b/router/dispatch/dump.go
@@ -49,7 +49,7 @@
 	for name, ps := range d.pools {
 		waiting, running := ps.queue.Len()
 		slots, _ := d.table.Capacity(name)
-		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: ps.endpointCount, Quarantined: ps.countQuarantined(now)})
+		out.Pools = append(out.Pools, PoolDump{Pool: name, Waiting: waiting, Running: running, Capacity: slots, Endpoints: ps.endpointCount, Quarantined: len(ps.tracker.Quarantined(now))})
 	}
 	for name, e := range d.endpoints {
 		b := d.bounds(e)
@@ -65,15 +65,6 @@
 	return out
 }
 
-func (ps *poolState) countQuarantined(now time.Time) (n int) {
-	for _, c := range ps.tracker.Counts(now) {
-		if ps.tracker.IsQuarantined(now, c.Fingerprint) {
-			n++
-		}
-	}
-	return n
-}
-
 // Waiting returns the number of requests that wait in a pool.
 func (d *Dispatcher) Waiting(pool string) int {
 	d.mu.Lock()
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -6,32 +6,33 @@
 	"goldcrestfork/policy/poison"
 )
 
-// RecentPoisonCounts returns, by pool, the blame of requests whose last crash was at most maxAge
-// ago. It returns at most limit counts in total.
-func (d *Dispatcher) RecentPoisonCounts(maxAge time.Duration, limit int) map[string][]poison.Count {
+// RecentCrashes returns, by pool, the crashes that are at most maxAge old and have a known request.
+// They have at most limit requests in total.
+func (d *Dispatcher) RecentCrashes(maxAge time.Duration, limit int) map[string][]poison.Crash {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := make(map[string][]poison.Count)
+	out := make(map[string][]poison.Crash)
 	for name, ps := range d.pools {
-		for _, c := range ps.tracker.Counts(now) {
-			if c.Age <= maxAge && limit > 0 {
+		for _, c := range ps.tracker.Crashes(now) {
+			if c.Age() <= maxAge && len(c.Requests) > 0 && limit > 0 {
+				c.Requests = c.Requests[:min(len(c.Requests), limit)]
 				out[name] = append(out[name], c)
-				limit--
+				limit -= len(c.Requests)
 			}
 		}
 	}
 	return out
 }
 
-// MergePoisonCounts merges the counts that another VM sent.
-func (d *Dispatcher) MergePoisonCounts(byPool map[string][]poison.Count) {
+// MergeCrashes merges the crashes that another VM reports.
+func (d *Dispatcher) MergeCrashes(byPool map[string][]poison.Crash) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, counts := range byPool {
+	for name, crashes := range byPool {
 		if ps := d.pools[name]; ps != nil {
-			ps.tracker.Merge(now, counts)
+			ps.tracker.Merge(now, crashes)
 		}
 	}
 }
--- a/router/dispatch/poison_test.go
+++ b/router/dispatch/poison_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/config"
+	"goldcrestfork/policy/poison"
 )
 
 // allSlots assigns every warm slot to this VM.
@@ -38,10 +37,10 @@
 	return d
 }
 
-// Two VMs exchange the blame for a crash each second with a delay of 50 ms, so a count
-// looks younger on arrival than it is. The VMs must reach the same counts, and the
-// exchange must end: counts that are passed back and forth forever would keep the
-// requests of a repaired engine in quarantine.
+// Two VMs exchange a crash each second with a delay of 50 ms, so it looks younger on arrival
+// than it is. The VMs must reach the same evidence, and the exchange must end: crashes that
+// are passed back and forth forever would keep the requests of a repaired engine in
+// quarantine.
 func TestExchangedBlameConvergesAndExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const maxAge, limit = 15 * time.Second, 8
@@ -53,23 +52,26 @@
 		ticket.Done(Result{Crashed: true, Running: -1})
 		for range 20 {
 			for i, vm := range vms {
-				counts := vm.RecentPoisonCounts(maxAge, limit)
+				crashes := vm.RecentCrashes(maxAge, limit)
 				time.Sleep(50 * time.Millisecond)
-				vms[1-i].MergePoisonCounts(counts)
+				vms[1-i].MergeCrashes(crashes)
 			}
 			time.Sleep(time.Second)
 		}
-		endpoints := func(d *Dispatcher) []string {
-			return slices.Sorted(maps.Keys(d.RecentPoisonCounts(time.Hour, limit)["v"][0].Crashes))
+		evidence := func(d *Dispatcher) poison.Crash {
+			c := d.RecentCrashes(time.Hour, limit)["v"][0]
+			c.AgeMs = 0
+			return c
 		}
-		require.Equal(t, []string{ticket.Endpoint}, endpoints(vms[0]))
-		require.Equal(t, []string{ticket.Endpoint}, endpoints(vms[1]))
+		require.Equal(t, evidence(vms[0]), evidence(vms[1]))
+		require.Equal(t, ticket.Endpoint, evidence(vms[1]).Endpoint)
+		require.Equal(t, poison.Fingerprint(7), evidence(vms[1]).Requests[0].Fingerprint)
 		for _, vm := range vms {
-			require.Empty(t, vm.RecentPoisonCounts(maxAge, limit))
+			require.Empty(t, vm.RecentCrashes(maxAge, limit))
 		}
 		time.Sleep(11 * time.Minute)
 		for _, vm := range vms {
-			require.Empty(t, vm.RecentPoisonCounts(time.Hour, limit))
+			require.Empty(t, vm.RecentCrashes(time.Hour, limit))
 		}
 	})
 }
--- a/router/vm/poison.go
+++ b/router/vm/poison.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	// methodPoison carries the blame of requests that were in flight at crashes.
-	methodPoison = "poison.counts"
-	// poisonInterval and poisonFanout spread the blame for a crash to 400 VMs in about six
+	// methodPoison carries crashes of endpoints with the requests that were in flight there.
+	methodPoison = "poison.crashes"
+	// poisonInterval and poisonFanout spread a crash to 400 VMs in about six
 	// rounds. Nothing is sent while no endpoint crashes.
 	poisonInterval = time.Second
 	poisonFanout   = 3
-	// poisonMaxAge is how long after a crash its blame is sent. It is twice the time that
+	// poisonMaxAge is how long a crash is sent. It is twice the time that
 	// the rounds take, so that a lost round has no effect.
 	poisonMaxAge = 15 * time.Second
 	// poisonMaxRequests bounds the requests in one message: the suspects of several
@@ -25,29 +25,29 @@
 	poisonMaxRequests = 128
 )
 
-// spreadPoison sends the blame for crashes to other VMs. A caller resends a request that
-// crashed its endpoint to any VM; with only its own counts, each VM would let the request
-// crash as many endpoints as it takes to be certain. Blame merges by maximum, so messages
+// spreadPoison sends crashes to other VMs. A caller resends a request that crashed its
+// endpoint to any VM; with only the crashes that it saw, each VM would let the request
+// crash as many endpoints as it takes to be certain. Evidence merges, so messages
 // may arrive in any order, more than once or through other VMs.
 func (v *VM) spreadPoison(ctx context.Context) {
 	for wait(ctx, poisonInterval) {
-		counts := v.dispatch.RecentPoisonCounts(poisonMaxAge, poisonMaxRequests)
-		if len(counts) == 0 {
+		crashes := v.dispatch.RecentCrashes(poisonMaxAge, poisonMaxRequests)
+		if len(crashes) == 0 {
 			continue
 		}
 		others := v.fleet.liveOthers()
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 		for _, m := range others[:min(poisonFanout, len(others))] {
-			v.post(ctx, m.ID, methodPoison, counts)
+			v.post(ctx, m.ID, methodPoison, crashes)
 		}
 	}
 }
 
 func (v *VM) handlePoison(_ context.Context, _ string, body []byte) ([]byte, error) {
-	var counts map[string][]poison.Count
-	if err := cbor.Unmarshal(body, &counts); err != nil {
+	var crashes map[string][]poison.Crash
+	if err := cbor.Unmarshal(body, &crashes); err != nil {
 		return nil, err
 	}
-	v.dispatch.MergePoisonCounts(counts)
+	v.dispatch.MergeCrashes(crashes)
 	return nil, nil
 }
