Blame a crash on requests whose runs had just ended too

What callers saw: a request for which the VM dropped the smaller models' answers crashed one endpoint after the other and was blamed for none of them. Cause: a VM forgot a run when it ended it, by dropping a weak answer, giving an overdue one up, or when its caller left. In the operators' record the endpoint crashed 80 ms after that. The crash was blamed on the requests that were still in flight, and since it was one without the request that did it, it spoke for that request.

A run now counts for a second after its end, and a complete answer shows that the endpoint survived only after that second. A VM that hears of a crash from another one adds its own runs there, since nothing of its own may have broken. The record's class of fault is an effect that comes after the cause was forgotten.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -15,6 +15,11 @@
 	// crashWindow is the time in which connections that break at one endpoint count as one
 	// crash.
 	crashWindow = time.Second
+	// crashDelay is the time after the end of a request's run in which a crash of the endpoint may
+	// still be its doing: an engine goes on for some steps when a connection closes.
+	crashDelay = time.Second
+	// runRetention is how long an ended run is kept, for crashes that other VMs report.
+	runRetention = 3 * time.Second
 	// suspectTTL is how long a crash is reported to other VMs, some dozens of rounds of
 	// datagrams.
 	suspectTTL = 15 * time.Second
@@ -24,9 +29,9 @@
 )
 
 // suspects connects package poison with the forwarding of requests: it records which requests
-// run at which endpoint and attributes a crash to those that ran there. A broken connection
-// alone is no crash, since endpoints lose answers and networks reset connections; an endpoint
-// that accepts no new connection right after is down.
+// run at which endpoint and attributes a crash to those that ran there until up to crashDelay
+// before it. A broken connection alone is no crash, since endpoints lose answers and networks
+// reset connections; an endpoint that accepts no new connection right after is down.
 //
 // Lock order: suspects.mu, then those of the trackers, which are leaves.
 type suspects struct {
@@ -40,13 +45,25 @@
 
 type suspectPool struct {
 	tracker *poison.Tracker
-	running map[string][]poison.Fingerprint // by endpoint
-	crashed map[string]time.Time            // by endpoint
+	runs    map[string][]*run    // by endpoint; those under way and those that ended a short time ago
+	crashed map[string]time.Time // by endpoint
 	// quarantined holds the requests for whose quarantine a line was logged.
 	quarantined map[poison.Fingerprint]bool
 	reported    map[string]reportState // by endpoint
 }
 
+// run is one attempt of this VM at an endpoint.
+type run struct {
+	fingerprint  poison.Fingerprint
+	began, ended time.Time // ended is zero while the attempt is under way
+	survived     bool      // the endpoint gave a complete answer
+}
+
+// mayHaveCrashed reports whether a crash of the endpoint at the given time may be the run's doing.
+func (r *run) mayHaveCrashed(at time.Time) bool {
+	return !r.began.After(at) && (r.ended.IsZero() || at.Sub(r.ended) <= crashDelay)
+}
+
 func newSuspects(connects func(string) bool, log zerolog.Logger) *suspects {
 	return &suspects{connects: connects, log: log, pools: make(map[string]*suspectPool)}
 }
@@ -56,7 +73,7 @@
 	p := s.pools[service]
 	if p == nil {
 		p = &suspectPool{
-			tracker: poison.New(poolSize), running: make(map[string][]poison.Fingerprint), crashed: make(map[string]time.Time),
+			tracker: poison.New(poolSize), runs: make(map[string][]*run), crashed: make(map[string]time.Time),
 			quarantined: make(map[poison.Fingerprint]bool), reported: make(map[string]reportState),
 		}
 		s.pools[service] = p
@@ -76,7 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
-	p.running[endpoint] = append(p.running[endpoint], poison.Fingerprint(f))
+	p.runs[endpoint] = append(p.runs[endpoint], &run{fingerprint: poison.Fingerprint(f), began: time.Now()})
 }
 
 // End implements forward.Poison.
@@ -85,31 +102,56 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(a.Service)
-	list := p.running[a.Endpoint]
-	if a.Survived {
-		p.tracker.RecordSuccess(poison.Fingerprint(a.Fingerprint))
+	for _, r := range p.runs[a.Endpoint] {
+		if r.ended.IsZero() && r.fingerprint == poison.Fingerprint(a.Fingerprint) {
+			r.ended, r.survived = now, a.Survived
+			break
+		}
 	}
 	if a.ConnectionBroke && now.Sub(p.crashed[a.Endpoint]) > crashWindow {
 		p.crashed[a.Endpoint] = now
-		go s.blame(a, slices.Clone(list))
-	}
-	if i := slices.Index(list, poison.Fingerprint(a.Fingerprint)); i >= 0 {
-		list = slices.Delete(list, i, i+1)
+		go s.blame(now, a, p.at(a.Endpoint, now))
 	}
-	if len(list) == 0 {
-		delete(p.running, a.Endpoint)
-	} else {
-		p.running[a.Endpoint] = list
+}
+
+// at returns the requests whose runs may have crashed an endpoint at the given time.
+func (p *suspectPool) at(endpoint string, crashed time.Time) (out []poison.Fingerprint) {
+	for _, r := range p.runs[endpoint] {
+		if r.mayHaveCrashed(crashed) && !slices.Contains(out, r.fingerprint) {
+			out = append(out, r.fingerprint)
+		}
 	}
-	for e, at := range p.crashed {
-		if now.Sub(at) > suspectTTL {
-			delete(p.crashed, e)
+	return out
+}
+
+// sweep records the answers that their endpoints survived, and forgets old runs. Callers hold
+// s.mu.
+func (s *suspects) sweep(now time.Time) {
+	for _, p := range s.pools {
+		for endpoint, runs := range p.runs {
+			for _, r := range runs {
+				if r.survived && now.Sub(r.ended) > crashDelay {
+					r.survived = false
+					if !p.tracker.HasCrashed(endpoint, r.began) {
+						p.tracker.RecordSuccess(r.fingerprint)
+					}
+				}
+			}
+			runs = slices.DeleteFunc(runs, func(r *run) bool { return !r.ended.IsZero() && now.Sub(r.ended) > runRetention })
+			if p.runs[endpoint] = runs; len(runs) == 0 {
+				delete(p.runs, endpoint)
+			}
+		}
+		for endpoint, at := range p.crashed {
+			if now.Sub(at) > suspectTTL {
+				delete(p.crashed, endpoint)
+			}
 		}
 	}
 }
 
 // blame records a crash against the requests that ran at the endpoint, if the endpoint is down.
-func (s *suspects) blame(a forward.Attempt, inFlight []poison.Fingerprint) {
+func (s *suspects) blame(now time.Time, a forward.Attempt, inFlight []poison.Fingerprint) {
 	up := s.connects(a.Address)
 	s.log.Info().Str("service", a.Service).Str("endpoint", a.Endpoint).Bool("crashed", !up).Int("in_flight", len(inFlight)).
 		Strs("fingerprints", fingerprints(inFlight)).Msg("endpoint checked after a broken connection")
@@ -118,7 +160,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool(a.Service).tracker.RecordCrash(time.Now(), a.Endpoint, inFlight, 0)
+	s.pool(a.Service).tracker.RecordCrash(now, a.Endpoint, inFlight, 0)
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -20,12 +20,12 @@
 
 const (
 	crashService = "s"
-	// crashDelay is the time from the start of a run to the crash of its endpoint, and answerDelay
+	// runUntilCrash is the time from the start of a run to the crash of its endpoint, and answerDelay
 	// the time to the head of its answer, after which a weak answer is dropped.
-	crashDelay, answerDelay = 80 * time.Millisecond, 20 * time.Millisecond
-	endpointDown            = 3 * time.Second
-	crashAttempts           = 3  // endpoints that one request may be sent to
-	crashFanout             = 12 // VMs that get a VM's report in a round
+	runUntilCrash, answerDelay = 80 * time.Millisecond, 20 * time.Millisecond
+	endpointDown               = 3 * time.Second
+	crashAttempts              = 3  // endpoints that one request may be sent to
+	crashFanout                = 12 // VMs that get a VM's report in a round
 )
 
 // crashEndpoint is an endpoint of a crashFleet; each start has a new id.
@@ -189,7 +189,7 @@
 		}
 		f.mu.Unlock()
 		go func() {
-			time.Sleep(crashDelay)
+			time.Sleep(runUntilCrash)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if e.id() == a.Endpoint && e.up {
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -58,6 +58,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.sweep(now)
 	s.logQuarantined(now)
 	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict)}
 	left := maxReportBytes
@@ -126,7 +127,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for service, crashes := range r.Crashes {
-		if s.pool(service).tracker.Merge(now, crashes) {
+		p := s.pool(service)
+		changed := p.tracker.Merge(now, crashes)
+		for i := range crashes {
+			// The reporting VM doesn't know this VM's requests that ran there.
+			at := now.Add(-crashes[i].Age())
+			if own := p.at(crashes[i].Endpoint, at); len(own) > 0 {
+				p.tracker.RecordCrash(at, crashes[i].Endpoint, own, 0)
+			}
+		}
+		if changed {
 			s.log.Info().Str("service", service).Str("from", from).Strs("endpoints", endpointsOf(crashes)).Msg("crashes heard from another VM")
 		}
 	}
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -50,7 +50,7 @@
 				require.False(t, s.Quarantined("s", f))
 			}
 		}
-		require.Empty(t, a.pools["s"].running)
+		require.Empty(t, a.pools["s"].runs)
 	})
 }
 
@@ -66,6 +66,35 @@
 	}
 }
 
+// Guards against a request that isn't blamed because the VM dropped its answer, or had it in full, before the endpoint crashed.
+func TestEndedRunIsBlamedForCrash(t *testing.T) {
+	for _, survived := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b := newSuspects(func(string) bool { return false }, zerolog.Nop()), newSuspects(func(string) bool { return false }, zerolog.Nop())
+			for i := range 3 {
+				e := fmt.Sprint("e", i)
+				ended := attempt(e, 7)
+				ended.Survived = survived
+				a.Begin("s", e, 7)
+				time.Sleep(20 * time.Millisecond)
+				a.End(ended)
+				time.Sleep(60 * time.Millisecond)
+				crashWith(b, e, uint64(100+i))
+				synctest.Wait()
+				time.Sleep(400 * time.Millisecond)
+				a.merge("b", b.report())
+				b.merge("a", a.report())
+				time.Sleep(4 * time.Second)
+				a.report()
+			}
+			for _, s := range []*suspects{a, b} {
+				require.True(t, s.Quarantined("s", 7))
+				require.False(t, s.Quarantined("s", 102))
+			}
+		})
+	}
+}
+
 // Guards against reports that leave out most crashes, or that don't fit a datagram.
 func TestEachCrashIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -203,12 +203,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.prune(now)
-	c, _ := t.crashOf(now, endpoint)
+	c, changed := t.crashOf(now, endpoint)
 	for _, f := range inFlight {
-		t.addRequest(c, f)
+		changed = t.addRequest(c, f) || changed
 	}
 	c.running = max(c.running, len(inFlight)+max(others, 0))
-	t.stale = true
+	t.stale = t.stale || changed
+}
+
+// HasCrashed reports whether a crash of the endpoint since the given time is known.
+func (t *Tracker) HasCrashed(endpoint string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.crashes, func(c *crash) bool { return c.endpoint == endpoint && !c.at.Before(since) })
 }
 
 // crashOf returns the crash of an endpoint at about the given time, a new one if there is none
