Ask for the quarantine before each attempt, not only before the first

What callers saw: a request that its own first attempts had convicted went on to the third endpoint, and a broken stream was resumed at further ones. Cause: the quarantine was asked for once, when a request arrived. It is now asked for where each endpoint is picked, for resumed streams too. A request that may have run gets 502, since 503 would say that it did not.

TestQuarantineEndsARequestsOwnAttempts fails before (three endpoints for one).

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -98,10 +98,6 @@
 	c.ran = refusal.NotRun
 	c.service = c.pickService()
 	c.fingerprint = uint64(poison.NewFingerprint(c.accountName(), c.r.RequestURI, c.body))
-	if c.h.cfg.Poison.Quarantined(c.service, c.fingerprint) {
-		c.refuse(refusal.New(http.StatusServiceUnavailable, refusal.Quarantined, "this request crashed the endpoints that ran it"))
-		return
-	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.pin = c.h.cfg.Versions.Begin(c.service, c.session(), c.deadline)
@@ -217,6 +213,10 @@
 	if err := ctx.Err(); err != nil {
 		return placement.Choice{}, c.contextRefusal(err)
 	}
+	// The request's own last attempts may have decided it.
+	if c.h.cfg.Poison.Quarantined(c.service, c.fingerprint) {
+		return placement.Choice{}, c.refuseQuarantined()
+	}
 	if c.possibleRuns >= max(c.route.MaxAttempts, 1) {
 		return placement.Choice{}, c.refuseFurther("all attempts failed")
 	}
@@ -260,6 +260,15 @@
 	return refusal.New(http.StatusServiceUnavailable, refusal.Overloaded, "%s", detail).WithRetryAfter(c.retryAfter())
 }
 
+// refuseQuarantined returns the refusal of a request that crashes endpoints.
+func (c *call) refuseQuarantined() *refusal.Refusal {
+	status := http.StatusServiceUnavailable
+	if c.ran != refusal.NotRun {
+		status = http.StatusBadGateway
+	}
+	return refusal.New(status, refusal.Quarantined, "this request crashed the endpoints that ran it").WithRan(c.ran)
+}
+
 // retryAfter returns the delay after which a refused caller should retry: long enough for
 // running requests to end, short enough to meet the deadline, and with jitter so that callers
 // refused together don't return together.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -119,6 +119,7 @@
 
 type fakePoison struct {
 	mu           sync.Mutex
+	limit        int // crashes after which a request is quarantined
 	crashes      map[uint64]int
 	openAttempts int // attempts begun and not ended
 }
@@ -126,7 +127,7 @@
 func (p *fakePoison) Quarantined(_ string, f uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.crashes[f] >= 3
+	return p.crashes[f] >= p.limit
 }
 
 func (p *fakePoison) Begin(string, string, uint64) {
@@ -147,7 +148,7 @@
 // newTestEnv starts a VM with n endpoints of one service and a route of each kind.
 func newTestEnv(t testing.TB, n int) *testEnv {
 	t.Helper()
-	w := &testEnv{t: t, table: placement.New("a"), state: &fakeState{loaded: make(chan struct{})}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{crashes: map[uint64]int{}}}
+	w := &testEnv{t: t, table: placement.New("a"), state: &fakeState{loaded: make(chan struct{})}, versions: &fakeVersions{}, budget: &fakeBudget{}, poison: &fakePoison{limit: 3, crashes: map[uint64]int{}}}
 	branch := []catalog.WeightedService{{Service: "s", Weight: 1}}
 	routes := []*catalog.Route{
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.NonIdempotent, MaxAttempts: 3, Services: branch, Timeout: time.Minute},
--- a/gateway/forward/plain_test.go
+++ b/gateway/forward/plain_test.go
@@ -197,6 +197,25 @@
 	require.EqualValues(t, 4, w.totalRuns())
 }
 
+// Guards against a request that crashes further endpoints in its own attempts after it was quarantined.
+func TestQuarantineEndsARequestsOwnAttempts(t *testing.T) {
+	for _, path := range []string{"/safe/a", "/stream/a"} {
+		w := newTestEnv(t, 6)
+		w.poison.limit = 1
+		w.setHandlers(crash)
+		r := w.send(http.MethodGet, path, "")
+		require.Equal(t, http.StatusBadGateway, r.status, "it may have run")
+		require.EqualValues(t, 1, w.totalRuns(), path)
+		require.Equal(t, http.StatusServiceUnavailable, w.send(http.MethodGet, path, "").status)
+		require.EqualValues(t, 1, w.totalRuns(), path)
+	}
+	w := newTestEnv(t, 6)
+	w.poison.limit = 1
+	w.setHandlers(events(1, 2, true))
+	require.Error(t, w.send(http.MethodGet, "/stream/a", "").err)
+	require.EqualValues(t, 1, w.totalRuns(), "a broken stream is not resumed")
+}
+
 // Another incarnation refuses a request at an endpoint's address. It ran nothing, so the
 // request goes to another endpoint.
 func TestReusedAddress(t *testing.T) {
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -142,14 +142,14 @@
 // crashes.
 func (f *crashFleet) harmless(content uint64, length time.Duration) {
 	v, _ := f.randomVM()
-	if v.Quarantined(crashService, content) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.refused++
-		return
-	}
 	tried := make(map[string]bool)
 	for range crashAttempts {
+		if v.Quarantined(crashService, content) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.refused++
+			return
+		}
 		a, e, crashed, ok := f.attempt(v, content, tried)
 		if !ok {
 			return
@@ -174,11 +174,11 @@
 func (f *crashFleet) crashing(c *crashingContent) {
 	v, inTouch := f.randomVM()
 	sent := time.Now()
-	if v.Quarantined(crashService, c.fingerprint) {
-		return
-	}
 	tried := make(map[string]bool)
 	for attempt := range crashAttempts {
+		if v.Quarantined(crashService, c.fingerprint) {
+			return
+		}
 		a, e, crashed, ok := f.attempt(v, c.fingerprint, tried)
 		if !ok {
 			return
