Report a crash to the other VMs at once, in all the room that a datagram has

What callers saw: a request was sent to endpoints through VMs that did not yet know of its crashes. Cause: a crash waited for the next round, up to 0.4 s, in which a content that crashes three endpoints in 0.1 s is back; and reports had a fixed share of a datagram. A VM that finds a crash now sends a round at once, ten a second at most. Reports take what the payload has left; payload is bounded to 650 bytes, with which a datagram fits beside the reports on 400 VMs. Crashes with requests that were part of several go first among those that were reported as often.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -20,6 +20,8 @@
 	crashDelay = time.Second
 	// runRetention is how long an ended run is kept, for crashes that other VMs report.
 	runRetention = 3 * time.Second
+	// minAnnounceInterval bounds the rounds of datagrams that crashes cause.
+	minAnnounceInterval = 100 * time.Millisecond
 	// suspectTTL is how long a crash is reported to other VMs, some dozens of rounds of
 	// datagrams.
 	suspectTTL = 15 * time.Second
@@ -37,10 +39,13 @@
 type suspects struct {
 	// connects reports whether an address accepts a new connection.
 	connects func(address string) bool
+	// announce makes this VM report to the others at once.
+	announce func()
 	log      zerolog.Logger
 
-	mu    sync.Mutex
-	pools map[string]*suspectPool
+	mu          sync.Mutex
+	pools       map[string]*suspectPool
+	announcedAt time.Time
 }
 
 type suspectPool struct {
@@ -64,8 +69,8 @@
 	return !r.began.After(at) && (r.ended.IsZero() || at.Sub(r.ended) <= crashDelay)
 }
 
-func newSuspects(connects func(string) bool, log zerolog.Logger) *suspects {
-	return &suspects{connects: connects, log: log, pools: make(map[string]*suspectPool)}
+func newSuspects(connects func(string) bool, announce func(), log zerolog.Logger) *suspects {
+	return &suspects{connects: connects, announce: announce, log: log, pools: make(map[string]*suspectPool)}
 }
 
 // pool returns the pool of a service. Callers hold s.mu.
@@ -161,6 +166,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pool(a.Service).tracker.RecordCrash(now, a.Endpoint, inFlight, 0)
+	// The request's caller is back before the next round of datagrams.
+	if now.Sub(s.announcedAt) >= minAnnounceInterval {
+		s.announcedAt = now
+		s.announce()
+	}
 }
 
 // maxLoggedFingerprints bounds the fingerprints in one log line.
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -10,10 +10,9 @@
 )
 
 const (
-	// maxReportBytes bounds the crashes in one datagram.
-	maxReportBytes = 500
-	// crashBytes and requestBytes are the most that a crash takes in a datagram without the
+	// verdictBytes is the most that a verdict takes in a datagram. crashBytes and requestBytes are the most that a crash takes in a datagram without the
 	// endpoint's name and the requests, and that each request takes.
+	verdictBytes             = 16
 	crashBytes, requestBytes = 20, 16
 	// maxReportedRequests bounds the requests of one crash in a datagram. Those that were part of
 	// the most crashes are reported.
@@ -21,8 +20,8 @@
 	// maxReportRounds is the number of rounds in which the same is reported of a crash. A round
 	// reaches a dozen VMs, and each of them sends it on.
 	maxReportRounds = 8
-	// maxReportedVerdicts bounds the verdicts of a service in one datagram, 16 bytes each. If
-	// there are more, they are drawn at random.
+	// maxReportedVerdicts bounds the verdicts of a service in one datagram. If there are more, they
+	// are drawn at random.
 	maxReportedVerdicts = 8
 )
 
@@ -43,7 +42,8 @@
 	poison.Crash
 	service string
 	reportState
-	order uint64 // random
+	suspicion int    // the most crashes that one of its requests was part of
+	order     uint64 // random
 }
 
 // bytes returns the size of the encoded report, at most.
@@ -52,30 +52,31 @@
 }
 
 // report returns this VM's part of a datagram about crashes, also those that it learnt of from
-// other VMs; nil if there is nothing to report. The crashes that were reported least often come
-// first, so that each is reported however many there are.
-func (s *suspects) report() *crashReports {
+// other VMs, in the given number of bytes; nil if there is nothing to report. The crashes that were
+// reported least often come first, so that each is reported however many there are.
+func (s *suspects) report(room int) *crashReports {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sweep(now)
 	s.logQuarantined(now)
 	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict)}
-	left := maxReportBytes
+	for service, p := range s.pools {
+		v := p.tracker.Verdicts(now)
+		rand.Shuffle(len(v), func(i, j int) { v[i], v[j] = v[j], v[i] })
+		if n := min(len(v), maxReportedVerdicts, room/verdictBytes); n > 0 {
+			out.Verdicts[service] = v[:n]
+			room -= n * verdictBytes
+		}
+	}
 	for _, r := range s.recentCrashes(now) {
-		if left -= r.bytes(); left < 0 {
+		if room -= r.bytes(); room < 0 {
 			break
 		}
 		out.Crashes[r.service] = append(out.Crashes[r.service], r.Crash)
 		r.rounds++
 		s.pools[r.service].reported[r.Endpoint] = r.reportState
 	}
-	for service, p := range s.pools {
-		if v := p.tracker.Verdicts(now); len(v) > 0 {
-			rand.Shuffle(len(v), func(i, j int) { v[i], v[j] = v[j], v[i] })
-			out.Verdicts[service] = v[:min(len(v), maxReportedVerdicts)]
-		}
-	}
 	if len(out.Crashes)+len(out.Verdicts) == 0 {
 		return nil
 	}
@@ -95,6 +96,9 @@
 			}
 			if c.Age() <= suspectTTL && r.rounds < maxReportRounds {
 				r.Requests = mostSuspect(c.Requests)
+				for _, request := range r.Requests {
+					r.suspicion = max(r.suspicion, request.Endpoints)
+				}
 				out = append(out, r)
 			}
 		}
@@ -105,7 +109,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *crashReport) int {
-		return cmp.Or(cmp.Compare(a.rounds, b.rounds), cmp.Compare(a.order, b.order))
+		return cmp.Or(cmp.Compare(a.rounds, b.rounds), cmp.Compare(b.suspicion, a.suspicion), cmp.Compare(a.order, b.order))
 	})
 	return out
 }
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -14,12 +14,18 @@
 	Crashes *crashReports `cbor:"5,keyasint,omitempty"`
 }
 
+// maxPayloadBytes is the room for payload in a datagram, beside the reports on 400 VMs. A datagram
+// that is too large is sent without its payload.
+const maxPayloadBytes = 650
+
 // payload encodes this VM's gossipPayload; nil if there is nothing to report.
 func (n *Node) payload() []byte {
 	var w gossipPayload
 	w.Orders = n.rollouts.reports(bootClock())
-	w.Crashes = n.suspects.report()
 	w.Limits = n.limitReports()
+	if b, err := cbor.Marshal(&w); err == nil {
+		w.Crashes = n.suspects.report(maxPayloadBytes - len(b))
+	}
 	if len(w.Orders)+len(w.Limits) == 0 && w.Crashes == nil {
 		return nil
 	}
