Quarantine a request after six crashes with a common cause instead of eight

A request that is only ever part of crashes among others keeps a part of its blame for each; it took eight to be quarantined. A storm in which eight contents take a pool of 36 down at once looks like that, and two arrivals were too many. With a ninth instead of a twelfth it takes six, and a harmless request may still meet five losses.

--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -19,7 +19,7 @@
 	explain bool
 }
 
-var defaultRules = rules{simultaneous: 100 * time.Millisecond, sharedWeight: 1.0 / 12, explain: true}
+var defaultRules = rules{simultaneous: 100 * time.Millisecond, sharedWeight: 1.0 / 9, explain: true}
 
 // decide computes which requests are in quarantine. Callers hold t.mu.
 func (t *Tracker) decide(now time.Time) {
