Count a request at an endpoint only from the moment it is sent there

What callers saw: nothing yet; harmless requests would have been refused. Cause: an attempt counted as running while its connection was being made. After a crash every request that is tried at the endpoint and refused counted as one that was in flight at the crash, and since runs count for a second after their end, all of them did.

An attempt begins with its first byte. TestUnreachedEndpointRanNothing fails before (attempts at the three endpoints that are down count).

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -52,6 +52,7 @@
 	// largest model.
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
+	begun      bool      // the current attempt was sent
 	limitNotes []limitNote
 	scarce     bool              // the next model may find no endpoint
 	reserved   *placement.Choice // the endpoint for the next attempt, if it was picked already
@@ -312,8 +313,11 @@
 	req := &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: head, Body: c.body,
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
+		OnSend: func() {
+			c.begun = true
+			c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint)
+		},
 	}
-	c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint)
 	c.sentAt = time.Now()
 	a, err := c.h.cfg.Pool.Send(ctx, ch.Address, req)
 	if err == nil {
@@ -424,10 +428,13 @@
 	if c.countsTowardLoad() {
 		c.h.cfg.Load.ReportChange()
 	}
-	c.h.cfg.Poison.End(Attempt{
-		Service: c.service, Endpoint: ch.ID, Address: ch.Address, Fingerprint: c.fingerprint,
-		Survived: result == resultOK, ConnectionBroke: result == resultBroken,
-	})
+	if c.begun {
+		c.begun = false
+		c.h.cfg.Poison.End(Attempt{
+			Service: c.service, Endpoint: ch.ID, Address: ch.Address, Fingerprint: c.fingerprint,
+			Survived: result == resultOK, ConnectionBroke: result == resultBroken,
+		})
+	}
 	model := ""
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.model)
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -121,9 +121,10 @@
 }
 
 // Poison detects requests that crash the endpoints that run them. A fingerprint identifies a
-// request's content. Begin and End are called once for each attempt.
+// request's content.
 type Poison interface {
 	Quarantined(service string, fingerprint uint64) bool
+	// Begin and End are called once for each attempt that is sent.
 	Begin(service, endpoint string, fingerprint uint64)
 	End(a Attempt)
 }
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -121,6 +121,7 @@
 	mu           sync.Mutex
 	limit        int // crashes after which a request is quarantined
 	crashes      map[uint64]int
+	begun        int
 	openAttempts int // attempts begun and not ended
 }
 
@@ -133,6 +134,7 @@
 func (p *fakePoison) Begin(string, string, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.begun++
 	p.openAttempts++
 }
 
--- a/gateway/forward/plain_test.go
+++ b/gateway/forward/plain_test.go
@@ -216,6 +216,18 @@
 	require.EqualValues(t, 1, w.totalRuns(), "a broken stream is not resumed")
 }
 
+// Guards against blaming a request for the crash of an endpoint that it could not reach.
+func TestUnreachedEndpointRanNothing(t *testing.T) {
+	w := newTestEnv(t, 4)
+	for _, e := range w.endpoints[1:] {
+		e.server.Close()
+	}
+	for range 8 {
+		require.Equal(t, http.StatusOK, w.send(http.MethodGet, "/safe/a", "").status)
+	}
+	require.EqualValues(t, w.totalRuns(), w.poison.begun)
+}
+
 // Another incarnation refuses a request at an endpoint's address. It ran nothing, so the
 // request goes to another endpoint.
 func TestReusedAddress(t *testing.T) {
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -54,16 +54,17 @@
 	vms       []*suspects
 	startedAt []time.Time
 	endpoints []*crashEndpoint
-	sent      int      // harmless requests
-	refused   int      // harmless requests that were refused
-	largest   int      // bytes of the largest report
-	announced chan int // VMs that report at once
+	sent      int                                // harmless requests
+	refused   int                                // harmless requests that were refused
+	foundDown map[*suspects]map[string]time.Time // by VM and endpoint
+	largest   int                                // bytes of the largest report
+	announced chan int                           // VMs that report at once
 
 	nextOther, nextReplaced, nextRound time.Time
 }
 
 func newCrashFleet(vms, endpoints int, seed uint64) *crashFleet {
-	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), vms: make([]*suspects, vms), announced: make(chan int, 1000), startedAt: make([]time.Time, vms)}
+	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), vms: make([]*suspects, vms), announced: make(chan int, 1000), foundDown: make(map[*suspects]map[string]time.Time), startedAt: make([]time.Time, vms)}
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &crashEndpoint{name: fmt.Sprint("e", i), up: true, crashed: make(chan struct{})})
 	}
@@ -89,16 +90,27 @@
 	f.startedAt[i] = time.Now()
 }
 
-// pick returns the endpoint with the least requests, nil if none is up. Callers hold f.mu.
-func (f *crashFleet) pick(tried map[string]bool) (best *crashEndpoint) {
+// pick returns the endpoint with the least requests among those that a VM takes for up, nil if
+// there is none. Callers hold f.mu.
+func (f *crashFleet) pick(v *suspects, tried map[string]bool) (best *crashEndpoint) {
 	for _, i := range f.rng.Perm(len(f.endpoints)) {
-		if e := f.endpoints[i]; e.up && !tried[e.id()] && (best == nil || e.running < best.running) {
+		e := f.endpoints[i]
+		avoided := time.Since(f.foundDown[v][e.id()]) < endpointDown
+		if !avoided && !tried[e.id()] && (best == nil || e.running < best.running) {
 			best = e
 		}
 	}
 	return best
 }
 
+// markDown makes a VM take an endpoint for down. Callers hold f.mu.
+func (f *crashFleet) markDown(v *suspects, id string) {
+	if f.foundDown[v] == nil {
+		f.foundDown[v] = make(map[string]time.Time)
+	}
+	f.foundDown[v][id] = time.Now()
+}
+
 // crash ends an endpoint's life and all its requests; it is back after endpointDown. Callers hold
 // f.mu.
 func (f *crashFleet) crash(e *crashEndpoint) {
@@ -115,19 +127,30 @@
 	}()
 }
 
-// attempt starts a run of a request on a VM; ok is false if the request is refused or no endpoint
-// is up.
+// attempt starts a run of a request on a VM; ok is false if no endpoint takes it. An endpoint that
+// is down refuses the connection.
 func (f *crashFleet) attempt(v *suspects, content uint64, tried map[string]bool) (a forward.Attempt, e *crashEndpoint, crashed chan struct{}, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	e = f.pick(tried)
-	if e == nil {
-		return a, nil, nil, false
+	for e = f.pick(v, tried); e != nil; e = f.pick(v, tried) {
+		tried[e.id()] = true
+		if e.up {
+			e.running++
+			v.Begin(crashService, e.id(), content)
+			return forward.Attempt{Service: crashService, Endpoint: e.id(), Address: e.name, Fingerprint: content}, e, e.crashed, true
+		}
+		f.markDown(v, e.id())
 	}
-	tried[e.id()] = true
-	e.running++
-	v.Begin(crashService, e.id(), content)
-	return forward.Attempt{Service: crashService, Endpoint: e.id(), Address: e.name, Fingerprint: content}, e, e.crashed, true
+	return a, nil, nil, false
+}
+
+// endBroken ends an attempt whose endpoint crashed.
+func (f *crashFleet) endBroken(v *suspects, a forward.Attempt) {
+	f.mu.Lock()
+	f.markDown(v, a.Endpoint)
+	f.mu.Unlock()
+	a.ConnectionBroke = true
+	v.End(a)
 }
 
 // randomVM returns a VM and whether it has run for long enough to know of earlier crashes.
@@ -156,15 +179,13 @@
 		}
 		select {
 		case <-crashed:
-			a.ConnectionBroke = true
+			f.endBroken(v, a)
 		case <-time.After(length):
-			a.Survived = true
 			f.mu.Lock()
 			e.running--
 			f.mu.Unlock()
-		}
-		v.End(a)
-		if a.Survived {
+			a.Survived = true
+			v.End(a)
 			return
 		}
 	}
@@ -199,11 +220,11 @@
 		}()
 		if attempt < c.dropped {
 			time.Sleep(answerDelay)
+			v.End(a)
 		} else {
 			<-crashed
-			a.ConnectionBroke = true
+			f.endBroken(v, a)
 		}
-		v.End(a)
 	}
 }
 
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -25,6 +25,8 @@
 	// AtMostOnce marks a request that must not run twice. It is sent only on a connection that
 	// was used recently or is new.
 	AtMostOnce bool
+	// OnSend is called right before the first byte is sent; it may be nil.
+	OnSend func()
 }
 
 // Error is the reason why a request got no answer.
@@ -97,6 +99,9 @@
 		}
 		c.Close()
 	})
+	if r.OnSend != nil {
+		r.OnSend()
+	}
 	written, err := c.write(r)
 	if err != nil && written == 0 {
 		a.Close()
