Find a crash by the next connection that is refused

What callers saw: a request whose dropped runs crashed endpoints where nothing else ran was blamed for none of them. Cause: a crash was found by a connection that broke, and here none did. Evidence: in TestCrashingRequestsStopAfterThreeCrashes (30 VMs, 8 contents, two dropped) one content reached endpoints 12 times too late, while the VMs knew one of its eleven crashes. An endpoint that refuses a connection isn't running; the VM that meets this records a crash with its runs there until up to a second before, and those of other VMs are added as they hear of it.

TestRefusedConnectionRevealsCrash fails without it (method of its own).

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"goldcrestfork/gateway/catalog"
@@ -359,6 +360,9 @@
 		return tryNext, nil
 	}
 	if !sent && ctx.Err() == nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.h.cfg.Poison.Refused(c.service, ch.ID)
+		}
 		c.finishAttempt(ch, placement.Unreached, "unreached")
 		c.failedDials++
 		c.tried = append(c.tried, ch.ID)
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -127,6 +127,8 @@
 	// Begin and End are called once for each attempt that is sent.
 	Begin(service, endpoint string, fingerprint uint64)
 	End(a Attempt)
+	// Refused is called when an endpoint refuses a connection, so that nothing runs at its address.
+	Refused(service, endpoint string)
 }
 
 // Attempt is a finished attempt, as reported to Poison.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -122,7 +122,8 @@
 	limit        int // crashes after which a request is quarantined
 	crashes      map[uint64]int
 	begun        int
-	openAttempts int // attempts begun and not ended
+	refused      []string // endpoints
+	openAttempts int      // attempts begun and not ended
 }
 
 func (p *fakePoison) Quarantined(_ string, f uint64) bool {
@@ -147,6 +148,12 @@
 	}
 }
 
+func (p *fakePoison) Refused(_, endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = append(p.refused, endpoint)
+}
+
 // newTestEnv starts a VM with n endpoints of one service and a route of each kind.
 func newTestEnv(t testing.TB, n int) *testEnv {
 	t.Helper()
--- a/gateway/forward/plain_test.go
+++ b/gateway/forward/plain_test.go
@@ -226,6 +226,8 @@
 		require.Equal(t, http.StatusOK, w.send(http.MethodGet, "/safe/a", "").status)
 	}
 	require.EqualValues(t, w.totalRuns(), w.poison.begun)
+	require.NotEmpty(t, w.poison.refused)
+	require.NotContains(t, w.poison.refused, w.endpoints[0].id)
 }
 
 // Another incarnation refuses a request at an endpoint's address. It ran nothing, so the
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -33,7 +33,8 @@
 // suspects connects package poison with the forwarding of requests: it records which requests
 // run at which endpoint and attributes a crash to those that ran there until up to crashDelay
 // before it. A broken connection alone is no crash, since endpoints lose answers and networks
-// reset connections; an endpoint that accepts no new connection right after is down.
+// reset connections; an endpoint that accepts no new connection right after is down. So is one
+// that refuses a connection: all that ran there may have ended before it crashed.
 //
 // Lock order: suspects.mu, then those of the trackers, which are leaves.
 type suspects struct {
@@ -165,7 +166,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool(a.Service).tracker.RecordCrash(now, a.Endpoint, inFlight, 0)
+	s.recordCrash(now, a.Service, a.Endpoint, inFlight)
+}
+
+// Refused implements forward.Poison.
+func (s *suspects) Refused(service, endpoint string) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pool(service); !p.tracker.HasCrashed(endpoint, now.Add(-suspectTTL)) {
+		s.recordCrash(now, service, endpoint, p.at(endpoint, now))
+	}
+}
+
+// recordCrash records a crash that this VM found. Callers hold s.mu.
+func (s *suspects) recordCrash(now time.Time, service, endpoint string, inFlight []poison.Fingerprint) {
+	s.pool(service).tracker.RecordCrash(now, endpoint, inFlight, 0)
 	// The request's caller is back before the next round of datagrams.
 	if now.Sub(s.announcedAt) >= minAnnounceInterval {
 		s.announcedAt = now
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -140,6 +140,7 @@
 			return forward.Attempt{Service: crashService, Endpoint: e.id(), Address: e.name, Fingerprint: content}, e, e.crashed, true
 		}
 		f.markDown(v, e.id())
+		v.Refused(crashService, e.id())
 	}
 	return a, nil, nil, false
 }
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -94,6 +94,26 @@
 	}
 }
 
+// Guards against a crash that no VM notices because nothing was in flight there any more.
+func TestRefusedConnectionRevealsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+		for i := range 3 {
+			e := fmt.Sprint("e", i)
+			a.Begin("s", e, 7)
+			time.Sleep(20 * time.Millisecond)
+			a.End(attempt(e, 7))
+			time.Sleep(500 * time.Millisecond)
+			b.Refused("s", e)
+			a.merge("b", b.report(maxPayloadBytes))
+			b.merge("a", a.report(maxPayloadBytes))
+			time.Sleep(time.Second)
+		}
+		require.True(t, a.Quarantined("s", 7))
+		require.True(t, b.Quarantined("s", 7))
+	})
+}
+
 // Guards against reports that leave out most crashes, or that don't fit a datagram.
 func TestEachCrashIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
