Quarantine a request after five crashes with a common cause

The last failures of TestCrashingRequestsStopAfterThreeCrashes were storms in which four contents take a pool of nine down within 0.3 s, and again when it is back, as a failure of the pool would: a seventh crash was needed, since some were shared with other requests.

--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -12,14 +12,14 @@
 	// requests follow each other after the time of an attempt.
 	simultaneous time.Duration
 	// sharedWeight is the part of its blame that a request keeps from a crash with a common cause.
-	// A harmless request that meets three data centres' losses stays below Threshold, also if
+	// A harmless request that meets the losses of four data centres stays below Threshold, also if
 	// it was alone on the endpoints.
 	sharedWeight float64
 	// explain says that a crash with a request in quarantine is no sign of a common cause.
 	explain bool
 }
 
-var defaultRules = rules{simultaneous: 100 * time.Millisecond, sharedWeight: 1.0 / 9, explain: true}
+var defaultRules = rules{simultaneous: 100 * time.Millisecond, sharedWeight: 1.0 / 7, explain: true}
 
 // decide computes which requests are in quarantine. Callers hold t.mu.
 func (t *Tracker) decide(now time.Time) {
