Count a broken connection as a crash only if the endpoint's machine closed it

What callers saw: nothing in the record. With crashes that each count in full unless others come within 100 ms, a data centre that loses its power would convict harmless requests: a VM notices each of its silent endpoints at another moment, by timeouts, and nothing at the other one's address answers then. Cause: any broken connection counted, also one that the VM itself gave up. A process that crashes has its connections closed or reset by its machine; a machine without power or network does neither.

TestSilenceIsNoCrash checks the causes.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -54,9 +55,11 @@
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
 	begun      bool      // the current attempt was sent
-	limitNotes []limitNote
-	scarce     bool              // the next model may find no endpoint
-	reserved   *placement.Choice // the endpoint for the next attempt, if it was picked already
+	// closedByPeer says why the connection of the current attempt broke; it is set for resultBroken.
+	closedByPeer bool
+	limitNotes   []limitNote
+	scarce       bool              // the next model may find no endpoint
+	reserved     *placement.Choice // the endpoint for the next attempt, if it was picked already
 }
 
 // attemptRecord is one attempt in the request's log line.
@@ -377,11 +380,23 @@
 		c.finishAttempt(ch, placement.NoSignal, "ended")
 		return giveUp, c.contextRefusal(cause)
 	}
+	c.closedByPeer = isClosedByPeer(err)
 	c.finishAttempt(ch, placement.Broken, resultBroken)
 	c.reportAnswer(ch, true, 0)
 	return c.outcomeUnknown("the connection broke")
 }
 
+// isClosedByPeer reports whether a connection broke because the endpoint's machine closed or reset
+// it. A machine without power or network does neither: the VM gives the connection up.
+func isClosedByPeer(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // outcomeUnknown handles an attempt that may have run or that gave no valid answer: a
 // repeatable request is tried again, any other is refused with an unknown outcome.
 func (c *call) outcomeUnknown(detail string) (nextAction, *refusal.Refusal) {
@@ -436,7 +451,7 @@
 		c.begun = false
 		c.h.cfg.Poison.End(Attempt{
 			Service: c.service, Endpoint: ch.ID, Address: ch.Address, Fingerprint: c.fingerprint,
-			Survived: result == resultOK, ConnectionBroke: result == resultBroken,
+			Survived: result == resultOK, ConnectionBroke: result == resultBroken && c.closedByPeer,
 		})
 	}
 	model := ""
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -135,8 +135,8 @@
 type Attempt struct {
 	Service, Endpoint, Address string
 	Fingerprint                uint64
-	// Survived is set if the endpoint gave a complete answer, ConnectionBroke if its connection
-	// broke.
+	// Survived is set if the endpoint gave a complete answer, ConnectionBroke if the endpoint's
+	// machine closed its connection.
 	Survived, ConnectionBroke bool
 }
 
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// crashedRequests returns the number of requests at whose crashes a connection broke.
+func (p *fakePoison) crashedRequests() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashes)
+}
+
 func (p *fakePoison) Refused(_, endpoint string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/forward/plain_test.go
+++ b/gateway/forward/plain_test.go
@@ -1,14 +1,19 @@
 package forward
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
 )
 
@@ -230,6 +235,27 @@
 	require.NotContains(t, w.poison.refused, w.endpoints[0].id)
 }
 
+// Guards against blaming requests for the loss of a data centre's power, which a VM notices at each endpoint at another time.
+func TestSilenceIsNoCrash(t *testing.T) {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
+		require.True(t, isClosedByPeer(&upstream.Error{Sent: true, Cause: cause}), cause)
+		require.True(t, isClosedByPeer(fmt.Errorf("%w: %w", errStreamBroken, cause)), cause)
+	}
+	for _, cause := range []error{net.ErrClosed, syscall.ETIMEDOUT, os.ErrDeadlineExceeded} {
+		require.False(t, isClosedByPeer(&upstream.Error{Sent: true, Cause: cause}), cause)
+	}
+	for _, path := range []string{"/safe/a", "/stream/a"} {
+		w := newTestEnv(t, 1)
+		w.setHandlers(crash)
+		w.send(http.MethodGet, path, "")
+		require.Equal(t, 1, w.poison.crashedRequests(), path)
+	}
+	w := newTestEnv(t, 1)
+	w.setHandlers(events(1, 2, true))
+	require.Error(t, w.send(http.MethodGet, "/stream/a", "").err)
+	require.Equal(t, 1, w.poison.crashedRequests())
+}
+
 // Another incarnation refuses a request at an endpoint's address. It ran nothing, so the
 // request goes to another endpoint.
 func TestReusedAddress(t *testing.T) {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -137,6 +137,7 @@
 			c.finishAttempt(ch, placement.NoSignal, "ended")
 			c.abort("caller-left")
 		}
+		c.closedByPeer = isClosedByPeer(err)
 		c.finishAttempt(ch, placement.Broken, resultBroken)
 		c.reportAnswer(ch, true, 0)
 		if !c.route.Resume {
@@ -223,12 +224,12 @@
 		}
 		if errors.Is(rerr, io.EOF) {
 			if len(s.Rest()) > 0 {
-				return errStreamBroken
+				return fmt.Errorf("%w: %w", errStreamBroken, rerr)
 			}
 			return nil
 		}
 		if rerr != nil {
-			return errStreamBroken
+			return fmt.Errorf("%w: %w", errStreamBroken, rerr)
 		}
 	}
 }
