Log rest that endpoints ask for, that they leave, and headers that nobody knows

The lines of the incident on rest don't tell whether an endpoint asked for it, for how long, or that it said that it leaves. Each such answer gives a line now. No decision changes; the statements of an answer's head are read in one place.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -338,18 +338,12 @@
 // recordAnswerHead updates the placement table with what an answer's head states about its
 // endpoint.
 func (c *call) recordAnswerHead(ch placement.Choice, a *upstream.Answer) {
-	n := &c.h.cfg.Names
 	now := time.Now()
 	if c.countsTowardLoad() {
 		c.h.cfg.Table.PromptRead(now, ch)
 		c.h.cfg.Load.ReportChange()
 	}
-	if ms := parseCount(a.Header.Get(n.ColdRemaining)); ms > 0 {
-		c.h.cfg.Table.MarkCold(now, ch.ID, time.Duration(ms)*time.Millisecond)
-	}
-	if a.Status != http.StatusMisdirectedRequest {
-		c.recordLimit(now, ch, a)
-	}
+	c.recordStatements(now, ch, a)
 }
 
 // handleSendError ends an attempt that got no answer head; t is nil if the attempt had no time
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -147,12 +147,13 @@
 	streamCutoff atomic.Pointer[time.Time]
 	active       atomic.Int64
 	overdue      *overduePolicy
+	unknown      *unknownHeaders
 	started      time.Time
 }
 
 // New returns a handler with the given dependencies and limits. Requests that arrive within
 // startupHold wait until State.Loaded is closed.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue(), started: time.Now()} }
+func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue(), unknown: newUnknownHeaders(&cfg.Names), started: time.Now()} }
 
 // Stop makes each further answer the last one on its connection. Streams that arrive after
 // streamCutoff are refused, since they would not end before the VM stops.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -27,7 +27,7 @@
 // not depend on it.
 var testNames = HeaderNames{
 	RequestID: "X-Request", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account",
-	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", NotRun: "X-Not-Run",
+	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", Rest: "X-Rest", Leaving: "X-Leaving", NotRun: "X-Not-Run",
 	Signature: "X-Signature", Confidence: "X-Confidence", Model: "X-Model",
 	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold",
 	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold"},
--- a/gateway/forward/limits.go
+++ b/gateway/forward/limits.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
@@ -86,22 +84,21 @@
 // recordLimit records the request limit that an answer states or doesn't state.
 func (c *call) recordLimit(now time.Time, ch placement.Choice, a *upstream.Answer) {
 	n := &c.h.cfg.Names
-	line := func() *zerolog.Event { return c.h.cfg.Log.Info().Str("endpoint", ch.ID).Str("by_request", c.id) }
 	stated := a.Header.Get(n.RateLimit)
 	if rate, ok := parseRate(stated); ok {
 		if c.h.cfg.Table.SetLimit(now, ch.ID, rate) {
-			line().Float64("per_s", rate).Msg("endpoint states a request limit")
+			c.statementLine(ch).Float64("per_s", rate).Msg("endpoint states a request limit")
 		}
 		return
 	}
 	if stated != "" {
-		line().Str("value", stated).Msg("request limit can't be read, passed over")
+		c.statementLine(ch).Str("value", stated).Msg("request limit can't be read, passed over")
 		return
 	}
 	// An endpoint may answer a request that it doesn't run without its usual headers, and an
 	// answer without a signature may not be its own.
 	if a.Status < 300 && a.Header.Get(n.Signature) != "" && c.h.cfg.Table.EndLimit(now, ch.ID, c.sentAt) {
-		line().Msg("endpoint states no request limit any more")
+		c.statementLine(ch).Msg("endpoint states no request limit any more")
 	}
 }
 
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -24,6 +24,11 @@
 	// RateLimit is the number of requests a second that an endpoint takes from all VMs together,
 	// a decimal number; it applies until an answer comes without it.
 	RateLimit string
+	// Rest is the time in seconds, a decimal number, for which an endpoint that refuses a request
+	// with 503 wants nothing more from this VM.
+	Rest string
+	// Leaving is set in all answers of an endpoint that is about to stop.
+	Leaving string
 	// NotRun marks an endpoint's refusal of a request that it did not run.
 	NotRun string
 	// Signature is the endpoint's signature of an answer; a success without it is not accepted.
@@ -39,6 +44,8 @@
 	LastEventID string
 	// ColdRemaining is the time in ms that an endpoint remains in cold start.
 	ColdRemaining string
+	// OtherAnswer are further headers of endpoints' answers, which are passed on as they are.
+	OtherAnswer []string
 	// Owned are the headers that only the system sets; they are removed from a caller's
 	// request.
 	Owned []string
