--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -153,7 +153,9 @@
 
 // New returns a handler with the given dependencies and limits. Requests that arrive within
 // startupHold wait until State.Loaded is closed.
-func New(cfg Config) *Handler { return &Handler{cfg: cfg, overdue: newOverdue(), unknown: newUnknownHeaders(&cfg.Names), started: time.Now()} }
+func New(cfg Config) *Handler {
+	return &Handler{cfg: cfg, overdue: newOverdue(), unknown: newUnknownHeaders(&cfg.Names), started: time.Now()}
+}
 
 // Stop makes each further answer the last one on its connection. Streams that arrive after
 // streamCutoff are refused, since they would not end before the VM stops.
