Send nothing to an endpoint for as long as it asked this VM for rest

What callers saw: three of nine endpoints refused everything for six seconds and got 155 of 652 attempts; callers got 503 after three refusals, or 502 for a weak answer that was dropped first, while six endpoints worked. Cause: nobody read the time that an endpoint names with its refusal. The refusal even ended what the VM held against it, and with no work under way it was the first choice of the next request. Ruled out: a rest that is read and lost (no line or field had it), and single attempts past a check (first attempts are most of them).

A refused VM leaves the endpoint alone for the time named; where all eligible endpoints rest, the request is refused at once. The decision is policy/rest.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -254,6 +254,7 @@
 	placement.AllCold:    "the endpoints are in cold start",
 	placement.AllTried:   "all endpoints were tried",
 	placement.AllLimited: "the endpoints take no more requests now",
+	placement.AllResting: "the endpoints asked for rest",
 }
 
 // refuseFurther returns the refusal if no further attempt is made. It states whether an earlier
--- a/gateway/forward/rest_test.go
+++ b/gateway/forward/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -37,3 +38,34 @@
 	}
 	require.LessOrEqual(t, w.endpoints[0].runs.Load(), int64(1+maxAtRest))
 }
+
+// Guards against holding a request, or running it, while all endpoints rest, and against a caller that isn't told that nothing ran.
+func TestRequestIsRefusedWhileAllEndpointsRest(t *testing.T) {
+	w := newTestEnv(t, 2)
+	w.setHandlers(resting("60"))
+	require.Equal(t, http.StatusServiceUnavailable, w.send(http.MethodPost, "/once/a", "x").status)
+	require.EqualValues(t, 2, w.totalRuns())
+	r := w.send(http.MethodPost, "/once/a", "x")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.Equal(t, "not run", r.header.Get("X-Ran"))
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Contains(t, r.body, "rest")
+	require.EqualValues(t, 2, w.totalRuns())
+}
+
+// Guards against taking for rest what is none: another status, a malformed or negative time, and another incarnation's answer.
+func TestOnlyStatedRestCounts(t *testing.T) {
+	for _, h := range []http.HandlerFunc{
+		resting("soon"), resting("-1"), resting("NaN"), resting("0"), status(http.StatusMisdirectedRequest, testNames.Rest, "60"),
+		status(http.StatusTooManyRequests, testNames.NotRun, "1", testNames.Rest, "60"), status(http.StatusServiceUnavailable, testNames.NotRun, "1"),
+	} {
+		w := newTestEnv(t, 1)
+		w.setHandlers(h)
+		w.send(http.MethodGet, "/safe/a", "")
+		require.Zero(t, w.table.Rows(time.Now())[0].RestMs)
+	}
+	w := newTestEnv(t, 1)
+	w.setHandlers(resting("1e300"))
+	w.send(http.MethodGet, "/safe/a", "")
+	require.InDelta(t, maxRest.Milliseconds(), w.table.Rows(time.Now())[0].RestMs, 60_000)
+}
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -27,7 +27,7 @@
 		return // another incarnation
 	}
 	c.recordLimit(now, ch, a)
-	c.recordRest(ch, a)
+	c.recordRest(now, ch, a)
 	if a.Header.Get(n.Leaving) != "" {
 		c.statementLine(ch).Msg("endpoint says that it leaves")
 	}
@@ -39,7 +39,7 @@
 }
 
 // recordRest records that an endpoint wants nothing from this VM for a time.
-func (c *call) recordRest(ch placement.Choice, a *upstream.Answer) {
+func (c *call) recordRest(now time.Time, ch placement.Choice, a *upstream.Answer) {
 	stated := a.Header.Get(c.h.cfg.Names.Rest)
 	if a.Status != http.StatusServiceUnavailable || stated == "" {
 		return
@@ -49,7 +49,9 @@
 		c.statementLine(ch).Str("value", stated).Msg("time of rest can't be read, passed over")
 		return
 	}
-	c.statementLine(ch).Dur("for_ms", rest).Msg("endpoint asks for rest")
+	if c.h.cfg.Table.AskRest(now, ch.ID, rest) {
+		c.statementLine(ch).Dur("for_ms", rest).Msg("endpoint asks for rest")
+	}
 }
 
 // maxRest bounds the time that an endpoint may ask for.
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -6,6 +6,7 @@
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
 	"goldcrestfork/policy/ratelimit"
+	"goldcrestfork/policy/rest"
 )
 
 // Spec is the configured and reported state of an endpoint.
@@ -58,6 +59,7 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
+	rest      rest.State          // that the endpoint asked this VM for
 	limit     ratelimit.Statement // as the endpoint stated it in answers
 	limitPace ratelimit.Pace      // of this VM's questions for requests within the limit
 
@@ -114,12 +116,12 @@
 
 // usable reports whether the endpoint may get the request now.
 func (e *endpoint) usable(now time.Time, r *Request) bool {
-	return !e.paused(now, r) && e.usableButForLimit(now, r)
+	return e.rest.MaySend(now) && !e.paused(now, r) && e.usableButForNeeds(now, r)
 }
 
-// usableButForLimit reports whether the endpoint may get the request as far as its request limit
-// allows it.
-func (e *endpoint) usableButForLimit(now time.Time, r *Request) bool {
+// usableButForNeeds reports whether the endpoint may get the request as far as its request limit
+// and its rest allow it.
+func (e *endpoint) usableButForNeeds(now time.Time, r *Request) bool {
 	if e.Draining || e.dataCentreOut || e.lost || e.outlierState == outlier.Ejected {
 		return false
 	}
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -17,8 +17,10 @@
 	Out        bool   `json:"dataCentreOut"`
 	ColdMs     int64  `json:"coldMs"`
 	AvoidMs    int64  `json:"avoidMs"`
-	Lost       bool   `json:"lost"`
-	Detector   int    `json:"detector"`
+	// RestMs is the time for which the endpoint wants nothing from this VM.
+	RestMs   int64 `json:"restMs"`
+	Lost     bool  `json:"lost"`
+	Detector int   `json:"detector"`
 	// Failing is the share of its requests that the endpoint fails beyond what is usual in its
 	// service, over all VMs; OtherLife says that another incarnation answers at its address.
 	Failing   float64 `json:"failing"`
@@ -43,7 +45,7 @@
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
-			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), Lost: e.lost, Detector: int(e.outlierState),
+			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), RestMs: e.rest.Left(now).Milliseconds(), Lost: e.lost, Detector: int(e.outlierState),
 			Failing: e.excessFailures, OtherLife: e.fleetRecord.OtherLife,
 			Limit: limit, Load: e.load, Running: e.requests, Slots: e.Slots,
 		})
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -90,6 +90,8 @@
 	AllTried
 	// AllLimited: the request limits of the eligible endpoints allow no request now.
 	AllLimited
+	// AllResting: the eligible endpoints asked this VM for rest.
+	AllResting
 )
 
 // Outcome is the result of an attempt, as far as it concerns the endpoint.
@@ -269,6 +271,8 @@
 			switch {
 			case anyPaused(now, p, r):
 				return Choice{}, AllLimited
+			case anyResting(now, p, r):
+				return Choice{}, AllResting
 			case tried && len(warm)+len(cold) == 0:
 				return Choice{}, AllTried
 			case anyCold(now, p):
@@ -296,7 +300,12 @@
 
 // anyPaused reports whether the request would have an endpoint if there were no request limits.
 func anyPaused(now time.Time, p *pool, r *Request) bool {
-	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.paused(now, r) && e.usableButForLimit(now, r) })
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.rest.MaySend(now) && e.paused(now, r) && e.usableButForNeeds(now, r) })
+}
+
+// anyResting reports whether the request would have an endpoint if none rested.
+func anyResting(now time.Time, p *pool, r *Request) bool {
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return !e.rest.MaySend(now) && e.usableButForNeeds(now, r) })
 }
 
 func anyCold(now time.Time, p *pool) bool {
