Send nothing more to an endpoint that says in an answer that it leaves

Cause: leaving was known from the store's entry alone, which a VM that is cut off doesn't get.

The endpoint gets no new request from the first such answer on, for as long as this start of it lasts. That and its rest belong to the incarnation, not to the table's row: an entry that lapses while the store is away and is written again doesn't undo them.

--- a/gateway/forward/rest_test.go
+++ b/gateway/forward/rest_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/policy/placement"
 )
 
 // maxAtRest is the most requests that an endpoint may get from a VM while it rests.
@@ -69,3 +71,29 @@
 	w.send(http.MethodGet, "/safe/a", "")
 	require.InDelta(t, maxRest.Milliseconds(), w.table.Rows(time.Now())[0].RestMs, 60_000)
 }
+
+// Guards against requests to an endpoint that said in an answer that it leaves, also after its entry was removed and is back.
+func TestLeavingEndpointGetsNoRequest(t *testing.T) {
+	w := newTestEnv(t, 2)
+	w.endpoints[0].handlers = []http.HandlerFunc{func(rw http.ResponseWriter, r *http.Request) {
+		rw.Header().Set(testNames.Leaving, "1")
+		answerOK(rw, r)
+	}}
+	spec := placement.Spec{ID: "e0", Service: "s", Address: w.endpoints[0].address(), DataCentre: "a", Version: "v1", Slots: 8}
+	sendAll := func() int64 {
+		before := w.endpoints[0].runs.Load()
+		for range 20 {
+			require.Equal(t, http.StatusOK, w.send(http.MethodGet, "/safe/a", "").status)
+		}
+		return w.endpoints[0].runs.Load() - before
+	}
+	require.EqualValues(t, 1, sendAll())
+	w.table.Set(time.Now(), spec)
+	require.Zero(t, sendAll(), "its entry is written again")
+	w.table.Remove("e0")
+	w.table.Set(time.Now(), spec)
+	require.Zero(t, sendAll(), "its entry is back")
+	spec.StartedAt = 1
+	w.table.Set(time.Now(), spec)
+	require.EqualValues(t, 1, sendAll(), "it has started again")
+}
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -28,7 +28,7 @@
 	}
 	c.recordLimit(now, ch, a)
 	c.recordRest(now, ch, a)
-	if a.Header.Get(n.Leaving) != "" {
+	if a.Header.Get(n.Leaving) != "" && c.h.cfg.Table.MarkLeaving(ch.ID) {
 		c.statementLine(ch).Msg("endpoint says that it leaves")
 	}
 }
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -200,7 +200,7 @@
 	v.s.Table.Set(time.Now(), placement.Spec{
 		ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre,
 		Region: v.s.Regions[e.DataCentre], Version: e.Version, Slots: e.Slots,
-		Draining: e.Draining, Cold: cold, ColdRate: coldRate,
+		Draining: e.Draining, StartedAt: e.StartedAt, Cold: cold, ColdRate: coldRate,
 	})
 }
 
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -6,7 +6,6 @@
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
 	"goldcrestfork/policy/ratelimit"
-	"goldcrestfork/policy/rest"
 )
 
 // Spec is the configured and reported state of an endpoint.
@@ -21,6 +20,8 @@
 	Slots      int
 	// Draining endpoints get no new requests.
 	Draining bool
+	// StartedAt tells incarnations with the same ID apart; 0 if it isn't known.
+	StartedAt int64
 	// Cold is the remaining time of the cold start.
 	Cold time.Duration
 	// ColdRate returns this VM's current share of the request rate that the endpoint accepts
@@ -59,7 +60,7 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
-	rest      rest.State          // that the endpoint asked this VM for
+	needs     *needs              // as the endpoint stated them to this VM; nil for none
 	limit     ratelimit.Statement // as the endpoint stated it in answers
 	limitPace ratelimit.Pace      // of this VM's questions for requests within the limit
 
@@ -116,13 +117,13 @@
 
 // usable reports whether the endpoint may get the request now.
 func (e *endpoint) usable(now time.Time, r *Request) bool {
-	return e.rest.MaySend(now) && !e.paused(now, r) && e.usableButForNeeds(now, r)
+	return !e.isResting(now) && !e.paused(now, r) && e.usableButForNeeds(now, r)
 }
 
 // usableButForNeeds reports whether the endpoint may get the request as far as its request limit
 // and its rest allow it.
 func (e *endpoint) usableButForNeeds(now time.Time, r *Request) bool {
-	if e.Draining || e.dataCentreOut || e.lost || e.outlierState == outlier.Ejected {
+	if e.Draining || e.isLeaving() || e.dataCentreOut || e.lost || e.outlierState == outlier.Ejected {
 		return false
 	}
 	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -14,9 +14,11 @@
 	DataCentre string `json:"dataCentre"`
 	Version    string `json:"version"`
 	Draining   bool   `json:"draining"`
-	Out        bool   `json:"dataCentreOut"`
-	ColdMs     int64  `json:"coldMs"`
-	AvoidMs    int64  `json:"avoidMs"`
+	// Leaving says that the endpoint said in an answer that it leaves.
+	Leaving bool  `json:"leaving"`
+	Out     bool  `json:"dataCentreOut"`
+	ColdMs  int64 `json:"coldMs"`
+	AvoidMs int64 `json:"avoidMs"`
 	// RestMs is the time for which the endpoint wants nothing from this VM.
 	RestMs   int64 `json:"restMs"`
 	Lost     bool  `json:"lost"`
@@ -44,8 +46,8 @@
 		}
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
-			Draining: e.Draining, Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
-			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), RestMs: e.rest.Left(now).Milliseconds(), Lost: e.lost, Detector: int(e.outlierState),
+			Draining: e.Draining, Leaving: e.isLeaving(), Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
+			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), RestMs: e.restLeft(now).Milliseconds(), Lost: e.lost, Detector: int(e.outlierState),
 			Failing: e.excessFailures, OtherLife: e.fleetRecord.OtherLife,
 			Limit: limit, Load: e.load, Running: e.requests, Slots: e.Slots,
 		})
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -129,6 +129,7 @@
 	active map[*endpoint]struct{}
 	// byShortName indexes the endpoints by the short names that VMs use among themselves.
 	byShortName map[uint32]*endpoint
+	needs       map[incarnation]*needs
 	// withPeerLoad lists the endpoints with load from other VMs, set at peerLoadAt.
 	withPeerLoad []*endpoint
 	peerLoadAt   time.Time
@@ -147,7 +148,7 @@
 
 // New returns a table without endpoints for a VM in the given data centre.
 func New(dataCentre string) *Table {
-	return &Table{DataCentre: dataCentre, endpoints: make(map[string]*endpoint), services: make(map[string]*pool), byShortName: make(map[uint32]*endpoint), active: make(map[*endpoint]struct{})}
+	return &Table{DataCentre: dataCentre, endpoints: make(map[string]*endpoint), services: make(map[string]*pool), byShortName: make(map[uint32]*endpoint), needs: make(map[incarnation]*needs), active: make(map[*endpoint]struct{})}
 }
 
 // Set adds an endpoint or updates it.
@@ -155,12 +156,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.endpoints[s.ID]
-	if e != nil && e.Service != s.Service {
+	if e != nil && (e.Service != s.Service || e.StartedAt != s.StartedAt) {
 		t.remove(s.ID)
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{Spec: s, idHash: rendezvous.HashOf(s.ID)}
+		e = &endpoint{Spec: s, idHash: rendezvous.HashOf(s.ID), needs: t.needs[incarnation{s.ID, s.StartedAt}]}
 		t.endpoints[s.ID] = e
 		t.byShortName[e.idHash.Short()] = e
 		p := t.services[s.Service]
@@ -300,12 +301,12 @@
 
 // anyPaused reports whether the request would have an endpoint if there were no request limits.
 func anyPaused(now time.Time, p *pool, r *Request) bool {
-	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.rest.MaySend(now) && e.paused(now, r) && e.usableButForNeeds(now, r) })
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return !e.isResting(now) && e.paused(now, r) && e.usableButForNeeds(now, r) })
 }
 
 // anyResting reports whether the request would have an endpoint if none rested.
 func anyResting(now time.Time, p *pool, r *Request) bool {
-	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return !e.rest.MaySend(now) && e.usableButForNeeds(now, r) })
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.isResting(now) && e.usableButForNeeds(now, r) })
 }
 
 func anyCold(now time.Time, p *pool) bool {
