Let an endpoint ask for rest in the soak

One endpoint of four refuses one request in twenty while faults are injected and asks for two seconds of rest; from half a second after it a VM may send two more. Rests in which the VM is killed, stopped or frozen don't count.

--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -158,6 +158,7 @@
 	vms     []*vm
 	proxies []*proxy
 	limit   *limitRecord
+	rest    *restRecord
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -204,6 +205,13 @@
 		if name == soakLimited {
 			answered = w.limit.arrive(rw, from)
 		}
+		if name == soakResting {
+			w.rest.arrive(from)
+			if fault < 5 {
+				w.rest.ask(rw, from)
+				return
+			}
+		}
 		switch {
 		case fault < 5:
 			rw.Header().Set(n.NotRun, "1")
@@ -304,6 +312,7 @@
 			defer signalLocks[i].Unlock()
 			if sig != syscall.SIGHUP {
 				defer w.limit.excuse(i, restart)()
+				defer w.rest.excuse(i)()
 			}
 			started := v.hasStarted()
 			_ = v.cmd.Process.Signal(sig)
@@ -378,7 +387,7 @@
 	w := &soakTestbed{
 		t: t, store: store, rng: rand.New(rand.NewPCG(seed, 1)), records: map[string]*record{},
 		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: map[string]time.Time{}, requestCounts: map[string]int{}, faultsActive: true,
-		limit: newLimitRecord(seed),
+		limit: newLimitRecord(seed), rest: newRestRecord(),
 	}
 	w.configure(w.keys)
 	addresses := map[string]string{}
@@ -482,6 +491,9 @@
 		}
 	}
 	w.violations = append(w.violations, w.limit.violations()...)
+	broken, rests := w.rest.violations()
+	w.violations = append(w.violations, broken...)
+	w.t.Logf("seed %d: %d rests were checked", seed, rests)
 	w.t.Logf("seed %d: %d requests at the endpoint with a limit of %v a second were counted", seed, len(w.limit.counted), w.limit.limit)
 	w.t.Logf("seed %d: %d requests, %d served, %d keys revoked", seed, len(w.records), served, len(w.revokedAt))
 	require.Empty(w.t, w.violations, "seed %d", seed)
