Keep a request's evidence while any crash still has it

Cause: a request's record went with its first crash at an endpoint, also while a later crash of the same endpoint had the request; the next decision then read a record that wasn't there and ended the process. Only endpoints that crash again under the same name ten minutes apart, or more than 512 crashes, bring it about. Found by reading; TestEvidenceStaysConsistent (random crashes, answers and releases) panics before.

A connection that an endpoint refuses, by which a VM takes it for crashed, gives a log line too.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -174,9 +174,14 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p := s.pool(service); !p.tracker.HasCrashed(endpoint, now.Add(-suspectTTL)) {
-		s.recordCrash(now, service, endpoint, p.at(endpoint, now))
+	p := s.pool(service)
+	if p.tracker.HasCrashed(endpoint, now.Add(-suspectTTL)) {
+		return
 	}
+	ended := p.at(endpoint, now)
+	s.log.Info().Str("service", service).Str("endpoint", endpoint).Int("in_flight", len(ended)).Strs("fingerprints", fingerprints(ended)).
+		Msg("endpoint refused a connection")
+	s.recordCrash(now, service, endpoint, ended)
 }
 
 // recordCrash records a crash that this VM found. Callers hold s.mu.
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -262,18 +262,18 @@
 
 // dropCrashes drops the oldest crashes, and the requests that were part of no other.
 func (t *Tracker) dropCrashes(n int) {
-	for _, c := range t.crashes[:n] {
+	t.crashes = slices.Delete(t.crashes, 0, n)
+	for _, r := range t.records {
+		clear(r.crashes)
+	}
+	for _, c := range t.crashes {
 		for f := range c.requests {
-			r := t.records[f]
-			if r != nil && r.crashes[c.endpoint] == c {
-				delete(r.crashes, c.endpoint)
-			}
-			if r != nil && len(r.crashes) == 0 {
-				delete(t.records, f)
+			if r := t.records[f]; r.crashes[c.endpoint] == nil {
+				r.crashes[c.endpoint] = c
 			}
 		}
 	}
-	t.crashes = slices.Delete(t.crashes, 0, n)
+	maps.DeleteFunc(t.records, func(_ Fingerprint, r *record) bool { return len(r.crashes) == 0 })
 	t.stale = true
 }
 
--- a/policy/poison/poison_test.go
+++ b/policy/poison/poison_test.go
@@ -126,3 +126,28 @@
 	require.NotEqual(t, NewFingerprint("a", "m", []byte("x")), NewFingerprint("b", "m", []byte("x")))
 	require.NotEqual(t, NewFingerprint("ab", "m", nil), NewFingerprint("a", "bm", nil))
 }
+
+// Guards against a request that is forgotten with its first crash while a later crash of the same endpoint still has it.
+func TestEvidenceStaysConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker, now := New(9), start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "seconds")) * time.Second)
+			f := Fingerprint(rapid.IntRange(1, 4).Draw(t, "request"))
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1, 2:
+				tracker.RecordCrash(now, fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "endpoint")), []Fingerprint{f, f + 1}, 0)
+			case 3:
+				tracker.RecordSuccess(f)
+			case 4:
+				tracker.Release(f)
+			}
+			tracker.Quarantined(now)
+			for _, c := range tracker.Crashes(now) {
+				for _, r := range c.Requests {
+					require.Positive(t, r.Endpoints)
+				}
+			}
+		}
+	})
+}
