Hold no missing entries if the platform answered other VMs all the while

Cause: a VM that alone had lost the platform for longer than two report intervals took the endpoints that had left meanwhile for lapsed, and used them for 2.7 s after it was back, 3.0 s after they said that they leave. A feed now tells since when the platform has answered it, or the VM that it reads from, without a gap; a VM that comes back through a feed whose platform answered all the while removes what is gone at once.

TestEndpointThatLeavesWhileOthersHaveThePlatformIsLeft fails without it. Open: a VM that regains the platform by itself knows nothing of the others.

--- a/gateway/view/feed.go
+++ b/gateway/view/feed.go
@@ -70,6 +70,9 @@
 	// All says that Entries are the whole kind: the reader knew nothing yet, or was further
 	// behind than the log reaches.
 	All bool `cbor:"5,keyasint,omitempty"`
+	// Steady is the time for which the platform has answered one VM or another without a longer gap
+	// than the feed's limit; 0 for unknown.
+	Steady time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Feed passes the changes of one kind on to other VMs, so that a few VMs watch the platform and
@@ -89,6 +92,7 @@
 	confirmedAt time.Duration
 	unconfirmed bool // the known state may be some seconds old
 	contactAt   time.Duration
+	steadySince time.Duration // since when the platform has answered without a longer gap than limit
 	wake        chan struct{}
 }
 
@@ -145,12 +149,21 @@
 	unconfirmed            bool // entries are of a list that may be some seconds old
 	revision               int64
 	confirmedAt, contactAt time.Duration
-	entries                []Entry
+	// steadySince is since when the platform has answered the VM that this one read from; 0 if
+	// it answered this one.
+	steadySince time.Duration
+	entries     []Entry
 }
 
 func (f *Feed) apply(n feedUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.contactAt == 0 || n.contactAt-f.contactAt >= f.limit {
+		f.steadySince = n.contactAt
+	}
+	if n.steadySince > 0 {
+		f.steadySince = min(f.steadySince, n.steadySince)
+	}
 	f.confirmedAt, f.contactAt, f.unconfirmed = max(f.confirmedAt, n.confirmedAt), max(f.contactAt, n.contactAt), n.unconfirmed
 	if n.all {
 		f.log, f.base, f.revision = nil, n.revision, n.revision
@@ -217,7 +230,7 @@
 
 // step builds the answer from the log. Callers hold f.mu.
 func (f *Feed) step(after int64) (Step, error) {
-	s := Step{Revision: max(f.revision, after), Age: f.clock() - f.confirmedAt, SinceContact: f.clock() - f.contactAt}
+	s := Step{Revision: max(f.revision, after), Age: f.clock() - f.confirmedAt, SinceContact: f.clock() - f.contactAt, Steady: f.clock() - f.steadySince}
 	switch {
 	case f.revision == 0 || f.unconfirmed || s.SinceContact >= f.limit:
 		return Step{}, ErrStale
--- a/gateway/view/follow.go
+++ b/gateway/view/follow.go
@@ -296,9 +296,13 @@
 		s.Entries[i].name = item.Name
 		u.Changes = append(u.Changes, Change[T]{Item: item, Deleted: e.Deleted})
 	}
-	u.Outage = f.endOutage()
+	u.Outage, u.PlatformAnswered = f.endOutage(), s.Steady >= silence
 	f.Apply(u)
-	f.Feed.apply(feedUpdate{all: s.All, revision: s.Revision, confirmedAt: u.ConfirmedAt, contactAt: began - s.SinceContact, entries: s.Entries})
+	n := feedUpdate{all: s.All, revision: s.Revision, confirmedAt: u.ConfirmedAt, contactAt: began - s.SinceContact, entries: s.Entries}
+	if s.Steady > 0 {
+		n.steadySince = began - s.Steady
+	}
+	f.Feed.apply(n)
 	return max(s.Revision, revision), nil
 }
 
--- a/gateway/view/source.go
+++ b/gateway/view/source.go
@@ -65,6 +65,9 @@
 	ConfirmedAt time.Duration
 	// Outage is how long the kind could not be read before this update; 0 for no outage.
 	Outage time.Duration
+	// PlatformAnswered says that the platform answered other VMs all that time, so that no entry
+	// expired because of it.
+	PlatformAnswered bool
 }
 
 // SourcePolicy decides from where a VM reads, over all its kinds. The decisions are those of
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -146,7 +146,7 @@
 	defer v.mu.Unlock()
 	v.listed = true
 	clear(v.onlyVersions)
-	if u.Outage > 0 && v.mayHaveLapsed(now, u.Outage) {
+	if u.Outage > 0 && !u.PlatformAnswered && v.mayHaveLapsed(now, u.Outage) {
 		v.holdUntil = now + v.s.HoldTime()
 	}
 	v.listedAt = max(v.listedAt, u.ConfirmedAt)
--- a/gateway/view/view_test.go
+++ b/gateway/view/view_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -357,3 +360,42 @@
 	d.Tick()
 	require.Equal(t, map[string]bool{"e2": true}, d.served(), "2 s after the last proof, the drain bound")
 }
+
+// Guards against requests to an endpoint that left while this VM alone had lost the platform, later than the drain bound.
+func TestEndpointThatLeavesWhileOthersHaveThePlatformIsLeft(t *testing.T) {
+	for _, gap := range []time.Duration{0, 4 * time.Second} { // in the other VM's contact with the platform
+		d := newTestView()
+		clock := func() time.Duration { return d.now }
+		feed := NewFeed(clock, 1500*time.Millisecond)
+		server := httptest.NewServer(NewFeedTransport(map[string]*Feed{"kind": feed}, prometheus.NewRegistry()).Handler())
+		f := &Follower[catalog.Endpoint]{
+			Kind: "kind", Source: entrySource{}, Clock: clock, Apply: d.ApplyEndpoints, Log: zerolog.Nop(),
+			Feed: NewFeed(clock, 1500*time.Millisecond), Reader: NewFeedTransport(nil, prometheus.NewRegistry()), Policy: newFixed(clock),
+		}
+		read := func(after int64) {
+			_, err := f.readFeed(t.Context(), strings.TrimPrefix(server.URL, "http://"), after)
+			require.NoError(t, err)
+		}
+		feed.apply(feedUpdate{all: true, revision: 2, confirmedAt: d.now, contactAt: d.now, entries: []Entry{newEntry("e1", []byte("e1"), false), newEntry("e2", []byte("e2"), false)}})
+		read(0)
+		f.beginOutage(errNoSource)
+		if gap > 0 {
+			d.now += gap
+		}
+		for range 4 {
+			d.now += time.Second
+			feed.apply(feedUpdate{revision: 2, confirmedAt: d.now, contactAt: d.now})
+		}
+		feed.apply(feedUpdate{revision: 3, confirmedAt: d.now, contactAt: d.now, entries: []Entry{newEntry("e1", []byte("e1"), true)}})
+		read(2)
+		require.Equal(t, map[string]bool{"e1": gap > 0, "e2": true}, map[string]bool{"e1": d.served()["e1"], "e2": d.served()["e2"]}, gap)
+		server.Close()
+	}
+}
+
+// entrySource decodes the name of an endpoint.
+type entrySource struct{ Source[catalog.Endpoint] }
+
+func (entrySource) Decode(raw []byte) Item[catalog.Endpoint] {
+	return entry(string(raw), 2, false).Item
+}
