--- a/cmd/goldcrest-node/crash_test.go
+++ b/cmd/goldcrest-node/crash_test.go
@@ -72,7 +72,7 @@
 		return
 	}
 	p.servers[id] = s
-	go s.Serve(l) //nolint:errcheck // it returns when the endpoint ends
+	go func() { _ = s.Serve(l) }()
 	p.store.Put("servers", id, map[string]any{
 		"service": "s", "address": l.Addr().String(), "zone": "a", "version": "v1", "slots": 8, "state": "ready", "born": time.Now().UnixMilli(),
 	})
