Let the crash test's endpoints end and restart by timers, and start its VMs with the limit test's code

Read again as a newcomer: the test's endpoints slept in goroutines of their own, and it started its VMs by a copy of the limit test's lines.

--- a/cmd/goldcrest-node/crash_test.go
+++ b/cmd/goldcrest-node/crash_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/platform"
 	"goldcrestfork/platform/platformtest"
@@ -41,6 +40,12 @@
 
 // start starts an endpoint's life at an address, or at any free one.
 func (p *crashPool) start(name, address string, life int) {
+	p.mu.Lock()
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		return
+	}
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		p.t.Errorf("endpoint %s can't start again: %v", name, err)
@@ -49,20 +54,16 @@
 	id := fmt.Sprint(name, "-", life)
 	s := &http.Server{}
 	var once sync.Once
+	end := func(body string) {
+		_ = s.Close() // closes the listener and all connections
+		p.store.Remove("servers", id)
+		p.mu.Lock()
+		p.crashes[body] = append(p.crashes[body], time.Now())
+		p.mu.Unlock()
+		time.AfterFunc(restartTime, func() { p.start(name, l.Addr().String(), life+1) })
+	}
 	crash := func(body string) {
-		once.Do(func() {
-			time.Sleep(runUntilCrash)
-			_ = s.Close() // closes the listener and all connections
-			p.store.Remove("servers", id)
-			p.mu.Lock()
-			p.crashes[body] = append(p.crashes[body], time.Now())
-			over := p.closed
-			p.mu.Unlock()
-			time.Sleep(restartTime)
-			if !over {
-				p.start(name, l.Addr().String(), life+1)
-			}
-		})
+		once.Do(func() { time.AfterFunc(runUntilCrash, func() { end(body) }) })
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.serve(w, r, crash) })
 	p.mu.Lock()
@@ -95,7 +96,7 @@
 		p.mu.Lock()
 		p.arrivals[string(body)] = append(p.arrivals[string(body)], time.Now())
 		p.mu.Unlock()
-		go crash(string(body))
+		crash(string(body))
 	}
 	rc := http.NewResponseController(w)
 	for i := range 2 {
@@ -154,14 +155,7 @@
 	for i := range endpoints {
 		p.start(fmt.Sprint("e", i), "127.0.0.1:0", 0)
 	}
-	var started []*vm
-	for i := range vms {
-		started = append(started, startVM(t, address, fmt.Sprint("vm", i)))
-	}
-	for _, v := range started {
-		v.awaitReady(true)
-		require.Eventually(t, func() bool { return len(v.addresses()) == vms }, 20*time.Second, 10*time.Millisecond)
-	}
+	started := startVMs(t, address, vms)
 	var callers sync.WaitGroup
 	for c := range contents {
 		body := fmt.Sprint(crashingBody, c)
--- a/cmd/goldcrest-node/limit_test.go
+++ b/cmd/goldcrest-node/limit_test.go
@@ -76,15 +76,19 @@
 		})
 		endpoints = append(endpoints, e)
 	}
-	var started []*vm
-	for i := range vms {
-		started = append(started, startVM(t, address, fmt.Sprint("vm", i)))
+	return startVMs(t, address, vms), endpoints
+}
+
+// startVMs starts VMs that name each other to callers.
+func startVMs(t *testing.T, store string, n int) (started []*vm) {
+	for i := range n {
+		started = append(started, startVM(t, store, fmt.Sprint("vm", i)))
 	}
 	for _, v := range started {
 		v.awaitReady(true)
-		require.Eventually(t, func() bool { return len(v.addresses()) == vms }, 20*time.Second, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return len(v.addresses()) == n }, 20*time.Second, 10*time.Millisecond)
 	}
-	return started, endpoints
+	return started
 }
 
 // Guards against VMs that exceed an endpoint's stated request limit together.
