Say in the logs why an endpoint wasn't reached, and when a VM reaches none

A request's line said 'overloaded' for 'no endpoint could be reached', 'all endpoints were tried' and endpoints without room alike, and 'unreached' for a refused connection, a reset and a time-out. No line told a VM that has lost its paths from endpoints that are down.

The line of a request has the refusal's description and the reason of a failed connection. No request is handled differently.

--- a/gateway/explain/explain.go
+++ b/gateway/explain/explain.go
@@ -147,7 +147,8 @@
 type attempt struct{ where, endpoint, result string }
 
 func (a attempt) text() string {
-	if t := resultTexts[a.result]; t != "" {
+	name, _, _ := strings.Cut(a.result, "(")
+	if t := resultTexts[name]; t != "" {
 		return a.result + ", " + t
 	}
 	return a.result
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -50,8 +51,10 @@
 	attemptRecords []attemptRecord
 	pin            Pin          // nil before the service is known
 	rationale      ChoiceReason // reason for the last choice of a version
+	// detail is the description of the refusal, for the log.
+	detail string
 	// sizingNote holds, for the log, the last answer's confidence and load and the estimate for the
-	// largest model.
+	// largest model, or why a connection failed.
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
 	begun      bool      // the current attempt was sent
@@ -361,6 +364,7 @@
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			c.h.cfg.Poison.Refused(c.service, ch.ID)
 		}
+		c.sizingNote = dialFailure(err)
 		c.finishAttempt(ch, placement.Unreached, "unreached")
 		c.failedDials++
 		c.tried = append(c.tried, ch.ID)
@@ -381,6 +385,20 @@
 	return c.outcomeUnknown("the connection broke")
 }
 
+// dialFailure names, for the log, why no connection could be established.
+func dialFailure(err error) string {
+	var ne net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	case errors.As(err, &ne) && ne.Timeout():
+		return "timeout"
+	}
+	return "failed"
+}
+
 // isClosedByPeer reports whether a connection broke because the endpoint's machine closed or reset
 // it. A machine without power or network does neither: the VM gives the connection up.
 func isClosedByPeer(err error) bool {
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -46,6 +46,7 @@
 // refuse ends the request with a refusal instead of an endpoint's answer.
 func (c *call) refuse(r *refusal.Refusal) {
 	r.RequestID = c.id
+	c.detail = r.Detail
 	if r.Status != statusClientClosedRequest {
 		c.w.Header().Set(c.h.cfg.Names.RequestID, c.id)
 		if c.h.stopping.Load() {
@@ -82,6 +83,9 @@
 		e = e.Str("route", c.route.Name).Str("account", c.accountName()).Str("service", c.service).
 			Dur("wait_ms", c.timeout).Str("ran", string(c.ran))
 	}
+	if c.detail != "" {
+		e = e.Str("detail", c.detail)
+	}
 	if len(c.attemptRecords) > 0 {
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords))
 	}
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -185,7 +185,7 @@
 	}
 	registry := prometheus.NewRegistry()
 	w.handler = New(Config{
-		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry), Versions: w.versions,
+		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, nil), Versions: w.versions,
 		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -110,6 +110,7 @@
 	buckets        *ratelimit.Buckets
 	sourcePolicy   *sourcePolicy
 	suspects       *suspects
+	paths          *paths
 	feeds          map[string]*view.Feed
 	feedTransport  *view.FeedTransport
 	traffic        *datagram.Traffic
@@ -138,7 +139,9 @@
 // New connects the parts of a VM and opens its sockets for datagrams. Run starts serving.
 func New(s Settings, p Platform, edge Edge, registry *prometheus.Registry, log zerolog.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets(), pool: upstream.NewPool(registry)}
+	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets()}
+	n.paths = newPaths(n)
+	n.pool = upstream.NewPool(registry, n.paths)
 	n.currentBounds.Store(&s.Bounds)
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
@@ -223,6 +226,7 @@
 	n.spawn(func() { n.announce(work) })
 	n.spawn(func() { n.upkeep(work) })
 	n.spawn(func() { n.pool.Watch(work, n.noteSilent) })
+	n.spawn(func() { n.paths.run(work) })
 	n.log.Info().Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
 	<-ctx.Done()
 	n.stop(work)
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -87,9 +87,13 @@
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, addr, dialTimeout); err != nil {
+			if ctx.Err() == nil {
+				p.observer.Failed(addr)
+			}
 			return nil, &Error{Cause: err}
 		}
 	}
+	c.hasRead = false
 	a := &Answer{pool: p, addr: addr, conn: c}
 	p.begin(a, !r.AtMostOnce)
 	a.stopWatchingContext = context.AfterFunc(ctx, func() {
@@ -105,6 +109,7 @@
 	written, err := c.write(r)
 	if err != nil && written == 0 {
 		a.Close()
+		p.observer.Failed(addr)
 		return nil, &Error{Cause: err}
 	}
 	// A write that failed halfway may still have an answer: an endpoint may refuse a long body
@@ -112,6 +117,9 @@
 	partialWrite := err != nil
 	if headErr := a.readHead(r); headErr != nil {
 		a.Close()
+		if ctx.Err() == nil && !c.hasRead {
+			p.observer.Failed(addr)
+		}
 		if ctx.Err() != nil {
 			headErr = fmt.Errorf("%w (%w)", ctx.Err(), headErr)
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -48,6 +48,7 @@
 	idleSince time.Time // start of the idle period
 	keepFor   time.Duration
 	onRead    func() // called when bytes arrive
+	hasRead   bool   // bytes arrived since the current request was sent
 }
 
 // Read reads from the endpoint. Any received bytes show the silence detector that the endpoint
@@ -55,6 +56,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.hasRead = true
 		c.onRead()
 	}
 	return n, err
@@ -67,12 +69,31 @@
 	retryable map[string]map[*Answer]struct{} // by address; exchanges that may be repeated elsewhere
 	dials     prometheus.Counter
 	detector  *silence.Detector
+	observer  Observer
 }
 
-// NewPool returns an empty pool and registers its metrics with r.
-func NewPool(r prometheus.Registerer) *Pool {
+// Observer learns what a pool's connections show of the network paths.
+type Observer interface {
+	// Received is called when bytes arrive from any endpoint.
+	Received()
+	// Failed is called when an endpoint takes no connection, is silent, or ends a connection
+	// without a byte of the answer to a request.
+	Failed(address string)
+}
+
+// noObserver is the Observer of a pool without one.
+type noObserver struct{}
+
+func (noObserver) Received()     {}
+func (noObserver) Failed(string) {}
+
+// NewPool returns an empty pool and registers its metrics with r. The observer may be nil.
+func NewPool(r prometheus.Registerer, o Observer) *Pool {
+	if o == nil {
+		o = noObserver{}
+	}
 	p := &Pool{
-		idle: make(map[string][]*conn), retryable: make(map[string]map[*Answer]struct{}), detector: silence.New(),
+		idle: make(map[string][]*conn), retryable: make(map[string]map[*Answer]struct{}), detector: silence.New(), observer: o,
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "goldcrest_upstream_connections_total",
 			Help: "Connections made to endpoints.",
@@ -201,6 +222,29 @@
 	return true
 }
 
+// settleTime is how long a probed connection must stay open. A network that refuses connections may
+// let them open and reset them a round trip later.
+const settleTime = 50 * time.Millisecond
+
+// Probe reports whether an address takes a connection and keeps it open. The connection is kept for
+// a later request.
+func (p *Pool) Probe(ctx context.Context, addr string) bool {
+	c, err := p.dial(ctx, addr, silence.ProbeTimeout)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(settleTime):
+	}
+	if !c.usable() {
+		c.Close()
+		return false
+	}
+	p.put(addr, c, "")
+	return true
+}
+
 func (p *Pool) dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
 	p.dials.Inc()
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -211,7 +255,10 @@
 		return nil, err
 	}
 	setUserTimeout(nc, userTimeout)
-	c := &conn{Conn: nc, onRead: func() { p.detector.Received(time.Now(), addr) }}
+	c := &conn{Conn: nc, onRead: func() {
+		p.detector.Received(time.Now(), addr)
+		p.observer.Received()
+	}}
 	c.r = bufio.NewReaderSize(c, bufferSize)
 	return c, nil
 }
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -80,7 +80,7 @@
 
 func newTestPool(t *testing.T) *Pool {
 	t.Helper()
-	return NewPool(prometheus.NewRegistry())
+	return NewPool(prometheus.NewRegistry(), nil)
 }
 
 func sendAndRead(t *testing.T, p *Pool, addr string, r *Request) (string, error) {
--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -77,6 +77,7 @@
 				continue
 			}
 		case silence.Lost:
+			p.observer.Failed(addr)
 			notify(addr, true)
 			p.abortRetryable(addr)
 		case silence.Back:
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -253,6 +253,17 @@
 	}
 }
 
+// Addresses returns the addresses of all endpoints, without an order.
+func (t *Table) Addresses() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]string, 0, len(t.endpoints))
+	for _, e := range t.endpoints {
+		out = append(out, e.Address)
+	}
+	return out
+}
+
 // Pick chooses an endpoint and adds the request's load to it.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, r *Request) (Choice, NoChoiceReason) {
 	t.mu.Lock()
