Add a failing test: VMs without paths to the endpoints refuse their callers

One of four, three of five and three of four VMs, whose connections to all endpoints are reset, serve nobody within 20 s; the others serve all. With old connections left open they serve all. An endpoint of the test knows the VM of a connection from the process that has its other end.

--- /dev/null
+++ b/cmd/goldcrest-node/paths_test.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/platform"
+	"goldcrestfork/platform/platformtest"
+)
+
+// network lets a test cut single VMs off from all endpoints. Processes on one machine share an
+// address, so that a connection's VM is known from the process that has the other end.
+type network struct {
+	mu    sync.Mutex
+	cut   map[int]bool // by process id
+	conns map[net.Conn]int
+}
+
+// cutOff resets the new connections of VMs and, with old, also those that are open.
+func (n *network) cutOff(old bool, vms ...*vm) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range vms {
+		n.cut[v.cmd.Process.Pid] = true
+	}
+	for c, pid := range n.conns {
+		if old && n.cut[pid] {
+			reset(c)
+		}
+	}
+}
+
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	c.Close()
+}
+
+// pathListener is an endpoint's listener behind a network.
+type pathListener struct {
+	net.Listener
+	n *network
+}
+
+// Accept returns the next connection of a VM that has its paths.
+func (l *pathListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		pid := processOf(c)
+		l.n.mu.Lock()
+		if l.n.cut[pid] {
+			reset(c)
+		} else {
+			l.n.conns[c] = pid
+		}
+		cut := l.n.cut[pid]
+		l.n.mu.Unlock()
+		if !cut {
+			return c, nil
+		}
+	}
+}
+
+// processOf returns the id of the child process that has the other end of a connection, 0 if none has.
+func processOf(c net.Conn) int {
+	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
+	if inode == "" {
+		return 0
+	}
+	own := os.Getpid()
+	for _, fd := range glob("/proc/[0-9]*/fd/*") {
+		if to, err := os.Readlink(fd); err != nil || to != "socket:["+inode+"]" {
+			continue
+		}
+		if pid, err := strconv.Atoi(strings.Split(fd, "/")[2]); err == nil && pid != own {
+			return pid
+		}
+	}
+	return 0
+}
+
+func glob(pattern string) []string {
+	found, _ := filepath.Glob(pattern) // the pattern is well formed
+	return found
+}
+
+// inodeOf returns the inode of the socket at a local port that is connected to another local port.
+func inodeOf(local, remote int) string {
+	f, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	sc := bufio.NewScanner(f)
+	for sc.Scan() {
+		field := strings.Fields(sc.Text())
+		if len(field) > 9 && strings.HasSuffix(field[1], fmt.Sprintf(":%04X", local)) && strings.HasSuffix(field[2], fmt.Sprintf(":%04X", remote)) {
+			return field[9]
+		}
+	}
+	return ""
+}
+
+// fleetBehind is VMs before endpoints that a network can cut off from single VMs.
+type fleetBehind struct {
+	t       *testing.T
+	network *network
+	vms     []*vm
+	mu      sync.Mutex
+	runs    map[string]int // by request
+}
+
+// startBehind starts VMs and endpoints of one service.
+func startBehind(t *testing.T, vms, endpoints int) *fleetBehind {
+	store, address := platformtest.New(t)
+	route := func(kind string) map[string]any {
+		return map[string]any{
+			"name": kind, "host": "h", "pathPrefix": "/" + kind + "/", "kind": kind, "service": "s", "maxAttempts": 3, "timeoutMs": 20000, "resumeStreams": true,
+		}
+	}
+	store.Put("config", "main", map[string]any{
+		"version":  1,
+		"routes":   []any{route("non_idempotent"), route("idempotent"), route("streaming")},
+		"services": []any{map[string]any{"name": "s"}},
+		"tenants":  []any{map[string]any{"name": "acme", "apiKeys": []string{"k"}}},
+	})
+	f := &fleetBehind{t: t, network: &network{cut: make(map[int]bool), conns: make(map[net.Conn]int)}, runs: make(map[string]int)}
+	for i := range endpoints {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		s := &http.Server{Handler: f}
+		go func() { _ = s.Serve(&pathListener{l, f.network}) }()
+		t.Cleanup(func() { s.Close() })
+		store.Put("servers", fmt.Sprint("e", i), map[string]any{
+			"service": "s", "address": l.Addr().String(), "zone": "a", "version": "v1", "slots": 64, "state": "ready",
+		})
+	}
+	f.vms = startVMs(t, address, vms)
+	return f
+}
+
+// ServeHTTP is an endpoint.
+func (f *fleetBehind) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := platform.Names()
+	id := r.Header.Get(n.RequestID)
+	f.mu.Lock()
+	f.runs[id]++
+	f.mu.Unlock()
+	w.Header().Set(n.RequestID, id)
+	w.Header().Set(n.Signature, "sig")
+	assert.Equal(f.t, "acme", r.Header.Get(n.Account))
+	assert.Empty(f.t, r.Header.Get(n.Key))
+	if strings.HasPrefix(r.URL.Path, "/streaming/") {
+		_, _ = io.WriteString(w, "id: 1\ndata: whole\n\n")
+		return
+	}
+	_, _ = io.WriteString(w, "whole")
+}
+
+// kindsOfRequests are the kinds of the routes, in the order in which callers use them.
+var kindsOfRequests = []string{"non_idempotent", "idempotent", "streaming"}
+
+// try sends one request on a new connection. It reports whether the caller got the whole answer.
+func (f *fleetBehind) try(v *vm, id, kind string) bool {
+	n := platform.Names()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.front+"/"+kind+"/b", strings.NewReader("x"))
+	assert.NoError(f.t, err)
+	req.Host, req.Close = "h", true
+	req.Header.Set(n.RequestID, id)
+	req.Header.Set(n.Key, "k")
+	req.Header.Set(n.Deadline, "5000")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch resp.StatusCode {
+	case http.StatusOK:
+		whole := err == nil && strings.Contains(string(body), "whole")
+		assert.True(f.t, whole || err != nil, "an answer that is not whole looks complete")
+		return whole
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		assert.Zero(f.t, f.runs[id], "request %s was refused as not run", id)
+	}
+	return false
+}
+
+// served sends requests of all kinds, one after the other, and returns how many were served.
+func (f *fleetBehind) served(v *vm, name string, requests int) (served int) {
+	for i := range requests {
+		if f.try(v, fmt.Sprint(name, "-", v.front, "-", i), kindsOfRequests[i%len(kindsOfRequests)]) {
+			served++
+		}
+	}
+	return served
+}
+
+// awaitServing sends requests to a VM until it serves one of each kind in a row.
+func (f *fleetBehind) awaitServing(v *vm, name string) {
+	round := 0
+	require.Eventually(f.t, func() bool {
+		round++
+		return f.served(v, fmt.Sprint(name, round), len(kindsOfRequests)) == len(kindsOfRequests)
+	}, 20*time.Second, 10*time.Millisecond, "%s: a VM that lost its paths serves no caller", name)
+}
+
+// requireRunOnce requires that no request that may not be repeated ran twice.
+func (f *fleetBehind) requireRunOnce() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, runs := range f.runs {
+		if i, err := strconv.Atoi(id[strings.LastIndex(id, "-")+1:]); err == nil && kindsOfRequests[i%len(kindsOfRequests)] == "non_idempotent" {
+			require.Equal(f.t, 1, runs, id)
+		}
+	}
+}
+
+// Guards against VMs that refuse their callers when they lose their own paths to all endpoints, though
+// other VMs reach these.
+func TestVMsWithoutPathsServeTheirCallers(t *testing.T) {
+	for name, c := range map[string]struct {
+		vms, cut int
+		old      bool
+	}{
+		"one, old connections reset":      {4, 1, true},
+		"most, old connections reset":     {5, 3, true},
+		"all but one, reset":              {4, 3, true},
+		"most, old connections left open": {5, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startBehind(t, c.vms, 6)
+			for _, v := range f.vms {
+				require.Equal(t, 12, f.served(v, "before", 12))
+			}
+			f.network.cutOff(c.old, f.vms[:c.cut]...)
+			for _, v := range f.vms[:c.cut] {
+				f.awaitServing(v, "cut")
+			}
+			const requests = 60
+			for i, v := range f.vms {
+				served := f.served(v, "during", requests)
+				if i < c.cut {
+					require.GreaterOrEqual(t, served, requests*2/3, "a VM that lost its paths")
+				} else {
+					require.Equal(t, requests, served, "a VM that has its paths")
+				}
+			}
+			f.network.heal()
+			for _, v := range f.vms {
+				f.awaitServing(v, "after")
+				require.Equal(t, 12, f.served(v, "healed", 12))
+			}
+			f.requireRunOnce()
+		})
+	}
+}
