Send requests through another VM if this one can't connect to endpoints

Cause: a VM had one way to an endpoint, its own. Store, other VMs and callers were reachable, and no code used that.

A request goes to another VM, as its caller sent it, if this VM has lost its paths, if it can connect to none of the endpoints that may run it, or if one endpoint didn't answer or two took no connection and no byte came from any meanwhile (policy/reach). The other VM admits it like any request, so that nothing heard between VMs lets a request run; a header tells it the configuration's revision, below which it refuses, and the attempts that are left, and that it must not be passed on further. What it refuses as not run may go to a third VM; an unknown outcome stays unknown. VMs say in their datagrams that they have lost their paths, so that they aren't chosen. What no VM reaches is refused as before, and a service whose endpoints three VMs don't reach gets no detour for half a second.

--- a/fleet/gossip/words.go
+++ b/fleet/gossip/words.go
@@ -9,7 +9,7 @@
 )
 
 // Reports is a packed list of reports on VMs: for each VM the hash of its name, the age of its
-// last message and whether it was ready then. The encoding is compact because in a fleet of
+// last message, and whether it was ready and without paths to endpoints then. The encoding is compact because in a fleet of
 // hundreds each datagram reports on many VMs.
 type Reports []byte
 
@@ -18,15 +18,17 @@
 	hash  uint32
 	age   time.Duration
 	ready bool
+	cut   bool
 }
 
 const (
 	reportBytes = 5
 	// ageUnit is the resolution of a packed age; reports older than maxAge are left out.
 	ageUnit = 50 * time.Millisecond
-	maxAge  = 127 * ageUnit
-	// readyBit is the bit above the seven bits of the age.
+	maxAge  = 63 * ageUnit
+	// readyBit and cutBit are the bits above the six bits of the age.
 	readyBit = 0x80
+	cutBit   = 0x40
 )
 
 func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -41,6 +43,9 @@
 	if r.ready {
 		b |= readyBit
 	}
+	if r.cut {
+		b |= cutBit
+	}
 	return append(binary.BigEndian.AppendUint32(rs, r.hash), b)
 }
 
@@ -49,7 +54,7 @@
 	return func(yield func(report) bool) {
 		for len(rs) >= reportBytes {
 			b := rs[reportBytes-1]
-			r := report{hash: binary.BigEndian.Uint32(rs), age: time.Duration(b&^readyBit) * ageUnit, ready: b&readyBit != 0}
+			r := report{hash: binary.BigEndian.Uint32(rs), age: time.Duration(b&^(readyBit|cutBit)) * ageUnit, ready: b&readyBit != 0, cut: b&cutBit != 0}
 			if !yield(r) {
 				return
 			}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -14,6 +14,7 @@
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/reach"
 	"goldcrestfork/policy/sizing"
 	"goldcrestfork/router/refusal"
 )
@@ -44,9 +45,11 @@
 	misdirected    int      // endpoints that refused as an unexpected incarnation; they ran nothing
 	atCapacity     int      // endpoints that refused for lack of capacity; they ran nothing
 	failedDials    int      // connections that could not be established
-	status         int      // status code of the answer that was passed on
-	retryGranted   bool     // the retry budget has already granted the next attempt
-	rerouted       bool     // an overdue attempt was sent to another endpoint
+	unreached      []string // endpoints in tried that took no connection or ended one without an answer
+	pathFailures   reach.Request
+	status         int  // status code of the answer that was passed on
+	retryGranted   bool // the retry budget has already granted the next attempt
+	rerouted       bool // an overdue attempt was sent to another endpoint
 	ran            refusal.Ran
 	attemptRecords []attemptRecord
 	pin            Pin          // nil before the service is known
@@ -63,6 +66,14 @@
 	limitNotes   []limitNote
 	scarce       bool              // the next model may find no endpoint
 	reserved     *placement.Choice // the endpoint for the next attempt, if it was picked already
+
+	// forwardedBy is the VM that sent the request here, "" for none, and maxForwardedAttempts the
+	// number of attempts that it allows.
+	forwardedBy          string
+	maxForwardedAttempts int
+	via                  *Peer    // the VM that the current attempt goes through; nil for none
+	peersTried           []string // VMs that the request was sent to
+	peersWithoutEndpoint int      // those of them that reached no endpoint of the service
 }
 
 // attemptRecord is one attempt in the request's log line.
@@ -225,22 +236,26 @@
 	if c.h.cfg.Poison.Quarantined(c.service, c.fingerprint) {
 		return placement.Choice{}, c.refuseQuarantined()
 	}
-	if c.possibleRuns >= max(c.route.MaxAttempts, 1) {
+	if c.possibleRuns >= c.maxAttempts() {
 		return placement.Choice{}, c.refuseFurther("all attempts failed")
 	}
 	if c.misdirected > maxMisdirected || c.atCapacity >= maxAtCapacity {
 		return placement.Choice{}, c.refuseFurther("the endpoints that were tried did not run it")
 	}
-	if c.failedDials > maxFailedDials && (c.failedDials > maxQuickFailedDials || time.Since(c.start) > quickDialWindow) {
-		return placement.Choice{}, c.refuseFurther("no endpoint could be reached")
-	}
 	if c.endpointsReached() > 0 && !c.retryGranted && !c.h.cfg.Budget.TakeExtra(c.service) {
 		return placement.Choice{}, c.refuseFurther("too many requests are being tried again")
 	}
 	c.retryGranted = false
+	if choice, ok := c.nextPeer(false); ok {
+		return choice, nil
+	}
+	c.via = nil
+	if c.failedDials > maxFailedDials && (c.failedDials > maxQuickFailedDials || time.Since(c.start) > quickDialWindow) {
+		return c.peerOrRefuse("no endpoint could be reached")
+	}
 	choice, miss := c.pickEndpoint(ctx)
 	if miss != placement.Picked {
-		return choice, c.refuseFurther(missDetails[miss])
+		return c.peerOrRefuse(missDetails[miss])
 	}
 	if c.endpointsReached() == 0 && c.failedDials == 0 {
 		c.h.cfg.Budget.RecordFirst(c.service)
@@ -248,6 +263,22 @@
 	return choice, nil
 }
 
+// peerOrRefuse returns another VM if this one can't connect to the endpoints that may run the request,
+// and otherwise a refusal.
+func (c *call) peerOrRefuse(detail string) (placement.Choice, *refusal.Refusal) {
+	if !c.isUnreachable() {
+		return placement.Choice{}, c.refuseFurther(detail)
+	}
+	if choice, ok := c.nextPeer(true); ok {
+		return choice, nil
+	}
+	refused := c.refuseFurther(detail)
+	if c.ran == refusal.NotRun {
+		refused.Code = refusal.NoEndpoint
+	}
+	return placement.Choice{}, refused
+}
+
 // endpointsReached returns the number of endpoints that the request reached, whether they ran
 // it or not.
 func (c *call) endpointsReached() int { return c.possibleRuns + c.misdirected + c.atCapacity }
@@ -301,6 +332,9 @@
 // send makes one attempt and returns the head of its answer. A stream continues after lastEvent
 // unless that is empty.
 func (c *call) send(ctx context.Context, ch placement.Choice, lastEvent string) (*upstream.Answer, error) {
+	if c.via != nil {
+		return c.sendToPeer(ctx, ch, lastEvent)
+	}
 	n := &c.h.cfg.Names
 	head := endToEnd(c.r.Header)
 	for _, name := range n.Owned {
@@ -353,6 +387,9 @@
 // handleSendError ends an attempt that got no answer head; t is nil if the attempt had no time
 // limit of its own.
 func (c *call) handleSendError(ctx context.Context, ch placement.Choice, t *timedAttempt, err error) (nextAction, *refusal.Refusal) {
+	if c.via != nil {
+		return c.handlePeerError(ctx, ch, err)
+	}
 	var e *upstream.Error
 	sent := !errors.As(err, &e) || e.Sent
 	if sent && t != nil && t.isOverdue() && ctx.Err() == nil {
@@ -368,6 +405,7 @@
 		c.finishAttempt(ch, placement.Unreached, "unreached")
 		c.failedDials++
 		c.tried = append(c.tried, ch.ID)
+		c.recordPathFailure(ch.ID, err)
 		return tryNext, nil
 	}
 	if sent {
@@ -380,6 +418,7 @@
 		return giveUp, c.contextRefusal(cause)
 	}
 	c.closedByPeer = isClosedByPeer(err)
+	c.recordPathFailure(ch.ID, err)
 	c.finishAttempt(ch, placement.Broken, resultBroken)
 	c.reportAnswer(ch, true, 0)
 	return c.outcomeUnknown("the connection broke")
@@ -422,6 +461,9 @@
 // handleNotRun ends an attempt whose endpoint states that it did not run the request, which
 // doesn't count towards the route's MaxAttempts. It returns false for other answers.
 func (c *call) handleNotRun(ch placement.Choice, a *upstream.Answer) bool {
+	if c.via != nil {
+		return c.handlePeerNotRun(ch, a)
+	}
 	n := &c.h.cfg.Names
 	switch {
 	case a.Status == http.StatusMisdirectedRequest:
@@ -439,6 +481,9 @@
 
 // reportAnswer reports the result of an attempt for the comparison of versions.
 func (c *call) reportAnswer(ch placement.Choice, failed bool, took time.Duration) {
+	if c.via != nil {
+		return // that VM reports it
+	}
 	a := AnswerResult{Service: c.service, Version: ch.Version, Route: c.route.Name, Failed: failed, Took: took}
 	if c.prompt.wildcard {
 		a.Model = c.route.Models[c.model]
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -83,6 +83,9 @@
 		e = e.Str("route", c.route.Name).Str("account", c.accountName()).Str("service", c.service).
 			Dur("wait_ms", c.timeout).Str("ran", string(c.ran))
 	}
+	if c.forwardedBy != "" {
+		e = e.Str("forwarded_by", c.forwardedBy)
+	}
 	if c.detail != "" {
 		e = e.Str("detail", c.detail)
 	}
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -77,10 +77,15 @@
 
 // Config holds a handler's dependencies and limits.
 type Config struct {
-	Names    HeaderNames
-	State    State
-	Table    *placement.Table
-	Pool     *upstream.Pool
+	// Self is this VM's name.
+	Self  string
+	Names HeaderNames
+	State State
+	Table *placement.Table
+	Pool  *upstream.Pool
+	// PeerPool holds the connections to other VMs, for Detours.
+	PeerPool *upstream.Pool
+	Detours  Detours
 	Versions Versions
 	Budget   RetryBudget
 	Poison   Poison
@@ -242,6 +247,9 @@
 		return refusal.New(http.StatusServiceUnavailable, refusal.NotReady, "no configuration yet").WithRetryAfter(shortRetryAfter)
 	}
 	c.configAge = h.State.ConfigAge()
+	if refused := c.admitForwarded(); refused != nil {
+		return refused
+	}
 	if refused := c.checkLimits(); refused != nil {
 		return refused
 	}
@@ -297,6 +305,9 @@
 	l := c.conf.Limits
 	size := len(c.r.Method) + len(c.r.RequestURI) + len(c.r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
 	for k, vs := range c.r.Header {
+		if k == c.h.cfg.Names.Forwarded {
+			continue // not the caller's
+		}
 		for _, v := range vs {
 			size += len(k) + len(v) + len(": \r\n")
 		}
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -21,6 +21,7 @@
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
 	"goldcrestfork/policy/placement"
+	"goldcrestfork/policy/reach"
 )
 
 // testNames are header names that differ from those of the real protocol, so that the tests do
@@ -29,8 +30,8 @@
 	RequestID: "X-Request", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account",
 	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", Rest: "X-Rest", Leaving: "X-Leaving", NotRun: "X-Not-Run",
 	Signature: "X-Signature", Confidence: "X-Confidence", Model: "X-Model",
-	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold",
-	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold"},
+	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold", Forwarded: "X-Forwarded",
+	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold", "X-Forwarded"},
 }
 
 // fakeEndpoint is one endpoint; serve answers its requests.
@@ -185,8 +186,8 @@
 	}
 	registry := prometheus.NewRegistry()
 	w.handler = New(Config{
-		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, nil), Versions: w.versions,
-		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Metrics: NewMetrics(registry), Log: zerolog.Nop(),
+		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, "test", nil), Versions: w.versions,
+		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(),
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
 	close(w.state.loaded)
@@ -364,6 +365,14 @@
 	return quota.Answer{Wait: time.Hour, Keeper: "a", VMs: 1}
 }
 
+// noDetours implements Detours for a fleet of one VM.
+type noDetours struct{}
+
+func (noDetours) Needed(reach.Request) bool                    { return false }
+func (noDetours) Next(string, []string, []string) (Peer, bool) { return Peer{}, false }
+func (noDetours) Unusable(string)                              {}
+func (noDetours) Down(string)                                  {}
+
 // noLoad implements LoadExchange for a fleet of one VM, in which no other VM has work in progress.
 type noLoad struct{}
 
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -44,6 +44,8 @@
 	LastEventID string
 	// ColdRemaining is the time in ms that an endpoint remains in cold start.
 	ColdRemaining string
+	// Forwarded is set on a request that a VM without paths to endpoints sends to another VM.
+	Forwarded string
 	// OtherAnswer are further headers of endpoints' answers, which are passed on as they are.
 	OtherAnswer []string
 	// Owned are the headers that only the system sets; they are removed from a caller's
--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -47,7 +47,7 @@
 	if !c.rerouted {
 		c.h.overdue.rerouteBudget.RecordFirst(a.began)
 	}
-	if !c.repeatable() {
+	if !c.repeatable() || c.via != nil {
 		return a
 	}
 	within := patience.WithinFromEstimate(ch.Expected)
@@ -56,7 +56,7 @@
 	}
 	wait, ok := patience.Timeout(patience.Attempt{
 		Within: within, TargetLatency: c.route.Target, Remaining: c.deadline.Sub(a.began),
-		AttemptsLeft: c.route.MaxAttempts - c.possibleRuns - 1,
+		AttemptsLeft: c.maxAttempts() - c.possibleRuns - 1,
 	})
 	if !ok {
 		return a
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -69,7 +69,7 @@
 	if a.Status >= 500 {
 		c.finishAttempt(ch, placement.Failed, "error")
 		c.reportAnswer(ch, true, took)
-		if c.repeatable() && c.reserveRetry() {
+		if c.via == nil && c.repeatable() && c.reserveRetry() {
 			return tryNext, nil
 		}
 	} else {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -92,7 +92,7 @@
 // largerModel decides by the head of an answer whether a larger model is asked instead, and
 // returns its index.
 func (c *call) largerModel(a *upstream.Answer) (int, bool) {
-	if !c.prompt.wildcard {
+	if !c.prompt.wildcard || c.via != nil {
 		return 0, false
 	}
 	confidence, err := strconv.Atoi(a.Header.Get(c.h.cfg.Names.Confidence))
@@ -106,14 +106,14 @@
 	return sizing.NextModel(sizing.Input{
 		Models: c.route.Models, Current: c.model, Confidence: confidence, Known: err == nil,
 		Spent: now.Sub(c.start), Wait: outlook.Wait, Read: outlook.Read, TargetLatency: c.route.Target, Running: load.inFlight(), Slots: load.slots,
-		AttemptsLeft: c.route.MaxAttempts - c.possibleRuns, Left: c.deadline.Sub(now), Total: c.timeout,
+		AttemptsLeft: c.maxAttempts() - c.possibleRuns, Left: c.deadline.Sub(now), Total: c.timeout,
 	})
 }
 
 // reserveRetry reports whether another attempt is allowed within the time left, and takes it
 // from the retry budget that the VMs share.
 func (c *call) reserveRetry() bool {
-	c.retryGranted = c.possibleRuns < c.route.MaxAttempts && time.Until(c.deadline) > 0 && c.h.cfg.Budget.TakeExtra(c.service)
+	c.retryGranted = c.possibleRuns < c.maxAttempts() && time.Until(c.deadline) > 0 && c.h.cfg.Budget.TakeExtra(c.service)
 	return c.retryGranted
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -101,6 +101,7 @@
 	view           *view.View
 	table          *placement.Table
 	pool           *upstream.Pool
+	peerPool       *upstream.Pool // connections to other VMs
 	handler        *forward.Handler
 	gossip         *gossip.Service
 	tally          *tally.Service
@@ -141,7 +142,8 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets()}
 	n.paths = newPaths(n)
-	n.pool = upstream.NewPool(registry, n.paths)
+	n.pool = upstream.NewPool(registry, "goldcrest_upstream", n.paths)
+	n.peerPool = upstream.NewPool(registry, "goldcrest_detour", nil)
 	n.currentBounds.Store(&s.Bounds)
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
@@ -154,7 +156,7 @@
 	n.traffic = datagram.NewTraffic(registry)
 	var err error
 	n.gossip, err = gossip.Listen(gossip.Config{
-		Self: n.self(), Clock: bootClock, Ready: n.Ready, Payload: n.payload, HandlePayload: n.receivePayload,
+		Self: n.self(), Clock: bootClock, Ready: n.Ready, Cut: n.paths.tracker.Lost, Payload: n.payload, HandlePayload: n.receivePayload,
 		Log: log, Registerer: registry, Traffic: n.traffic,
 	})
 	if err != nil {
@@ -172,7 +174,7 @@
 		Regions:   s.Regions, ColdShare: n.coldShare, OnRemove: n.pool.Forget,
 	})
 	n.handler = forward.New(forward.Config{
-		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
+		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
 		Budget: newBudgets(n), Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
@@ -226,6 +228,7 @@
 	n.spawn(func() { n.announce(work) })
 	n.spawn(func() { n.upkeep(work) })
 	n.spawn(func() { n.pool.Watch(work, n.noteSilent) })
+	n.spawn(func() { n.peerPool.Watch(work, func(string, bool) {}) })
 	n.spawn(func() { n.paths.run(work) })
 	n.log.Info().Str("front", n.s.Front).Str("data_centre", n.s.DataCentre).Msg("started")
 	<-ctx.Done()
@@ -317,6 +320,7 @@
 		case <-t.C:
 			n.view.Tick()
 			n.pool.Sweep()
+			n.peerPool.Sweep()
 			n.sticky.Sweep()
 			n.sticky.Rebalance()
 			n.quota.Sweep()
--- a/gateway/node/paths.go
+++ b/gateway/node/paths.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/reach"
 )
 
@@ -17,17 +20,57 @@
 	pathCheckInterval = 50 * time.Millisecond
 )
 
-// paths tracks whether this VM reaches the endpoints. It implements upstream.Observer.
+// paths tracks whether this VM reaches the endpoints, and chooses the VMs that requests go through if
+// it doesn't. It implements upstream.Observer and forward.Detours.
 type paths struct {
 	n       *Node
 	tracker *reach.Tracker
+	detours *reach.Detours
 	failed  chan struct{} // signals that an endpoint failed
 }
 
 func newPaths(n *Node) *paths {
-	return &paths{n: n, tracker: reach.New(), failed: make(chan struct{}, 1)}
+	return &paths{n: n, tracker: reach.New(), detours: reach.NewDetours(), failed: make(chan struct{}, 1)}
 }
 
+// Needed implements forward.Detours.
+func (p *paths) Needed(r reach.Request) bool { return p.tracker.NeedsDetour(r) }
+
+// Next implements forward.Detours. It draws the VM at random, since the VMs that are left may be few;
+// VMs in this VM's region come first.
+func (p *paths) Next(service string, regions, tried []string) (forward.Peer, bool) {
+	now := time.Now()
+	if !p.detours.MayServe(now, service) {
+		return forward.Peer{}, false
+	}
+	var near, far []gossip.Member
+	for _, m := range p.n.gossip.Table().UsableWithPaths(bootClock(), "") {
+		region := p.n.s.Regions[m.DataCentre]
+		switch {
+		case slices.Contains(tried, m.Name) || !p.detours.MayUse(now, m.Name):
+		case len(regions) > 0 && !slices.Contains(regions, region):
+		case region == p.n.s.Region:
+			near = append(near, m)
+		default:
+			far = append(far, m)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return forward.Peer{}, false
+	}
+	m := near[rand.IntN(len(near))]
+	return forward.Peer{Name: m.Name, Address: m.Front}, true
+}
+
+// Unusable implements forward.Detours.
+func (p *paths) Unusable(vm string) { p.detours.Unusable(time.Now(), vm) }
+
+// Down implements forward.Detours.
+func (p *paths) Down(service string) { p.detours.Down(time.Now(), service) }
+
 // Received implements upstream.Observer.
 func (p *paths) Received() {
 	if p.tracker.Received(time.Now()) {
@@ -94,6 +137,10 @@
 
 // changed applies the loss or the return of this VM's paths.
 func (p *paths) changed(lost bool) {
+	if !lost {
+		p.n.table.EndAvoidance(time.Now())
+	}
+	p.n.gossip.TriggerRound()
 	p.n.log.Info().Bool("lost", lost).Int("failed", p.tracker.FailedEndpoints()).Int("endpoints", len(p.n.table.Addresses())).
 		Msg("paths to endpoints")
 }
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -87,16 +87,17 @@
 func (noObserver) Received()     {}
 func (noObserver) Failed(string) {}
 
-// NewPool returns an empty pool and registers its metrics with r. The observer may be nil.
-func NewPool(r prometheus.Registerer, o Observer) *Pool {
+// NewPool returns an empty pool and registers its metrics, whose names begin with name, with r. The
+// observer may be nil.
+func NewPool(r prometheus.Registerer, name string, o Observer) *Pool {
 	if o == nil {
 		o = noObserver{}
 	}
 	p := &Pool{
 		idle: make(map[string][]*conn), retryable: make(map[string]map[*Answer]struct{}), detector: silence.New(), observer: o,
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "goldcrest_upstream_connections_total",
-			Help: "Connections made to endpoints.",
+			Name: name + "_connections_total",
+			Help: "Connections made, probes included.",
 		}),
 	}
 	r.MustRegister(p.dials)
--- a/gateway/upstream/upstream_test.go
+++ b/gateway/upstream/upstream_test.go
@@ -80,7 +80,7 @@
 
 func newTestPool(t *testing.T) *Pool {
 	t.Helper()
-	return NewPool(prometheus.NewRegistry(), nil)
+	return NewPool(prometheus.NewRegistry(), "test", nil)
 }
 
 func sendAndRead(t *testing.T, p *Pool, addr string, r *Request) (string, error) {
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -123,19 +123,24 @@
 // usableButForNeeds reports whether the endpoint may get the request as far as its request limit
 // and its rest allow it.
 func (e *endpoint) usableButForNeeds(now time.Time, r *Request) bool {
-	if e.Draining || e.isLeaving() || e.dataCentreOut || e.lost || e.outlierState == outlier.Ejected {
+	if e.lost || e.outlierState == outlier.Ejected || !e.eligible(r) {
 		return false
 	}
-	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
+	if e.avoidFor > 0 && (now.Before(e.avoidUntil) || e.probing) {
 		return false
 	}
-	if len(r.Regions) > 0 && !r.inRegion(e.Region) {
+	return e.outlierState != outlier.Probation || e.requests == 0
+}
+
+// eligible reports whether the endpoint may run the request, whatever this VM knows of its health.
+func (e *endpoint) eligible(r *Request) bool {
+	if e.Draining || e.isLeaving() || e.dataCentreOut {
 		return false
 	}
-	if e.avoidFor > 0 && (now.Before(e.avoidUntil) || e.probing) {
+	if r.Version != "" && e.Version != r.Version || r.NotVersion != "" && e.Version == r.NotVersion {
 		return false
 	}
-	if e.outlierState == outlier.Probation && e.requests > 0 {
+	if len(r.Regions) > 0 && !r.inRegion(e.Region) {
 		return false
 	}
 	return !r.excluded(e.ID)
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -253,6 +253,21 @@
 	}
 }
 
+// HasUnreachable reports whether an endpoint could get the request if this VM could connect to it.
+// unreached lists the IDs of endpoints that the request itself could not connect to.
+func (t *Table) HasUnreachable(now time.Time, r *Request, unreached []string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.services[r.Service]
+	if p == nil {
+		return false
+	}
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool {
+		failed := e.lost || e.avoidFor > 0 && !now.Before(e.record.otherLifeUntil) || slices.Contains(unreached, e.ID)
+		return failed && !e.isResting(now) && e.eligible(r)
+	})
+}
+
 // Addresses returns the addresses of all endpoints, without an order.
 func (t *Table) Addresses() []string {
 	t.mu.Lock()
@@ -264,6 +279,18 @@
 	return out
 }
 
+// EndAvoidance lets endpoints that were avoided after a connection failure get requests again, since
+// the failures were this VM's own.
+func (t *Table) EndAvoidance(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for e := range t.active {
+		if !now.Before(e.record.otherLifeUntil) {
+			e.avoidFor, e.avoidUntil = 0, time.Time{}
+		}
+	}
+}
+
 // Pick chooses an endpoint and adds the request's load to it.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, r *Request) (Choice, NoChoiceReason) {
 	t.mu.Lock()
