Lead callers away from VMs that have lost their paths to the endpoints

Each such request now takes a detour, which costs two VMs' work and a hop.

A VM that says in its datagrams that it has lost its paths isn't named, as long as another has its own; if none has, all are named as before. It stays ready, since what arrives there is served through others.

TestDirectoryLeadsCallersToVMsWithPaths failed before (four VMs named instead of two after 20 s).

--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,7 @@
 // address, so that a connection's VM is known from the process that has the other end.
 type network struct {
 	mu    sync.Mutex
+	pids  []int        // of the VMs
 	cut   map[int]bool // by process id
 	conns map[net.Conn]int
 }
@@ -68,7 +70,7 @@
 		if err != nil {
 			return nil, err
 		}
-		pid := processOf(c)
+		pid := l.n.processOf(c)
 		l.n.mu.Lock()
 		if l.n.cut[pid] {
 			reset(c)
@@ -83,19 +85,20 @@
 	}
 }
 
-// processOf returns the id of the child process that has the other end of a connection, 0 if none has.
-func processOf(c net.Conn) int {
+// processOf returns the process id of the VM that has the other end of a connection, 0 if none has.
+func (n *network) processOf(c net.Conn) int {
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
 	if inode == "" {
 		return 0
 	}
-	own := os.Getpid()
-	for _, fd := range glob("/proc/[0-9]*/fd/*") {
-		if to, err := os.Readlink(fd); err != nil || to != "socket:["+inode+"]" {
-			continue
-		}
-		if pid, err := strconv.Atoi(strings.Split(fd, "/")[2]); err == nil && pid != own {
-			return pid
+	n.mu.Lock()
+	pids := slices.Clone(n.pids)
+	n.mu.Unlock()
+	for _, pid := range pids {
+		for _, fd := range glob(fmt.Sprintf("/proc/%d/fd/*", pid)) {
+			if to, err := os.Readlink(fd); err == nil && to == "socket:["+inode+"]" {
+				return pid
+			}
 		}
 	}
 	return 0
@@ -108,19 +111,17 @@
 
 // inodeOf returns the inode of the socket at a local port that is connected to another local port.
 func inodeOf(local, remote int) string {
-	f, err := os.Open("/proc/net/tcp")
+	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return ""
 	}
-	defer f.Close()
-	sc := bufio.NewScanner(f)
-	for sc.Scan() {
-		field := strings.Fields(sc.Text())
-		if len(field) > 9 && strings.HasSuffix(field[1], fmt.Sprintf(":%04X", local)) && strings.HasSuffix(field[2], fmt.Sprintf(":%04X", remote)) {
-			return field[9]
-		}
+	_, line, found := bytes.Cut(table, fmt.Appendf(nil, " 0100007F:%04X 0100007F:%04X ", local, remote))
+	fields := strings.Fields(string(line[:min(len(line), 128)]))
+	const inode = 6 // after the addresses
+	if !found || len(fields) <= inode {
+		return ""
 	}
-	return ""
+	return fields[inode]
 }
 
 // fleetBehind is VMs before endpoints that a network can cut off from single VMs.
@@ -158,6 +159,11 @@
 		})
 	}
 	f.vms = startVMs(t, address, vms)
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	for _, v := range f.vms {
+		f.network.pids = append(f.network.pids, v.cmd.Process.Pid)
+	}
 	return f
 }
 
@@ -182,14 +188,14 @@
 // kindsOfRequests are the kinds of the routes, in the order in which callers use them.
 var kindsOfRequests = []string{"non_idempotent", "idempotent", "streaming"}
 
-// try sends one request on a new connection. It reports whether the caller got the whole answer.
+// try sends one request. It reports whether the caller got the whole answer.
 func (f *fleetBehind) try(v *vm, id, kind string) bool {
 	n := platform.Names()
 	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.front+"/"+kind+"/b", strings.NewReader("x"))
 	assert.NoError(f.t, err)
-	req.Host, req.Close = "h", true
+	req.Host = "h"
 	req.Header.Set(n.RequestID, id)
 	req.Header.Set(n.Key, "k")
 	req.Header.Set(n.Deadline, "5000")
@@ -281,3 +287,31 @@
 		})
 	}
 }
+
+// Guards against a directory that goes on sending callers to VMs without paths, or that names nobody
+// when all VMs have lost theirs.
+func TestDirectoryLeadsCallersToVMsWithPaths(t *testing.T) {
+	f := startBehind(t, 4, 4)
+	round := 0
+	named := func(want int) {
+		t.Helper()
+		for _, v := range f.vms {
+			require.Eventually(t, func() bool {
+				round++
+				for _, other := range f.vms {
+					f.served(other, fmt.Sprint("round", round), len(kindsOfRequests)) // so that VMs notice a change
+				}
+				return len(v.addresses()) == want
+			}, 20*time.Second, 10*time.Millisecond, "%d VMs named", want)
+			require.True(t, v.ready(), "a VM without paths serves through others")
+		}
+	}
+	named(4)
+	f.network.cutOff(true, f.vms[:2]...)
+	named(2)
+	require.NotContains(t, f.vms[0].addresses(), f.vms[1].front)
+	f.network.cutOff(true, f.vms...)
+	named(4)
+	f.network.heal()
+	named(4)
+}
--- a/gateway/node/listen.go
+++ b/gateway/node/listen.go
@@ -12,6 +12,8 @@
 
 	"github.com/alexedwards/flow"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"goldcrestfork/fleet/gossip"
 )
 
 const (
@@ -84,15 +86,13 @@
 }
 
 // serveDirectory returns the addresses of the VMs to use: this VM and the others that sent a
-// message recently, if they are ready, with the caller's data centre first.
+// message recently, if they are ready, with the caller's data centre first. VMs that have lost their
+// network paths to the endpoints are left out as long as others have theirs.
 func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
 	near := n.edge.DataCentreOf(r)
-	var addresses []string
-	if n.Ready() {
-		addresses = append(addresses, n.s.Front)
-	}
-	for _, m := range n.gossip.Table().Usable(bootClock(), near) {
-		addresses = append(addresses, m.Front)
+	addresses := n.named(!n.paths.tracker.Lost(), n.gossip.Table().UsableWithPaths(bootClock(), near))
+	if len(addresses) == 0 {
+		addresses = n.named(true, n.gossip.Table().Usable(bootClock(), near))
 	}
 	if len(addresses) == 0 {
 		// No VM is ready. A caller that gets no answer tries the next VM and keeps the addresses
@@ -103,6 +103,17 @@
 	n.edge.WriteAddresses(w, addresses[:min(len(addresses), maxAddresses)], min(directoryTTL, n.bounds().MostDirectoryTTL))
 }
 
+// named returns the callers' addresses of this VM, if it is included and ready, and of others.
+func (n *Node) named(self bool, others []gossip.Member) (addresses []string) {
+	if self && n.Ready() {
+		addresses = append(addresses, n.s.Front)
+	}
+	for _, m := range others {
+		addresses = append(addresses, m.Front)
+	}
+	return addresses
+}
+
 const (
 	// stopAcceptTime is how long a VM that stops accepts new connections. It covers callers that
 	// keep an answer of the directory for three times its TTL, and a round of datagrams.
