Take no endpoint for crashed while this VM reaches none

Cause: an endpoint that takes no new connection counted as crashed, whether or not this VM reached any other.

A crash is recorded only if bytes came from an endpoint since, or another one takes a connection. A VM that reaches none decides once its paths are back, if that is within a second, by whether the endpoint takes a connection then.

TestLostPathsAreNoCrash failed with a VM that takes its paths for intact, as the code before did.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -399,7 +399,7 @@
 	}
 	if !sent && ctx.Err() == nil {
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.h.cfg.Poison.Refused(c.service, ch.ID)
+			c.h.cfg.Poison.Refused(c.service, ch.ID, ch.Address)
 		}
 		c.sizingNote = dialFailure(err)
 		c.finishAttempt(ch, placement.Unreached, "unreached")
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -133,7 +133,7 @@
 	Begin(service, endpoint string, fingerprint uint64)
 	End(a Attempt)
 	// Refused is called when an endpoint refuses a connection, so that nothing runs at its address.
-	Refused(service, endpoint string)
+	Refused(service, endpoint, address string)
 }
 
 // Attempt is a finished attempt, as reported to Poison.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -156,7 +156,7 @@
 	return len(p.crashes)
 }
 
-func (p *fakePoison) Refused(_, endpoint string) {
+func (p *fakePoison) Refused(_, endpoint, _ string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refused = append(p.refused, endpoint)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -147,7 +147,7 @@
 	n.currentBounds.Store(&s.Bounds)
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
-	n.suspects = newSuspects(n.pool.CanConnect, func() { n.gossip.TriggerRound() }, log)
+	n.suspects = newSuspects(n.pool.CanConnect, n.paths, func() { n.gossip.TriggerRound() }, log)
 	n.feeds = make(map[string]*view.Feed)
 	for _, kind := range []string{kindConfig, kindEndpoints, kindRollOuts, kindDataCentresOut} {
 		n.feeds[kind] = view.NewFeed(bootClock, share(n.bound(kind), feedLimitShare))
--- a/gateway/node/paths.go
+++ b/gateway/node/paths.go
@@ -96,7 +96,7 @@
 		case <-p.failed:
 		}
 		for ctx.Err() == nil {
-			addresses := p.n.table.Addresses()
+			addresses := p.addresses()
 			if p.tracker.DueProbe(time.Now(), len(addresses)) {
 				p.probe(ctx, addresses)
 			}
@@ -108,21 +108,39 @@
 	}
 }
 
-// probe probes some of the endpoints at the same time.
-func (p *paths) probe(ctx context.Context, addresses []string) {
-	began := time.Now()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+func (p *paths) addresses() []string {
+	return p.n.table.Addresses(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+// anyOf calls check with the first probedEndpoints addresses at the same time and reports whether any
+// call returned true.
+func anyOf(addresses []string, check func(address string) bool) bool {
 	addresses = addresses[:min(len(addresses), probedEndpoints)]
 	results := make([]bool, len(addresses))
 	var wg sync.WaitGroup
 	for i, address := range addresses {
-		wg.Go(func() { results[i] = p.n.pool.Probe(ctx, address) })
+		wg.Go(func() { results[i] = check(address) })
 	}
 	wg.Wait()
-	succeeded := false
-	for _, ok := range results {
-		succeeded = succeeded || ok
+	return slices.Contains(results, true)
+}
+
+// ReceivedSince implements pathEvidence.
+func (p *paths) ReceivedSince(at time.Time) bool { return p.tracker.ReceivedSince(at) }
+
+// ReachesOthers implements pathEvidence.
+func (p *paths) ReachesOthers(since time.Time, address string) bool {
+	if p.tracker.ReceivedSince(since) {
+		return true
 	}
+	others := slices.DeleteFunc(p.addresses(), func(a string) bool { return a == address })
+	return anyOf(others, p.n.pool.CanConnect) || p.tracker.ReceivedSince(since)
+}
+
+// probe probes some of the endpoints.
+func (p *paths) probe(ctx context.Context, addresses []string) {
+	began := time.Now()
+	succeeded := anyOf(addresses, func(address string) bool { return p.n.pool.Probe(ctx, address) })
 	if ctx.Err() != nil {
 		return
 	}
@@ -141,6 +159,6 @@
 		p.n.table.EndAvoidance(time.Now())
 	}
 	p.n.gossip.TriggerRound()
-	p.n.log.Info().Bool("lost", lost).Int("failed", p.tracker.FailedEndpoints()).Int("endpoints", len(p.n.table.Addresses())).
+	p.n.log.Info().Bool("lost", lost).Int("failed", p.tracker.FailedEndpoints()).Int("endpoints", len(p.addresses())).
 		Msg("paths to endpoints")
 }
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -34,12 +34,14 @@
 // run at which endpoint and attributes a crash to those that ran there until up to crashDelay
 // before it. A broken connection alone is no crash, since endpoints lose answers and networks
 // reset connections; an endpoint that accepts no new connection right after is down. So is one
-// that refuses a connection: all that ran there may have ended before it crashed.
+// that refuses a connection: all that ran there may have ended before it crashed. Neither shows a
+// crash while this VM reaches no other endpoint.
 //
 // Lock order: suspects.mu, then those of the trackers, which are leaves.
 type suspects struct {
 	// connects reports whether an address accepts a new connection.
 	connects func(address string) bool
+	paths    pathEvidence
 	// announce makes this VM report to the others at once.
 	announce func()
 	log      zerolog.Logger
@@ -49,10 +51,21 @@
 	announcedAt time.Time
 }
 
+// pathEvidence shows whether this VM has its network paths to the endpoints.
+type pathEvidence interface {
+	// ReceivedSince reports whether bytes came from any endpoint after the given time.
+	ReceivedSince(at time.Time) bool
+	// ReachesOthers reports the same, or whether an endpoint takes a connection other than the one at
+	// the given address.
+	ReachesOthers(since time.Time, address string) bool
+}
+
 type suspectPool struct {
 	tracker *poison.Tracker
 	runs    map[string][]*run    // by endpoint; those under way and those that ended a short time ago
 	crashed map[string]time.Time // by endpoint
+	// checking holds the endpoints that refused a connection, until it is known whether they crashed.
+	checking map[string]bool
 	// quarantined holds the requests for whose quarantine a line was logged.
 	quarantined map[poison.Fingerprint]bool
 	reported    map[string]reportState // by endpoint
@@ -70,8 +83,8 @@
 	return !r.began.After(at) && (r.ended.IsZero() || at.Sub(r.ended) <= crashDelay)
 }
 
-func newSuspects(connects func(string) bool, announce func(), log zerolog.Logger) *suspects {
-	return &suspects{connects: connects, announce: announce, log: log, pools: make(map[string]*suspectPool)}
+func newSuspects(connects func(string) bool, paths pathEvidence, announce func(), log zerolog.Logger) *suspects {
+	return &suspects{connects: connects, paths: paths, announce: announce, log: log, pools: make(map[string]*suspectPool)}
 }
 
 // pool returns the pool of a service. Callers hold s.mu.
@@ -79,7 +92,7 @@
 	p := s.pools[service]
 	if p == nil {
 		p = &suspectPool{
-			tracker: poison.New(poolSize), runs: make(map[string][]*run), crashed: make(map[string]time.Time),
+			tracker: poison.New(poolSize), runs: make(map[string][]*run), crashed: make(map[string]time.Time), checking: make(map[string]bool),
 			quarantined: make(map[poison.Fingerprint]bool), reported: make(map[string]reportState),
 		}
 		s.pools[service] = p
@@ -159,9 +172,13 @@
 // blame records a crash against the requests that ran at the endpoint, if the endpoint is down.
 func (s *suspects) blame(now time.Time, a forward.Attempt, inFlight []poison.Fingerprint) {
 	up := s.connects(a.Address)
-	s.log.Info().Str("service", a.Service).Str("endpoint", a.Endpoint).Bool("crashed", !up).Int("in_flight", len(inFlight)).
+	hasPaths := up
+	if !up {
+		hasPaths, up = s.awaitPaths(now, a.Address)
+	}
+	s.log.Info().Str("service", a.Service).Str("endpoint", a.Endpoint).Bool("crashed", !up && hasPaths).Bool("has_paths", hasPaths).Int("in_flight", len(inFlight)).
 		Strs("fingerprints", fingerprints(inFlight)).Msg("endpoint checked after a broken connection")
-	if up {
+	if up || !hasPaths {
 		return
 	}
 	s.mu.Lock()
@@ -170,18 +187,52 @@
 }
 
 // Refused implements forward.Poison.
-func (s *suspects) Refused(service, endpoint string) {
+func (s *suspects) Refused(service, endpoint, address string) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pool(service)
-	if p.tracker.HasCrashed(endpoint, now.Add(-suspectTTL)) {
+	if p.checking[endpoint] || p.tracker.HasCrashed(endpoint, now.Add(-suspectTTL)) {
 		return
 	}
-	ended := p.at(endpoint, now)
-	s.log.Info().Str("service", service).Str("endpoint", endpoint).Int("in_flight", len(ended)).Strs("fingerprints", fingerprints(ended)).
-		Msg("endpoint refused a connection")
-	s.recordCrash(now, service, endpoint, ended)
+	p.checking[endpoint] = true
+	go s.blameRefusal(now, service, endpoint, address, p.at(endpoint, now))
+}
+
+// blameRefusal records a crash against the requests that ran at an endpoint until it refused a
+// connection.
+func (s *suspects) blameRefusal(now time.Time, service, endpoint, address string, ended []poison.Fingerprint) {
+	hasPaths, up := s.awaitPaths(now, address)
+	s.log.Info().Str("service", service).Str("endpoint", endpoint).Bool("crashed", hasPaths && !up).Bool("has_paths", hasPaths).Int("in_flight", len(ended)).
+		Strs("fingerprints", fingerprints(ended)).Msg("endpoint refused a connection")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pool(service).checking, endpoint)
+	if hasPaths && !up {
+		s.recordCrash(now, service, endpoint, ended)
+	}
+}
+
+const (
+	// maxPathWait is the time in which a VM that reaches no endpoint must reach one again, so that it
+	// can still tell whether an endpoint has crashed. An endpoint that has is back later.
+	maxPathWait      = time.Second
+	pathWaitInterval = 50 * time.Millisecond
+)
+
+// awaitPaths waits until this VM reaches an endpoint other than that at the given address, which took
+// no connection. If it had to wait, it reports whether that endpoint takes one now.
+func (s *suspects) awaitPaths(since time.Time, address string) (hasPaths, up bool) {
+	if s.paths.ReachesOthers(since, address) {
+		return true, false
+	}
+	for range int(maxPathWait / pathWaitInterval) {
+		time.Sleep(pathWaitInterval)
+		if s.paths.ReceivedSince(since) {
+			return true, s.connects(address)
+		}
+	}
+	return false, false
 }
 
 // recordCrash records a crash that this VM found. Callers hold s.mu.
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -86,7 +86,7 @@
 			}
 		}
 		return false
-	}, func() { f.announced <- i }, zerolog.Nop())
+	}, intactPaths{}, func() { f.announced <- i }, zerolog.Nop())
 	f.startedAt[i] = time.Now()
 }
 
@@ -140,7 +140,7 @@
 			return forward.Attempt{Service: crashService, Endpoint: e.id(), Address: e.name, Fingerprint: content}, e, e.crashed, true
 		}
 		f.markDown(v, e.id())
-		v.Refused(crashService, e.id())
+		v.Refused(crashService, e.id(), e.name)
 	}
 	return a, nil, nil, false
 }
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,18 @@
 	"goldcrestfork/gateway/forward"
 )
 
+// intactPaths is the pathEvidence of a VM that has its network paths.
+type intactPaths struct{}
+
+func (intactPaths) ReceivedSince(time.Time) bool         { return true }
+func (intactPaths) ReachesOthers(time.Time, string) bool { return true }
+
+// lostPaths is that of a VM that has lost them, until it has them back.
+type lostPaths struct{ back atomic.Bool }
+
+func (p *lostPaths) ReceivedSince(time.Time) bool         { return p.back.Load() }
+func (p *lostPaths) ReachesOthers(time.Time, string) bool { return p.back.Load() }
+
 func attempt(endpoint string, f uint64) forward.Attempt {
 	return forward.Attempt{Service: "s", Endpoint: endpoint, Address: endpoint, Fingerprint: f}
 }
@@ -22,7 +35,7 @@
 // requests that ran beside it must not be blamed.
 func TestCrashingRequestRunsNowhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, b := newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+		a, b := newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
 		next := uint64(100)
 		for i := range 3 {
 			require.False(t, a.Quarantined("s", 7))
@@ -69,7 +82,7 @@
 func TestEndedRunIsBlamedForCrash(t *testing.T) {
 	for _, survived := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			a, b := newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+			a, b := newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
 			for i := range 3 {
 				e := fmt.Sprint("e", i)
 				ended := attempt(e, 7)
@@ -97,14 +110,15 @@
 // Guards against a crash that no VM notices because nothing was in flight there any more.
 func TestRefusedConnectionRevealsCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, b := newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+		a, b := newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop()), newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
 		for i := range 3 {
 			e := fmt.Sprint("e", i)
 			a.Begin("s", e, 7)
 			time.Sleep(20 * time.Millisecond)
 			a.End(attempt(e, 7))
 			time.Sleep(500 * time.Millisecond)
-			b.Refused("s", e)
+			b.Refused("s", e, e)
+			synctest.Wait()
 			a.merge("b", b.report(maxPayloadBytes))
 			b.merge("a", a.report(maxPayloadBytes))
 			time.Sleep(time.Second)
@@ -117,7 +131,7 @@
 // Guards against reports that leave out most crashes, or that don't fit a datagram.
 func TestEachCrashIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+		s := newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
 		const crashes, perCrash = 40, 30
 		for i := range crashes {
 			var requests []uint64
@@ -148,7 +162,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		vms := make([]*suspects, 3)
 		for i := range vms {
-			vms[i] = newSuspects(func(string) bool { return false }, func() {}, zerolog.Nop())
+			vms[i] = newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
 		}
 		for i := range 3 {
 			crashWith(vms[0], fmt.Sprint("e", i), 7)
@@ -170,7 +184,7 @@
 // Guards against blaming a request for reset connections of endpoints that are up.
 func TestResetConnectionIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSuspects(func(string) bool { return true }, func() {}, zerolog.Nop())
+		s := newSuspects(func(string) bool { return true }, intactPaths{}, func() {}, zerolog.Nop())
 		for i := range 200 {
 			e := fmt.Sprint("e", i%9)
 			s.Begin("s", e, 7)
@@ -201,3 +215,41 @@
 	require.Equal(t, maxColdVMs, some)
 	require.InDelta(t, 10, coldShare([]string{"vm"}, "vm", "e", 10), 0)
 }
+
+// Guards against requests in quarantine, here and at the VMs that are told, because a VM that lost its
+// network paths took its endpoints for crashed.
+func TestLostPathsAreNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspects(func(string) bool { return false }, &lostPaths{}, func() {}, zerolog.Nop())
+		for i := range 9 {
+			e := fmt.Sprint("e", i)
+			if i%2 == 0 {
+				crashWith(s, e, 7)
+			} else {
+				s.Begin("s", e, 7)
+				s.End(attempt(e, 7))
+				s.Refused("s", e, e)
+			}
+			time.Sleep(2 * maxPathWait)
+		}
+		require.False(t, s.Quarantined("s", 7))
+		require.Nil(t, s.report(maxPayloadBytes))
+	})
+}
+
+// Guards against a crash that isn't noticed, or one that is made up, because all endpoints were out of
+// reach for a moment.
+func TestCrashIsDecidedOnceThePathsAreBack(t *testing.T) {
+	for _, up := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			paths, connects := &lostPaths{}, atomic.Bool{}
+			s := newSuspects(func(string) bool { return connects.Load() }, paths, func() {}, zerolog.Nop())
+			crashWith(s, "e", 7)
+			time.Sleep(maxPathWait / 2)
+			connects.Store(up)
+			paths.back.Store(true)
+			time.Sleep(maxPathWait)
+			require.Equal(t, !up, s.pools["s"].tracker.HasCrashed("e", time.Now().Add(-time.Minute)))
+		})
+	}
+}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -268,15 +268,24 @@
 	})
 }
 
-// Addresses returns the addresses of all endpoints, without an order.
-func (t *Table) Addresses() []string {
+// Addresses returns the addresses of all endpoints in random order, those that are lost or avoided
+// after a failure last.
+func (t *Table) Addresses(rng *rand.Rand) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make([]string, 0, len(t.endpoints))
+	var up, failed []string
 	for _, e := range t.endpoints {
-		out = append(out, e.Address)
+		if e.lost || e.avoidFor > 0 {
+			failed = append(failed, e.Address)
+		} else {
+			up = append(up, e.Address)
+		}
 	}
-	return out
+	for _, list := range [][]string{up, failed} {
+		slices.Sort(list)
+		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	return append(up, failed...)
 }
 
 // EndAvoidance lets endpoints that were avoided after a connection failure get requests again, since
