Report nothing of the endpoints from a VM that has lost its paths to all

A VM told the others which endpoints it avoids after connection failures, and the sums of its attempts, also when its own paths were gone.

--- a/policy/placement/record.go
+++ b/policy/placement/record.go
@@ -77,7 +77,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]Record, len(t.active))
 	for e := range t.active {
-		if e.record.reportable(now) {
+		if !t.pathsLost && e.record.reportable(now) {
 			out[e.ID] = Record{Failed: e.record.failed, Runs: e.record.runs, OtherLife: now.Before(e.record.otherLifeUntil)}
 		}
 	}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -125,6 +125,7 @@
 	endpoints      map[string]*endpoint
 	services       map[string]*pool
 	dataCentresOut map[string]bool
+	pathsLost      bool // SetPathsLost
 	// active holds the endpoints that this VM has load or records of: few among thousands.
 	active map[*endpoint]struct{}
 	// byShortName indexes the endpoints by the short names that VMs use among themselves.
@@ -288,18 +289,6 @@
 	return append(up, failed...)
 }
 
-// EndAvoidance lets endpoints that were avoided after a connection failure get requests again, since
-// the failures were this VM's own.
-func (t *Table) EndAvoidance(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for e := range t.active {
-		if !now.Before(e.record.otherLifeUntil) {
-			e.avoidFor, e.avoidUntil = 0, time.Time{}
-		}
-	}
-}
-
 // Pick chooses an endpoint and adds the request's load to it.
 func (t *Table) Pick(now time.Time, rng *rand.Rand, r *Request) (Choice, NoChoiceReason) {
 	t.mu.Lock()
@@ -387,7 +376,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]EndpointLoad, len(t.active))
 	for e := range t.active {
-		if avoided := e.lost || now.Before(e.avoidUntil); avoided || e.load > 0 {
+		if avoided := !t.pathsLost && (e.lost || now.Before(e.avoidUntil)); avoided || e.load > 0 {
 			out[e.ID] = EndpointLoad{Work: e.load, Avoided: avoided}
 		} else if e.requests == 0 && !e.record.reportable(now) {
 			delete(t.active, e)
