Keep full endpoints that say that they are brittle from turning requests away

Cause: no VM read the header, and VMs learn that an endpoint is full by being turned away, each by itself.

policy/brittle: after each report of the endpoint's load a VM sends twice its equal part of the slots that are free, one at least; without a recent report it keeps to its part of all slots; one that was turned away pauses for as long as keeps all VMs within half of the bound. What one endpoint of a service states holds for the others until they state something.

The pause is kept for VMs whose reports are old.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -289,6 +289,7 @@
 	placement.AllTried:   "all endpoints were tried",
 	placement.AllLimited: "the endpoints take no more requests now",
 	placement.AllResting: "the endpoints asked for rest",
+	placement.AllFull:    "the endpoints have no room",
 }
 
 // refuseFurther returns the refusal if no further attempt is made. It states whether an earlier
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -86,6 +86,8 @@
 	// PeerPool holds the connections to other VMs, for Detours.
 	PeerPool *upstream.Pool
 	Detours  Detours
+	// VMs returns the number of VMs that share the endpoints, at least 1.
+	VMs      func() int
 	Versions Versions
 	Budget   RetryBudget
 	Poison   Poison
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -28,7 +28,7 @@
 // not depend on it.
 var testNames = HeaderNames{
 	RequestID: "X-Request", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account",
-	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", Rest: "X-Rest", Leaving: "X-Leaving", NotRun: "X-Not-Run",
+	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", Rest: "X-Rest", Leaving: "X-Leaving", Brittle: "X-Brittle", NotRun: "X-Not-Run",
 	Signature: "X-Signature", Confidence: "X-Confidence", Model: "X-Model",
 	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold", Forwarded: "X-Forwarded",
 	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold", "X-Forwarded"},
@@ -187,7 +187,7 @@
 	registry := prometheus.NewRegistry()
 	w.handler = New(Config{
 		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, "test", nil), Versions: w.versions,
-		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(),
+		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, VMs: func() int { return 1 }, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(),
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
 	close(w.state.loaded)
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -29,6 +29,9 @@
 	Rest string
 	// Leaving is set in all answers of an endpoint that is about to stop.
 	Leaving string
+	// Brittle is the number of requests that an endpoint can turn away in a second for want of room
+	// without falling over, set in all its answers while it is brittle.
+	Brittle string
 	// NotRun marks an endpoint's refusal of a request that it did not run.
 	NotRun string
 	// Signature is the endpoint's signature of an answer; a success without it is not accepted.
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -28,6 +28,7 @@
 	}
 	c.recordLimit(now, ch, a)
 	c.recordRest(now, ch, a)
+	c.recordBrittle(now, ch, a)
 	if a.Header.Get(n.Leaving) != "" && c.h.cfg.Table.MarkLeaving(ch.ID) {
 		c.statementLine(ch).Msg("endpoint says that it leaves")
 	}
@@ -54,6 +55,31 @@
 	}
 }
 
+// recordBrittle records how many requests an endpoint can turn away, and its load.
+func (c *call) recordBrittle(now time.Time, ch placement.Choice, a *upstream.Answer) {
+	n := &c.h.cfg.Names
+	t := c.h.cfg.Table
+	switch stated := a.Header.Get(n.Brittle); {
+	case stated == "":
+		// An endpoint may refuse a request without its usual headers.
+		if a.Status < 300 && t.EndBrittle(ch.ID, c.sentAt) {
+			c.statementLine(ch).Msg("endpoint is brittle no more")
+		}
+	default:
+		bound, err := strconv.Atoi(strings.TrimSpace(stated))
+		if err != nil || bound < 0 {
+			c.statementLine(ch).Str("value", stated).Msg("number of requests that it can turn away can't be read, passed over")
+			return
+		}
+		if t.SetBrittle(now, ch.ID, bound, c.h.cfg.VMs()) {
+			c.statementLine(ch).Int("per_s", bound).Msg("endpoint is brittle")
+		}
+	}
+	if load := parseLoad(a.Header.Get(n.Load)); load.slots > 0 {
+		t.ReportLoad(now, ch.ID, load.inFlight())
+	}
+}
+
 // maxRest bounds the time that an endpoint may ask for.
 const maxRest = time.Hour
 
@@ -81,7 +107,7 @@
 
 func newUnknownHeaders(n *HeaderNames) *unknownHeaders {
 	u := &unknownHeaders{known: make(map[string]bool), seen: make(map[string]bool)}
-	for _, name := range append(n.OtherAnswer, n.RequestID, n.Load, n.RateLimit, n.Rest, n.Leaving, n.NotRun, n.Signature, n.Confidence, n.ColdRemaining) {
+	for _, name := range append(n.OtherAnswer, n.RequestID, n.Load, n.RateLimit, n.Rest, n.Leaving, n.Brittle, n.NotRun, n.Signature, n.Confidence, n.ColdRemaining) {
 		u.known[name] = true
 	}
 	return u
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -117,7 +117,7 @@
 
 // usable reports whether the endpoint may get the request now.
 func (e *endpoint) usable(now time.Time, r *Request) bool {
-	return !e.isResting(now) && !e.paused(now, r) && e.usableButForNeeds(now, r)
+	return !e.isResting(now) && e.hasRoom(now) && !e.paused(now, r) && e.usableButForNeeds(now, r)
 }
 
 // usableButForNeeds reports whether the endpoint may get the request as far as its request limit
--- a/policy/placement/needs.go
+++ b/policy/placement/needs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"goldcrestfork/policy/brittle"
 	"goldcrestfork/policy/rest"
 )
 
@@ -17,6 +18,7 @@
 type needs struct {
 	rest    rest.State
 	leaving bool // it gets no new requests
+	brittle brittle.State
 }
 
 // maxNeeds bounds the incarnations whose needs are remembered beside those in the table.
@@ -64,6 +66,55 @@
 	return true
 }
 
+// SetBrittle records that an endpoint stated how many requests it can turn away in a second. Until the
+// others of its service state something themselves the same holds for them. It reports whether that is
+// new. vms is the number of VMs that share the endpoints.
+func (t *Table) SetBrittle(now time.Time, id string, bound, vms int) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || !t.needsOf(e).brittle.Stated(now, bound, e.Slots, vms) {
+		return false
+	}
+	for _, other := range t.services[e.Service].list {
+		if _, stated := t.needsOf(other).brittle.Bound(); !stated {
+			other.needs.brittle.Stated(now, bound, other.Slots, vms)
+		}
+	}
+	return true
+}
+
+// EndBrittle records that an endpoint answered a request sent at sentAt without such a statement. It
+// reports whether one ended.
+func (t *Table) EndBrittle(id string, sentAt time.Time) (ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	return e != nil && e.needs != nil && e.needs.brittle.NotStated(sentAt)
+}
+
+// ReportLoad records the number of requests that run or wait at an endpoint, as it reported.
+func (t *Table) ReportLoad(now time.Time, id string, inFlight int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.endpoints[id]; e != nil && e.isBrittle() {
+		e.needs.brittle.Reported(now, inFlight)
+	}
+}
+
+func (e *endpoint) isBrittle() bool {
+	if e.needs == nil {
+		return false
+	}
+	_, stated := e.needs.brittle.Bound()
+	return stated
+}
+
+// hasRoom reports whether the endpoint can take a request, as far as it says that it is brittle.
+func (e *endpoint) hasRoom(now time.Time) bool {
+	return e.needs == nil || e.needs.brittle.MaySend(now, e.requests)
+}
+
 func (e *endpoint) isResting(now time.Time) bool { return e.needs != nil && !e.needs.rest.MaySend(now) }
 func (e *endpoint) isLeaving() bool              { return e.needs != nil && e.needs.leaving }
 
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -92,6 +92,8 @@
 	AllLimited
 	// AllResting: the eligible endpoints asked this VM for rest.
 	AllResting
+	// AllFull: the eligible endpoints have no room, and fall over if they turn requests away.
+	AllFull
 )
 
 // Outcome is the result of an attempt, as far as it concerns the endpoint.
@@ -310,6 +312,8 @@
 				return Choice{}, AllLimited
 			case anyResting(now, p, r):
 				return Choice{}, AllResting
+			case anyWithoutRoom(now, p, r):
+				return Choice{}, AllFull
 			case tried && len(warm)+len(cold) == 0:
 				return Choice{}, AllTried
 			case anyCold(now, p):
@@ -327,6 +331,9 @@
 	if e.avoidFor > 0 {
 		e.probing = true
 	}
+	if e.isBrittle() {
+		e.needs.brittle.Sent()
+	}
 	return Choice{
 		ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now),
 		Limited: e.limit.Limited, Limit: e.limit.Rate,
@@ -345,6 +352,11 @@
 	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.isResting(now) && e.usableButForNeeds(now, r) })
 }
 
+// anyWithoutRoom reports whether the request would have an endpoint if all had room.
+func anyWithoutRoom(now time.Time, p *pool, r *Request) bool {
+	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return !e.hasRoom(now) && e.usableButForNeeds(now, r) })
+}
+
 func anyCold(now time.Time, p *pool) bool {
 	return slices.ContainsFunc(p.list, func(e *endpoint) bool { return e.cold(now) })
 }
@@ -431,6 +443,9 @@
 		e.avoidFor, e.avoidUntil = max(e.avoidFor, minAvoidance), e.record.otherLifeUntil
 	case AtCapacity:
 		e.endAvoidance()
+		if e.isBrittle() {
+			e.needs.brittle.TurnedAway(now)
+		}
 	case NoSignal:
 		e.probing = false
 	}
