Let a sound endpoint be silent for a second without another one going on with its answers

A VM took its silence of 0.7 s for its loss and sent its unfinished answers on elsewhere, so that two endpoints worked on them, and ended those for which the budget of repeats had nothing left.

An endpoint that is silent for 0.7 s gets no further requests, as before, and requests without an answer move. Answers that have begun go on elsewhere after 1.5 s of silence, or at once if the VM has lost its paths to all endpoints.

--- a/gateway/node/paths.go
+++ b/gateway/node/paths.go
@@ -156,6 +156,9 @@
 // changed applies the loss or the return of this VM's paths.
 func (p *paths) changed(lost bool) {
 	p.n.table.SetPathsLost(time.Now(), lost)
+	if lost {
+		p.n.pool.MoveFromLost()
+	}
 	p.n.gossip.TriggerRound()
 	p.n.log.Info().Bool("lost", lost).Int("failed", p.tracker.FailedEndpoints()).Int("endpoints", len(p.addresses())).
 		Msg("paths to endpoints")
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -75,7 +76,8 @@
 	conn                *conn
 	resp                *http.Response
 	stopWatchingContext func() bool
-	complete            bool // the body was read to its end
+	begun               atomic.Bool // the head arrived
+	complete            bool        // the body was read to its end
 	reusable            bool
 	closed              bool
 }
@@ -125,6 +127,7 @@
 		}
 		return nil, &Error{Sent: true, Cause: headErr}
 	}
+	a.begun.Store(true)
 	a.reusable = !partialWrite && !a.resp.Close && a.HasFraming
 	return a, nil
 }
--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -46,7 +46,8 @@
 }
 
 // Watch probes silent endpoints with a new connection until the context ends. Requests that
-// wait at a lost endpoint and may run again get an error. Requests that must not run twice
+// wait at a lost endpoint and may run again get an error: at once if no answer has begun, and
+// otherwise if the endpoint stays lost. Requests that must not run twice
 // continue to wait for an answer, since the endpoint may have run them. Watch calls notify for
 // each endpoint that becomes lost or available again.
 func (p *Pool) Watch(ctx context.Context, notify func(address string, lost bool)) {
@@ -79,7 +80,10 @@
 		case silence.Lost:
 			p.observer.Failed(addr)
 			notify(addr, true)
-			p.abortRetryable(addr)
+			p.closeIdle(addr)
+			p.abortRetryable(addr, func(a *Answer) bool { return !a.begun.Load() })
+		case silence.Move:
+			p.abortRetryable(addr, anyAnswer)
 		case silence.Back:
 			notify(addr, false)
 		case silence.Alive, silence.StillLost:
@@ -88,6 +92,16 @@
 	}
 }
 
+// MoveFromLost ends the requests that wait at lost endpoints and may run again, without waiting for
+// these to go on. It is for a VM that has lost its network paths to all endpoints.
+func (p *Pool) MoveFromLost() {
+	for _, addr := range p.detector.MoveAll() {
+		p.abortRetryable(addr, anyAnswer)
+	}
+}
+
+func anyAnswer(*Answer) bool { return true }
+
 // responds reports whether anything answers at an address, even with a refusal or a reset. A
 // new connection is kept for a later request.
 func (p *Pool) responds(ctx context.Context, addr string) bool {
@@ -99,14 +113,15 @@
 	return true
 }
 
-// abortRetryable closes the idle connections to a lost endpoint and resets those whose requests
-// may run again.
-func (p *Pool) abortRetryable(addr string) {
-	p.closeIdle(addr)
+// abortRetryable resets the connections to a lost endpoint whose requests may run again, as far as
+// they are included.
+func (p *Pool) abortRetryable(addr string, include func(*Answer) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for a := range p.retryable[addr] {
-		a.conn.abort()
+		if include(a) {
+			a.conn.abort()
+		}
 	}
 }
 
--- a/policy/silence/doc.go
+++ b/policy/silence/doc.go
@@ -11,9 +11,11 @@
 // If nothing has been received from an endpoint for a while on any connection with waiting
 // requests, it is probed with a new connection. A busy endpoint accepts or refuses it within a
 // round trip, and both count as a sign of life. An endpoint that fails two probes in a row,
-// with nothing received meanwhile, is lost: its requests move to other endpoints, and it gets
-// none until it accepts a connection again. Two probes are needed because a network with a few
-// percent of packet loss loses a first packet now and then, but seldom two.
+// with nothing received meanwhile, is lost: it gets no requests until it accepts a connection
+// again. Two probes are needed because a network with a few percent of packet loss loses a first
+// packet now and then, but seldom two. Requests without an answer move to other endpoints at once.
+// Answers that have begun go on there only later, since a sound endpoint may be silent for a second
+// and go on with them.
 //
 // An endpoint that accepts connections and never answers is not detected; the caller's deadline
 // ends the wait.
--- a/policy/silence/silence.go
+++ b/policy/silence/silence.go
@@ -12,6 +12,10 @@
 	probeAfter = 300 * time.Millisecond
 	// maxMissed is the number of failed probes in a row after which an endpoint is lost.
 	maxMissed = 2
+	// moveAfter is how long an endpoint may be silent before answers that have begun go on at others.
+	// A sound endpoint may be silent for a second or so and go on with them itself, so that both
+	// would work on them; callers leave a stream after two seconds without an event.
+	moveAfter = 1500 * time.Millisecond
 	// lostProbeInterval is the time between probes of a lost endpoint.
 	lostProbeInterval = 300 * time.Millisecond
 	// ProbeTimeout is the timeout of a probe. It covers many round trips between the data
@@ -29,10 +33,12 @@
 	Alive Verdict = iota
 	// Unsure: the endpoint must be probed again immediately.
 	Unsure
-	// Lost: the endpoint is lost from now on.
+	// Lost: the endpoint is lost from now on. Requests without an answer move to others.
 	Lost
 	// StillLost: the endpoint was lost before and still is.
 	StillLost
+	// Move: the endpoint has been lost for so long that answers which have begun must go on at others.
+	Move
 	// Back: the endpoint was lost and responds again.
 	Back
 )
@@ -45,6 +51,7 @@
 	probing      bool
 	missed       int // failed probes in a row
 	lost         bool
+	moved        bool      // Move or MoveAll named the endpoint since it was lost
 	nextProbe    time.Time // when to probe a lost endpoint again
 }
 
@@ -148,6 +155,10 @@
 	case e.lost:
 		e.probing = false
 		e.nextProbe = now.Add(lostProbeInterval)
+		if !e.moved && now.Sub(e.lastReceived) >= moveAfter {
+			e.moved = true
+			return Move
+		}
 		return StillLost
 	case e.waiting == 0:
 		return d.markAlive(now, address, e) // No request waits for the result.
@@ -158,11 +169,25 @@
 	if e.missed < maxMissed {
 		return Unsure
 	}
-	e.probing, e.lost = false, true
+	e.probing, e.lost, e.moved = false, true, false
 	e.nextProbe = now.Add(lostProbeInterval)
 	return Lost
 }
 
+// MoveAll returns the lost endpoints for which Move wasn't returned, and marks them as if it was. It is
+// for a VM that has lost its network paths, which can't hear from any endpoint.
+func (d *Detector) MoveAll() (out []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, e := range d.endpoints {
+		if e.lost && !e.moved {
+			e.moved = true
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // markAlive records a sign of life. The caller holds d.mu.
 func (d *Detector) markAlive(now time.Time, address string, e *endpoint) Verdict {
 	v := Alive
