Give keep-alive probes and unacknowledged bytes the same time on connections to endpoints

The connections to endpoints had three probes after a second, 4 s by their count, and a user timeout of 3 s, so that the count was never reached and said something untrue. Two probes give the 3 s that were in force; behaviour is the same. No other connection of ours sets the option (the store's, those between VMs, the callers').

TestConnectionSurvivesASecondOfSilence failed before: 4 s by the probes, 3 s by the option.

--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -36,9 +36,15 @@
 	maxIdleConns = 6
 	// bufferSize is in bytes; it holds an answer's head and most plain bodies.
 	bufferSize = 4 << 10
+	// keepAliveIdle, keepAliveInterval and keepAliveCount say when an idle connection is probed, and
+	// that it counts as broken when the last probe has gone unanswered for an interval.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
 	// userTimeout is how long sent bytes may stay unacknowledged before the connection counts
-	// as broken (TCP_USER_TIMEOUT): three retransmissions on a local network.
-	userTimeout = 3 * time.Second
+	// as broken (TCP_USER_TIMEOUT). Linux applies it in place of the number of keep-alive probes, so
+	// that both must give the same time, and an endpoint that is silent for a second must survive it.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 )
 
 // conn is one connection to an endpoint.
@@ -249,7 +255,7 @@
 func (p *Pool) dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
 	p.dials.Inc()
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
 	nc, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
--- a/gateway/upstream/watch_test.go
+++ b/gateway/upstream/watch_test.go
@@ -124,3 +124,26 @@
 	require.Equal(t, "a", <-body)
 	require.Empty(t, lost)
 }
+
+// Guards against a connection that breaks while its endpoint is silent for a second, because the time
+// for unacknowledged bytes ends it before the keep-alive probes do.
+func TestConnectionSurvivesASecondOfSilence(t *testing.T) {
+	s := serve(t, nil)
+	c, err := newTestPool(t).dial(t.Context(), s.Addr().String(), dialTimeout)
+	require.NoError(t, err)
+	defer c.Close()
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	option := func(name int) (value int) {
+		t.Helper()
+		var optErr error
+		require.NoError(t, raw.Control(func(fd uintptr) { value, optErr = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, name) }))
+		require.NoError(t, optErr)
+		return value
+	}
+	const tcpUserTimeout = 18
+	probes := option(syscall.TCP_KEEPIDLE) + option(syscall.TCP_KEEPCNT)*option(syscall.TCP_KEEPINTVL)
+	timeout := time.Duration(option(tcpUserTimeout)) * time.Millisecond
+	require.Equal(t, time.Duration(probes)*time.Second, timeout, "the number of probes has no effect beside the time")
+	require.GreaterOrEqual(t, timeout, 2*time.Second)
+}
