Keep a session's known version when a request ends through another VM

The line of such a request named an empty version beside the one that ran it here, and the session's version of the request was given as none. The other VM holds the session for the part that it ran.

--- a/gateway/forward/detour_test.go
+++ b/gateway/forward/detour_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -155,6 +156,11 @@
 	r := a.send("POST", "/stream/x", "body")
 	require.NoError(t, r.err)
 	require.Equal(t, streamOf(1, 5), r.body)
+	require.Eventually(t, func() bool {
+		a.versions.mu.Lock()
+		defer a.versions.mu.Unlock()
+		return slices.Equal(a.versions.endedVersions, []string{"v1"})
+	}, 10*time.Second, time.Millisecond, "the session stays at the version that this VM knows")
 	require.Equal(t, "2", b.headers()[0].Get(testNames.LastEventID))
 }
 
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -135,10 +135,10 @@
 }
 
 // versionsRun lists the versions that ran or may have run a request, in order and without
-// consecutive duplicates.
+// consecutive duplicates. The versions of attempts through other VMs are not known here.
 func versionsRun(attempts []attemptRecord) (out []string) {
 	for _, s := range attempts {
-		if mayHaveRun(s.result) && (len(out) == 0 || out[len(out)-1] != s.version) {
+		if s.version != "" && mayHaveRun(s.result) && (len(out) == 0 || out[len(out)-1] != s.version) {
 			out = append(out, s.version)
 		}
 	}
