Cut VMs off from the endpoints in the soak

One to all three VMs lose their paths for 0.2 to 2.2 s, again and again, beside the signals, restarts and outages of the store; draws of their own leave the other faults of a seed as they were. A request may reach an endpoint by another VM than the one that its caller asked, so that the endpoint counts rests and limits by the VM that opened the connection.

--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -27,9 +27,19 @@
 // address, so that a connection's VM is known from the process that has the other end.
 type network struct {
 	mu    sync.Mutex
-	pids  []int        // of the VMs
-	cut   map[int]bool // by process id
-	conns map[net.Conn]int
+	vms   []*vm
+	cut   map[*vm]bool
+	conns map[net.Conn]*vm
+}
+
+func newNetwork() *network {
+	return &network{cut: make(map[*vm]bool), conns: make(map[net.Conn]*vm)}
+}
+
+func (n *network) setVMs(vms []*vm) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms = slices.Clone(vms)
 }
 
 // cutOff resets the new connections of VMs and, with old, also those that are open.
@@ -37,19 +47,22 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, v := range vms {
-		n.cut[v.cmd.Process.Pid] = true
+		n.cut[v] = true
 	}
-	for c, pid := range n.conns {
-		if old && n.cut[pid] {
+	for c, v := range n.conns {
+		if old && n.cut[v] {
 			reset(c)
 		}
 	}
 }
 
-func (n *network) heal() {
+// heal gives VMs their paths back.
+func (n *network) heal(vms ...*vm) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	clear(n.cut)
+	for _, v := range vms {
+		delete(n.cut, v)
+	}
 }
 
 func reset(c net.Conn) {
@@ -57,6 +70,22 @@
 	c.Close()
 }
 
+// connState forgets connections that are closed, for an http.Server.
+func (n *network) connState(c net.Conn, state http.ConnState) {
+	if state == http.StateClosed || state == http.StateHijacked {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.conns, c)
+	}
+}
+
+// vmOf returns the index of the VM that has the other end of a connection, -1 if it is unknown.
+func (n *network) vmOf(c net.Conn) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Index(n.vms, n.conns[c])
+}
+
 // pathListener is an endpoint's listener behind a network.
 type pathListener struct {
 	net.Listener
@@ -70,14 +99,14 @@
 		if err != nil {
 			return nil, err
 		}
-		pid := l.n.processOf(c)
+		v := l.n.lookUp(c)
 		l.n.mu.Lock()
-		if l.n.cut[pid] {
+		cut := l.n.cut[v]
+		if cut {
 			reset(c)
 		} else {
-			l.n.conns[c] = pid
+			l.n.conns[c] = v
 		}
-		cut := l.n.cut[pid]
 		l.n.mu.Unlock()
 		if !cut {
 			return c, nil
@@ -85,23 +114,23 @@
 	}
 }
 
-// processOf returns the process id of the VM that has the other end of a connection, 0 if none has.
-func (n *network) processOf(c net.Conn) int {
+// lookUp returns the VM that has the other end of a new connection, nil if none has.
+func (n *network) lookUp(c net.Conn) *vm {
 	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
 	if inode == "" {
-		return 0
+		return nil
 	}
 	n.mu.Lock()
-	pids := slices.Clone(n.pids)
+	vms := n.vms
 	n.mu.Unlock()
-	for _, pid := range pids {
-		for _, fd := range glob(fmt.Sprintf("/proc/%d/fd/*", pid)) {
+	for _, v := range vms {
+		for _, fd := range glob(fmt.Sprintf("/proc/%d/fd/*", v.pid.Load())) {
 			if to, err := os.Readlink(fd); err == nil && to == "socket:["+inode+"]" {
-				return pid
+				return v
 			}
 		}
 	}
-	return 0
+	return nil
 }
 
 func glob(pattern string) []string {
@@ -147,11 +176,11 @@
 		"services": []any{map[string]any{"name": "s"}},
 		"tenants":  []any{map[string]any{"name": "acme", "apiKeys": []string{"k"}}},
 	})
-	f := &fleetBehind{t: t, network: &network{cut: make(map[int]bool), conns: make(map[net.Conn]int)}, runs: make(map[string]int)}
+	f := &fleetBehind{t: t, network: newNetwork(), runs: make(map[string]int)}
 	for i := range endpoints {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
-		s := &http.Server{Handler: f}
+		s := &http.Server{Handler: f, ConnState: f.network.connState}
 		go func() { _ = s.Serve(&pathListener{l, f.network}) }()
 		t.Cleanup(func() { s.Close() })
 		store.Put("servers", fmt.Sprint("e", i), map[string]any{
@@ -159,11 +188,7 @@
 		})
 	}
 	f.vms = startVMs(t, address, vms)
-	f.network.mu.Lock()
-	defer f.network.mu.Unlock()
-	for _, v := range f.vms {
-		f.network.pids = append(f.network.pids, v.cmd.Process.Pid)
-	}
+	f.network.setVMs(f.vms)
 	return f
 }
 
@@ -278,7 +303,7 @@
 					require.Equal(t, requests, served, "a VM that has its paths")
 				}
 			}
-			f.network.heal()
+			f.network.heal(f.vms...)
 			for _, v := range f.vms {
 				f.awaitServing(v, "after")
 				require.Equal(t, 12, f.served(v, "healed", 12))
@@ -312,6 +337,6 @@
 	require.NotContains(t, f.vms[0].addresses(), f.vms[1].front)
 	f.network.cutOff(true, f.vms...)
 	named(4)
-	f.network.heal()
+	f.network.heal(f.vms...)
 	named(4)
 }
--- a/cmd/goldcrest-node/process_test.go
+++ b/cmd/goldcrest-node/process_test.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -48,10 +49,11 @@
 type vm struct {
 	t         *testing.T
 	cmd       *exec.Cmd
-	settings  string // path of the settings file
-	front     string // address for callers' requests
-	directory string // address of the directory and of the readiness check
-	metrics   int    // port of the metrics
+	pid       atomic.Int64 // of the process that was started last
+	settings  string       // path of the settings file
+	front     string       // address for callers' requests
+	directory string       // address of the directory and of the readiness check
+	metrics   int          // port of the metrics
 	mu        sync.Mutex
 	lines     []string
 	firstLine int        // index of the current process's first line in lines
@@ -131,6 +133,7 @@
 	v.firstLine = len(v.lines)
 	v.mu.Unlock()
 	require.NoError(v.t, v.cmd.Start())
+	v.pid.Store(int64(v.cmd.Process.Pid))
 	go v.readLog(out)
 }
 
--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -159,6 +160,7 @@
 	proxies []*proxy
 	limit   *limitRecord
 	rest    *restRecord
+	network *network
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -177,6 +179,35 @@
 	return w.rng.IntN(n)
 }
 
+// senderKey is the key of the VM that opened a connection, in the context of its requests.
+type senderKey struct{}
+
+// startEndpoint starts an endpoint behind the network and returns its address.
+func (w *soakTestbed) startEndpoint(name string) string {
+	e := httptest.NewUnstartedServer(w.endpoint(name))
+	e.Listener = &pathListener{e.Listener, w.network}
+	e.Config.ConnState = w.network.connState
+	e.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, senderKey{}, w.network.vmOf(c))
+	}
+	e.Start()
+	w.t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
+	return e.Listener.Addr().String()
+}
+
+// cutPaths cuts some or all VMs off from the endpoints, again and again until ctx ends.
+func (w *soakTestbed) cutPaths(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(300+rng.IntN(900)) * time.Millisecond)
+		vms := slices.Clone(w.vms)
+		rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+		vms = vms[:1+rng.IntN(len(vms))]
+		w.network.cutOff(rng.IntN(2) == 0, vms...)
+		time.Sleep(time.Duration(200+rng.IntN(2000)) * time.Millisecond)
+		w.network.heal(vms...)
+	}
+}
+
 // endpoint returns the handler of an endpoint that injects random failures while
 // faultsActive is set.
 func (w *soakTestbed) endpoint(name string) http.HandlerFunc {
@@ -189,6 +220,9 @@
 		if rec := w.records[id]; rec != nil {
 			from = rec.vm
 		}
+		if sender, ok := r.Context().Value(senderKey{}).(int); ok && sender >= 0 {
+			from = sender // another VM, if the request took a detour
+		}
 		if w.faultsActive {
 			fault = w.rng.IntN(100)
 		}
@@ -387,15 +421,13 @@
 	w := &soakTestbed{
 		t: t, store: store, rng: rand.New(rand.NewPCG(seed, 1)), records: map[string]*record{},
 		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: map[string]time.Time{}, requestCounts: map[string]int{}, faultsActive: true,
-		limit: newLimitRecord(seed), rest: newRestRecord(),
+		limit: newLimitRecord(seed), rest: newRestRecord(), network: newNetwork(),
 	}
 	w.configure(w.keys)
 	addresses := map[string]string{}
 	for i := range 4 {
 		name := fmt.Sprint("e", i)
-		e := httptest.NewServer(w.endpoint(name))
-		t.Cleanup(func() { e.CloseClientConnections(); e.Close() })
-		addresses[name] = e.Listener.Addr().String()
+		addresses[name] = w.startEndpoint(name)
 		w.putServer(name, addresses[name], "ready")
 	}
 	var signalLocks []*sync.Mutex
@@ -405,6 +437,7 @@
 		w.vms = append(w.vms, startVM(t, p.Addr().String(), fmt.Sprint("vm", i), fmt.Sprint("bounds.revocationMs=", soakRevocation.Milliseconds())))
 		signalLocks = append(signalLocks, &sync.Mutex{})
 	}
+	w.network.setVMs(w.vms)
 	for _, v := range w.vms {
 		v.awaitReady(true)
 	}
@@ -422,6 +455,7 @@
 			}
 		}()
 	}
+	faults.Go(func() { w.cutPaths(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for ctx.Err() == nil {
 		w.injectFault(&faults, signalLocks)
 		time.Sleep(time.Duration(100+w.randomInt(600)) * time.Millisecond)
