--- a/fleet/gossip/service.go
+++ b/fleet/gossip/service.go
@@ -22,8 +22,8 @@
 	Clock func() time.Duration
 	// Ready reports whether callers may be sent to this VM.
 	Ready func() bool
-	// Cut reports whether this VM has lost its network paths to the endpoints.
-	Cut func() bool
+	// PathsLost reports whether this VM has lost its network paths to the endpoints.
+	PathsLost func() bool
 	// Payload returns this VM's part of the fleet's sums, empty for none.
 	Payload func() []byte
 	// HandlePayload is called with the payloads of other VMs.
@@ -109,7 +109,7 @@
 
 func (s *Service) sendTo(to []string, payload []byte, others []Member, reports Reports) {
 	m := Message{
-		From: s.cfg.Self, Incarnation: s.incarnation, Sequence: s.sequence.Add(1), Ready: s.cfg.Ready(), Cut: s.cfg.Cut(),
+		From: s.cfg.Self, Incarnation: s.incarnation, Sequence: s.sequence.Add(1), Ready: s.cfg.Ready(), PathsLost: s.cfg.PathsLost(),
 		Payload: payload, Others: others, Reports: reports,
 	}
 	b, err := cbor.Marshal(&m)
--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -72,8 +72,8 @@
 	// Reports holds reports on other VMs, from which the sender received a message itself or on
 	// which it received a report.
 	Reports Reports `cbor:"7,keyasint,omitempty"`
-	// Cut reports that the sender has lost its network paths to the endpoints.
-	Cut bool `cbor:"8,keyasint,omitempty"`
+	// PathsLost reports that the sender has lost its network paths to the endpoints.
+	PathsLost bool `cbor:"8,keyasint,omitempty"`
 }
 
 // peer is the state of another VM; its times are those of the Table's clock.
@@ -81,7 +81,7 @@
 	Member
 	incarnation, sequence uint64
 	ready                 bool
-	cut                   bool          // it has lost its network paths to the endpoints
+	pathsLost             bool          // it has lost its network paths to the endpoints
 	heardAt               time.Duration // last message, also as known from a report; 0 for never
 	learntAt              time.Duration
 	sentAt                time.Duration
@@ -142,7 +142,7 @@
 		return false, false
 	}
 	newIncarnation = p.incarnation != m.Incarnation
-	p.Member, p.incarnation, p.sequence, p.ready, p.cut, p.heardAt = m.From, m.Incarnation, m.Sequence, m.Ready, m.Cut, now
+	p.Member, p.incarnation, p.sequence, p.ready, p.pathsLost, p.heardAt = m.From, m.Incarnation, m.Sequence, m.Ready, m.PathsLost, now
 	t.applyReports(now, m.Reports)
 	t.mu.Unlock()
 	t.Learn(now, m.Others...)
@@ -155,7 +155,7 @@
 func (t *Table) applyReports(now time.Duration, reports Reports) {
 	for r := range reports.all() {
 		if p := t.byHash[r.hash]; p != nil && now-r.age > p.heardAt {
-			p.heardAt, p.ready, p.cut = now-r.age, r.ready, r.cut
+			p.heardAt, p.ready, p.pathsLost = now-r.age, r.ready, r.pathsLost
 		}
 	}
 }
@@ -178,7 +178,7 @@
 
 // UsableWithPaths returns those VMs of Usable that have not lost their network paths to the endpoints.
 func (t *Table) UsableWithPaths(now time.Duration, dataCentre string) []Member {
-	return t.usable(now, dataCentre, func(p *peer) bool { return !p.cut })
+	return t.usable(now, dataCentre, func(p *peer) bool { return !p.pathsLost })
 }
 
 func (t *Table) usable(now time.Duration, dataCentre string, include func(*peer) bool) []Member {
@@ -326,7 +326,7 @@
 		return others, nil // every VM sends to all others itself
 	}
 	for _, p := range about[:min(t.reportCount(), len(about))] {
-		reports = reports.add(report{hash: hashOf(p.Name), age: now - p.heardAt, ready: p.ready, cut: p.cut})
+		reports = reports.add(report{hash: hashOf(p.Name), age: now - p.heardAt, ready: p.ready, pathsLost: p.pathsLost})
 	}
 	return others, reports
 }
--- a/fleet/gossip/table_test.go
+++ b/fleet/gossip/table_test.go
@@ -213,9 +213,9 @@
 	got := make(chan string, 100)
 	for i := range 2 {
 		s, err := Listen(Config{
-			Cut:   func() bool { return false },
-			Self:  Member{Name: fmt.Sprint("vm", i), Peer: "127.0.0.1:0", Front: fmt.Sprint("f", i)},
-			Clock: func() time.Duration { return time.Second + time.Since(start) }, Ready: func() bool { return true },
+			PathsLost: func() bool { return false },
+			Self:      Member{Name: fmt.Sprint("vm", i), Peer: "127.0.0.1:0", Front: fmt.Sprint("f", i)},
+			Clock:     func() time.Duration { return time.Second + time.Since(start) }, Ready: func() bool { return true },
 			Payload:       func() []byte { return []byte{byte('a' + i)} },
 			HandlePayload: func(from string, _ uint64, p []byte) { got <- from + string(p) },
 			Log:           zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
--- a/fleet/gossip/words.go
+++ b/fleet/gossip/words.go
@@ -15,10 +15,10 @@
 
 // report is one unpacked entry of Reports.
 type report struct {
-	hash  uint32
-	age   time.Duration
-	ready bool
-	cut   bool
+	hash      uint32
+	age       time.Duration
+	ready     bool
+	pathsLost bool
 }
 
 const (
@@ -26,9 +26,9 @@
 	// ageUnit is the resolution of a packed age; reports older than maxAge are left out.
 	ageUnit = 50 * time.Millisecond
 	maxAge  = 63 * ageUnit
-	// readyBit and cutBit are the bits above the six bits of the age.
-	readyBit = 0x80
-	cutBit   = 0x40
+	// readyBit and pathsLostBit are the bits above the six bits of the age.
+	readyBit     = 0x80
+	pathsLostBit = 0x40
 )
 
 func hashOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
@@ -43,8 +43,8 @@
 	if r.ready {
 		b |= readyBit
 	}
-	if r.cut {
-		b |= cutBit
+	if r.pathsLost {
+		b |= pathsLostBit
 	}
 	return append(binary.BigEndian.AppendUint32(rs, r.hash), b)
 }
@@ -54,7 +54,7 @@
 	return func(yield func(report) bool) {
 		for len(rs) >= reportBytes {
 			b := rs[reportBytes-1]
-			r := report{hash: binary.BigEndian.Uint32(rs), age: time.Duration(b&^(readyBit|cutBit)) * ageUnit, ready: b&readyBit != 0, cut: b&cutBit != 0}
+			r := report{hash: binary.BigEndian.Uint32(rs), age: time.Duration(b&^(readyBit|pathsLostBit)) * ageUnit, ready: b&readyBit != 0, pathsLost: b&pathsLostBit != 0}
 			if !yield(r) {
 				return
 			}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -156,7 +156,7 @@
 	n.traffic = datagram.NewTraffic(registry)
 	var err error
 	n.gossip, err = gossip.Listen(gossip.Config{
-		Self: n.self(), Clock: bootClock, Ready: n.Ready, Cut: n.paths.tracker.Lost, Payload: n.payload, HandlePayload: n.receivePayload,
+		Self: n.self(), Clock: bootClock, Ready: n.Ready, PathsLost: n.paths.tracker.Lost, Payload: n.payload, HandlePayload: n.receivePayload,
 		Log: log, Registerer: registry, Traffic: n.traffic,
 	})
 	if err != nil {
--- a/gateway/node/watchers_test.go
+++ b/gateway/node/watchers_test.go
@@ -24,8 +24,8 @@
 	}
 	members = rendezvous.RankBy("watchers", members, func(m gossip.Member) string { return m.Name })
 	g, err := gossip.Listen(gossip.Config{
-		Cut:  func() bool { return false },
-		Self: gossip.Member{Name: members[rank].Name, Peer: "127.0.0.1:0"}, Clock: bootClock,
+		PathsLost: func() bool { return false },
+		Self:      gossip.Member{Name: members[rank].Name, Peer: "127.0.0.1:0"}, Clock: bootClock,
 		Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
 	})
 	require.NoError(t, err)
