Refuse a forwarded request at once if this VM reaches no endpoint either

A VM that had lost its paths without knowing yet, as one with few requests, tried endpoint after endpoint for a request that another VM had sent it: up to five, of 0.4 s each where connections hang, while the sender could have asked a third VM. The same evidence by which a caller's request takes a detour ends its attempts there now.

TestForwardedRequestIsRefusedOnceNoEndpointAnswers failed before: twelve endpoints tried instead of two. Pauses of detours that are over are forgotten; the state dump says that paths are lost and which endpoints are brittle.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -250,6 +250,10 @@
 		return choice, nil
 	}
 	c.via = nil
+	if c.forwardedBy != "" && c.h.cfg.Detours.Needed(c.pathFailures) {
+		// The VM that sent it here can try another one.
+		return placement.Choice{}, c.refuseUnreachable("this VM reaches no endpoint")
+	}
 	if c.failedDials > maxFailedDials && (c.failedDials > maxQuickFailedDials || time.Since(c.start) > quickDialWindow) {
 		return c.peerOrRefuse("no endpoint could be reached")
 	}
@@ -272,11 +276,16 @@
 	if choice, ok := c.nextPeer(true); ok {
 		return choice, nil
 	}
+	return placement.Choice{}, c.refuseUnreachable(detail)
+}
+
+// refuseUnreachable is refuseFurther for a request whose endpoints this VM can't connect to.
+func (c *call) refuseUnreachable(detail string) *refusal.Refusal {
 	refused := c.refuseFurther(detail)
 	if c.ran == refusal.NotRun {
 		refused.Code = refusal.NoEndpoint
 	}
-	return placement.Choice{}, refused
+	return refused
 }
 
 // endpointsReached returns the number of endpoints that the request reached, whether they ran
--- a/gateway/forward/detour_test.go
+++ b/gateway/forward/detour_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"sync"
@@ -182,3 +183,45 @@
 	}
 	require.Zero(t, a.totalRuns())
 }
+
+// Guards against a forwarded request that waits at one endpoint after the other, when the VM that got it
+// has lost its paths without knowing, instead of going to a third VM.
+func TestForwardedRequestIsRefusedOnceNoEndpointAnswers(t *testing.T) {
+	a, b, c := newTestEnv(t, 3), newTestEnv(t, 12), newTestEnv(t, 1)
+	a.cutOff(b, c)
+	b.cutOff()
+	require.Equal(t, http.StatusOK, a.send("POST", "/once/x", "body").status)
+	unreached := 0
+	for _, row := range b.table.Rows(time.Now()) {
+		if row.AvoidMs > 0 {
+			unreached++
+		}
+	}
+	require.Equal(t, 2, unreached, "endpoints that the other VM tried")
+	require.EqualValues(t, 1, c.totalRuns())
+}
+
+// Guards against endpoints that go on working for a caller who has left, when the request took a detour.
+func TestCallerLeavesDuringADetour(t *testing.T) {
+	a, b := newTestEnv(t, 3), newTestEnv(t, 1)
+	a.cutOff(b)
+	began, ended := make(chan struct{}), make(chan struct{})
+	b.setHandlers(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, a.vmServer.URL+"/safe/x", nil)
+	require.NoError(t, err)
+	req.Host = "h"
+	req.Header.Set(testNames.RequestID, "left")
+	req.Header.Set(testNames.Key, "k")
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, err = http.DefaultTransport.RoundTrip(req)
+	require.ErrorIs(t, err, context.Canceled)
+	<-ended
+}
--- a/gateway/node/state.go
+++ b/gateway/node/state.go
@@ -14,8 +14,10 @@
 	VM       string `json:"vm"`
 	Ready    bool   `json:"ready"`
 	Stopping bool   `json:"stopping"`
-	Active   int64  `json:"active"`
-	Config   int64  `json:"configVersion"`
+	// PathsLost says that the VM reaches none of its endpoints.
+	PathsLost bool  `json:"pathsLost"`
+	Active    int64 `json:"active"`
+	Config    int64 `json:"configVersion"`
 	// ConfigAgeMs is the time in ms since the configuration was last confirmed as the newest.
 	ConfigAgeMs int64             `json:"configAgeMs"`
 	VMs         []string          `json:"vms"`
@@ -28,7 +30,7 @@
 
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	d := Dump{
-		VM: n.s.VM, Ready: n.Ready(), Stopping: n.stopping.Load(), Active: n.handler.Active(),
+		VM: n.s.VM, Ready: n.Ready(), Stopping: n.stopping.Load(), PathsLost: n.paths.tracker.Lost(), Active: n.handler.Active(),
 		ConfigAgeMs: n.view.ConfigAge().Milliseconds(), VMs: n.gossip.Table().AliveNames(bootClock()),
 		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(), Sessions: n.sticky.Sweep(),
 	}
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -28,10 +28,13 @@
 	Failing   float64 `json:"failing"`
 	OtherLife bool    `json:"otherLife"`
 	// Limit is the request limit that the endpoint stated, in requests a second; null for none.
-	Limit   *float64 `json:"limit"`
-	Load    float64  `json:"load"`
-	Running int      `json:"running"`
-	Slots   int      `json:"slots"`
+	Limit *float64 `json:"limit"`
+	// Brittle is the number of requests that the endpoint said that it can turn away in a second;
+	// null for none.
+	Brittle *int    `json:"brittle"`
+	Load    float64 `json:"load"`
+	Running int     `json:"running"`
+	Slots   int     `json:"slots"`
 }
 
 // Rows returns all endpoints, sorted by ID.
@@ -44,12 +47,17 @@
 		if rate := e.limit.Rate; e.limit.Limited {
 			limit = &rate
 		}
+		var brittle *int
+		if e.isBrittle() {
+			bound, _ := e.needs.brittle.Bound()
+			brittle = &bound
+		}
 		out = append(out, Row{
 			ID: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version,
 			Draining: e.Draining, Leaving: e.isLeaving(), Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
 			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), RestMs: e.restLeft(now).Milliseconds(), Lost: e.lost, Detector: int(e.outlierState),
 			Failing: e.excessFailures, OtherLife: e.fleetRecord.OtherLife,
-			Limit: limit, Load: e.load, Running: e.requests, Slots: e.Slots,
+			Limit: limit, Brittle: brittle, Load: e.load, Running: e.requests, Slots: e.Slots,
 		})
 	}
 	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
--- a/policy/reach/detour.go
+++ b/policy/reach/detour.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -71,24 +72,25 @@
 func (d *Detours) ended(now time.Time, pauses map[string]time.Time, name string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	until, found := pauses[name]
-	if found && !now.Before(until) {
-		delete(pauses, name)
-		return true
-	}
-	return !found
+	return !now.Before(pauses[name])
 }
 
 // Unusable records that a VM gave no answer or reaches no endpoint either.
 func (d *Detours) Unusable(now time.Time, vm string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.vms[vm] = now.Add(vmPause)
+	pause(now, d.vms, vm, vmPause)
 }
 
 // Down records that the VMs which one request was sent to reached no endpoint of its service.
 func (d *Detours) Down(now time.Time, service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.services[service] = now.Add(servicePause)
+	pause(now, d.services, service, servicePause)
+}
+
+// pause starts a pause and forgets those that are over, since VMs and services come and go.
+func pause(now time.Time, pauses map[string]time.Time, name string, length time.Duration) {
+	maps.DeleteFunc(pauses, func(_ string, until time.Time) bool { return !now.Before(until) })
+	pauses[name] = now.Add(length)
 }
--- a/policy/reach/ways_test.go
+++ b/policy/reach/ways_test.go
@@ -33,11 +33,10 @@
 }
 
 type playVM struct {
-	tracker  *Tracker
-	detours  *Detours
-	avoid    [playEndpoints]time.Duration // until
-	changed  time.Duration                // when it lost or regained its paths
-	saysLost bool
+	tracker *Tracker
+	detours *Detours
+	avoid   [playEndpoints]time.Duration // until
+	changed time.Duration                // when it lost or regained its paths
 }
 
 type play struct {
