--- a/fleet/gossip/words.go
+++ b/fleet/gossip/words.go
@@ -9,8 +9,8 @@
 )
 
 // Reports is a packed list of reports on VMs: for each VM the hash of its name, the age of its
-// last message, and whether it was ready and without paths to endpoints then. The encoding is compact because in a fleet of
-// hundreds each datagram reports on many VMs.
+// last message, and whether it was ready and had lost its paths to the endpoints then. The encoding
+// is compact because in a fleet of hundreds each datagram reports on many VMs.
 type Reports []byte
 
 // report is one unpacked entry of Reports.
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -38,14 +38,16 @@
 	prompt      prompt
 	fingerprint uint64 // fingerprint of the request's content, for package poison
 
-	service        string
-	model          int      // index in the route's models, smallest first
-	tried          []string // endpoints that got the request or refused the connection
-	possibleRuns   int      // attempts that ran or may have run
-	misdirected    int      // endpoints that refused as an unexpected incarnation; they ran nothing
-	atCapacity     int      // endpoints that refused for lack of capacity; they ran nothing
-	failedDials    int      // connections that could not be established
-	unreached      []string // endpoints in tried that took no connection or ended one without an answer
+	service      string
+	model        int      // index in the route's models, smallest first
+	tried        []string // endpoints that got the request or refused the connection
+	possibleRuns int      // attempts that ran or may have run
+	misdirected  int      // endpoints that refused as an unexpected incarnation; they ran nothing
+	atCapacity   int      // endpoints that refused for lack of capacity; they ran nothing
+	failedDials  int      // connections that could not be established
+	// unreached are the endpoints in tried that took no connection or ended one without an answer, and
+	// pathFailures sums them up.
+	unreached      []string
 	pathFailures   reach.Request
 	status         int  // status code of the answer that was passed on
 	retryGranted   bool // the retry budget has already granted the next attempt
@@ -71,9 +73,11 @@
 	// number of attempts that it allows.
 	forwardedBy          string
 	maxForwardedAttempts int
-	via                  *Peer    // the VM that the current attempt goes through; nil for none
-	peersTried           []string // VMs that the request was sent to
-	peersWithoutEndpoint int      // those of them that reached no endpoint of the service
+	// via is the VM that the current attempt goes through, nil for none. peersTried are those that the
+	// request was sent to, and peersWithoutEndpoint is how many of them reached no endpoint.
+	via                  *Peer
+	peersTried           []string
+	peersWithoutEndpoint int
 }
 
 // attemptRecord is one attempt in the request's log line.
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -24,9 +24,9 @@
 	// Next returns a VM for a request of the service that may run in the given regions (all if empty);
 	// ok is false if there is none. Those in tried got the request before.
 	Next(service string, regions, tried []string) (vm Peer, ok bool)
-	// Unusable records that a VM gave no answer or reaches no endpoint either, and Down that the VMs
-	// that one request was sent to reached no endpoint of its service.
+	// Unusable records that a VM gave no answer or reaches no endpoint either.
 	Unusable(vm string)
+	// Down records that all VMs that one request was sent to reached no endpoint of its service.
 	Down(service string)
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -174,7 +174,8 @@
 		Regions:   s.Regions, ColdShare: n.coldShare, OnRemove: n.pool.Forget,
 	})
 	n.handler = forward.New(forward.Config{
-		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, VMs: func() int { return max(len(n.sharingVMs()), 1) }, Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
+		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, VMs: func() int { return max(len(n.sharingVMs()), 1) },
+		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
 		Budget: newBudgets(n), Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -103,7 +103,7 @@
 		idle: make(map[string][]*conn), retryable: make(map[string]map[*Answer]struct{}), detector: silence.New(), observer: o,
 		dials: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: name + "_connections_total",
-			Help: "Connections made, probes included.",
+			Help: "Connections made, including probes.",
 		}),
 	}
 	r.MustRegister(p.dials)
