--- a/gateway/forward/detour_test.go
+++ b/gateway/forward/detour_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/reach"
 )
 
@@ -225,3 +228,40 @@
 	require.ErrorIs(t, err, context.Canceled)
 	<-ended
 }
+
+// hangingEndpoint adds an endpoint that neither accepts nor refuses connections, as behind a network
+// that drops packets: nobody accepts, and the queue of its listener is full.
+func (w *testEnv) hangingEndpoint(id string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { l.Close() })
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	require.NoError(w.t, err)
+	require.NoError(w.t, raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), 0) }))
+	for err == nil {
+		var c net.Conn
+		if c, err = net.DialTimeout("tcp4", l.Addr().String(), 100*time.Millisecond); err == nil {
+			w.t.Cleanup(func() { c.Close() })
+		}
+	}
+	w.table.Set(time.Now(), placement.Spec{ID: id, Service: "s", Address: l.Addr().String(), DataCentre: "a", Version: "v1", Slots: 8})
+}
+
+// Guards against a request that waits for one hanging connection after the other, while a caller with
+// little time leaves.
+func TestRequestTriesOneHangingEndpoint(t *testing.T) {
+	a, b := newTestEnv(t, 0), newTestEnv(t, 1)
+	for _, id := range []string{"e0", "e1", "e2"} {
+		a.hangingEndpoint(id)
+	}
+	a.detourTo(b)
+	require.Equal(t, http.StatusOK, a.send("POST", "/once/x", "body").status)
+	tried := 0
+	for _, row := range a.table.Rows(time.Now()) {
+		if row.AvoidMs > 0 {
+			tried++
+		}
+	}
+	require.Equal(t, 1, tried)
+	require.EqualValues(t, 1, b.totalRuns())
+}
--- a/policy/silence/silence_test.go
+++ b/policy/silence/silence_test.go
@@ -191,3 +191,19 @@
 	require.Greater(t, f.probes, 300)
 	require.LessOrEqual(t, f.lost, 1)
 }
+
+// Guards against answers that wait at lost endpoints for 1.5 s although this VM has lost its paths to all.
+func TestMoveAllNamesLostEndpointsOnce(t *testing.T) {
+	d := New()
+	for _, a := range []string{"a", "b"} {
+		d.RequestSent(at(0), a)
+	}
+	require.Len(t, d.DueProbes(at(300)), 2)
+	require.Empty(t, d.MoveAll())
+	require.Equal(t, Unsure, failProbe(d, 300))
+	require.Equal(t, Lost, failProbe(d, 500))
+	require.Equal(t, []string{"a"}, d.MoveAll())
+	require.Empty(t, d.MoveAll())
+	require.Equal(t, []string{"a"}, d.DueProbes(at(2000)))
+	require.Equal(t, StillLost, failProbe(d, 2000), "they have moved")
+}
