--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -30,6 +30,9 @@
 	vms   []*vm
 	cut   map[*vm]bool
 	conns map[net.Conn]*vm
+	// missed counts connections whose VM wasn't found at the first look, unknown those for which it
+	// wasn't found at all.
+	missed, unknown int
 }
 
 func newNetwork() *network {
@@ -86,13 +89,24 @@
 	return slices.Index(n.vms, n.conns[c])
 }
 
+func (n *network) count(what *int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	*what++
+}
+
+// maxLooks bounds the searches for a connection's VM. The system's table of connections changes while
+// it is read, so that one may be missed.
+const maxLooks = 3
+
 // pathListener is an endpoint's listener behind a network.
 type pathListener struct {
 	net.Listener
 	n *network
 }
 
-// Accept returns the next connection of a VM that has its paths.
+// Accept returns the next connection of a VM that has its paths. A connection whose VM isn't found is
+// reset, since its requests would count for another VM.
 func (l *pathListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -100,8 +114,15 @@
 			return nil, err
 		}
 		v := l.n.lookUp(c)
+		for look := 1; v == nil && look < maxLooks; look++ {
+			v = l.n.lookUp(c)
+			l.n.count(&l.n.missed)
+		}
+		if v == nil {
+			l.n.count(&l.n.unknown)
+		}
 		l.n.mu.Lock()
-		cut := l.n.cut[v]
+		cut := v == nil || l.n.cut[v]
 		if cut {
 			reset(c)
 		} else {
--- a/cmd/goldcrest-node/soak_rest_test.go
+++ b/cmd/goldcrest-node/soak_rest_test.go
@@ -22,13 +22,19 @@
 // restRecord records the requests at an endpoint that asks for rest, by VM.
 type restRecord struct {
 	mu       sync.Mutex
-	askedAt  map[int][]time.Time // by VM; refusals
+	askedAt  map[int][]askedRest // by VM
 	arrivals map[int][]time.Time
 	excused  map[int][][2]time.Time // times in which a VM had a fault
 }
 
+// askedRest is a refusal that asked for rest.
+type askedRest struct {
+	at      time.Time
+	request string
+}
+
 func newRestRecord() *restRecord {
-	return &restRecord{askedAt: make(map[int][]time.Time), arrivals: make(map[int][]time.Time), excused: make(map[int][][2]time.Time)}
+	return &restRecord{askedAt: make(map[int][]askedRest), arrivals: make(map[int][]time.Time), excused: make(map[int][][2]time.Time)}
 }
 
 func (r *restRecord) arrive(vm int) {
@@ -38,13 +44,13 @@
 }
 
 // ask writes a refusal that asks for rest.
-func (r *restRecord) ask(rw http.ResponseWriter, vm int) {
+func (r *restRecord) ask(rw http.ResponseWriter, vm int, request string) {
 	rw.Header().Set(platform.Names().NotRun, "1")
 	rw.Header().Set(platform.Names().Rest, fmt.Sprint(soakRest.Seconds()))
 	rw.WriteHeader(http.StatusServiceUnavailable)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.askedAt[vm] = append(r.askedAt[vm], time.Now())
+	r.askedAt[vm] = append(r.askedAt[vm], askedRest{time.Now(), request})
 }
 
 // excuse makes the rests of a VM not count that overlap the time until over is called.
@@ -63,10 +69,10 @@
 	defer r.mu.Unlock()
 	for vm, list := range r.askedAt {
 		for _, asked := range list {
-			from, to := asked.Add(restKnown), asked.Add(soakRest)
+			from, to := asked.at.Add(restKnown), asked.at.Add(soakRest)
 			excused := false
 			for _, fault := range r.excused[vm] {
-				excused = excused || fault[0].Before(to) && fault[1].After(asked)
+				excused = excused || fault[0].Before(to) && fault[1].After(asked.at)
 			}
 			if excused {
 				continue
@@ -79,7 +85,7 @@
 				}
 			}
 			if n > maxDuringRest {
-				out = append(out, fmt.Sprintf("%s got %d requests from VM %d during a rest", soakResting, n, vm))
+				out = append(out, fmt.Sprintf("%s got %d requests from VM %d during a rest, asked for with the answer to %s", soakResting, n, vm, asked.request))
 			}
 		}
 	}
--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -242,7 +242,7 @@
 		if name == soakResting {
 			w.rest.arrive(from)
 			if fault < 5 {
-				w.rest.ask(rw, from)
+				w.rest.ask(rw, from, id)
 				return
 			}
 		}
@@ -502,6 +502,19 @@
 	return w.requestCounts[endpoint]
 }
 
+// logLines logs what the VMs wrote about a request.
+func (w *soakTestbed) logLines(request string) {
+	for i, v := range w.vms {
+		v.mu.Lock()
+		for _, l := range v.lines {
+			if strings.Contains(l, `"`+request+`"`) {
+				w.t.Logf("VM %d: %s", i, l)
+			}
+		}
+		v.mu.Unlock()
+	}
+}
+
 // checkRecords checks the records of callers and endpoints: a non-repeatable request runs
 // at most once and not at all if it was refused, and no request runs with a key that was
 // revoked longer than soakRevocation before.
@@ -528,6 +541,12 @@
 	broken, rests := w.rest.violations()
 	w.violations = append(w.violations, broken...)
 	w.t.Logf("seed %d: %d rests were checked", seed, rests)
+	w.network.mu.Lock()
+	w.t.Logf("seed %d: the VM of %d connections wasn't found at the first look, of %d not at all", seed, w.network.missed, w.network.unknown)
+	w.network.mu.Unlock()
+	for _, v := range broken {
+		w.logLines(v[strings.LastIndex(v, " ")+1:])
+	}
 	w.t.Logf("seed %d: %d requests at the endpoint with a limit of %v a second were counted", seed, len(w.limit.counted), w.limit.limit)
 	w.t.Logf("seed %d: %d requests, %d served, %d keys revoked", seed, len(w.records), served, len(w.revokedAt))
 	require.Empty(w.t, w.violations, "seed %d", seed)
