Probe for longer if connections that open carry no answer

Its endpoints look up the VM of a new connection before they reset it, which took more than 50 ms there; a probed connection that was open for 50 ms counted as a path, so that the VMs never took theirs for lost and requests took their detour one by one.

The time that a probed connection must stay open doubles with each success that no byte from any endpoint followed, up to a second. TestProbesThatCarryNothingTakeLonger fails with a fixed time.

--- a/gateway/node/paths.go
+++ b/gateway/node/paths.go
@@ -140,7 +140,8 @@
 // probe probes some of the endpoints.
 func (p *paths) probe(ctx context.Context, addresses []string) {
 	began := time.Now()
-	succeeded := anyOf(addresses, func(address string) bool { return p.n.pool.Probe(ctx, address) })
+	settle := p.tracker.SettleTime()
+	succeeded := anyOf(addresses, func(address string) bool { return p.n.pool.Probe(ctx, address, settle) })
 	if ctx.Err() != nil {
 		return
 	}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -229,20 +229,16 @@
 	return true
 }
 
-// settleTime is how long a probed connection must stay open. A network that refuses connections may
-// let them open and reset them a round trip later.
-const settleTime = 50 * time.Millisecond
-
-// Probe reports whether an address takes a connection and keeps it open. The connection is kept for
-// a later request.
-func (p *Pool) Probe(ctx context.Context, addr string) bool {
+// Probe reports whether an address takes a connection and keeps it open for the given time. The
+// connection is kept for a later request.
+func (p *Pool) Probe(ctx context.Context, addr string, settle time.Duration) bool {
 	c, err := p.dial(ctx, addr, silence.ProbeTimeout)
 	if err != nil {
 		return false
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(settleTime):
+	case <-time.After(settle):
 	}
 	if !c.usable() {
 		c.Close()
--- a/policy/reach/reach.go
+++ b/policy/reach/reach.go
@@ -11,6 +11,10 @@
 	minFailed = 3
 	// probeInterval is the time between two probes by a VM that has lost its paths.
 	probeInterval = 300 * time.Millisecond
+	// minSettleTime is how long a probed connection must stay open. A network that refuses connections
+	// may let them open and reset them a round trip later.
+	minSettleTime = 50 * time.Millisecond
+	maxSettleTime = time.Second
 )
 
 // Tracker holds what one VM knows of its paths to the endpoints. It is safe for concurrent use.
@@ -20,7 +24,9 @@
 	failed     map[string]time.Time // endpoints' addresses that failed since, and when
 	lost       bool
 	probing    bool
-	nextProbe  time.Time // of a VM that has lost its paths
+	// unconfirmed counts the probes that succeeded since bytes came from any endpoint.
+	unconfirmed int
+	nextProbe   time.Time // of a VM that has lost its paths
 }
 
 // New returns the tracker of a VM that has its paths.
@@ -30,6 +36,7 @@
 func (t *Tracker) Received(now time.Time) (regained bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.unconfirmed = 0
 	return t.received(now)
 }
 
@@ -77,6 +84,20 @@
 	return true
 }
 
+// SettleTime returns how long a probed connection must stay open to count as a success. It doubles with
+// each success that was followed by no byte from any endpoint.
+func (t *Tracker) SettleTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	settle := minSettleTime
+	for range t.unconfirmed {
+		if settle *= 2; settle >= maxSettleTime {
+			return maxSettleTime
+		}
+	}
+	return settle
+}
+
 // Change is what a probe changed.
 type Change int
 
@@ -94,6 +115,7 @@
 	defer t.mu.Unlock()
 	t.probing = false
 	if succeeded {
+		t.unconfirmed++
 		if t.received(now) {
 			return PathsRegained
 		}
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -68,3 +68,23 @@
 	require.False(t, tr.Lost())
 	require.False(t, tr.DueProbe(now, known))
 }
+
+// Guards against a VM that takes its paths for intact, again and again, because connections open and are
+// reset some time later.
+func TestProbesThatCarryNothingTakeLonger(t *testing.T) {
+	for _, resetAfter := range []time.Duration{0, 60 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond} {
+		tr, now := New(), time.Now()
+		probes := 0
+		for ; !tr.Lost(); probes++ {
+			require.Less(t, probes, 8, resetAfter)
+			fail(tr, now, minFailed)
+			require.True(t, tr.DueProbe(now, known))
+			began, settle := now, tr.SettleTime()
+			now = now.Add(settle)
+			tr.ProbeDone(began, now, settle <= resetAfter)
+		}
+		tr.Received(now)
+		require.False(t, tr.Lost())
+		require.Equal(t, minSettleTime, tr.SettleTime())
+	}
+}
