--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -174,8 +174,8 @@
 	return fields[inode]
 }
 
-// fleetBehind is VMs before endpoints that a network can cut off from single VMs.
-type fleetBehind struct {
+// pathFleet is a fleet of VMs, single ones of which a network can cut off from the endpoints.
+type pathFleet struct {
 	t       *testing.T
 	network *network
 	vms     []*vm
@@ -183,8 +183,8 @@
 	runs    map[string]int // by request
 }
 
-// startBehind starts VMs and endpoints of one service.
-func startBehind(t *testing.T, vms, endpoints int) *fleetBehind {
+// startPathFleet starts VMs and endpoints of one service.
+func startPathFleet(t *testing.T, vms, endpoints int) *pathFleet {
 	store, address := platformtest.New(t)
 	route := func(kind string) map[string]any {
 		return map[string]any{
@@ -197,7 +197,7 @@
 		"services": []any{map[string]any{"name": "s"}},
 		"tenants":  []any{map[string]any{"name": "acme", "apiKeys": []string{"k"}}},
 	})
-	f := &fleetBehind{t: t, network: newNetwork(), runs: make(map[string]int)}
+	f := &pathFleet{t: t, network: newNetwork(), runs: make(map[string]int)}
 	for i := range endpoints {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -214,7 +214,7 @@
 }
 
 // ServeHTTP is an endpoint.
-func (f *fleetBehind) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *pathFleet) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := platform.Names()
 	id := r.Header.Get(n.RequestID)
 	f.mu.Lock()
@@ -235,7 +235,7 @@
 var kindsOfRequests = []string{"non_idempotent", "idempotent", "streaming"}
 
 // try sends one request. It reports whether the caller got the whole answer.
-func (f *fleetBehind) try(v *vm, id, kind string) bool {
+func (f *pathFleet) try(v *vm, id, kind string) bool {
 	n := platform.Names()
 	ctx, cancel := context.WithTimeout(f.t.Context(), 10*time.Second)
 	defer cancel()
@@ -265,7 +265,7 @@
 }
 
 // served sends requests of all kinds, one after the other, and returns how many were served.
-func (f *fleetBehind) served(v *vm, name string, requests int) (served int) {
+func (f *pathFleet) served(v *vm, name string, requests int) (served int) {
 	for i := range requests {
 		if f.try(v, fmt.Sprint(name, "-", v.front, "-", i), kindsOfRequests[i%len(kindsOfRequests)]) {
 			served++
@@ -275,7 +275,7 @@
 }
 
 // awaitServing sends requests to a VM until it serves one of each kind in a row.
-func (f *fleetBehind) awaitServing(v *vm, name string) {
+func (f *pathFleet) awaitServing(v *vm, name string) {
 	round := 0
 	require.Eventually(f.t, func() bool {
 		round++
@@ -284,7 +284,7 @@
 }
 
 // requireRunOnce requires that no request that may not be repeated ran twice.
-func (f *fleetBehind) requireRunOnce() {
+func (f *pathFleet) requireRunOnce() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, runs := range f.runs {
@@ -307,7 +307,7 @@
 		"most, old connections left open": {5, 3, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := startBehind(t, c.vms, 6)
+			f := startPathFleet(t, c.vms, 6)
 			for _, v := range f.vms {
 				require.Equal(t, 12, f.served(v, "before", 12))
 			}
@@ -337,7 +337,7 @@
 // Guards against a directory that goes on sending callers to VMs without paths, or that names nobody
 // when all VMs have lost theirs.
 func TestDirectoryLeadsCallersToVMsWithPaths(t *testing.T) {
-	f := startBehind(t, 4, 4)
+	f := startPathFleet(t, 4, 4)
 	round := 0
 	named := func(want int) {
 		t.Helper()
