--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -294,8 +294,7 @@
 	}
 }
 
-// Guards against VMs that refuse their callers when they lose their own paths to all endpoints, though
-// other VMs reach these.
+// Guards against VMs that refuse their callers when they lose their own paths to all endpoints, though other VMs reach these.
 func TestVMsWithoutPathsServeTheirCallers(t *testing.T) {
 	for name, c := range map[string]struct {
 		vms, cut int
@@ -334,8 +333,7 @@
 	}
 }
 
-// Guards against a directory that goes on sending callers to VMs without paths, or that names nobody
-// when all VMs have lost theirs.
+// Guards against a directory that goes on sending callers to VMs without paths, or that names nobody when all VMs have lost theirs.
 func TestDirectoryLeadsCallersToVMsWithPaths(t *testing.T) {
 	f := startPathFleet(t, 4, 4)
 	round := 0
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -271,27 +270,6 @@
 	return choice, nil
 }
 
-// peerOrRefuse returns another VM if this one can't connect to the endpoints that may run the request,
-// and otherwise a refusal.
-func (c *call) peerOrRefuse(detail string) (placement.Choice, *refusal.Refusal) {
-	if !c.isUnreachable() {
-		return placement.Choice{}, c.refuseFurther(detail)
-	}
-	if choice, ok := c.nextPeer(true); ok {
-		return choice, nil
-	}
-	return placement.Choice{}, c.refuseUnreachable(detail)
-}
-
-// refuseUnreachable is refuseFurther for a request whose endpoints this VM can't connect to.
-func (c *call) refuseUnreachable(detail string) *refusal.Refusal {
-	refused := c.refuseFurther(detail)
-	if c.ran == refusal.NotRun {
-		refused.Code = refusal.NoEndpoint
-	}
-	return refused
-}
-
 // endpointsReached returns the number of endpoints that the request reached, whether they ran
 // it or not.
 func (c *call) endpointsReached() int { return c.possibleRuns + c.misdirected + c.atCapacity }
@@ -438,20 +416,6 @@
 	return c.outcomeUnknown("the connection broke")
 }
 
-// dialFailure names, for the log, why no connection could be established.
-func dialFailure(err error) string {
-	var ne net.Error
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return "refused"
-	case errors.Is(err, syscall.ECONNRESET):
-		return "reset"
-	case errors.As(err, &ne) && ne.Timeout():
-		return "timeout"
-	}
-	return "failed"
-}
-
 // isClosedByPeer reports whether a connection broke because the endpoint's machine closed or reset
 // it. A machine without power or network does neither: the VM gives the connection up.
 func isClosedByPeer(err error) bool {
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"goldcrestfork/gateway/upstream"
@@ -104,6 +105,20 @@
 	c.unreached = append(c.unreached, id)
 }
 
+// dialFailure names, for the log, why no connection could be established.
+func dialFailure(err error) string {
+	var ne net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET):
+		return "reset"
+	case errors.As(err, &ne) && ne.Timeout():
+		return "timeout"
+	}
+	return "failed"
+}
+
 // nextPeer returns a VM to send the request to, in the form of a choice, if the request can't go to an
 // endpoint directly. noneLeft says that this VM can connect to no endpoint that may run it.
 func (c *call) nextPeer(noneLeft bool) (placement.Choice, bool) {
@@ -122,6 +137,27 @@
 	return placement.Choice{ID: "vm:" + p.Name, Address: p.Address}, true
 }
 
+// peerOrRefuse returns another VM if this one can't connect to the endpoints that may run the request,
+// and otherwise a refusal.
+func (c *call) peerOrRefuse(detail string) (placement.Choice, *refusal.Refusal) {
+	if !c.isUnreachable() {
+		return placement.Choice{}, c.refuseFurther(detail)
+	}
+	if choice, ok := c.nextPeer(true); ok {
+		return choice, nil
+	}
+	return placement.Choice{}, c.refuseUnreachable(detail)
+}
+
+// refuseUnreachable is refuseFurther for a request whose endpoints this VM can't connect to.
+func (c *call) refuseUnreachable(detail string) *refusal.Refusal {
+	refused := c.refuseFurther(detail)
+	if c.ran == refusal.NotRun {
+		refused.Code = refusal.NoEndpoint
+	}
+	return refused
+}
+
 // isUnreachable reports whether an endpoint could run the request if this VM could connect to it.
 func (c *call) isUnreachable() bool {
 	v, _ := c.pin.Choose(c.r.Context())
--- a/gateway/forward/detour_test.go
+++ b/gateway/forward/detour_test.go
@@ -71,8 +71,7 @@
 
 var detourPaths = []string{"/once/x", "/safe/x", "/stream/x", "/sized/x"}
 
-// Guards against requests that are refused, or that reach an endpoint changed, when only other VMs can
-// connect to the endpoints.
+// Guards against requests that are refused, or that reach an endpoint changed, when only other VMs can connect to the endpoints.
 func TestRequestsGoThroughAnotherVM(t *testing.T) {
 	a, b := newTestEnv(t, 3), newTestEnv(t, 1)
 	a.cutOff(b)
@@ -96,8 +95,7 @@
 	require.Equal(t, "small", b.headers()[len(detourPaths)-1].Get(testNames.Model), "the other VM chooses the model")
 }
 
-// Guards against requests that VMs without paths send each other in circles, and against refusals of
-// these that aren't given at once.
+// Guards against requests that VMs without paths send each other in circles, and against refusals of these that aren't given at once.
 func TestForwardedRequestIsForwardedNoFurther(t *testing.T) {
 	a, b := newTestEnv(t, 3), newTestEnv(t, 3)
 	d := a.cutOff(b, b, b)
@@ -110,8 +108,7 @@
 	require.Contains(t, d.down, "s", "three VMs reach no endpoint of the service")
 }
 
-// Guards against a VM with an older configuration that handles a request by it, though the caller has
-// seen the effect of a newer one.
+// Guards against a VM with an older configuration that handles a request by it, though the caller has seen the effect of a newer one.
 func TestOlderConfigurationRunsNoForwardedRequest(t *testing.T) {
 	a, b, c := newTestEnv(t, 3), newTestEnv(t, 1), newTestEnv(t, 1)
 	b.state.config.Revision--
@@ -190,8 +187,7 @@
 	require.Zero(t, a.totalRuns())
 }
 
-// Guards against a forwarded request that waits at one endpoint after the other, when the VM that got it
-// has lost its paths without knowing, instead of going to a third VM.
+// Guards against a forwarded request that waits at one endpoint after the other, when the VM that got it has lost its paths without knowing, instead of going to a third VM.
 func TestForwardedRequestIsRefusedOnceNoEndpointAnswers(t *testing.T) {
 	a, b, c := newTestEnv(t, 3), newTestEnv(t, 12), newTestEnv(t, 1)
 	a.cutOff(b, c)
@@ -250,8 +246,7 @@
 	w.table.Set(time.Now(), placement.Spec{ID: id, Service: "s", Address: l.Addr().String(), DataCentre: "a", Version: "v1", Slots: 8})
 }
 
-// Guards against a request that waits for one hanging connection after the other, while a caller with
-// little time leaves.
+// Guards against a request that waits for one hanging connection after the other, while a caller with little time leaves.
 func TestRequestTriesOneHangingEndpoint(t *testing.T) {
 	a, b := newTestEnv(t, 0), newTestEnv(t, 1)
 	for _, id := range []string{"e0", "e1", "e2"} {
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -216,8 +216,7 @@
 	require.InDelta(t, 10, coldShare([]string{"vm"}, "vm", "e", 10), 0)
 }
 
-// Guards against requests in quarantine, here and at the VMs that are told, because a VM that lost its
-// network paths took its endpoints for crashed.
+// Guards against requests in quarantine, here and at the VMs that are told, because a VM that lost its network paths took its endpoints for crashed.
 func TestLostPathsAreNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSuspects(func(string) bool { return false }, &lostPaths{}, func() {}, zerolog.Nop())
@@ -237,8 +236,7 @@
 	})
 }
 
-// Guards against a crash that isn't noticed, or one that is made up, because all endpoints were out of
-// reach for a moment.
+// Guards against a crash that isn't noticed, or one that is made up, because all endpoints were out of reach for a moment.
 func TestCrashIsDecidedOnceThePathsAreBack(t *testing.T) {
 	for _, up := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gateway/upstream/watch_test.go
+++ b/gateway/upstream/watch_test.go
@@ -125,8 +125,7 @@
 	require.Empty(t, lost)
 }
 
-// Guards against a connection that breaks while its endpoint is silent for a second, because the time
-// for unacknowledged bytes ends it before the keep-alive probes do.
+// Guards against a connection that breaks while its endpoint is silent for a second, because the time for unacknowledged bytes ends it before the keep-alive probes do.
 func TestConnectionSurvivesASecondOfSilence(t *testing.T) {
 	s := serve(t, nil)
 	c, err := newTestPool(t).dial(t.Context(), s.Addr().String(), dialTimeout)
--- a/policy/brittle/brittle_test.go
+++ b/policy/brittle/brittle_test.go
@@ -171,8 +171,7 @@
 	return p
 }
 
-// Guards against a full service whose endpoints fall over one after the other, and against one that
-// serves less than it could.
+// Guards against a full service whose endpoints fall over one after the other, and against one that serves less than it could.
 func TestBrittleEndpointsUnderLoad(t *testing.T) {
 	const seeds, maxFalls = 3, 2 + loadEndpoints/10
 	for _, load := range []float64{0.5, 1.0, 1.5, 3.0} {
--- a/policy/placement/paths_test.go
+++ b/policy/placement/paths_test.go
@@ -18,8 +18,7 @@
 	}
 }
 
-// Guards against a VM without paths that drives the load of the others onto the endpoints that it has
-// not tried.
+// Guards against a VM without paths that drives the load of the others onto the endpoints that it has not tried.
 func TestVMWithoutPathsShiftsNoLoadOfOthers(t *testing.T) {
 	const endpoints = 9
 	now := time.Now()
--- a/policy/reach/reach_test.go
+++ b/policy/reach/reach_test.go
@@ -49,8 +49,7 @@
 	require.False(t, tr.Lost())
 }
 
-// Guards against a VM that probes without a pause while it has no paths, or goes on without them once
-// they are back.
+// Guards against a VM that probes without a pause while it has no paths, or goes on without them once they are back.
 func TestLostPathsAreProbedUntilOneSucceeds(t *testing.T) {
 	tr, now := New(), time.Now()
 	fail(tr, now, minFailed)
@@ -69,8 +68,7 @@
 	require.False(t, tr.DueProbe(now, known))
 }
 
-// Guards against a VM that takes its paths for intact, again and again, because connections open and are
-// reset some time later.
+// Guards against a VM that takes its paths for intact, again and again, because connections open and are reset some time later.
 func TestProbesThatCarryNothingTakeLonger(t *testing.T) {
 	for _, resetAfter := range []time.Duration{0, 60 * time.Millisecond, 300 * time.Millisecond, 900 * time.Millisecond} {
 		tr, now := New(), time.Now()
--- a/policy/reach/ways_test.go
+++ b/policy/reach/ways_test.go
@@ -228,8 +228,7 @@
 	return p
 }
 
-// Guards against callers of VMs without paths that are served worse than the others, however many VMs
-// are cut off, and against a decision that costs the others more work than needed.
+// Guards against callers of VMs without paths that are served worse than the others, however many VMs are cut off, and against a decision that costs the others more work than needed.
 func TestLostPathsUnderLoad(t *testing.T) {
 	const seeds = 3
 	for _, cut := range []int{1, 4, 6} {
--- a/policy/silence/silence_test.go
+++ b/policy/silence/silence_test.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// Guards against requests that move from a sound endpoint, which goes on with them after a second of
-// silence.
+// Guards against requests that move from a sound endpoint, which goes on with them after a second of silence.
 func TestShortSilenceMovesNoRequest(t *testing.T) {
 	for seed := range uint64(20) {
 		f := &simulation{rng: rand.New(rand.NewPCG(seed, 2)), detector: New(), silentFrom: 5000, silentTo: 6200}
