Log how answers arrive and the tallies of a roll-out in progress

The lines of the incident couldn't tell a slow version from a slow fleet, nor what the VMs knew of it after they had taken it: a request's line gave its whole time alone, and "roll-out judged" came once a decision. A line now has the time to each attempt's head, the events that came and when the last one did (answer_ms); each VM writes the tallies of a roll-out in progress every two seconds. No decision changes.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -61,7 +61,8 @@
 	// largest model, or why a connection failed.
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
-	begun      bool      // the current attempt was sent
+	answer     answerProgress
+	begun      bool // the current attempt was sent
 	// closedByPeer says why the connection of the current attempt broke; it is set for resultBroken.
 	closedByPeer bool
 	limitNotes   []limitNote
@@ -87,6 +88,25 @@
 	result     string
 	sizingNote string
 	version    string
+	answer     answerProgress
+}
+
+// answerProgress describes how the answer to one attempt arrives.
+type answerProgress struct {
+	head   time.Time // when the answer's head arrived, zero before
+	last   time.Time // when the last event arrived
+	events int       // events of a stream that arrived, whether they were passed on or not
+}
+
+// reset starts a new attempt.
+func (p *answerProgress) reset() { *p = answerProgress{} }
+
+// add counts events that arrived now.
+func (p *answerProgress) add(events int, now time.Time) {
+	if events > 0 {
+		p.events += events
+		p.last = now
+	}
 }
 
 const (
@@ -327,6 +347,7 @@
 	if c.via != nil {
 		return c.sendToPeer(ctx, ch, lastEvent)
 	}
+	c.answer.reset()
 	n := &c.h.cfg.Names
 	head := endToEnd(c.r.Header)
 	for _, name := range n.Owned {
@@ -355,6 +376,7 @@
 	c.sentAt = time.Now()
 	a, err := c.h.cfg.Pool.Send(ctx, ch.Address, req)
 	if err == nil {
+		c.answer.head = time.Now()
 		c.recordAnswerHead(ch, a)
 	}
 	return a, err
@@ -494,7 +516,7 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.model)
 	}
-	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version})
+	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
 	c.sizingNote = ""
 	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
 }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -90,7 +91,8 @@
 		e = e.Str("detail", c.detail)
 	}
 	if len(c.attemptRecords) > 0 {
-		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords))
+		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords)).
+			Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
 	}
 	if c.fingerprint != 0 {
 		e = e.Str("fingerprint", poison.Fingerprint(c.fingerprint).String())
@@ -134,6 +136,24 @@
 	return strings.Join(out, " ")
 }
 
+// formatAnswers formats when the head of each attempt's answer arrived, in ms since the request's
+// start, and for a stream its events and when the last of them arrived: "31 47+24@1870". An attempt
+// without a head is "-".
+func formatAnswers(attempts []attemptRecord, start time.Time) string {
+	out := make([]string, len(attempts))
+	for i, s := range attempts {
+		switch a := s.answer; {
+		case a.head.IsZero():
+			out[i] = "-"
+		case a.events == 0:
+			out[i] = strconv.FormatInt(a.head.Sub(start).Milliseconds(), 10)
+		default:
+			out[i] = fmt.Sprintf("%d+%d@%d", a.head.Sub(start).Milliseconds(), a.events, a.last.Sub(start).Milliseconds())
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 // versionsRun lists the versions that ran or may have run a request, in order and without
 // consecutive duplicates. The versions of attempts through other VMs are not known here.
 func versionsRun(attempts []attemptRecord) (out []string) {
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -205,8 +205,9 @@
 			if !s.Add(buf[:n]) {
 				return errStreamBroken
 			}
-			wrote := false
+			wrote, events := false, 0
 			for e := s.Next(); e != nil; e = s.Next() {
+				events++
 				if !r.accept(e) {
 					continue
 				}
@@ -215,6 +216,7 @@
 				}
 				wrote = true
 			}
+			c.answer.add(events, time.Now())
 			if wrote || !r.flushed {
 				r.flushed = true
 				if err := rc.Flush(); err != nil {
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"goldcrestfork/durable"
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/fleet/sticky"
@@ -23,6 +25,8 @@
 	// that is several times as slow nearly always exceeds it, and the usual spread of prompts
 	// seldom does.
 	slowFactor = 4
+	// tallyPause is the pause between log lines with the tallies of a roll-out in progress.
+	tallyPause = 2 * time.Second
 	// usualTimeGain is the weight of one answer in the moving average of the usual time, so that
 	// about the last ten count.
 	usualTimeGain = 0.1
@@ -52,6 +56,7 @@
 	trial          *trial.Trial
 	lastRecordTry  time.Time // time of the last attempt to record
 	loggedDecision trial.Decision
+	lastTally      time.Duration // time of the last line with the tallies
 	// learntAt is the time at which the VM learnt of the decision.
 	learntAt time.Duration
 }
@@ -196,6 +201,10 @@
 	r.mu.Lock()
 	var due []*order
 	for _, o := range r.orders {
+		if o.State != catalog.RollOutCompleted && o.State != catalog.RollOutRolledBack && now-o.lastTally >= tallyPause {
+			o.lastTally = now
+			r.addTallies(r.n.log.Info(), now, o).Str("state", string(o.State)).Msg("roll-out compared")
+		}
 		next, ok := r.nextState(now, o)
 		if ok && time.Since(o.lastRecordTry) >= recordPause && r.isRecorder(o.id) {
 			o.lastRecordTry = time.Now()
@@ -222,11 +231,7 @@
 	d, reason := o.trial.Decide(now)
 	if d != o.loggedDecision {
 		o.loggedDecision = d
-		s := o.trial.Sum()
-		r.n.log.Info().Str("roll_out", o.id).Int("decision", int(d)).Str("reason", reason).
-			Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
-			Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow).
-			Dur("age_ms", o.trial.Age(now)).Msg("roll-out judged")
+		r.addTallies(r.n.log.Info(), now, o).Int("decision", int(d)).Str("reason", reason).Msg("roll-out judged")
 	}
 	switch d {
 	case trial.Take:
@@ -237,6 +242,14 @@
 	return catalog.RollOutRunning, o.State == ""
 }
 
+// addTallies adds a roll-out's age and the tallies of all VMs to a log line.
+func (r *rollouts) addTallies(e *zerolog.Event, now time.Duration, o *order) *zerolog.Event {
+	s := o.trial.Sum()
+	return e.Str("roll_out", o.id).Dur("age_ms", o.trial.Age(now)).
+		Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
+		Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow)
+}
+
 // isRecorder reports whether this VM ranks first among the VMs that are ready, so that only one
 // records. Two VMs that both rank themselves first write the same state under the same
 // condition.
