Compare the pace of answers, so that slow versions are rolled back

Cause: a stream counted as slow by the time to its head, against four times a moving mean of the old version's last ten answers, whatever their length, and not at all if its caller gave it up.

Package policy/pace compares the pauses between events with the usual median of their route and model, over the first sixteen events, and heads with those that had as much work ahead of them. A very slow stream counts before its end, one that is given up counts if it took too long already. The trial takes a version back on evidence of very slow answers, or of slow ones where the rates differ by a fifth, and accepts none that is slower by a tenth.

The attempts of a dropped answer now name the model that they asked, not the next one, in the log as well.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -11,6 +11,7 @@
 
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/reach"
@@ -61,6 +62,7 @@
 	// largest model, or why a connection failed.
 	sizingNote string
 	sentAt     time.Time // when the current attempt was sent
+	sentModel  int       // the model that it asked, an index in the route's models
 	answer     answerProgress
 	begun      bool // the current attempt was sent
 	// closedByPeer says why the connection of the current attempt broke; it is set for resultBroken.
@@ -96,6 +98,13 @@
 	head   time.Time // when the answer's head arrived, zero before
 	last   time.Time // when the last event arrived
 	events int       // events of a stream that arrived, whether they were passed on or not
+	// paceEvents and paceSpan are the events from which the pace is known, at first all of them, and
+	// the time that they took.
+	paceEvents int
+	paceSpan   time.Duration
+	// counted says that the answer was reported for the comparison of versions, and reported that
+	// all of it was that counts.
+	counted, reported bool
 }
 
 // reset starts a new attempt.
@@ -103,9 +112,13 @@
 
 // add counts events that arrived now.
 func (p *answerProgress) add(events int, now time.Time) {
-	if events > 0 {
-		p.events += events
-		p.last = now
+	if events == 0 {
+		return
+	}
+	p.events += events
+	p.last = now
+	if p.paceEvents < pace.KnownEvents {
+		p.paceEvents, p.paceSpan = p.events, now.Sub(p.head)
 	}
 }
 
@@ -348,6 +361,7 @@
 		return c.sendToPeer(ctx, ch, lastEvent)
 	}
 	c.answer.reset()
+	c.sentModel = c.model
 	n := &c.h.cfg.Names
 	head := endToEnd(c.r.Header)
 	for _, name := range n.Owned {
@@ -408,7 +422,7 @@
 	sent := !errors.As(err, &e) || e.Sent
 	if sent && t != nil && t.isOverdue() && ctx.Err() == nil {
 		c.ran = refusal.Unknown
-		c.rerouteOverdue(ch, t)
+		c.rerouteOverdue(ch)
 		return tryNext, nil
 	}
 	if !sent && ctx.Err() == nil {
@@ -429,12 +443,15 @@
 	}
 	if cause := ctx.Err(); cause != nil {
 		c.finishAttempt(ch, placement.NoSignal, "ended")
+		if sent {
+			c.reportGivenUp(ch)
+		}
 		return giveUp, c.contextRefusal(cause)
 	}
 	c.closedByPeer = isClosedByPeer(err)
 	c.recordPathFailure(ch.ID, err)
 	c.finishAttempt(ch, placement.Broken, resultBroken)
-	c.reportAnswer(ch, true, 0)
+	c.reportFailure(ch, true)
 	return c.outcomeUnknown("the connection broke")
 }
 
@@ -479,16 +496,53 @@
 	return true
 }
 
-// reportAnswer reports the result of an attempt for the comparison of versions.
-func (c *call) reportAnswer(ch placement.Choice, failed bool, took time.Duration) {
+// reportAnswer reports an answer for the comparison of versions.
+func (c *call) reportAnswer(ch placement.Choice, answer pace.Answer) {
+	a := c.answerResult(ch, answer)
+	a.Counted = c.answer.counted
+	c.report(a)
+}
+
+// reportFailure reports an attempt that failed: its connection broke, or the endpoint failed it.
+func (c *call) reportFailure(ch placement.Choice, broke bool) {
+	a := c.answerResult(ch, pace.Answer{})
+	a.Failed, a.Broke = true, broke
+	c.report(a)
+}
+
+func (c *call) report(a AnswerResult) {
 	if c.via != nil {
 		return // that VM reports it
 	}
-	a := AnswerResult{Service: c.service, Version: ch.Version, Route: c.route.Name, Failed: failed, Took: took}
+	c.answer.counted, c.answer.reported = true, true
+	c.h.cfg.Versions.RecordAnswer(a)
+}
+
+func (c *call) answerResult(ch placement.Choice, answer pace.Answer) AnswerResult {
+	answer.Work = ch.Ahead
+	a := AnswerResult{Service: c.service, Version: ch.Version, Route: c.route.Name, Answer: answer}
 	if c.prompt.wildcard {
-		a.Model = c.route.Models[c.model]
+		a.Model = c.route.Models[c.sentModel]
 	}
-	c.h.cfg.Versions.RecordAnswer(a)
+	return a
+}
+
+// reportGivenUp reports an attempt whose answer is no longer waited for: it took so long at least.
+func (c *call) reportGivenUp(ch placement.Choice) {
+	if c.answer.counted {
+		return
+	}
+	now := time.Now()
+	a := pace.Answer{Unfinished: true}
+	switch head := c.answer.head; {
+	case c.route.Kind != catalog.Streaming:
+		a.Whole = now.Sub(c.sentAt)
+	case head.IsZero():
+		a.Head = now.Sub(c.sentAt)
+	default:
+		a.Head, a.Events, a.Span = head.Sub(c.sentAt), c.answer.events, now.Sub(head)
+	}
+	c.reportAnswer(ch, a)
 }
 
 // resultOK is the result of a complete answer, resultBroken that of a broken connection.
@@ -514,7 +568,7 @@
 	}
 	model := ""
 	if c.prompt.wildcard {
-		model = strconv.Itoa(c.model)
+		model = strconv.Itoa(c.sentModel)
 	}
 	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
 	c.sizingNote = ""
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -185,6 +185,8 @@
 	if lastEvent != "" {
 		head.Set(n.LastEventID, lastEvent)
 	}
+	c.answer.reset()
+	c.sentModel = c.model
 	c.sentAt = time.Now()
 	return c.h.cfg.PeerPool.Send(ctx, ch.Address, &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: head, Body: c.body,
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -15,6 +15,7 @@
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/router/refusal"
 )
@@ -35,6 +36,8 @@
 	Begin(service, session string, deadline time.Time) Pin
 	// RecordAnswer records the result of an attempt.
 	RecordAnswer(a AnswerResult)
+	// VerySlow reports whether an answer that is still arriving is very slow so far.
+	VerySlow(a AnswerResult) bool
 }
 
 // Pin holds the version of a session for one request.
@@ -71,10 +74,17 @@
 	Service, Version, Route, Model string
 	// Failed is set if the endpoint failed the request, by an error or a broken answer.
 	Failed bool
-	// Took is the time to the answer's head (streams) or its end; 0 if unknown.
-	Took time.Duration
+	// Broke says that it failed since its connection broke.
+	Broke bool
+	// Answer is how the answer arrived, as far as known.
+	Answer pace.Answer
+	// Counted says that the result was recorded already, and that this is the whole answer.
+	Counted bool
 }
 
+// Kind identifies answers that usually take as long as each other.
+func (a AnswerResult) Kind() string { return a.Route + "/" + a.Model }
+
 // Config holds a handler's dependencies and limits.
 type Config struct {
 	// Self is this VM's name.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -113,6 +113,8 @@
 	v.answers = append(v.answers, a)
 }
 
+func (v *fakeVersions) VerySlow(AnswerResult) bool { return false }
+
 type fakeBudget struct{ none atomic.Bool }
 
 func (*fakeBudget) RecordFirst(string)      {}
--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -86,13 +86,10 @@
 
 // rerouteOverdue ends an attempt whose answer took too long, before the request goes to another
 // endpoint.
-func (c *call) rerouteOverdue(ch placement.Choice, a *timedAttempt) {
-	waited := time.Since(a.began)
+func (c *call) rerouteOverdue(ch placement.Choice) {
 	c.rerouted = true
 	c.possibleRuns++
 	c.tried = append(c.tried, ch.ID)
 	c.finishAttempt(ch, placement.Failed, "overdue")
-	// The comparison of versions counts the wait so far, which is a lower bound of the answer
-	// time.
-	c.reportAnswer(ch, false, waited)
+	c.reportGivenUp(ch)
 }
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/router/refusal"
 )
@@ -40,10 +41,11 @@
 	if err != nil {
 		if cause := ctx.Err(); cause != nil {
 			c.finishAttempt(ch, placement.NoSignal, "ended")
+			c.reportGivenUp(ch)
 			return giveUp, c.contextRefusal(cause)
 		}
 		c.finishAttempt(ch, placement.Failed, "cut")
-		c.reportAnswer(ch, true, 0)
+		c.reportFailure(ch, true)
 		return c.outcomeUnknown("the answer broke off")
 	}
 	took := time.Since(t.began)
@@ -57,18 +59,18 @@
 	if a.Status < 300 {
 		if !c.isAuthentic(a) {
 			c.finishAttempt(ch, placement.Failed, "unsound")
-			c.reportAnswer(ch, true, took)
+			c.reportFailure(ch, false)
 			return c.outcomeUnknown("the answer is not the endpoint's whole answer")
 		}
 		c.finishAttempt(ch, placement.Good, resultOK)
-		c.reportAnswer(ch, false, took)
+		c.reportAnswer(ch, pace.Answer{Whole: took})
 		c.writeAnswer(a, body)
 		return done, nil
 	}
 	idMatches := a.Header.Get(n.RequestID) == c.id
 	if a.Status >= 500 {
 		c.finishAttempt(ch, placement.Failed, "error")
-		c.reportAnswer(ch, true, took)
+		c.reportFailure(ch, false)
 		if c.via == nil && c.repeatable() && c.reserveRetry() {
 			return tryNext, nil
 		}
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -11,6 +11,7 @@
 
 	"goldcrestfork/gateway/sse"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/sizing"
 	"goldcrestfork/router/refusal"
@@ -51,19 +52,19 @@
 		body, err := readAnswerBody(a)
 		if err != nil {
 			c.finishAttempt(ch, placement.Failed, "cut")
-			c.reportAnswer(ch, true, 0)
+			c.reportFailure(ch, true)
 			return c.outcomeUnknown("the answer broke off")
 		}
 		return c.handleAnswer(ch, a, body, time.Since(t.began))
 	}
 	if !c.isAuthentic(a) {
 		c.finishAttempt(ch, placement.Failed, "unsound")
-		c.reportAnswer(ch, true, 0)
+		c.reportFailure(ch, false)
 		return c.outcomeUnknown("the answer is not the endpoint's")
 	}
-	c.reportAnswer(ch, false, time.Since(t.began))
 	if next, escalate := c.largerModel(a); escalate && c.reserveRetry() && c.switchModel(ctx, next) {
 		c.finishAttempt(ch, placement.Good, "weak")
+		c.reportAnswer(ch, pace.Answer{Head: c.answer.head.Sub(t.began)})
 		return tryNext, nil
 	}
 	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
@@ -126,30 +127,61 @@
 	c.status = a.Status
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(a.Status)
-	err := c.copyEvents(&r, a)
+	err := c.copyEvents(ch, &r, a)
 	for {
 		a.Close()
 		switch {
 		case err == nil:
 			c.finishAttempt(ch, placement.Good, resultOK)
+			c.reportEnd(ch)
 			return
 		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
 			c.finishAttempt(ch, placement.NoSignal, "ended")
+			c.reportGivenUp(ch)
 			c.abort("caller-left")
 		}
 		c.closedByPeer = isClosedByPeer(err)
 		c.finishAttempt(ch, placement.Broken, resultBroken)
-		c.reportAnswer(ch, true, 0)
+		c.reportFailure(ch, true)
 		if !c.route.Resume {
 			c.abort("not resumable")
 		}
 		if ch, a = c.resume(ctx, &r); a == nil {
 			c.abort("not resumed")
 		}
-		err = c.copyEvents(&r, a)
+		err = c.copyEvents(ch, &r, a)
 	}
 }
 
+// reportEvents reports a stream for the comparison of versions as soon as its pace is known, or that
+// it is very slow. A slow stream may last for the rest of a roll-out.
+func (c *call) reportEvents(ch placement.Choice) {
+	if c.answer.reported || c.via != nil {
+		return
+	}
+	a := c.answer.pace(c.sentAt)
+	a.Arriving = true
+	switch {
+	case a.Events >= pace.KnownEvents:
+		c.reportAnswer(ch, a)
+	case !c.answer.counted && c.h.cfg.Versions.VerySlow(c.answerResult(ch, a)):
+		c.reportAnswer(ch, a)
+		c.answer.reported = false // the usual times may still need it
+	}
+}
+
+// reportEnd reports a stream that has ended.
+func (c *call) reportEnd(ch placement.Choice) {
+	if !c.answer.reported {
+		c.reportAnswer(ch, c.answer.pace(c.sentAt))
+	}
+}
+
+// pace describes how a stream has arrived since an attempt was sent.
+func (p *answerProgress) pace(sent time.Time) pace.Answer {
+	return pace.Answer{Head: p.head.Sub(sent), Events: p.paceEvents, Span: p.paceSpan}
+}
+
 // resume finds another endpoint that continues the stream after the last event. The answer is
 // nil if there is none.
 func (c *call) resume(ctx context.Context, r *relayState) (placement.Choice, *upstream.Answer) {
@@ -183,7 +215,7 @@
 		}
 		a.Close()
 		c.finishAttempt(ch, placement.Failed, "error")
-		c.reportAnswer(ch, true, 0)
+		c.reportFailure(ch, false)
 	}
 }
 
@@ -195,7 +227,7 @@
 }
 
 // copyEvents copies whole events to the caller until the stream ends.
-func (c *call) copyEvents(r *relayState, a *upstream.Answer) error {
+func (c *call) copyEvents(ch placement.Choice, r *relayState, a *upstream.Answer) error {
 	rc := http.NewResponseController(c.w)
 	var s sse.Splitter
 	buf := make([]byte, 4<<10)
@@ -217,6 +249,9 @@
 				wrote = true
 			}
 			c.answer.add(events, time.Now())
+			if events > 0 {
+				c.reportEvents(ch)
+			}
 			if wrote || !r.flushed {
 				r.flushed = true
 				if err := rc.Flush(); err != nil {
--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -1,11 +1,16 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"goldcrestfork/policy/pace"
 )
 
 func TestStreamIsPassedOn(t *testing.T) {
@@ -168,3 +173,57 @@
 		})
 	}
 }
+
+// Guards against slow versions that nobody notices since only the head of a stream was reported: long streams are reported with their first events before they end, and those that callers give up on as well.
+func TestStreamIsReportedWithItsEvents(t *testing.T) {
+	w := newTestEnv(t, 1)
+	open := make(chan struct{})
+	w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+		events(1, pace.KnownEvents, false)(rw, r)
+		<-open
+	}, events(1, 3, false), func(rw http.ResponseWriter, r *http.Request) {
+		events(1, 2, false)(rw, r)
+		<-r.Context().Done()
+	})
+	reported := func(n int) (a AnswerResult) {
+		require.Eventually(t, func() bool {
+			w.versions.mu.Lock()
+			defer w.versions.mu.Unlock()
+			if len(w.versions.answers) < n {
+				return false
+			}
+			require.Len(t, w.versions.answers, n)
+			a = w.versions.answers[n-1]
+			return true
+		}, 10*time.Second, time.Millisecond)
+		return a
+	}
+	done := make(chan result, 1)
+	go func() { done <- w.send(http.MethodPost, "/stream/a", "x") }()
+	a := reported(1)
+	require.Equal(t, pace.KnownEvents, a.Answer.Events)
+	require.True(t, a.Answer.Arriving)
+	close(open)
+	<-done
+	w.send(http.MethodPost, "/stream/a", "x")
+	a = reported(2)
+	require.Equal(t, 3, a.Answer.Events)
+	require.False(t, a.Answer.Arriving || a.Answer.Unfinished)
+
+	ctx, leave := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, w.vmServer.URL+"/stream/a", strings.NewReader("x"))
+	require.NoError(t, err)
+	req.Host = "h"
+	for name, value := range map[string]string{testNames.RequestID: "left", testNames.Key: "k", testNames.Deadline: "20000"} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len(streamOf(1, 2))))
+	require.NoError(t, err)
+	leave()
+	resp.Body.Close()
+	a = reported(3)
+	require.Equal(t, 2, a.Answer.Events)
+	require.True(t, a.Answer.Unfinished)
+}
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -15,21 +15,15 @@
 	"goldcrestfork/fleet/sticky"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
+	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/trial"
 )
 
 const (
 	// recordPause is the pause between attempts to record a decision.
 	recordPause = 500 * time.Millisecond
-	// slowFactor is how many times its usual time an answer takes to count as slow: a version
-	// that is several times as slow nearly always exceeds it, and the usual spread of prompts
-	// seldom does.
-	slowFactor = 4
 	// tallyPause is the pause between log lines with the tallies of a roll-out in progress.
 	tallyPause = 2 * time.Second
-	// usualTimeGain is the weight of one answer in the moving average of the usual time, so that
-	// about the last ten count.
-	usualTimeGain = 0.1
 )
 
 // rollouts introduces new versions. It splits sessions between versions and counts answers
@@ -43,8 +37,9 @@
 	mu     sync.Mutex
 	orders map[string]*order // by service
 	// inUse holds the version of the last completed roll-out of each service.
-	inUse        map[string]string
-	usualSeconds map[string]float64
+	inUse map[string]string
+	// usual holds the usual times of answers, by service.
+	usual map[string]*pace.Times
 	// open holds the requests in progress whose sessions may use a new version.
 	open map[*pin]struct{}
 }
@@ -68,7 +63,7 @@
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, clock: bootClock,
-		orders: make(map[string]*order), inUse: make(map[string]string), usualSeconds: make(map[string]float64), open: make(map[*pin]struct{}),
+		orders: make(map[string]*order), inUse: make(map[string]string), usual: make(map[string]*pace.Times), open: make(map[*pin]struct{}),
 	}
 }
 
@@ -139,30 +134,52 @@
 // RecordAnswer implements forward.Versions.
 func (r *rollouts) RecordAnswer(a forward.AnswerResult) {
 	o := r.order(a.Service)
-	slow := r.slow(a, o)
+	if a.Failed {
+		if o != nil && !o.decided() {
+			o.trial.CountAnswer(r.clock(), a.Version == o.Target, trial.Result{Failed: true, Broke: a.Broke})
+		}
+		return
+	}
+	f := r.compare(a, o)
+	if a.Counted || a.Answer.Unfinished && !f.Known() {
+		return
+	}
 	if o != nil && !o.decided() {
-		o.trial.CountAnswer(r.clock(), a.Version == o.Target, a.Failed, slow)
+		o.trial.CountAnswer(r.clock(), a.Version == o.Target, trial.Result{Finding: f})
 	}
 }
 
-// slow reports whether an answer took much longer than the old version usually does.
-func (r *rollouts) slow(a forward.AnswerResult, o *order) bool {
-	if a.Failed || a.Took == 0 {
-		return false
+// VerySlow implements forward.Versions.
+func (r *rollouts) VerySlow(a forward.AnswerResult) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o := r.orders[a.Service]; o == nil || o.decided() {
+		return false // nothing is compared now
 	}
+	return r.times(a.Service).Compare(a.Kind(), a.Answer).Pace == pace.VerySlow
+}
+
+// compare compares an answer with the usual ones of its route and model, and adds it to them unless
+// the new version gave it.
+func (r *rollouts) compare(a forward.AnswerResult, o *order) pace.Finding {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key, took := a.Route+"/"+a.Model, a.Took.Seconds()
-	usual, ok := r.usualSeconds[key]
-	isNew := o != nil && a.Version == o.Target
-	if !isNew {
-		if !ok {
-			r.usualSeconds[key] = took
-		} else {
-			r.usualSeconds[key] += usualTimeGain * (took - usual)
-		}
+	t := r.times(a.Service)
+	f := t.Compare(a.Kind(), a.Answer)
+	if o == nil || a.Version != o.Target || o.State == catalog.RollOutCompleted {
+		t.Add(a.Kind(), a.Answer)
+	}
+	return f
+}
+
+// times returns the usual times of a service's answers. Callers hold r.mu.
+func (r *rollouts) times(service string) *pace.Times {
+	t := r.usual[service]
+	if t == nil {
+		t = pace.NewTimes()
+		r.usual[service] = t
 	}
-	return ok && took > slowFactor*usual
+	return t
 }
 
 // rollOutReport is what one VM knows of a roll-out.
@@ -246,8 +263,7 @@
 func (r *rollouts) addTallies(e *zerolog.Event, now time.Duration, o *order) *zerolog.Event {
 	s := o.trial.Sum()
 	return e.Str("roll_out", o.id).Dur("age_ms", o.trial.Age(now)).
-		Uint64("from", s.From.Requests).Uint64("from_errors", s.From.Errors).Uint64("from_slow", s.From.Slow).
-		Uint64("to", s.To.Requests).Uint64("to_errors", s.To.Errors).Uint64("to_slow", s.To.Slow)
+		Str("from", s.From.String()).Str("to", s.To.String())
 }
 
 // isRecorder reports whether this VM ranks first among the VMs that are ready, so that only one
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -65,14 +65,13 @@
 	// Expected is the estimated time to the request's first event. It is meaningful only if the
 	// request's work is known, as for prompts.
 	Expected time.Duration
+	// Ahead is the work up to the request's first event in requests, its own included.
+	Ahead float64
 	// work is the request's current contribution to the load; it changes when the prompt is
 	// read and when the request ends.
 	work            *float64
 	workAfterPrompt float64 // contribution after the prompt is read
-	// ahead is the work up to the request's first event, its own included, and sentAt the time
-	// of the choice.
-	ahead  float64
-	sentAt time.Time
+	sentAt          time.Time
 }
 
 // NoChoiceReason is the reason why no endpoint was chosen.
@@ -338,7 +337,7 @@
 		ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now),
 		Limited: e.limit.Limited, Limit: e.limit.Rate,
 		Expected: time.Duration(ahead * p.unitTime.get() * float64(time.Second)),
-		work:     &work, workAfterPrompt: r.Work, ahead: ahead, sentAt: now,
+		work:     &work, Ahead: ahead, workAfterPrompt: r.Work, sentAt: now,
 	}, Picked
 }
 
@@ -367,7 +366,7 @@
 	defer t.mu.Unlock()
 	if e := t.endpoints[c.ID]; e != nil {
 		e.load = max(e.load-*c.work+c.workAfterPrompt, 0)
-		t.services[e.Service].unitTime.update(c.ahead, now.Sub(c.sentAt))
+		t.services[e.Service].unitTime.update(c.Ahead, now.Sub(c.sentAt))
 	}
 	*c.work = c.workAfterPrompt
 }
