Give each request without a session its own place in a trial

Such a request now draws its place. TestRequestsWithoutSessionsShareATrial failed before (0 of 2000 requests tried the version, 360 expected).

--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -47,9 +47,9 @@
 type pin struct {
 	r        *rollouts
 	service  string
-	id       string // the session's id, "" for none
-	session  trial.Session
-	inTrial  bool // whether the session may use a new version in a trial
+	id       string        // the session's id, "" for none
+	session  trial.Session // a random one for a request without a session
+	inTrial  bool          // whether the session may use a new version in a trial
 	holder   uint64
 	deadline time.Time
 
@@ -61,10 +61,14 @@
 
 // Begin implements forward.Versions.
 func (r *rollouts) Begin(service, session string, deadline time.Time) forward.Pin {
+	holder := rand.Uint64()
 	s := trial.HashSession(service, session)
+	if session == "" {
+		s = trial.Session(holder)
+	}
 	return &pin{
 		r: r, service: service, id: session, session: s, inTrial: s.Tries(trial.SessionShare(r.n.bounds().ExposureShare)),
-		holder: rand.Uint64(), deadline: deadline,
+		holder: holder, deadline: deadline,
 	}
 }
 
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -78,6 +78,24 @@
 	require.Equal(t, map[forward.VersionChoice]int{{Version: "v4"}: 200}, o.choices())
 }
 
+// Guards against a service whose requests have no sessions and all try a new version, or none.
+func TestRequestsWithoutSessionsShareATrial(t *testing.T) {
+	o := newOrders()
+	o.receive("v2", 10, catalog.RollOutRunning)
+	start := bootClock()
+	o.clock = func() time.Duration { return start + 7*time.Second }
+	const requests = 2000
+	trying := 0
+	for range requests {
+		c, _ := o.Begin("s", "", time.Now().Add(time.Minute)).Choose(context.Background())
+		if c.Version == "v2" {
+			trying++
+		}
+	}
+	share := trial.SessionShare(o.n.bounds().ExposureShare)
+	require.InDelta(t, share*requests, trying, 100)
+}
+
 // Guards against answers of the old version that are cut off. The platform stops the old
 // endpoints once a roll-out is completed, so the new version first gets all requests in a
 // recorded state. The old version keeps a session's longest pause to finish, less if the
