Don't take delays of milliseconds for slow answers

Heads of answers that take less than a millisecond exceed four times their usual time in a sixth of all cases on a busy machine. TestMillisecondsAreNotSlow fails without it.

--- a/policy/pace/pace.go
+++ b/policy/pace/pace.go
@@ -11,6 +11,9 @@
 	// and very slow. A rush of callers makes many answers slow and few very slow.
 	slowFactor     = 2
 	verySlowFactor = 4
+	// minExcess is the time by which an answer exceeds the usual one at least to be slow. A busy
+	// process delays answers by milliseconds, which is several times the usual time of quick ones.
+	minExcess = 10 * time.Millisecond
 	// minEvents is the number of events from which the pace of a stream that has ended is known. The
 	// pauses between fewer events vary more than those of different versions.
 	minEvents = 6
@@ -166,12 +169,13 @@
 // level compares a time with the usual one, if that is known. A time that is a lower bound may say
 // nothing.
 func level(took, usual float64, known, lowerBound bool) Level {
+	late := took >= usual+minExcess.Seconds()
 	switch {
 	case !known:
 		return Unknown
-	case took >= verySlowFactor*usual:
+	case late && took >= verySlowFactor*usual:
 		return VerySlow
-	case took >= slowFactor*usual:
+	case late && took >= slowFactor*usual:
 		return Slow
 	case lowerBound:
 		return Unknown
--- a/policy/pace/pace_test.go
+++ b/policy/pace/pace_test.go
@@ -115,3 +115,15 @@
 	}
 	require.Equal(t, Finding{Pace: VerySlow}, times.Compare("new", slow))
 }
+
+// Guards against good versions that are taken back since quick answers were some milliseconds late.
+func TestMillisecondsAreNotSlow(t *testing.T) {
+	times := NewTimes()
+	for range minSamples {
+		times.Add("k", Answer{Head: time.Millisecond, Work: 1, Events: KnownEvents, Span: 15 * time.Millisecond})
+	}
+	late := Answer{Head: 8 * time.Millisecond, Work: 1, Events: KnownEvents, Span: 120 * time.Millisecond}
+	require.Equal(t, Finding{Pace: Usual, Head: Usual}, times.Compare("k", late))
+	late.Unfinished = true
+	require.Equal(t, Finding{Head: Usual}, times.Compare("k", late))
+}
