Compare a version while it gets all requests, and keep the way back until the end

Answers count on while the new version gets all requests; each VM compares the latest sixty of the fleet with the old version's rates of the trial, and one VM's finding sends all back to the old version. The differences asked for are larger than in the trial, as nothing tells a general fault by then.

The head of a stream counts when it arrives and its pace later, as errors come sooner than ends of streams: 10 errors in the first 41 answers of a good version took it back before.

--- a/cmd/goldcrest-node/version_test.go
+++ b/cmd/goldcrest-node/version_test.go
@@ -134,6 +134,12 @@
 	return s.State
 }
 
+// moving reports whether the new version is recorded to get all requests.
+func (f *versionFleet) moving() bool {
+	o, ok := f.store.Get("rollouts", "s")
+	return ok && strings.Contains(string(o.Status), `"moving":true`)
+}
+
 // rollOut orders the new version while callers keep asking, each in sessions of its own if
 // sessions is set, and returns the final state, and how often the new version was asked until then
 // and how often both were.
@@ -163,6 +169,7 @@
 		state = f.state()
 		return state == "completed" || state == "rolled_back"
 	}, 30*time.Second, 5*time.Millisecond, "the roll-out ends")
+	f.t.Log(f.vms[0].awaitLog(`"message":"roll-out judged"`))
 	return state, f.newCount.Load(), f.sent.Load() - before
 }
 
@@ -207,3 +214,18 @@
 	t.Logf("%s, %d of %d requests at the new version", state, exposed, all)
 	require.Equal(t, "completed", state)
 }
+
+// Guards against a version that fails only once it gets all requests, and that nobody compares any more by then.
+func TestVersionThatTurnsBadOnAllRequestsIsRolledBack(t *testing.T) {
+	var f *versionFleet
+	f = startVersionFleet(t, func(w http.ResponseWriter, r *http.Request, n int64) {
+		if n%2 == 0 && f.moving() {
+			failAnswer(w, r)
+			return
+		}
+		answerSoundly(w, r)
+	})
+	state, exposed, all := f.rollOut(true, "/stream/a")
+	t.Logf("%s, %d of %d requests at the new version", state, exposed, all)
+	require.Equal(t, "rolled_back", state)
+}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -102,9 +102,9 @@
 	// the time that they took.
 	paceEvents int
 	paceSpan   time.Duration
-	// counted says that the answer was reported for the comparison of versions, and reported that
-	// all of it was that counts.
-	counted, reported bool
+	// paceCounted says that the pace was reported for the comparison of versions, and paceReported
+	// that it was final.
+	paceCounted, paceReported bool
 }
 
 // reset starts a new attempt.
@@ -496,26 +496,33 @@
 	return true
 }
 
-// reportAnswer reports an answer for the comparison of versions.
+// reportAnswer reports the head of a stream, or another answer, for the comparison of versions.
 func (c *call) reportAnswer(ch placement.Choice, answer pace.Answer) {
-	a := c.answerResult(ch, answer)
-	a.Counted = c.answer.counted
-	c.report(a)
+	if c.via == nil { // otherwise that VM reports it
+		c.h.cfg.Versions.RecordAnswer(c.answerResult(ch, answer))
+	}
 }
 
 // reportFailure reports an attempt that failed: its connection broke, or the endpoint failed it.
 func (c *call) reportFailure(ch placement.Choice, broke bool) {
-	a := c.answerResult(ch, pace.Answer{})
-	a.Failed, a.Broke = true, broke
-	c.report(a)
+	if c.via == nil {
+		a := c.answerResult(ch, pace.Answer{})
+		a.Failed, a.Broke = true, broke
+		c.h.cfg.Versions.RecordAnswer(a)
+	}
 }
 
-func (c *call) report(a AnswerResult) {
-	if c.via != nil {
-		return // that VM reports it
+// reportPace reports the events of a stream, of which more may come.
+func (c *call) reportPace(ch placement.Choice, answer pace.Answer) {
+	p := &c.answer
+	if c.via != nil || p.paceReported {
+		return
 	}
-	c.answer.counted, c.answer.reported = true, true
-	c.h.cfg.Versions.RecordAnswer(a)
+	a := c.answerResult(ch, answer)
+	a.Counted = p.paceCounted
+	p.paceCounted = true
+	p.paceReported = !answer.Arriving || answer.Events >= pace.KnownEvents
+	c.h.cfg.Versions.RecordPace(a)
 }
 
 func (c *call) answerResult(ch placement.Choice, answer pace.Answer) AnswerResult {
@@ -529,20 +536,15 @@
 
 // reportGivenUp reports an attempt whose answer is no longer waited for: it took so long at least.
 func (c *call) reportGivenUp(ch placement.Choice) {
-	if c.answer.counted {
-		return
-	}
 	now := time.Now()
-	a := pace.Answer{Unfinished: true}
 	switch head := c.answer.head; {
 	case c.route.Kind != catalog.Streaming:
-		a.Whole = now.Sub(c.sentAt)
+		c.reportAnswer(ch, pace.Answer{Whole: now.Sub(c.sentAt), Unfinished: true})
 	case head.IsZero():
-		a.Head = now.Sub(c.sentAt)
-	default:
-		a.Head, a.Events, a.Span = head.Sub(c.sentAt), c.answer.events, now.Sub(head)
+		c.reportAnswer(ch, pace.Answer{Head: now.Sub(c.sentAt), Unfinished: true})
+	case !c.answer.paceCounted:
+		c.reportPace(ch, pace.Answer{Events: c.answer.events, Span: now.Sub(head), Unfinished: true})
 	}
-	c.reportAnswer(ch, a)
 }
 
 // resultOK is the result of a complete answer, resultBroken that of a broken connection.
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -34,8 +34,10 @@
 type Versions interface {
 	// Begin opens a request of a session ("" for none) that lasts until deadline at most.
 	Begin(service, session string, deadline time.Time) Pin
-	// RecordAnswer records the result of an attempt.
+	// RecordAnswer records that an attempt failed, or the head of a stream, or another answer.
 	RecordAnswer(a AnswerResult)
+	// RecordPace records how the events of a stream arrived.
+	RecordPace(a AnswerResult)
 	// VerySlow reports whether an answer that is still arriving is very slow so far.
 	VerySlow(a AnswerResult) bool
 }
@@ -78,7 +80,7 @@
 	Broke bool
 	// Answer is how the answer arrived, as far as known.
 	Answer pace.Answer
-	// Counted says that the result was recorded already, and that this is the whole answer.
+	// Counted says that the pace was recorded already, when the stream was very slow so far.
 	Counted bool
 }
 
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -90,6 +90,7 @@
 	mu            sync.Mutex
 	choice        VersionChoice
 	answers       []AnswerResult
+	paces         []AnswerResult
 	endedVersions []string // one entry for each ended request
 }
 
@@ -113,6 +114,12 @@
 	v.answers = append(v.answers, a)
 }
 
+func (v *fakeVersions) RecordPace(a AnswerResult) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.paces = append(v.paces, a)
+}
+
 func (v *fakeVersions) VerySlow(AnswerResult) bool { return false }
 
 type fakeBudget struct{ none atomic.Bool }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -62,9 +62,9 @@
 		c.reportFailure(ch, false)
 		return c.outcomeUnknown("the answer is not the endpoint's")
 	}
+	c.reportAnswer(ch, pace.Answer{Head: c.answer.head.Sub(c.sentAt)})
 	if next, escalate := c.largerModel(a); escalate && c.reserveRetry() && c.switchModel(ctx, next) {
 		c.finishAttempt(ch, placement.Good, "weak")
-		c.reportAnswer(ch, pace.Answer{Head: c.answer.head.Sub(t.began)})
 		return tryNext, nil
 	}
 	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
@@ -133,7 +133,7 @@
 		switch {
 		case err == nil:
 			c.finishAttempt(ch, placement.Good, resultOK)
-			c.reportEnd(ch)
+			c.reportPace(ch, c.answer.pace())
 			return
 		case errors.Is(err, errCallerGone) || ctx.Err() != nil:
 			c.finishAttempt(ch, placement.NoSignal, "ended")
@@ -153,33 +153,23 @@
 	}
 }
 
-// reportEvents reports a stream for the comparison of versions as soon as its pace is known, or that
-// it is very slow. A slow stream may last for the rest of a roll-out.
+// reportEvents reports the pace of a stream for the comparison of versions as soon as it is known, or
+// very slow. A slow stream may last for the rest of a roll-out.
 func (c *call) reportEvents(ch placement.Choice) {
-	if c.answer.reported || c.via != nil {
+	p := &c.answer
+	if p.paceReported || c.via != nil {
 		return
 	}
-	a := c.answer.pace(c.sentAt)
+	a := p.pace()
 	a.Arriving = true
-	switch {
-	case a.Events >= pace.KnownEvents:
-		c.reportAnswer(ch, a)
-	case !c.answer.counted && c.h.cfg.Versions.VerySlow(c.answerResult(ch, a)):
-		c.reportAnswer(ch, a)
-		c.answer.reported = false // the usual times may still need it
+	if a.Events >= pace.KnownEvents || !p.paceCounted && c.h.cfg.Versions.VerySlow(c.answerResult(ch, a)) {
+		c.reportPace(ch, a)
 	}
 }
 
-// reportEnd reports a stream that has ended.
-func (c *call) reportEnd(ch placement.Choice) {
-	if !c.answer.reported {
-		c.reportAnswer(ch, c.answer.pace(c.sentAt))
-	}
-}
-
-// pace describes how a stream has arrived since an attempt was sent.
-func (p *answerProgress) pace(sent time.Time) pace.Answer {
-	return pace.Answer{Head: p.head.Sub(sent), Events: p.paceEvents, Span: p.paceSpan}
+// pace describes how the events have arrived.
+func (p *answerProgress) pace() pace.Answer {
+	return pace.Answer{Events: p.paceEvents, Span: p.paceSpan}
 }
 
 // resume finds another endpoint that continues the stream after the last event. The answer is
--- a/gateway/node/pins.go
+++ b/gateway/node/pins.go
@@ -162,7 +162,9 @@
 	}
 	why := forward.ChoiceReason{RollOutAge: o.trial.Age(r.clock())}
 	switch {
-	case o.State == catalog.RollOutMoving || o.State == catalog.RollOutCompleted:
+	case o.moving() && o.trial.Worse():
+		why.Reason = whyWorse
+	case o.moving() || o.State == catalog.RollOutCompleted:
 		why.Reason = whyTaken
 	case o.State == catalog.RollOutRolledBack:
 		why.Reason = whyTakenBack
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -51,6 +51,7 @@
 	trial          *trial.Trial
 	lastRecordTry  time.Time // time of the last attempt to record
 	loggedDecision trial.Decision
+	loggedState    catalog.RollOutState
 	lastTally      time.Duration // time of the last line with the tallies
 	// learntAt is the time at which the VM learnt of the decision.
 	learntAt time.Duration
@@ -60,6 +61,12 @@
 // count.
 func (o *order) decided() bool { return o.State != "" && o.State != catalog.RollOutRunning }
 
+// moving reports whether the new version gets all requests and may still be rolled back.
+func (o *order) moving() bool { return o.State == catalog.RollOutMoving }
+
+// compares reports whether answers count in the comparison of versions.
+func (o *order) compares() bool { return !o.decided() || o.moving() }
+
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
 		n: n, clock: bootClock,
@@ -134,27 +141,38 @@
 // RecordAnswer implements forward.Versions.
 func (r *rollouts) RecordAnswer(a forward.AnswerResult) {
 	o := r.order(a.Service)
-	if a.Failed {
-		if o != nil && !o.decided() {
-			o.trial.CountAnswer(r.clock(), a.Version == o.Target, trial.Result{Failed: true, Broke: a.Broke})
+	result := trial.Result{Failed: a.Failed, Broke: a.Broke}
+	if !a.Failed {
+		result.Finding = r.compare(a, o)
+		if a.Answer.Unfinished && !result.Finding.Known() {
+			return
 		}
-		return
 	}
-	f := r.compare(a, o)
-	if a.Counted || a.Answer.Unfinished && !f.Known() {
-		return
+	if o != nil && o.compares() {
+		o.trial.CountAnswer(r.clock(), o.origin(a), result)
 	}
-	if o != nil && !o.decided() {
-		o.trial.CountAnswer(r.clock(), a.Version == o.Target, trial.Result{Finding: f})
+}
+
+// RecordPace implements forward.Versions.
+func (r *rollouts) RecordPace(a forward.AnswerResult) {
+	o := r.order(a.Service)
+	f := r.compare(a, o)
+	if o != nil && o.compares() && !a.Counted {
+		o.trial.CountPace(r.clock(), o.origin(a), f.Pace)
 	}
 }
 
+// origin returns the origin of an answer in the comparison of versions.
+func (o *order) origin(a forward.AnswerResult) trial.Origin {
+	return trial.Origin{New: a.Version == o.Target, Moving: o.moving()}
+}
+
 // VerySlow implements forward.Versions.
 func (r *rollouts) VerySlow(a forward.AnswerResult) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if o := r.orders[a.Service]; o == nil || o.decided() {
-		return false // nothing is compared now
+	if o := r.orders[a.Service]; o == nil || !o.compares() {
+		return false
 	}
 	return r.times(a.Service).Compare(a.Kind(), a.Answer).Pace == pace.VerySlow
 }
@@ -195,7 +213,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
-		if !o.decided() || o.State == catalog.RollOutMoving {
+		if o.compares() {
 			orders = append(orders, rollOutReport{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.LocalCounts()})
 		}
 	}
@@ -239,20 +257,21 @@
 // nextState returns the state that an order should have; ok is false while the recorded state
 // is right.
 func (r *rollouts) nextState(now time.Duration, o *order) (next catalog.RollOutState, ok bool) {
-	if o.State == catalog.RollOutMoving {
-		return catalog.RollOutCompleted, o.trial.MayStopOld(now, now-o.learntAt)
-	}
-	if o.decided() {
+	if !o.compares() {
 		return o.State, false
 	}
-	d, reason := o.trial.Decide(now)
-	if d != o.loggedDecision {
-		o.loggedDecision = d
-		r.addTallies(r.n.log.Info(), now, o).Int("decision", int(d)).Str("reason", reason).Msg("roll-out judged")
+	decide, taken := o.trial.Decide, catalog.RollOutMoving
+	if o.moving() {
+		decide, taken = o.trial.DecideMoving, catalog.RollOutCompleted
+	}
+	d, reason := decide(now)
+	if d != o.loggedDecision || o.State != o.loggedState {
+		o.loggedDecision, o.loggedState = d, o.State
+		r.addTallies(r.n.log.Info(), now, o).Int("decision", int(d)).Str("reason", reason).Str("state", string(o.State)).Msg("roll-out judged")
 	}
 	switch d {
 	case trial.Take:
-		return catalog.RollOutMoving, true
+		return taken, true
 	case trial.TakeBack:
 		return catalog.RollOutRolledBack, true
 	}
@@ -263,7 +282,7 @@
 func (r *rollouts) addTallies(e *zerolog.Event, now time.Duration, o *order) *zerolog.Event {
 	s := o.trial.Sum()
 	return e.Str("roll_out", o.id).Dur("age_ms", o.trial.Age(now)).
-		Str("from", s.From.String()).Str("to", s.To.String())
+		Str("from", s.From.String()).Str("to", s.To.String()).Str("moved", s.Moved.String())
 }
 
 // isRecorder reports whether this VM ranks first among the VMs that are ready, so that only one
--- a/policy/pace/pace.go
+++ b/policy/pace/pace.go
@@ -83,9 +83,6 @@
 // Known reports whether an answer says anything.
 func (f Finding) Known() bool { return f.Pace != Unknown || f.Head != Unknown }
 
-// VerySlow reports whether an answer is very slow in any respect.
-func (f Finding) VerySlow() bool { return f.Pace == VerySlow || f.Head == VerySlow }
-
 // Times holds the usual times of one service's answers by kind (of the same route and model, say).
 // It is not safe for concurrent use.
 type Times struct {
