Count slow tokens and slow answers that callers left against a version in goldcrestd

A version that gives tokens several times as slowly as the target of 42 ms was no worse than the old one.

--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -122,6 +122,12 @@
 	Reported bool
 	// FirstToken is the time from the call to the first token; 0 if none arrived.
 	FirstToken time.Duration
+	// Tokens is the number of frames with tokens that arrived, and TokenSpan the time from the first
+	// of them to the last, or to the end of an attempt that isn't complete.
+	Tokens    int
+	TokenSpan time.Duration
+	// Took is the time from the call to its end.
+	Took time.Duration
 }
 
 // Client calls engines. It is safe for concurrent use.
@@ -170,10 +176,15 @@
 	// its caller would wait until its deadline although another endpoint could answer.
 	watchdog := time.AfterFunc(StallTimeout, cancel)
 	defer watchdog.Stop()
+	start := time.Now()
 	o := c.stream(attempt, call, s, func(f Frame) error {
 		watchdog.Reset(StallTimeout)
 		return emit(f)
 	})
+	o.Took = time.Since(start)
+	if o.Result != Complete && o.Tokens > 0 {
+		o.TokenSpan = o.Took - o.FirstToken
+	}
 	if o.Result != Complete && ctx.Err() != nil {
 		// In this case the attempt's own result shows nothing about the endpoint.
 		o.Result, o.Err = CallerGone, ctx.Err()
@@ -209,6 +220,8 @@
 		if o.FirstToken == 0 {
 			o.FirstToken = time.Since(start)
 		}
+		o.Tokens++
+		o.TokenSpan = time.Since(start) - o.FirstToken
 		return emit(f)
 	})
 	return o
--- a/router/entry/outcomes.go
+++ b/router/entry/outcomes.go
@@ -13,6 +13,22 @@
 // a roll-out's comparison. The target is 1.1 s at p95.
 const slowFirstToken = 1100 * time.Millisecond
 
+// slowTokenPause is the same for the mean pause between tokens, whose target is 42 ms at p95. The
+// pauses between fewer than minPacedTokens vary too much.
+const (
+	slowTokenPause = 42 * time.Millisecond
+	minPacedTokens = 16
+)
+
+// isSlow reports whether an attempt was slow. That of a caller who left was so slow at least.
+func isSlow(out engine.Outcome) bool {
+	if out.Tokens == 0 {
+		return out.Took > slowFirstToken
+	}
+	return out.FirstToken > slowFirstToken ||
+		out.Tokens >= minPacedTokens && out.TokenSpan > time.Duration(out.Tokens-1)*slowTokenPause
+}
+
 // outcomes records how requests ended for the comparison of roll-outs.
 type outcomes struct{ recorder *rollout.Recorder }
 
@@ -21,19 +37,26 @@
 
 // recordAttempt records an attempt whose result depends on its version.
 func (o outcomes) recordAttempt(c *chatRequest, out engine.Outcome) {
+	slow := isSlow(out)
+	failed := false
 	switch out.Result {
-	case engine.Complete, engine.Failed, engine.Crashed, engine.WrongVersion, engine.Cut:
+	case engine.Complete:
+	case engine.Failed, engine.Crashed, engine.WrongVersion, engine.Cut:
+		failed = true
+	case engine.CallerGone:
+		if !slow {
+			return // callers also disconnect for reasons of their own
+		}
 	default:
-		// Endpoints that are at capacity, cold or unreachable, and callers that
-		// disconnect, do not depend on the version.
+		// Endpoints that are at capacity, cold or unreachable do not depend on the version.
 		return
 	}
 	if c.rollOut == nil || c.arm == rollout.ArmNone {
 		return
 	}
 	o.recorder.Request(c.rollOut, c.arm, c.rollOutKey(), rollout.Outcome{
-		Failed: out.Result != engine.Complete,
-		Slow:   out.FirstToken > slowFirstToken,
+		Failed: failed,
+		Slow:   slow && (!failed || out.Tokens > 0),
 	})
 }
 
