Complete a roll-out whose VMs have all restarted while the new version got all requests

Since the new version is compared until 0.9 of the roll-out's time, VMs that had all restarted in that phase took the order for new and would have completed it long after its time. They complete it after a session's longest pause, as before.

--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -260,11 +260,15 @@
 	if !o.compares() {
 		return o.State, false
 	}
-	decide, taken := o.trial.Decide, catalog.RollOutMoving
+	var d trial.Decision
+	var reason string
+	taken := catalog.RollOutMoving
 	if o.moving() {
-		decide, taken = o.trial.DecideMoving, catalog.RollOutCompleted
+		d, reason = o.trial.DecideMoving(now, now-o.learntAt)
+		taken = catalog.RollOutCompleted
+	} else {
+		d, reason = o.trial.Decide(now)
 	}
-	d, reason := decide(now)
 	if d != o.loggedDecision || o.State != o.loggedState {
 		o.loggedDecision, o.loggedState = d, o.State
 		r.addTallies(r.n.log.Info(), now, o).Int("decision", int(d)).Str("reason", reason).Str("state", string(o.State)).Msg("roll-out judged")
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -101,6 +101,7 @@
 // recorded state, and a tenth of the roll-out's time is left to record the next one.
 func TestOldVersionEndsItsAnswers(t *testing.T) {
 	o, order, began := newTakenOrder(t)
+	order.learntAt = began + 16001*time.Millisecond
 	_, ok := o.nextState(began+17900*time.Millisecond, order)
 	require.False(t, ok)
 	next, ok := o.nextState(began+18001*time.Millisecond, order)
@@ -108,6 +109,19 @@
 	require.Equal(t, catalog.RollOutCompleted, next)
 }
 
+// Guards against a roll-out that is never completed since all VMs restarted while the new version got all requests, and don't know the order's age.
+func TestRestartedFleetCompletesARollOut(t *testing.T) {
+	o := newOrders()
+	o.receive("v2", 10, catalog.RollOutMoving)
+	order := o.orders["s"]
+	started := bootClock()
+	_, ok := o.nextState(started+4*time.Second, order)
+	require.False(t, ok, "answers of the old version may last for a session's pause")
+	next, ok := o.nextState(started+5001*time.Millisecond, order)
+	require.True(t, ok)
+	require.Equal(t, catalog.RollOutCompleted, next)
+}
+
 // newTakenOrder returns a roll-out of 20 s whose new version was accepted after 16 s.
 func newTakenOrder(t *testing.T) (o *orders, taken *order, began time.Duration) {
 	o = newOrders()
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -463,8 +463,10 @@
 }
 
 // DecideMoving decides on a version that was accepted and gets all requests, and returns the reason,
-// empty while undecided: Take completes the roll-out, which ends the old version.
-func (t *Trial) DecideMoving(now time.Duration) (d Decision, reason string) {
+// empty while undecided: Take completes the roll-out, which ends the old version. The argument moving
+// is the time since this VM learnt of the acceptance. VMs that have all restarted since the order
+// don't know its age, but have seen the version long enough after a session's longest pause.
+func (t *Trial) DecideMoving(now, moving time.Duration) (d Decision, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	from, _ := t.sum()
@@ -474,7 +476,8 @@
 	switch {
 	case t.worse:
 		return TakeBack, "the new version turned worse"
-	case float64(now-t.began) >= completeShare*float64(t.duration):
+	case float64(now-t.began) >= completeShare*float64(t.duration),
+		moving >= max(t.session, time.Duration((completeShare-decideShare)*float64(t.duration))):
 		return Take, "no sign against the new version since it gets all requests"
 	}
 	return Undecided, ""
--- a/policy/trial/trial_test.go
+++ b/policy/trial/trial_test.go
@@ -306,7 +306,7 @@
 						trials[v].SetPeerCounts(19*time.Second, fmt.Sprint(u), 19*time.Second, trials[u].LocalCounts())
 					}
 				}
-				if d, _ := trials[v].DecideMoving(19 * time.Second); d == TakeBack && o.at == 0 {
+				if d, _ := trials[v].DecideMoving(19*time.Second, 0); d == TakeBack && o.at == 0 {
 					o.at = o.answers
 				}
 			}
