Keep a VM's newest counts where its datagrams overtake each other

Counts of a roll-out only grow, and the comparison of the latest answers takes the difference to an earlier sum: an older report that came later made that difference wrap around, and a good version would have been taken back.

The package's file is split by concern: tallies, classes, the comparison. Nothing but their place changes there.

--- /dev/null
+++ b/policy/trial/compare.go
@@ -0,0 +1,134 @@
+package trial
+
+import (
+	"math"
+
+	"goldcrestfork/policy/rollout"
+)
+
+const (
+	// toleratedErrors is how far the new version's rate of errors may exceed the old one's; bad
+	// versions fail or slow a third or more. Evidence alone is not enough: while a general fault
+	// fails 15% of all requests, 40 answers of a version that fails 40% give none.
+	toleratedErrors = 0.05
+	// toleratedBroken is the same for connections that broke. Faults of networks and machines reach
+	// the endpoints of one version more than those of the other.
+	toleratedBroken = 0.1
+	// clearlyBroken is the difference of the rates of errors and broken connections together from
+	// which evidence takes the new version back at once.
+	clearlyBroken = 0.1
+	// toleratedSlow is the same for answers that are slow. A few slow endpoints among the new
+	// version's make some of a good version's answers slow.
+	toleratedSlow = 0.1
+	// clearlySlower and clearlyVerySlower are the differences of rates of slow and very slow answers
+	// from which evidence takes the new version back at once. Its endpoints have fewer requests than
+	// the old version's, so that no rush of callers makes such a difference.
+	clearlySlower     = 0.2
+	clearlyVerySlower = 0.15
+	// turnedErrors, turnedBroken and turnedSlow are the differences from the trial's rates of the old
+	// version from which a version that gets all requests has turned bad. The old version has no
+	// requests then to tell a fault of machines or a rush of callers by.
+	turnedErrors = 0.2
+	turnedBroken = 0.4
+	turnedSlow   = 0.6
+	// minTurned is the number of such answers that it takes, minMoved the number of all answers, and
+	// movingWindow the number of those within which they come at least.
+	minTurned    = 10
+	minMoved     = 40
+	movingWindow = 60
+	// minUsualRate is the lowest rate that such answers are compared with.
+	minUsualRate = 0.02
+)
+
+// takeBackEvidence is the log evidence at which the new version is rolled back at once: one
+// false alarm in 50 trials.
+var takeBackEvidence = math.Log(50)
+
+// signal is a kind of answers by which the versions are compared.
+type signal struct {
+	// count returns the number of such answers, and the number of answers that may be of the kind.
+	count func(Tally) (n, of uint64)
+	// trouble returns the same for answers of the old version that show slow endpoints of both, whose
+	// rate is added to the tolerated difference; nil for none.
+	trouble func(Tally) (n, of uint64)
+	// tolerated is the difference of the rates up to which the new version is accepted, clear the
+	// one from which evidence takes it back at once, and turned the same while it gets all requests.
+	tolerated, clear, turned float64
+}
+
+func verySlowPaces(t Tally) (n, of uint64) { return t.Paces.VerySlow, t.Paces.Compared }
+
+var signals = []signal{
+	{func(t Tally) (n, of uint64) { return t.Errors, t.Requests }, nil, toleratedBroken, clearlyBroken, turnedBroken},
+	{func(t Tally) (n, of uint64) { return t.Errors - t.Broken, t.Requests }, nil, toleratedErrors, 0, turnedErrors},
+	{func(t Tally) (n, of uint64) { return t.Heads.VerySlow, t.Heads.Compared }, verySlowPaces, toleratedSlow, clearlyVerySlower, turnedSlow},
+	{func(t Tally) (n, of uint64) { return t.Heads.Slow, t.Heads.Compared }, verySlowPaces, toleratedSlow, clearlySlower, 1},
+	{verySlowPaces, verySlowPaces, toleratedSlow, clearlyVerySlower, turnedSlow},
+	{func(t Tally) (n, of uint64) { return t.Paces.Slow, t.Paces.Compared }, verySlowPaces, toleratedSlow, clearlySlower, 1},
+}
+
+// rateEvidence returns the log likelihood ratio of the observed rate to the usual one, which is
+// known from other times: evidence that draws between two versions isn't for such a comparison.
+func rateEvidence(n, of uint64, usual float64) float64 {
+	r := rate(n, of)
+	if r <= usual || usual >= 1 {
+		return 0
+	}
+	evidence := r * math.Log(r/usual)
+	if r < 1 {
+		evidence += (1 - r) * math.Log((1-r)/(1-usual))
+	}
+	return evidence * float64(of)
+}
+
+// evidence returns the log evidence of the strongest signal that the new version is worse.
+func evidence(from, to Tally, share float64) (most float64) {
+	for _, s := range signals {
+		old, oldOf := s.count(from)
+		n, of := s.count(to)
+		if rate(n, of) >= rate(old, oldOf)+s.clear {
+			most = max(most, rollout.LogEvidence(rollout.Tally{Requests: oldOf, Errors: old}, rollout.Tally{Requests: of, Errors: n}, share))
+		}
+	}
+	return most
+}
+
+// rate returns a share; 0 without requests.
+func rate(n, of uint64) float64 {
+	if of == 0 {
+		return 0
+	}
+	return min(float64(n)/float64(of), 1)
+}
+
+// excessBad returns the new version's bad answers beyond those that the old version's rate
+// explains. An old version with few answers explains none.
+func excessBad(from, to Tally) float64 {
+	usual := 0.0
+	if from.Requests >= minAnswers {
+		usual = rate(from.bad(), from.Requests)
+	}
+	return float64(to.bad()) - usual*float64(to.Requests)
+}
+
+// acceptable reports whether the new version's rates of errors and of slow answers exceed the old
+// one's by no more than what is tolerated or two standard errors of a rate from so few answers. It
+// is false if the old version has no answers.
+func acceptable(from, to Tally) bool {
+	if from.Requests == 0 {
+		return false
+	}
+	for _, s := range signals {
+		old := rate(s.count(from))
+		n, of := s.count(to)
+		chance := 2 * math.Sqrt(old*(1-old)/float64(max(of, 1)))
+		tolerated := s.tolerated
+		if s.trouble != nil {
+			tolerated += rate(s.trouble(from))
+		}
+		if rate(n, of) > old+max(tolerated, chance) {
+			return false
+		}
+	}
+	return true
+}
--- a/policy/trial/trial_test.go
+++ b/policy/trial/trial_test.go
@@ -367,3 +367,18 @@
 	require.NoError(t, err)
 	require.Less(t, len(b), 250)
 }
+
+// Guards against a good version that is taken back since an older report of a VM came after a newer one.
+func TestOlderReportChangesNothing(t *testing.T) {
+	tr := New(0, 0, 24*time.Second, 5*time.Second, 0.15)
+	tr.CountAnswer(10*time.Second, Origin{}, Result{})
+	moved := func(n uint64) Counts {
+		return Counts{Moved: Tally{Requests: n, Errors: n / 50, Heads: levels(n, 0, 0), Paces: levels(n/2, 0, 0)}}
+	}
+	for _, n := range []uint64{100, 200, 300, 150, 350} {
+		tr.SetPeerCounts(19*time.Second, "vm", 19*time.Second, moved(n))
+		d, reason := tr.DecideMoving(19*time.Second, 0)
+		require.Equal(t, Undecided, d, "after a report of %d: %s", n, reason)
+	}
+	require.EqualValues(t, 350, tr.Sum().Moved.Requests)
+}
