--- a/cmd/goldcrest-node/version_test.go
+++ b/cmd/goldcrest-node/version_test.go
@@ -22,7 +22,7 @@
 const (
 	versionVMs       = 3
 	versionEndpoints = 3 // of each version
-	versionSessions  = 40
+	versionCallers   = 40
 	versionRollOutS  = 10
 	eventPause       = 4 * time.Millisecond // between the events of a sound answer
 	streamEvents     = 12
@@ -146,7 +146,7 @@
 func (f *versionFleet) rollOut(sessions bool, paths ...string) (state string, exposed, all int64) {
 	ctx, cancel := context.WithCancel(f.t.Context())
 	var callers sync.WaitGroup
-	for c := range versionSessions {
+	for c := range versionCallers {
 		callers.Go(func() {
 			for i := 0; ctx.Err() == nil; i++ {
 				session := ""
@@ -169,7 +169,6 @@
 		state = f.state()
 		return state == "completed" || state == "rolled_back"
 	}, 30*time.Second, 5*time.Millisecond, "the roll-out ends")
-	f.t.Log(f.vms[0].awaitLog(`"message":"roll-out judged"`))
 	return state, f.newCount.Load(), f.sent.Load() - before
 }
 
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -153,25 +153,6 @@
 	}
 }
 
-// reportEvents reports the pace of a stream for the comparison of versions as soon as it is known, or
-// very slow. A slow stream may last for the rest of a roll-out.
-func (c *call) reportEvents(ch placement.Choice) {
-	p := &c.answer
-	if p.paceReported || c.via != nil {
-		return
-	}
-	a := p.pace()
-	a.Arriving = true
-	if a.Events >= pace.KnownEvents || !p.paceCounted && c.h.cfg.Versions.VerySlow(c.answerResult(ch, a)) {
-		c.reportPace(ch, a)
-	}
-}
-
-// pace describes how the events have arrived.
-func (p *answerProgress) pace() pace.Answer {
-	return pace.Answer{Events: p.paceEvents, Span: p.paceSpan}
-}
-
 // resume finds another endpoint that continues the stream after the last event. The answer is
 // nil if there is none.
 func (c *call) resume(ctx context.Context, r *relayState) (placement.Choice, *upstream.Answer) {
--- a/gateway/forward/stream_test.go
+++ b/gateway/forward/stream_test.go
@@ -177,10 +177,11 @@
 // Guards against slow versions that nobody notices since only the head of a stream was reported: long streams are reported with their first events before they end, and those that callers give up on as well.
 func TestStreamIsReportedWithItsEvents(t *testing.T) {
 	w := newTestEnv(t, 1)
-	open := make(chan struct{})
+	open, end := context.WithCancel(t.Context())
+	defer end()
 	w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
 		events(1, pace.KnownEvents, false)(rw, r)
-		<-open
+		<-open.Done()
 	}, events(1, 3, false), func(rw http.ResponseWriter, r *http.Request) {
 		events(1, 2, false)(rw, r)
 		<-r.Context().Done()
@@ -204,7 +205,7 @@
 	a := reported(1)
 	require.Equal(t, pace.KnownEvents, a.Answer.Events)
 	require.True(t, a.Answer.Arriving)
-	close(open)
+	end()
 	<-done
 	w.send(http.MethodPost, "/stream/a", "x")
 	a = reported(2)
--- a/policy/pace/pace_test.go
+++ b/policy/pace/pace_test.go
@@ -56,8 +56,7 @@
 	return slow
 }
 
-// Answers that are three and eight times as slow must stand out from the usual ones, also where the
-// time to the head alone doesn't tell them apart.
+// Guards against answers several times as slow that pass for usual ones, as by the time to the head alone.
 func TestSlowAnswersStandOut(t *testing.T) {
 	l := &load{r: rand.New(rand.NewPCG(44, 1))}
 	times := NewTimes()
--- a/policy/trial/class.go
+++ b/policy/trial/class.go
@@ -81,10 +81,8 @@
 		}
 		most = max(most, rollout.LogEvidence(
 			rollout.Tally{Requests: c.FromRequests, Errors: c.FromErrors}, rollout.Tally{Requests: c.ToRequests, Errors: c.ToErrors}, t.share))
-		old := rate(c.FromErrors, c.FromRequests)
-		// Three standard errors, as there are several classes.
-		chance := 3 * math.Sqrt(old*(1-old)/float64(max(c.ToRequests, 1)))
-		if rate(c.ToErrors, c.ToRequests) > old+max(toleratedInClass, chance) {
+		// Three standard errors, as one of several classes may exceed two by chance.
+		if exceeds(rate(c.FromErrors, c.FromRequests), c.ToErrors, c.ToRequests, toleratedInClass, 3) {
 			acceptable = false
 		}
 	}
--- a/policy/trial/compare.go
+++ b/policy/trial/compare.go
@@ -31,8 +31,9 @@
 	turnedErrors = 0.2
 	turnedBroken = 0.4
 	turnedSlow   = 0.6
-	// minTurned is the number of such answers that it takes, minMoved the number of all answers, and
-	// movingWindow the number of those within which they come at least.
+	// minTurned is the number of such answers that it takes, among minMoved answers at least. The
+	// latest movingWindow to twice as many answers are compared, so that a version that was good for
+	// long is found as soon as one that never was.
 	minTurned    = 10
 	minMoved     = 40
 	movingWindow = 60
@@ -59,16 +60,38 @@
 func verySlowPaces(t Tally) (n, of uint64) { return t.Paces.VerySlow, t.Paces.Compared }
 
 var signals = []signal{
-	{func(t Tally) (n, of uint64) { return t.Errors, t.Requests }, nil, toleratedBroken, clearlyBroken, turnedBroken},
-	{func(t Tally) (n, of uint64) { return t.Errors - t.Broken, t.Requests }, nil, toleratedErrors, 0, turnedErrors},
-	{func(t Tally) (n, of uint64) { return t.Heads.VerySlow, t.Heads.Compared }, verySlowPaces, toleratedSlow, clearlyVerySlower, turnedSlow},
-	{func(t Tally) (n, of uint64) { return t.Heads.Slow, t.Heads.Compared }, verySlowPaces, toleratedSlow, clearlySlower, 1},
-	{verySlowPaces, verySlowPaces, toleratedSlow, clearlyVerySlower, turnedSlow},
-	{func(t Tally) (n, of uint64) { return t.Paces.Slow, t.Paces.Compared }, verySlowPaces, toleratedSlow, clearlySlower, 1},
+	{
+		count:     func(t Tally) (n, of uint64) { return t.Errors, t.Requests },
+		tolerated: toleratedBroken, clear: clearlyBroken, turned: turnedBroken,
+	},
+	{
+		count:     func(t Tally) (n, of uint64) { return t.Errors - t.Broken, t.Requests },
+		tolerated: toleratedErrors, turned: turnedErrors,
+	},
+	{
+		count:   func(t Tally) (n, of uint64) { return t.Heads.VerySlow, t.Heads.Compared },
+		trouble: verySlowPaces, tolerated: toleratedSlow, clear: clearlyVerySlower, turned: turnedSlow,
+	},
+	{
+		count:   func(t Tally) (n, of uint64) { return t.Heads.Slow, t.Heads.Compared },
+		trouble: verySlowPaces, tolerated: toleratedSlow, clear: clearlySlower, turned: never,
+	},
+	{
+		count:   verySlowPaces,
+		trouble: verySlowPaces, tolerated: toleratedSlow, clear: clearlyVerySlower, turned: turnedSlow,
+	},
+	{
+		count:   func(t Tally) (n, of uint64) { return t.Paces.Slow, t.Paces.Compared },
+		trouble: verySlowPaces, tolerated: toleratedSlow, clear: clearlySlower, turned: never,
+	},
 }
 
-// rateEvidence returns the log likelihood ratio of the observed rate to the usual one, which is
-// known from other times: evidence that draws between two versions isn't for such a comparison.
+// never is a difference that rates seldom have. A rush of callers makes most answers slow, though few
+// very slow, so that slow ones say nothing while the new version gets all requests.
+const never = 1
+
+// rateEvidence returns the log likelihood ratio of the observed rate to a usual one that was observed
+// at another time. Package rollout's evidence needs answers of both versions at the same time.
 func rateEvidence(n, of uint64, usual float64) float64 {
 	r := rate(n, of)
 	if r <= usual || usual >= 1 {
@@ -121,14 +144,20 @@
 	for _, s := range signals {
 		old := rate(s.count(from))
 		n, of := s.count(to)
-		chance := 2 * math.Sqrt(old*(1-old)/float64(max(of, 1)))
 		tolerated := s.tolerated
 		if s.trouble != nil {
 			tolerated += rate(s.trouble(from))
 		}
-		if rate(n, of) > old+max(tolerated, chance) {
+		if exceeds(old, n, of, tolerated, 2) {
 			return false
 		}
 	}
 	return true
 }
+
+// exceeds reports whether a rate of n in of answers exceeds the old one by more than is tolerated, and
+// by more than so many standard errors.
+func exceeds(old float64, n, of uint64, tolerated, standardErrors float64) bool {
+	chance := standardErrors * math.Sqrt(old*(1-old)/float64(max(of, 1)))
+	return rate(n, of) > old+max(tolerated, chance)
+}
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -175,7 +175,7 @@
 	return &t.own.From
 }
 
-// sum adds the tallies of all VMs.
+// sum adds the tallies of all VMs of both versions during the trial.
 func (t *Trial) sum() (from, to Tally) {
 	from, to = t.own.From, t.own.To
 	for _, c := range t.others {
@@ -185,6 +185,15 @@
 	return from, to
 }
 
+// moved adds the tallies of all VMs of the new version since it was accepted.
+func (t *Trial) moved() Tally {
+	sum := t.own.Moved
+	for _, c := range t.others {
+		sum.add(c.Moved)
+	}
+	return sum
+}
+
 // IsExposing reports whether the sessions that Session.Tries selects are to use the new version
 // now.
 func (t *Trial) IsExposing(now time.Duration) bool {
@@ -237,8 +246,8 @@
 
 // DecideMoving decides on a version that was accepted and gets all requests, and returns the reason,
 // empty while undecided: Take completes the roll-out, which ends the old version. The argument moving
-// is the time since this VM learnt of the acceptance. VMs that have all restarted since the order
-// don't know its age, but have seen the version long enough after a session's longest pause.
+// is the time since this VM learnt of the acceptance: VMs that have all restarted don't know the
+// order's age, and complete it after a session's longest pause.
 func (t *Trial) DecideMoving(now, moving time.Duration) (d Decision, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -258,10 +267,7 @@
 
 // turnedBad compares the new version's latest answers with the old version's during the trial.
 func (t *Trial) turnedBad(from Tally) bool {
-	moved := t.own.Moved
-	for _, c := range t.others {
-		moved.add(c.Moved)
-	}
+	moved := t.moved()
 	if moved.Requests >= t.windows[1].Requests+movingWindow {
 		t.windows = [2]Tally{t.windows[1], moved}
 	}
@@ -285,9 +291,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	from, to := t.sum()
-	moved := t.own.Moved
-	for _, c := range t.others {
-		moved.add(c.Moved)
-	}
-	return Counts{From: from, To: to, Moved: moved}
+	return Counts{From: from, To: to, Moved: t.moved()}
 }
--- a/policy/trial/trial_test.go
+++ b/policy/trial/trial_test.go
@@ -329,13 +329,15 @@
 	play := func(seed uint64, newFails float64) Decision {
 		r := rand.New(rand.NewPCG(seed, 7))
 		tr := New(0, 0, 24*time.Second, 5*time.Second, 0.15)
-		usual := []float64{0, 0.3} // by route
-		for i := range 500 {
-			route := i % len(usual)
-			o := Origin{New: r.Float64() < SessionShare(0.15), Class: ClassOf(fmt.Sprint("route", route))}
-			fails := usual[route]
-			if o.New && route == 0 {
-				fails = newFails
+		// Each sixth request is on a route that the old version doesn't fail.
+		for i := range 800 {
+			route, fails := i%6, 0.4
+			o := Origin{New: r.Float64() < SessionShare(0.15), Class: ClassOf(fmt.Sprint("route", min(route, 1)))}
+			if route == 0 {
+				fails = 0
+				if o.New {
+					fails = newFails
+				}
 			}
 			tr.CountAnswer(10*time.Second, o, Result{Failed: r.Float64() < fails})
 		}
@@ -344,7 +346,7 @@
 	}
 	taken, good := 0, 0
 	for seed := range uint64(40) {
-		if play(seed, 0.4) == Take {
+		if play(seed, 0.6) == Take {
 			taken++
 		}
 		if play(seed, 0) == Take {
