Log what a VM spends and denies of the retry budget

A request's line now has the decisions (repeats), and once a second each VM writes what it granted and denied of a service, since the lines of requests in flight are lost with a process that is killed. TakeExtra returns what the decision rests on. No decision changes.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -67,6 +67,7 @@
 	// closedByPeer says why the connection of the current attempt broke; it is set for resultBroken.
 	closedByPeer bool
 	limitNotes   []limitNote
+	repeatNotes  []string          // decisions of the retry budget, for the log
 	scarce       bool              // the next model may find no endpoint
 	reserved     *placement.Choice // the endpoint for the next attempt, if it was picked already
 
@@ -107,6 +108,8 @@
 	// maxAtCapacity bounds the endpoints that refuse for lack of capacity: each further attempt
 	// loads another endpoint with a request that it must refuse.
 	maxAtCapacity = 3
+	// maxRepeatNotes bounds the decisions of the retry budget in a log line.
+	maxRepeatNotes = 8
 )
 
 // nextAction is what to do with a request after an attempt.
@@ -251,7 +254,7 @@
 	if c.misdirected > maxMisdirected || c.atCapacity >= maxAtCapacity {
 		return placement.Choice{}, c.refuseFurther("the endpoints that were tried did not run it")
 	}
-	if c.endpointsReached() > 0 && !c.retryGranted && !c.h.cfg.Budget.TakeExtra(c.service) {
+	if c.endpointsReached() > 0 && !c.retryGranted && !c.takeExtra() {
 		return placement.Choice{}, c.refuseFurther("too many requests are being tried again")
 	}
 	c.retryGranted = false
@@ -276,6 +279,19 @@
 	return choice, nil
 }
 
+// takeExtra asks the retry budget for one more attempt and notes the decision for the log.
+func (c *call) takeExtra() bool {
+	use, ok := c.h.cfg.Budget.TakeExtra(c.service)
+	if len(c.repeatNotes) < maxRepeatNotes {
+		decision := "denied"
+		if ok {
+			decision = "granted"
+		}
+		c.repeatNotes = append(c.repeatNotes, decision+"("+use.String()+")")
+	}
+	return ok
+}
+
 // endpointsReached returns the number of endpoints that the request reached, whether they ran
 // it or not.
 func (c *call) endpointsReached() int { return c.possibleRuns + c.misdirected + c.atCapacity }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -94,6 +94,9 @@
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords)).
 			Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
 	}
+	if len(c.repeatNotes) > 0 {
+		e = e.Str("repeats", strings.Join(c.repeatNotes, " "))
+	}
 	if c.fingerprint != 0 {
 		e = e.Str("fingerprint", poison.Fingerprint(c.fingerprint).String())
 	}
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -18,6 +18,7 @@
 	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
+	"goldcrestfork/policy/retry"
 	"goldcrestfork/router/refusal"
 )
 
@@ -120,8 +121,9 @@
 type RetryBudget interface {
 	// RecordFirst counts a request's first attempt at a service.
 	RecordFirst(service string)
-	// TakeExtra reports whether one more attempt at a service is allowed, and counts it if so.
-	TakeExtra(service string) bool
+	// TakeExtra reports whether one more attempt at a service is allowed, and counts it if so. The Use
+	// is what the decision rests on.
+	TakeExtra(service string) (retry.Use, bool)
 }
 
 // LoadExchange exchanges the load of endpoints between the VMs.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -24,6 +24,7 @@
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/reach"
+	"goldcrestfork/policy/retry"
 )
 
 // testNames are header names that differ from those of the real protocol, so that the tests do
@@ -126,8 +127,8 @@
 
 type fakeBudget struct{ none atomic.Bool }
 
-func (*fakeBudget) RecordFirst(string)      {}
-func (b *fakeBudget) TakeExtra(string) bool { return !b.none.Load() }
+func (*fakeBudget) RecordFirst(string)                   {}
+func (b *fakeBudget) TakeExtra(string) (retry.Use, bool) { return retry.Use{}, !b.none.Load() }
 
 type fakePoison struct {
 	mu           sync.Mutex
--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -62,7 +62,7 @@
 		return a
 	}
 	a.timer = time.AfterFunc(wait, func() {
-		if c.h.overdue.rerouteBudget.TakeExtra(time.Now(), 1) {
+		if _, ok := c.h.overdue.rerouteBudget.TakeExtra(time.Now(), 1); ok {
 			a.cancel(upstream.ErrOverdue)
 		}
 	})
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -115,7 +115,7 @@
 // reserveRetry reports whether another attempt is allowed within the time left, and takes it
 // from the retry budget that the VMs share.
 func (c *call) reserveRetry() bool {
-	c.retryGranted = c.possibleRuns < c.maxAttempts() && time.Until(c.deadline) > 0 && c.h.cfg.Budget.TakeExtra(c.service)
+	c.retryGranted = c.possibleRuns < c.maxAttempts() && time.Until(c.deadline) > 0 && c.takeExtra()
 	return c.retryGranted
 }
 
--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -9,13 +9,27 @@
 
 // budgets holds one window of repeated attempts for each service.
 type budgets struct {
-	n       *Node
-	mu      sync.Mutex
-	bounds  Bounds // from which the windows were made
-	windows map[string]*retry.Window
+	n        *Node
+	mu       sync.Mutex
+	bounds   Bounds // from which the windows were made
+	windows  map[string]*retry.Window
+	decided  map[string]*decisions // since reportedAt, by service
+	reported time.Duration         // bootClock time of the last report
 }
 
-func newBudgets(n *Node) *budgets { return &budgets{n: n, windows: make(map[string]*retry.Window)} }
+// decisions are what a window decided on extra attempts of a service.
+type decisions struct {
+	granted, denied int
+	last            retry.Use
+	vms             int // that shared the slack at the last decision
+}
+
+// budgetReportInterval is the time between two log lines on the extra attempts of a service.
+const budgetReportInterval = time.Second
+
+func newBudgets(n *Node) *budgets {
+	return &budgets{n: n, windows: make(map[string]*retry.Window), decided: make(map[string]*decisions)}
+}
 
 func (b *budgets) window(service string) *retry.Window {
 	b.mu.Lock()
@@ -37,6 +51,38 @@
 func (b *budgets) RecordFirst(service string) { b.window(service).RecordFirst(time.Now()) }
 
 // TakeExtra implements forward.RetryBudget.
-func (b *budgets) TakeExtra(service string) bool {
-	return b.window(service).TakeExtra(time.Now(), len(b.n.sharingVMs()))
+func (b *budgets) TakeExtra(service string) (retry.Use, bool) {
+	vms := len(b.n.sharingVMs())
+	use, ok := b.window(service).TakeExtra(time.Now(), vms)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := b.decided[service]
+	if d == nil {
+		d = new(decisions)
+		b.decided[service] = d
+	}
+	d.last, d.vms = use, vms
+	if ok {
+		d.granted++
+	} else {
+		d.denied++
+	}
+	return use, ok
+}
+
+// report logs a line for each service with decisions since the last report, once a second: the lines
+// of requests are lost with the process that they end with.
+func (b *budgets) report() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := bootClock()
+	if now-b.reported < budgetReportInterval {
+		return
+	}
+	b.reported = now
+	for service, d := range b.decided {
+		b.n.log.Info().Str("service", service).Int("granted", d.granted).Int("denied", d.denied).
+			Stringer("use", d.last).Int("vms", d.vms).Dur("uptime_ms", now-b.n.startedAt).Msg("extra attempts")
+	}
+	clear(b.decided)
 }
--- a/gateway/node/budgets_test.go
+++ b/gateway/node/budgets_test.go
@@ -17,16 +17,21 @@
 		n.currentBounds = new(atomic.Pointer[Bounds])
 		n.currentBounds.Store(&Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.9, RetrySlack: slack})
 		b := newBudgets(n)
-		for b.TakeExtra("s") {
+		for granted(b) {
 			before++
 		}
 		n.gossip.Table().Learn(bootClock(), members...)
 		n.membersRead.Store(true)
 		n.vms = cached[[]string]{}
-		for b.TakeExtra("s") {
+		for granted(b) {
 			learnt++
 		}
 	}
 	require.LessOrEqual(t, before, slack, "before the other VMs' entries are read")
 	require.Equal(t, slack, before+learnt, "no VM has heard another")
 }
+
+func granted(b *budgets) bool {
+	_, ok := b.TakeExtra("s")
+	return ok
+}
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -109,6 +109,7 @@
 	sticky         *sticky.Service
 	quota          *quota.Service
 	buckets        *ratelimit.Buckets
+	budgets        *budgets
 	sourcePolicy   *sourcePolicy
 	suspects       *suspects
 	paths          *paths
@@ -173,10 +174,11 @@
 		LapseTime: func() time.Duration { return minMissedReports * n.bounds().EndpointReport },
 		Regions:   s.Regions, ColdShare: n.coldShare, OnRemove: n.pool.Forget,
 	})
+	n.budgets = newBudgets(n)
 	n.handler = forward.New(forward.Config{
 		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, VMs: func() int { return max(len(n.sharingVMs()), 1) },
 		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
-		Budget: newBudgets(n), Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
+		Budget: n.budgets, Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
 	return n, nil
@@ -327,6 +329,7 @@
 			n.quota.Sweep()
 			n.buckets.Sweep(time.Now())
 			n.rollouts.tick(ctx)
+			n.budgets.report()
 		}
 	}
 }
--- a/policy/patience/patience_test.go
+++ b/policy/patience/patience_test.go
@@ -89,7 +89,11 @@
 		end := begin.Add(time.Duration((0.5 + r.Float64()) * float64(work)))
 		gone := r.Float64() < lost
 		wait, ok := Timeout(Attempt{Within: times.Within("s"), TargetLatency: target, Remaining: limit - t.at.Sub(t.came), AttemptsLeft: 1 - t.try})
-		if !waits && ok && (gone || end.Sub(t.at) > wait) && moves.TakeExtra(t.at.Add(wait), 1) {
+		again := !waits && ok && (gone || end.Sub(t.at) > wait)
+		if again {
+			_, again = moves.TakeExtra(t.at.Add(wait), 1)
+		}
+		if again {
 			if begin.Before(t.at.Add(wait)) {
 				free[server] = end // The server had started the request before the caller gave up.
 			}
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -34,6 +35,16 @@
 	bucket int64 // number of the newest bucket since the Unix epoch
 }
 
+// Use is what a Window has counted when it decides.
+type Use struct {
+	First, Extra int
+	Slack        float64 // this VM's part
+}
+
+// String formats a Use for a log line: "131/145+8.7" is 131 extra attempts for 145 requests, with a
+// part of 8.7 in the slack.
+func (u Use) String() string { return fmt.Sprintf("%d/%d+%.1f", u.Extra, u.First, u.Slack) }
+
 // NewWindow returns a window of the given length that allows ratio times the number of
 // requests in it, plus slack, as extra attempts.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
@@ -58,23 +69,22 @@
 }
 
 // TakeExtra counts one more attempt and reports true if the window allows it. vms is the
-// number of VMs that share the slack; with 0 there is no slack.
-func (w *Window) TakeExtra(now time.Time, vms int) bool {
+// number of VMs that share the slack; with 0 there is no slack. The Use is that before the attempt.
+func (w *Window) TakeExtra(now time.Time, vms int) (Use, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	first, extra := 0, 0
+	var u Use
 	for i := range bucketCount {
-		first += w.first[i]
-		extra += w.extra[i]
+		u.First += w.first[i]
+		u.Extra += w.extra[i]
 	}
-	slack := 0.0
 	if vms > 0 {
-		slack = w.slack / float64(vms)
+		u.Slack = w.slack / float64(vms)
 	}
-	if float64(extra+1) > w.ratio*float64(first)+slack {
-		return false
+	if float64(u.Extra+1) > w.ratio*float64(u.First)+u.Slack {
+		return u, false
 	}
 	w.extra[w.bucket%bucketCount]++
-	return true
+	return u, true
 }
--- a/policy/retry/window_test.go
+++ b/policy/retry/window_test.go
@@ -8,6 +8,11 @@
 	"github.com/stretchr/testify/require"
 )
 
+func takes(w *Window, now time.Time, vms int) bool {
+	_, ok := w.TakeExtra(now, vms)
+	return ok
+}
+
 // TestWindowHoldsOverVMs checks that over any window, summed over seven VMs with
 // different loads and no communication, the extra attempts stay within the ratio and the
 // slack while every request fails and asks for two more attempts.
@@ -30,7 +35,7 @@
 				w.RecordFirst(now)
 				k.first++
 				for range 2 {
-					if w.TakeExtra(now, vms) {
+					if takes(w, now, vms) {
 						k.extra++
 					}
 				}
@@ -55,12 +60,12 @@
 	w := NewWindow(10*time.Second, 0.5, 14)
 	now := time.Unix(100, 0)
 	n := 0
-	for w.TakeExtra(now, 7) {
+	for takes(w, now, 7) {
 		n++
 	}
 	require.Equal(t, 2, n)
-	require.False(t, w.TakeExtra(now.Add(5*time.Second), 7))
-	require.True(t, w.TakeExtra(now.Add(11*time.Second), 7))
+	require.False(t, takes(w, now.Add(5*time.Second), 7))
+	require.True(t, takes(w, now.Add(11*time.Second), 7))
 }
 
 // Guards against VMs of a large fleet, each with few requests, that deny attempts while the fleet is far from the bound.
@@ -85,7 +90,7 @@
 				break
 			}
 			asked++
-			if !w.TakeExtra(now, vms) {
+			if !takes(w, now, vms) {
 				denied++
 				break
 			}
