Bound repeats by sums that add up over VMs that end and start

What callers saw: more repeats than the bound allows, summed over all VMs, when VMs end while endpoints fail. Cause: each VM held its repeats below the ratio times its own requests of the last window, whenever it was asked. That doesn't add up over time: a VM can spend in an instant what ten seconds of earlier requests pay for, and when it ends, the requests that its callers send to other VMs, or to the process in its place, pay again for the same window.

Change: FleetWindow bounds a VM's repeats in each window by 0.8 of its requests in it and 0.2 of those in the window before. A sum with fixed weights adds up over VMs, lives and windows, whatever a VM remembers, and it stays below what the most of both windows would pay for. The same weights are how much a VM can spend at once (0.2 of a window, beside the slack) and how little it may spend right after a start (0.8 of the ratio). Windows are checked at each of 100 buckets, in place of a twentieth of the ratio that was left for the oldest of 20. Window stays as it was, for the reroutes of one VM.

TestBoundHoldsWhileVMsEnd, TestBoundHoldsWhileLoadChanges and TestAllowedAttemptsAreMade are new; they use no slack. TestLargeFleetUsesItsBudget moves to FleetWindow with its bound.

--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -12,7 +13,7 @@
 	n        *Node
 	mu       sync.Mutex
 	bounds   Bounds // from which the windows were made
-	windows  map[string]*retry.Window
+	windows  map[string]*retry.FleetWindow
 	decided  map[string]*decisions // since reportedAt, by service
 	reported time.Duration         // bootClock time of the last report
 }
@@ -28,10 +29,10 @@
 const budgetReportInterval = time.Second
 
 func newBudgets(n *Node) *budgets {
-	return &budgets{n: n, windows: make(map[string]*retry.Window), decided: make(map[string]*decisions)}
+	return &budgets{n: n, windows: make(map[string]*retry.FleetWindow), decided: make(map[string]*decisions)}
 }
 
-func (b *budgets) window(service string) *retry.Window {
+func (b *budgets) window(service string) *retry.FleetWindow {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.n.bounds()
@@ -41,7 +42,7 @@
 	}
 	w := b.windows[service]
 	if w == nil {
-		w = retry.NewWindow(s.RetryWindow, s.RetryRatio, s.RetrySlack)
+		w = retry.NewFleetWindow(s.RetryWindow, s.RetryRatio, s.RetrySlack, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		b.windows[service] = w
 	}
 	return w
--- /dev/null
+++ b/policy/retry/counts.go
@@ -0,0 +1,35 @@
+package retry
+
+import "time"
+
+// counts holds the numbers of first and extra attempts of the last buckets of time.
+type counts struct {
+	width  time.Duration // of a bucket
+	first  []int
+	extra  []int
+	newest int64 // number of the newest bucket since the Unix epoch
+}
+
+func newCounts(width time.Duration, buckets int) counts {
+	return counts{width: width, first: make([]int, buckets), extra: make([]int, buckets)}
+}
+
+// advance makes the bucket of the current time the newest one and clears the buckets that have
+// expired since the last call.
+func (c *counts) advance(now time.Time) {
+	n := now.UnixNano() / int64(c.width)
+	for i := max(c.newest+1, n-int64(len(c.first))+1); i <= n; i++ {
+		c.first[i%int64(len(c.first))], c.extra[i%int64(len(c.first))] = 0, 0
+	}
+	c.newest = max(c.newest, n)
+}
+
+// index returns the index of the bucket that is so many buckets older than the newest.
+func (c *counts) index(age int) int {
+	n := int64(len(c.first))
+	return int((c.newest%n + n - int64(age)) % n)
+}
+
+// recordFirst and recordExtra count an attempt in the newest bucket.
+func (c *counts) recordFirst() { c.first[c.index(0)]++ }
+func (c *counts) recordExtra() { c.extra[c.index(0)]++ }
--- /dev/null
+++ b/policy/retry/fleet_test.go
@@ -0,0 +1,248 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleetBound is a bound on the attempts beyond the first of a fleet.
+type fleetBound struct {
+	ratio, slack float64
+	length       time.Duration
+}
+
+// fleetModel is VMs that receive requests. It records the requests and the extra attempts of all.
+type fleetModel struct {
+	fleetBound
+	rng     *rand.Rand
+	now     time.Duration
+	vms     []*modelVM
+	failing float64 // share of the attempts that fail
+	perS    float64 // requests a second of the fleet
+
+	sent, extra    []time.Duration
+	asked, granted int
+}
+
+// modelVM is one VM, nil in the fleet while it is down.
+type modelVM struct{ window *FleetWindow }
+
+const modelStep = 20 * time.Millisecond
+
+func newFleetModel(vms int, perS float64, seed uint64) *fleetModel {
+	f := &fleetModel{fleetBound: fleetBound{ratio: 0.9, length: 10 * time.Second}, perS: perS, rng: rand.New(rand.NewPCG(seed, 50))}
+	f.vms = make([]*modelVM, vms)
+	for i := range f.vms {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleetModel) start(i int) {
+	f.vms[i] = &modelVM{window: NewFleetWindow(f.length, f.ratio, f.slack, f.rng)}
+}
+
+func (f *fleetModel) time() time.Time { return time.Unix(1000, 0).Add(f.now) }
+
+// up returns the VMs that run.
+func (f *fleetModel) up() (out []*modelVM) {
+	for _, v := range f.vms {
+		if v != nil {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// run lets callers send requests for a time. Each reaches any VM that runs, and asks for an extra
+// attempt when one fails, up to MaxAttempts.
+func (f *fleetModel) run(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += modelStep {
+		up := f.up()
+		mean := f.perS * modelStep.Seconds()
+		for n := f.rng.ExpFloat64(); n < mean; n += f.rng.ExpFloat64() {
+			f.sent = append(f.sent, f.now)
+			if len(up) == 0 {
+				continue
+			}
+			v := up[f.rng.IntN(len(up))]
+			v.window.RecordFirst(f.time())
+			for made := 1; made < MaxAttempts && f.rng.Float64() < f.failing; made++ {
+				f.asked++
+				if _, ok := v.window.TakeExtra(f.time(), 0); !ok {
+					break
+				}
+				f.granted++
+				f.extra = append(f.extra, f.now)
+			}
+		}
+	}
+}
+
+// within counts the times in [from, from + length), which are in order.
+func (b fleetBound) within(at []time.Duration, from time.Duration) (n int) {
+	for _, x := range at {
+		if x >= from && x < from+b.length {
+			n++
+		}
+	}
+	return n
+}
+
+// allowed returns the extra attempts that the bound allows in the window from a time on: requests
+// count in it, in the one before it or in the one half a window before it, whichever has most.
+func (f *fleetModel) allowed(from time.Duration) float64 {
+	requests := max(f.within(f.sent, from), f.within(f.sent, from-f.length/2), f.within(f.sent, from-f.length))
+	return f.ratio*float64(requests) + f.slack
+}
+
+// requireBound checks every window.
+func (f *fleetModel) requireBound(t *testing.T) {
+	t.Helper()
+	worst, at := -1e9, time.Duration(0)
+	for from := time.Duration(0); from < f.now; from += modelStep {
+		if e := float64(f.within(f.extra, from)) - f.allowed(from); e > worst {
+			worst, at = e, from
+		}
+	}
+	t.Logf("%d extra attempts of %d asked for, %.0f below the bound at %s", f.granted, f.asked, -worst, at)
+	require.LessOrEqual(t, worst, 0.0, "extra attempts above the bound in the window from %s on", at)
+}
+
+// sizes are fleets with the requests a second of each.
+var sizes = map[string]struct {
+	vms  int
+	perS float64
+}{"6 VMs": {6, 90}, "90 VMs": {90, 400}}
+
+// Guards against VMs that let later requests pay for attempts that ended VMs have made for them.
+func TestBoundHoldsWhileVMsEnd(t *testing.T) {
+	for name, play := range map[string]func(f *fleetModel){
+		"all restart": func(f *fleetModel) {
+			for i := range f.vms {
+				f.start(i)
+			}
+			f.run(10 * time.Second)
+		},
+		"restart in turn": func(f *fleetModel) {
+			for i := range f.vms {
+				f.start(i)
+				f.run(6 * time.Second / time.Duration(len(f.vms)))
+			}
+			f.run(8 * time.Second)
+		},
+		"half end": func(f *fleetModel) {
+			for i := range len(f.vms) / 2 {
+				f.vms[i] = nil
+			}
+			f.run(10 * time.Second)
+		},
+		"most end and start again": func(f *fleetModel) {
+			for i := range len(f.vms) - 1 {
+				f.vms[i] = nil
+			}
+			f.run(3 * time.Second)
+			for i := range len(f.vms) - 1 {
+				f.start(i)
+			}
+			f.run(7 * time.Second)
+		},
+	} {
+		for size, fleet := range sizes {
+			t.Run(name+" of "+size, func(t *testing.T) {
+				f := newFleetModel(fleet.vms, fleet.perS, 1)
+				f.run(20 * time.Second)
+				f.failing = 0.95
+				f.run(4 * time.Second)
+				play(f)
+				f.requireBound(t)
+			})
+		}
+	}
+}
+
+// Guards against VMs with unlike loads that make more attempts together than the bound allows, as their callers come and go.
+func TestBoundHoldsWhileLoadChanges(t *testing.T) {
+	for size, fleet := range sizes {
+		for _, quiet := range []float64{1, 4, 20} {
+			t.Run(fmt.Sprintf("%s, %g", size, quiet), func(t *testing.T) {
+				f := newFleetModel(fleet.vms, fleet.perS, 5)
+				for i, d := range []time.Duration{15, 3, 7, 10, 2, 9, 11, 5, 13} {
+					f.failing = []float64{0, 0.95, 1, 0.5}[i%4]
+					f.perS = fleet.perS
+					if i%2 == 1 {
+						f.perS /= quiet
+					}
+					f.run(d * time.Second)
+				}
+				f.requireBound(t)
+			})
+		}
+	}
+}
+
+// Guards against attempts that are denied although the bound allows them.
+func TestAllowedAttemptsAreMade(t *testing.T) {
+	const made = 0.9 // of what is asked for, or of what the bound allows if that is less
+	for size, fleet := range sizes {
+		t.Run("lasting failures at "+size, func(t *testing.T) {
+			f := newFleetModel(fleet.vms, fleet.perS, 2)
+			f.run(20 * time.Second)
+			f.failing = 1
+			f.run(30 * time.Second)
+			f.requireBound(t)
+			for from := f.now - 2*f.length; from < f.now-f.length; from += time.Second {
+				require.GreaterOrEqual(t, float64(f.within(f.extra, from)), made*(f.allowed(from)-f.slack))
+			}
+		})
+		t.Run("a short failure at "+size, func(t *testing.T) {
+			f := newFleetModel(fleet.vms, fleet.perS, 3)
+			f.run(20 * time.Second)
+			f.failing = 1
+			f.run(time.Second)
+			require.GreaterOrEqual(t, float64(f.granted), made*float64(f.asked))
+		})
+		t.Run("half of the answers asked for again at VMs that have just started, "+size, func(t *testing.T) {
+			f := newFleetModel(fleet.vms, fleet.perS, 4)
+			f.failing = 0.4
+			f.run(20 * time.Second)
+			require.GreaterOrEqual(t, float64(f.granted), made*float64(f.asked))
+			f.requireBound(t)
+		})
+	}
+}
+
+// Guards against VMs of a large fleet, each with few requests, that deny attempts while the fleet is far from the bound.
+func TestLargeFleetUsesItsBudget(t *testing.T) {
+	const vms, perS, ratio, slack, seconds = 89, 300, 0.9, 218.0, 60
+	const needsFirst, needsSecond = 0.55, 0.27
+	const maxDenied = 0.02
+	length := 10 * time.Second
+	r := rand.New(rand.NewPCG(8, 8))
+	var windows []*FleetWindow
+	for range vms {
+		windows = append(windows, NewFleetWindow(length, ratio, slack, r))
+	}
+	asked, denied := 0, 0
+	now := time.Unix(100, 0)
+	for range perS * seconds {
+		now = now.Add(time.Duration(r.ExpFloat64() / perS * float64(time.Second)))
+		w := windows[r.IntN(vms)]
+		w.RecordFirst(now)
+		for _, needs := range []float64{needsFirst, needsSecond} {
+			if r.Float64() >= needs {
+				break
+			}
+			asked++
+			if !takes(w, now, vms) {
+				denied++
+				break
+			}
+		}
+	}
+	require.Less(t, float64(denied)/float64(asked), maxDenied, "%d of %d attempts denied", denied, asked)
+}
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -17,22 +17,15 @@
 	usedShare = 1 - 1.0/bucketCount
 )
 
-// Window bounds the attempts beyond the first of each request within a sliding time
-// window, summed over all VMs, without communication between them: each VM applies the
-// ratio to its own requests and uses its part of the slack.
-//
-// Without this bound, when many endpoints of a service fail, up to MaxAttempts attempts
-// of each request reach the remaining ones.
+// Window bounds the extra attempts of one VM within a sliding time window. For a bound on the sum over
+// all VMs use FleetWindow.
 //
 // A Window is safe for concurrent use. Its mutex is a leaf of the lock order.
 type Window struct {
 	ratio, slack float64
-	length       time.Duration
 
 	mu     sync.Mutex
-	first  [bucketCount]int
-	extra  [bucketCount]int
-	bucket int64 // number of the newest bucket since the Unix epoch
+	counts counts
 }
 
 // Use is what a Window has counted when it decides.
@@ -48,24 +41,15 @@
 // NewWindow returns a window of the given length that allows ratio times the number of
 // requests in it, plus slack, as extra attempts.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
-	return &Window{ratio: ratio * usedShare, slack: slack, length: length}
-}
-
-// advance clears the buckets that have expired since the last call.
-func (w *Window) advance(now time.Time) {
-	n := now.UnixNano() / int64(w.length/bucketCount)
-	for i := max(w.bucket+1, n-bucketCount+1); i <= n; i++ {
-		w.first[i%bucketCount], w.extra[i%bucketCount] = 0, 0
-	}
-	w.bucket = max(w.bucket, n)
+	return &Window{ratio: ratio * usedShare, slack: slack, counts: newCounts(length/bucketCount, bucketCount)}
 }
 
 // RecordFirst counts the first attempt of a request.
 func (w *Window) RecordFirst(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(now)
-	w.first[w.bucket%bucketCount]++
+	w.counts.advance(now)
+	w.counts.recordFirst()
 }
 
 // TakeExtra counts one more attempt and reports true if the window allows it. vms is the
@@ -73,11 +57,11 @@
 func (w *Window) TakeExtra(now time.Time, vms int) (Use, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(now)
+	w.counts.advance(now)
 	var u Use
-	for i := range bucketCount {
-		u.First += w.first[i]
-		u.Extra += w.extra[i]
+	for age := range bucketCount {
+		u.First += w.counts.first[w.counts.index(age)]
+		u.Extra += w.counts.extra[w.counts.index(age)]
 	}
 	if vms > 0 {
 		u.Slack = w.slack / float64(vms)
@@ -85,6 +69,6 @@
 	if float64(u.Extra+1) > w.ratio*float64(u.First)+u.Slack {
 		return u, false
 	}
-	w.extra[w.bucket%bucketCount]++
+	w.counts.recordExtra()
 	return u, true
 }
