Measure the windows of repeats by a clock that never steps

Cause: the buckets of a window were numbered by the time of day. A step ahead expires them at once, so that slack and window are there again; a step back keeps all attempts in one bucket until the clock has caught up, and then expires them together. Change: windows take a duration of a clock that never steps and goes on while the VM is suspended (CLOCK_BOOTTIME); a VM's limit on reroutes, which had the same fault, takes the same clock.

--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -109,6 +109,9 @@
 	Limits   RateLimits
 	Metrics  *Metrics
 	Log      zerolog.Logger
+	// Clock returns the time since some moment. It never steps, and includes the time for which the VM
+	// is suspended.
+	Clock func() time.Duration
 	// MaxKeyConfigAge returns the configuration age (State.ConfigAge) up to which keys are
 	// accepted. A key may have been revoked since the configuration was confirmed.
 	MaxKeyConfigAge func() time.Duration
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -203,10 +203,10 @@
 	for i := range n {
 		w.add(fmt.Sprintf("e%d", i))
 	}
-	registry := prometheus.NewRegistry()
+	registry, start := prometheus.NewRegistry(), time.Now()
 	w.handler = New(Config{
 		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, "test", nil), Versions: w.versions,
-		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, VMs: func() int { return 1 }, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(),
+		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, VMs: func() int { return 1 }, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(), Clock: func() time.Duration { return time.Since(start) },
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
 	close(w.state.loaded)
--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -45,7 +45,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	// A rerouted attempt does not add to the budget of further ones.
 	if !c.rerouted {
-		c.h.overdue.rerouteBudget.RecordFirst(a.began)
+		c.h.overdue.rerouteBudget.RecordFirst(c.h.cfg.Clock())
 	}
 	if !c.repeatable() || c.via != nil {
 		return a
@@ -62,7 +62,7 @@
 		return a
 	}
 	a.timer = time.AfterFunc(wait, func() {
-		if _, ok := c.h.overdue.rerouteBudget.TakeExtra(time.Now(), 1); ok {
+		if _, ok := c.h.overdue.rerouteBudget.TakeExtra(c.h.cfg.Clock(), 1); ok {
 			a.cancel(upstream.ErrOverdue)
 		}
 	})
--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -49,12 +49,12 @@
 }
 
 // RecordFirst implements forward.RetryBudget.
-func (b *budgets) RecordFirst(service string) { b.window(service).RecordFirst(time.Now()) }
+func (b *budgets) RecordFirst(service string) { b.window(service).RecordFirst(bootClock()) }
 
 // TakeExtra implements forward.RetryBudget.
 func (b *budgets) TakeExtra(service string) (retry.Use, bool) {
 	vms := len(b.n.sharingVMs())
-	use, ok := b.window(service).TakeExtra(time.Now(), vms)
+	use, ok := b.window(service).TakeExtra(bootClock(), vms)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := b.decided[service]
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -178,7 +178,7 @@
 	n.handler = forward.New(forward.Config{
 		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, VMs: func() int { return max(len(n.sharingVMs()), 1) },
 		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
-		Budget: n.budgets, Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log,
+		Budget: n.budgets, Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log, Clock: bootClock,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
 	return n, nil
--- a/policy/patience/patience_test.go
+++ b/policy/patience/patience_test.go
@@ -80,7 +80,7 @@
 	for len(tries) > 0 {
 		t := tries[0]
 		tries = tries[1:]
-		moves.RecordFirst(t.at)
+		moves.RecordFirst(t.at.Sub(start))
 		server := (t.n + 3*t.try) % servers
 		begin := t.at
 		if free[server].After(begin) {
@@ -91,7 +91,7 @@
 		wait, ok := Timeout(Attempt{Within: times.Within("s"), TargetLatency: target, Remaining: limit - t.at.Sub(t.came), AttemptsLeft: 1 - t.try})
 		again := !waits && ok && (gone || end.Sub(t.at) > wait)
 		if again {
-			_, again = moves.TakeExtra(t.at.Add(wait), 1)
+			_, again = moves.TakeExtra(t.at.Add(wait).Sub(start), 1)
 		}
 		if again {
 			if begin.Before(t.at.Add(wait)) {
--- a/policy/retry/counts.go
+++ b/policy/retry/counts.go
@@ -2,12 +2,14 @@
 
 import "time"
 
-// counts holds the numbers of first and extra attempts of the last buckets of time.
+// counts holds the numbers of first and extra attempts of the last buckets of time. Times are those of
+// a clock that never steps and includes the time for which the VM is suspended: the time of day may
+// step by seconds, which would empty the counts or keep old ones.
 type counts struct {
 	width  time.Duration // of a bucket
 	first  []int
 	extra  []int
-	newest int64 // number of the newest bucket since the Unix epoch
+	newest int64 // number of the newest bucket since the clock's zero
 }
 
 func newCounts(width time.Duration, buckets int) counts {
@@ -16,8 +18,8 @@
 
 // advance makes the bucket of the current time the newest one and clears the buckets that have
 // expired since the last call.
-func (c *counts) advance(now time.Time) {
-	n := now.UnixNano() / int64(c.width)
+func (c *counts) advance(now time.Duration) {
+	n := int64(now / c.width)
 	for i := max(c.newest+1, n-int64(len(c.first))+1); i <= n; i++ {
 		c.first[i%int64(len(c.first))], c.extra[i%int64(len(c.first))] = 0, 0
 	}
--- a/policy/retry/fleet.go
+++ b/policy/retry/fleet.go
@@ -51,7 +51,7 @@
 }
 
 // RecordFirst counts the first attempt of a request.
-func (w *FleetWindow) RecordFirst(now time.Time) {
+func (w *FleetWindow) RecordFirst(now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counts.advance(now)
@@ -60,7 +60,7 @@
 
 // TakeExtra counts one more attempt and reports true if it is allowed. vms is the number of VMs
 // that share the slack; with 0 there is no slack. The Use is that before the attempt.
-func (w *FleetWindow) TakeExtra(now time.Time, vms int) (Use, bool) {
+func (w *FleetWindow) TakeExtra(now time.Duration, vms int) (Use, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counts.advance(now)
--- a/policy/retry/fleet_test.go
+++ b/policy/retry/fleet_test.go
@@ -46,8 +46,6 @@
 	f.vms[i] = &modelVM{window: NewFleetWindow(f.length, f.ratio, f.slack, f.rng)}
 }
 
-func (f *fleetModel) time() time.Time { return time.Unix(1000, 0).Add(f.now) }
-
 // up returns the VMs that run.
 func (f *fleetModel) up() (out []*modelVM) {
 	for _, v := range f.vms {
@@ -70,10 +68,10 @@
 				continue
 			}
 			v := up[f.rng.IntN(len(up))]
-			v.window.RecordFirst(f.time())
+			v.window.RecordFirst(f.now)
 			for made := 1; made < MaxAttempts && f.rng.Float64() < f.failing; made++ {
 				f.asked++
-				if _, ok := v.window.TakeExtra(f.time(), 0); !ok {
+				if _, ok := v.window.TakeExtra(f.now, 0); !ok {
 					break
 				}
 				f.granted++
@@ -228,9 +226,9 @@
 		windows = append(windows, NewFleetWindow(length, ratio, slack, r))
 	}
 	asked, denied := 0, 0
-	now := time.Unix(100, 0)
+	now := 100 * time.Second
 	for range perS * seconds {
-		now = now.Add(time.Duration(r.ExpFloat64() / perS * float64(time.Second)))
+		now += time.Duration(r.ExpFloat64() / perS * float64(time.Second))
 		w := windows[r.IntN(vms)]
 		w.RecordFirst(now)
 		for _, needs := range []float64{needsFirst, needsSecond} {
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -45,7 +45,7 @@
 }
 
 // RecordFirst counts the first attempt of a request.
-func (w *Window) RecordFirst(now time.Time) {
+func (w *Window) RecordFirst(now time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counts.advance(now)
@@ -54,7 +54,7 @@
 
 // TakeExtra counts one more attempt and reports true if the window allows it. vms is the
 // number of VMs that share the slack; with 0 there is no slack. The Use is that before the attempt.
-func (w *Window) TakeExtra(now time.Time, vms int) (Use, bool) {
+func (w *Window) TakeExtra(now time.Duration, vms int) (Use, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.counts.advance(now)
--- a/policy/retry/window_test.go
+++ b/policy/retry/window_test.go
@@ -9,8 +9,8 @@
 )
 
 func takes(w interface {
-	TakeExtra(time.Time, int) (Use, bool)
-}, now time.Time, vms int) bool {
+	TakeExtra(time.Duration, int) (Use, bool)
+}, now time.Duration, vms int) bool {
 	_, ok := w.TakeExtra(now, vms)
 	return ok
 }
@@ -29,7 +29,7 @@
 	r := rand.New(rand.NewPCG(5, 5))
 	var ticks []tick // of 50 ms
 	for i := range 1200 {
-		now := time.Unix(100, 0).Add(time.Duration(i) * 50 * time.Millisecond)
+		now := time.Duration(i) * 50 * time.Millisecond
 		var k tick
 		for v, w := range windows {
 			load := (v + 1) * (1 + 3*(i/400%2))
@@ -60,12 +60,12 @@
 // its part of the slack.
 func TestWindowSlack(t *testing.T) {
 	w := NewWindow(10*time.Second, 0.5, 14)
-	now := time.Unix(100, 0)
+	now := 100 * time.Second
 	n := 0
 	for takes(w, now, 7) {
 		n++
 	}
 	require.Equal(t, 2, n)
-	require.False(t, takes(w, now.Add(5*time.Second), 7))
-	require.True(t, takes(w, now.Add(11*time.Second), 7))
+	require.False(t, takes(w, now+5*time.Second, 7))
+	require.True(t, takes(w, now+11*time.Second, 7))
 }
