Count a request that goes through other VMs once

Cause: a VM counted a request's first attempt when it picked an endpoint, before anything was sent, and the VM that the request then went through counted it again, so that one request paid for two; and what a VM had sent to endpoints before it refused such a request was counted as an extra attempt by nobody.

Change: a first attempt is counted as its first byte is sent, once; a VM tells the next one that the request has been counted, and a VM that refuses it tells whether an endpoint may have had it (Goldcrest-Counted, which callers can't set).

Granted extra attempts that are never sent are still counted; that is another fault.

--- /dev/null
+++ b/gateway/forward/budget_test.go
@@ -0,0 +1,46 @@
+package forward
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that pay for extra attempts at two VMs, or whose extra attempts no VM counts, because they go through another VM.
+func TestRequestThroughOtherVMsIsCountedOnce(t *testing.T) {
+	full := status(http.StatusServiceUnavailable, testNames.NotRun, "1")
+	for name, play := range map[string]struct {
+		a, b     http.HandlerFunc // nil: not reached
+		arrivals int64
+	}{
+		"no endpoint here":                   {nil, events(1, 1, false), 1},
+		"broken here":                        {crash, events(1, 1, false), 2},
+		"broken here and there":              {crash, crash, 2},
+		"full there, then through a third":   {nil, full, 2},
+		"no endpoint there, through a third": {nil, nil, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vms := []*testEnv{newTestEnv(t, 1), newTestEnv(t, 1), newTestEnv(t, 3)}
+			for i, h := range []http.HandlerFunc{play.a, play.b} {
+				if h == nil {
+					vms[i].cutOff()
+				} else {
+					vms[i].setHandlers(h)
+				}
+			}
+			vms[2].setHandlers(events(1, 1, false))
+			vms[0].detourTo(vms[1:]...)
+			vms[0].send("POST", "/safe/x", "body")
+			var arrivals, firsts, extra int64
+			for _, v := range vms {
+				arrivals += v.totalRuns()
+				firsts += v.budget.firsts.Load()
+				extra += v.budget.extra.Load()
+			}
+			require.Equal(t, play.arrivals, arrivals)
+			require.EqualValues(t, 1, firsts)
+			require.GreaterOrEqual(t, extra, arrivals-1)
+		})
+	}
+}
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -75,6 +75,9 @@
 	// number of attempts that it allows.
 	forwardedBy          string
 	maxForwardedAttempts int
+	// counted is set once this VM or another one has counted the request's first attempt, reachedByPeer
+	// if another VM may have sent it to an endpoint.
+	counted, reachedByPeer bool
 	// via is the VM that the current attempt goes through, nil for none. peersTried are those that the
 	// request was sent to, and peersWithoutEndpoint is how many of them reached no endpoint.
 	via                  *Peer
@@ -245,7 +248,7 @@
 	if c.h.cfg.Poison.Quarantined(c.service, c.fingerprint, c.prompt.sharedParts...) {
 		return placement.Choice{}, c.refuseQuarantined()
 	}
-	if c.endpointsReached() > 0 && !c.h.cfg.Poison.MayRepeat(c.service, c.prompt.sharedParts...) {
+	if c.reachedBefore() && !c.h.cfg.Poison.MayRepeat(c.service, c.prompt.sharedParts...) {
 		return placement.Choice{}, c.refuseQuarantined()
 	}
 	if c.possibleRuns >= c.maxAttempts() {
@@ -254,7 +257,7 @@
 	if c.misdirected > maxMisdirected || c.atCapacity >= maxAtCapacity {
 		return placement.Choice{}, c.refuseFurther("the endpoints that were tried did not run it")
 	}
-	if c.endpointsReached() > 0 && !c.retryGranted && !c.takeExtra() {
+	if c.reachedBefore() && !c.retryGranted && !c.takeExtra() {
 		return placement.Choice{}, c.refuseFurther("too many requests are being tried again")
 	}
 	c.retryGranted = false
@@ -273,9 +276,6 @@
 	if miss != placement.Picked {
 		return c.peerOrRefuse(missDetails[miss])
 	}
-	if c.endpointsReached() == 0 && c.failedDials == 0 {
-		c.h.cfg.Budget.RecordFirst(c.service)
-	}
 	return choice, nil
 }
 
@@ -296,6 +296,18 @@
 // it or not.
 func (c *call) endpointsReached() int { return c.possibleRuns + c.misdirected + c.atCapacity }
 
+// reachedBefore reports whether the next attempt is an extra one: an endpoint may have received the
+// request from this VM, or from another one that this VM sent it to.
+func (c *call) reachedBefore() bool { return c.endpointsReached() > 0 || c.reachedByPeer }
+
+// countFirst counts the request's first attempt, at the first of all VMs that sends it to an endpoint.
+func (c *call) countFirst() {
+	if !c.counted {
+		c.counted = true
+		c.h.cfg.Budget.RecordFirst(c.service)
+	}
+}
+
 var missDetails = map[placement.NoChoiceReason]string{
 	placement.NoEndpoint: "no endpoint serves this now",
 	placement.AllCold:    "the endpoints are in cold start",
@@ -373,6 +385,7 @@
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
 		OnSend: func() {
 			c.begun = true
+			c.countFirst()
 			c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint, c.prompt.sharedParts...)
 		},
 	}
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -79,6 +79,7 @@
 		return refusal.New(http.StatusServiceUnavailable, refusal.Stale, "configuration %d is older than %d of VM %q", c.conf.Revision, f.revision, f.by).WithRetryAfter(shortRetryAfter)
 	}
 	c.forwardedBy = f.by
+	c.counted = c.r.Header.Get(c.h.cfg.Names.Counted) != ""
 	c.maxForwardedAttempts = f.attempts
 	return nil
 }
@@ -182,6 +183,10 @@
 	head := endToEnd(c.r.Header)
 	head.Set(n.Deadline, upstream.RemainingMillis(c.deadline, time.Now()))
 	head.Set(n.Forwarded, forwarded{by: c.h.cfg.Self, revision: c.conf.Revision, attempts: c.maxAttempts() - c.possibleRuns}.String())
+	head.Del(n.Counted)
+	if c.counted {
+		head.Set(n.Counted, "1")
+	}
 	if lastEvent != "" {
 		head.Set(n.LastEventID, lastEvent)
 	}
@@ -201,6 +206,7 @@
 	if sent {
 		c.possibleRuns++
 		c.ran = refusal.Unknown
+		c.counted = true
 	}
 	if cause := ctx.Err(); cause != nil {
 		c.finishAttempt(ch, placement.NoSignal, "ended")
@@ -231,6 +237,9 @@
 		_ = json.Unmarshal(body, &problem)
 	}
 	c.sizingNote = string(problem.Code)
+	if a.Header.Get(c.h.cfg.Names.Counted) != "" {
+		c.counted, c.reachedByPeer = true, true
+	}
 	c.finishAttempt(ch, placement.NoSignal, "refused")
 	if problem.Code == refusal.NoEndpoint {
 		c.h.cfg.Detours.Unusable(c.via.Name)
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -53,6 +53,9 @@
 		if c.h.stopping.Load() {
 			c.w.Header().Set("Connection", "close")
 		}
+		if c.forwardedBy != "" && c.reachedBefore() {
+			c.w.Header().Set(c.h.cfg.Names.Counted, "1")
+		}
 		r.WriteFine(c.w)
 	}
 	c.finish(string(r.Code), r.Status)
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -33,8 +33,8 @@
 	RequestID: "X-Request", Deadline: "X-Deadline", Key: "X-Key", Account: "X-Account",
 	ExpectInstance: "X-Expect", Load: "X-Load", RateLimit: "X-Limit", Rest: "X-Rest", Leaving: "X-Leaving", Brittle: "X-Brittle", NotRun: "X-Not-Run",
 	Signature: "X-Signature", Confidence: "X-Confidence", Model: "X-Model",
-	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold", Forwarded: "X-Forwarded",
-	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold", "X-Forwarded"},
+	PromptParts: "X-Parts", Session: "X-Session", LastEventID: "X-Last", ColdRemaining: "X-Cold", Forwarded: "X-Forwarded", Counted: "X-Counted",
+	Owned: []string{"X-Key", "X-Account", "X-Expect", "X-Hold", "X-Forwarded", "X-Counted"},
 }
 
 // fakeEndpoint is one endpoint; serve answers its requests.
@@ -125,10 +125,21 @@
 
 func (v *fakeVersions) VerySlow(AnswerResult) bool { return false }
 
-type fakeBudget struct{ none atomic.Bool }
+// fakeBudget grants all extra attempts unless none is set, and counts.
+type fakeBudget struct {
+	none          atomic.Bool
+	firsts, extra atomic.Int64
+}
+
+func (b *fakeBudget) RecordFirst(string) { b.firsts.Add(1) }
 
-func (*fakeBudget) RecordFirst(string)                   {}
-func (b *fakeBudget) TakeExtra(string) (retry.Use, bool) { return retry.Use{}, !b.none.Load() }
+func (b *fakeBudget) TakeExtra(string) (retry.Use, bool) {
+	if b.none.Load() {
+		return retry.Use{}, false
+	}
+	b.extra.Add(1)
+	return retry.Use{}, true
+}
 
 type fakePoison struct {
 	mu           sync.Mutex
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -49,6 +49,9 @@
 	ColdRemaining string
 	// Forwarded is set on a request that a VM without paths to endpoints sends to another VM.
 	Forwarded string
+	// Counted is set on a request that a VM sends to another one, and on that one's refusal of it, if a
+	// VM has counted the request's first attempt: an endpoint may have received it.
+	Counted string
 	// OtherAnswer are further headers of endpoints' answers, which are passed on as they are.
 	OtherAnswer []string
 	// Owned are the headers that only the system sets; they are removed from a caller's
