Count an extra attempt only if it is sent

What callers saw: repeats denied that the rule allows ('too many requests are being tried again', weak answers kept) while endpoints refuse connections or are gone. Cause: the retry budget counted an attempt when it was asked for. Each connection that an endpoint then refused asked again, up to 17 times for one request, and an attempt for which no endpoint was left, or a larger model that none could run, stayed counted for a window.

Change: a request keeps its grant until the first byte of the attempt is sent, to an endpoint or to another VM, and returns it if none is. A returned attempt leaves the bucket that it was counted in. The once-a-second line of a service says how many were returned.

--- a/gateway/forward/budget_test.go
+++ b/gateway/forward/budget_test.go
@@ -40,7 +40,31 @@
 			}
 			require.Equal(t, play.arrivals, arrivals)
 			require.EqualValues(t, 1, firsts)
-			require.GreaterOrEqual(t, extra, arrivals-1)
+			require.Equal(t, arrivals-1, extra)
+		})
+	}
+}
+
+// Guards against extra attempts that are counted though no endpoint receives them, so that others are denied.
+func TestExtraAttemptThatIsNotSentIsNotCounted(t *testing.T) {
+	for name, play := range map[string]struct {
+		path   string
+		answer http.HandlerFunc
+	}{
+		"after a crash":      {"/safe/x", crash},
+		"for a larger model": {"/sized/x", events(1, 1, false, testNames.Confidence, "5")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t, 4)
+			w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+				for _, e := range w.endpoints {
+					e.server.Listener.Close()
+				}
+				play.answer(rw, r)
+			})
+			w.send("POST", play.path, "body", testNames.Model, "*")
+			require.EqualValues(t, 1, w.totalRuns())
+			require.Zero(t, w.budget.extra.Load())
 		})
 	}
 }
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -14,6 +14,7 @@
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/reach"
+	"goldcrestfork/policy/retry"
 	"goldcrestfork/policy/sizing"
 	"goldcrestfork/router/refusal"
 )
@@ -48,9 +49,9 @@
 	// pathFailures sums them up.
 	unreached      []string
 	pathFailures   reach.Request
-	status         int  // status code of the answer that was passed on
-	retryGranted   bool // the retry budget has already granted the next attempt
-	rerouted       bool // an overdue attempt was sent to another endpoint
+	status         int        // status code of the answer that was passed on
+	grant          *retry.Use // the retry budget's grant of the next attempt, nil for none
+	rerouted       bool       // an overdue attempt was sent to another endpoint
 	ran            refusal.Ran
 	attemptRecords []attemptRecord
 	pin            Pin          // nil before the service is known
@@ -257,10 +258,9 @@
 	if c.misdirected > maxMisdirected || c.atCapacity >= maxAtCapacity {
 		return placement.Choice{}, c.refuseFurther("the endpoints that were tried did not run it")
 	}
-	if c.reachedBefore() && !c.retryGranted && !c.takeExtra() {
+	if c.reachedBefore() && c.grant == nil && !c.takeExtra() {
 		return placement.Choice{}, c.refuseFurther("too many requests are being tried again")
 	}
-	c.retryGranted = false
 	if choice, ok := c.nextPeer(false); ok {
 		return choice, nil
 	}
@@ -282,6 +282,9 @@
 // takeExtra asks the retry budget for one more attempt and notes the decision for the log.
 func (c *call) takeExtra() bool {
 	use, ok := c.h.cfg.Budget.TakeExtra(c.service)
+	if ok {
+		c.grant = &use
+	}
 	if len(c.repeatNotes) < maxRepeatNotes {
 		decision := "denied"
 		if ok {
@@ -300,6 +303,14 @@
 // request from this VM, or from another one that this VM sent it to.
 func (c *call) reachedBefore() bool { return c.endpointsReached() > 0 || c.reachedByPeer }
 
+// returnGrant returns the grant of an attempt that was not sent.
+func (c *call) returnGrant() {
+	if c.grant != nil {
+		c.h.cfg.Budget.ReturnExtra(c.service, *c.grant)
+		c.grant = nil
+	}
+}
+
 // countFirst counts the request's first attempt, at the first of all VMs that sends it to an endpoint.
 func (c *call) countFirst() {
 	if !c.counted {
@@ -385,6 +396,7 @@
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
 		OnSend: func() {
 			c.begun = true
+			c.grant = nil
 			c.countFirst()
 			c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint, c.prompt.sharedParts...)
 		},
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -196,6 +196,7 @@
 	return c.h.cfg.PeerPool.Send(ctx, ch.Address, &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: head, Body: c.body,
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
+		OnSend: func() { c.grant = nil },
 	})
 }
 
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -65,6 +65,7 @@
 // request.
 func (c *call) finish(outcome string, status int) {
 	took := time.Since(c.start)
+	c.returnGrant()
 	versions := versionsRun(c.attemptRecords)
 	if c.pin != nil {
 		last := ""
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -127,6 +127,8 @@
 	// TakeExtra reports whether one more attempt at a service is allowed, and counts it if so. The Use
 	// is what the decision rests on.
 	TakeExtra(service string) (retry.Use, bool)
+	// ReturnExtra takes back an attempt that was allowed and not sent.
+	ReturnExtra(service string, u retry.Use)
 }
 
 // LoadExchange exchanges the load of endpoints between the VMs.
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -141,6 +141,8 @@
 	return retry.Use{}, true
 }
 
+func (b *fakeBudget) ReturnExtra(string, retry.Use) { b.extra.Add(-1) }
+
 type fakePoison struct {
 	mu           sync.Mutex
 	limit        int // crashes after which a request is quarantined
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -68,6 +68,7 @@
 		c.finishAttempt(ch, placement.Good, "weak")
 		return tryNext, nil
 	}
+	c.returnGrant()
 	c.h.cfg.Metrics.firstEvent.WithLabelValues(c.route.Kind.String()).Observe(time.Since(c.start).Seconds())
 	c.relayStream(ctx, ch, a)
 	return done, nil
@@ -115,8 +116,7 @@
 // reserveRetry reports whether another attempt is allowed within the time left, and takes it
 // from the retry budget that the VMs share.
 func (c *call) reserveRetry() bool {
-	c.retryGranted = c.possibleRuns < c.maxAttempts() && time.Until(c.deadline) > 0 && c.takeExtra()
-	return c.retryGranted
+	return c.possibleRuns < c.maxAttempts() && time.Until(c.deadline) > 0 && (c.grant != nil || c.takeExtra())
 }
 
 // relayStream passes a stream on to the caller and resumes it elsewhere if its endpoint breaks
--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -21,9 +21,9 @@
 
 // decisions are what a window decided on extra attempts of a service.
 type decisions struct {
-	granted, denied int
-	last            retry.Use
-	vms             int // that share the slack, as of the last decision
+	granted, denied, returned int
+	last                      retry.Use
+	vms                       int // that share the slack, as of the last decision
 }
 
 // budgetReportInterval is the time between two log lines on the extra attempts of a service.
@@ -58,11 +58,7 @@
 	use, ok := b.window(service).TakeExtra(now, b.slack.Of(now, bounds.RetryWindow, bounds.RetrySlack, vms))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	d := b.decided[service]
-	if d == nil {
-		d = new(decisions)
-		b.decided[service] = d
-	}
+	d := b.decisions(service)
 	d.last, d.vms = use, vms
 	if ok {
 		d.granted++
@@ -72,6 +68,24 @@
 	return use, ok
 }
 
+// ReturnExtra implements forward.RetryBudget.
+func (b *budgets) ReturnExtra(service string, u retry.Use) {
+	b.window(service).ReturnExtra(bootClock(), u)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.decisions(service).returned++
+}
+
+// decisions returns those of a service since the last report. Callers hold b.mu.
+func (b *budgets) decisions(service string) *decisions {
+	d := b.decided[service]
+	if d == nil {
+		d = new(decisions)
+		b.decided[service] = d
+	}
+	return d
+}
+
 // report logs a line for each service with decisions since the last report, once a second: the lines
 // of requests are lost with the process that they end with.
 func (b *budgets) report() {
@@ -83,7 +97,7 @@
 	}
 	b.reported = now
 	for service, d := range b.decided {
-		b.n.log.Info().Str("service", service).Int("granted", d.granted).Int("denied", d.denied).
+		b.n.log.Info().Str("service", service).Int("granted", d.granted).Int("denied", d.denied).Int("returned", d.returned).
 			Stringer("use", d.last).Int("vms", d.vms).Dur("uptime_ms", now-b.n.startedAt).Msg("extra attempts")
 	}
 	clear(b.decided)
--- a/policy/retry/counts.go
+++ b/policy/retry/counts.go
@@ -32,6 +32,17 @@
 	return int((c.newest%n + n - int64(age)) % n)
 }
 
+// removeExtra removes an attempt from the bucket with the given number, unless that has expired.
+func (c *counts) removeExtra(bucket int64) {
+	age := c.newest - bucket
+	if age < 0 || age >= int64(len(c.extra)) {
+		return
+	}
+	if i := c.index(int(age)); c.extra[i] > 0 {
+		c.extra[i]--
+	}
+}
+
 // recordFirst and recordExtra count an attempt in the newest bucket.
 func (c *counts) recordFirst() { c.first[c.index(0)]++ }
 func (c *counts) recordExtra() { c.extra[c.index(0)]++ }
--- a/policy/retry/fleet.go
+++ b/policy/retry/fleet.go
@@ -68,10 +68,19 @@
 	allowed := w.allows(&u)
 	if allowed {
 		w.counts.recordExtra()
+		u.bucket = w.counts.newest
 	}
 	return u, allowed
 }
 
+// ReturnExtra takes back an extra attempt that was allowed and not made.
+func (w *FleetWindow) ReturnExtra(now time.Duration, u Use) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.counts.advance(now)
+	w.counts.removeExtra(u.bucket)
+}
+
 // allows reports whether one more attempt keeps the bound in each window that contains the current
 // time, and sets the counts of u. Windows differ by the bucket in which they start: its extra attempts
 // count as made in the window, its requests as made in the window before, which pay less.
--- a/policy/retry/fleet_test.go
+++ b/policy/retry/fleet_test.go
@@ -266,6 +266,22 @@
 	require.Less(t, float64(denied)/float64(asked), maxDenied, "%d of %d attempts denied", denied, asked)
 }
 
+// Guards against attempts that stay counted, or that are taken from others' counts, when they are returned.
+func TestReturnedAttemptIsNotCounted(t *testing.T) {
+	w := NewFleetWindow(10*time.Second, 1, rand.New(rand.NewPCG(1, 1)))
+	use, ok := w.TakeExtra(0, 1)
+	require.True(t, ok)
+	_, ok = w.TakeExtra(time.Second, 1)
+	require.False(t, ok)
+	w.ReturnExtra(time.Second, use)
+	_, ok = w.TakeExtra(time.Second, 1)
+	require.True(t, ok)
+	w.ReturnExtra(time.Second, use)
+	_, ok = w.TakeExtra(2*time.Second, 1)
+	require.False(t, ok, "the other attempt stays counted")
+	w.ReturnExtra(40*time.Second, use)
+}
+
 // Guards against VMs that use a part of the slack that others, or they themselves before a start, have used in the same window.
 func TestPartsOfSlackAddUp(t *testing.T) {
 	const slack, window = 52.0, 10 * time.Second
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -32,6 +32,8 @@
 type Use struct {
 	First, Extra int
 	Slack        float64 // this VM's part
+
+	bucket int64 // that the extra attempt is counted in
 }
 
 // String formats a Use for a log line: "131/145+8.7" is 131 extra attempts for 145 requests, with a
