Keep extra attempts counted when settings change

What callers saw: nothing known; found by reading. Cause: a change of any field of Bounds, also of one that has nothing to do with repeats, dropped all windows, so that a VM forgot its extra attempts and had its part of the slack again: a reload of the settings of all VMs doubled the slack. Change: the ratio and the slack take effect on the counts as they are; another window length starts counts of its own, and the VM then has no part of the slack for a window, as after a start.

--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -12,7 +12,7 @@
 type budgets struct {
 	n        *Node
 	mu       sync.Mutex
-	bounds   Bounds // from which the windows were made
+	length   time.Duration // of the windows
 	windows  map[string]*retry.FleetWindow
 	slack    *retry.SlackPart
 	decided  map[string]*decisions // since reportedAt, by service
@@ -37,8 +37,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.n.bounds()
-	if s != b.bounds {
-		b.bounds = s
+	if s.RetryWindow != b.length {
+		if b.length != 0 {
+			// The counts are lost, as with a restart.
+			b.slack = retry.NewSlackPart(bootClock())
+		}
+		b.length = s.RetryWindow
 		clear(b.windows)
 	}
 	w := b.windows[service]
@@ -46,6 +50,7 @@
 		w = retry.NewFleetWindow(s.RetryWindow, s.RetryRatio, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		b.windows[service] = w
 	}
+	w.SetRatio(s.RetryRatio)
 	return w
 }
 
@@ -55,9 +60,10 @@
 // TakeExtra implements forward.RetryBudget.
 func (b *budgets) TakeExtra(service string) (retry.Use, bool) {
 	now, bounds, vms := bootClock(), b.n.bounds(), b.n.slackSharers()
-	use, ok := b.window(service).TakeExtra(now, b.slack.Of(now, bounds.RetryWindow, bounds.RetrySlack, vms))
+	w := b.window(service)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	use, ok := w.TakeExtra(now, b.slack.Of(now, bounds.RetryWindow, bounds.RetrySlack, vms))
 	d := b.decisions(service)
 	d.last, d.vms = use, vms
 	if ok {
--- a/policy/retry/fleet.go
+++ b/policy/retry/fleet.go
@@ -50,6 +50,13 @@
 	return &FleetWindow{ratio: ratio, rounding: 1 - rng.Float64(), counts: newCounts(length/fleetBuckets, historyBuckets)}
 }
 
+// SetRatio changes the ratio. What is counted stays counted.
+func (w *FleetWindow) SetRatio(ratio float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ratio = ratio
+}
+
 // RecordFirst counts the first attempt of a request.
 func (w *FleetWindow) RecordFirst(now time.Duration) {
 	w.mu.Lock()
