--- a/policy/retry/fleet_test.go
+++ b/policy/retry/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,10 @@
 type modelVM struct {
 	window *FleetWindow
 	part   *SlackPart
+	cutOff bool // from the other VMs
+	// standsStill is set while the VM does nothing; the requests that wait for it are then answered.
+	standsStill bool
+	waiting     int
 }
 
 const modelStep = 20 * time.Millisecond
@@ -71,28 +76,35 @@
 				continue
 			}
 			v := up[f.rng.IntN(len(up))]
-			v.window.RecordFirst(f.now)
-			for made := 1; made < MaxAttempts && f.rng.Float64() < f.failing; made++ {
-				f.asked++
-				slack := v.part.Of(f.now, f.length, f.slack, len(up))
-				if _, ok := v.window.TakeExtra(f.now, slack); !ok {
-					break
-				}
-				f.granted++
-				f.extra = append(f.extra, f.now)
+			v.waiting++
+			for ; v.waiting > 0 && !v.standsStill; v.waiting-- {
+				f.serve(v)
 			}
 		}
 	}
 }
 
-// within counts the times in [from, from + length), which are in order.
-func (b fleetBound) within(at []time.Duration, from time.Duration) (n int) {
-	for _, x := range at {
-		if x >= from && x < from+b.length {
-			n++
+func (f *fleetModel) serve(v *modelVM) {
+	v.window.RecordFirst(f.now)
+	for made := 1; made < MaxAttempts && f.rng.Float64() < f.failing; made++ {
+		f.asked++
+		sharing := len(f.up())
+		if v.cutOff {
+			sharing = 0
+		}
+		if _, ok := v.window.TakeExtra(f.now, v.part.Of(f.now, f.length, f.slack, sharing)); !ok {
+			return
 		}
+		f.granted++
+		f.extra = append(f.extra, f.now)
 	}
-	return n
+}
+
+// within counts the times in [from, from + length), which are in order.
+func (b fleetBound) within(at []time.Duration, from time.Duration) int {
+	first, _ := slices.BinarySearch(at, from)
+	end, _ := slices.BinarySearch(at, from+b.length)
+	return end - first
 }
 
 // allowed returns the extra attempts that the bound allows in the window from a time on: requests
@@ -183,6 +195,56 @@
 	}
 }
 
+// Guards against troubles that each keep to the bound and together break it.
+func TestBoundHoldsInRandomTroubles(t *testing.T) {
+	for size, fleet := range sizes {
+		for seed := range uint64(12) {
+			t.Run(fmt.Sprintf("%s, seed %d", size, seed), func(t *testing.T) {
+				f := newFleetModel(fleet.vms, fleet.perS, seed)
+				f.run(time.Duration(f.rng.IntN(20)) * time.Second)
+				for range 40 {
+					f.trouble()
+					f.run(time.Duration(f.rng.IntN(3000)) * time.Millisecond)
+				}
+				f.requireBound(t)
+			})
+		}
+	}
+}
+
+// trouble lets something happen to a random part of the fleet, to the endpoints or to the load.
+func (f *fleetModel) trouble() {
+	affected := f.rng.Float64()
+	kind := f.rng.IntN(7)
+	switch kind {
+	case 0:
+		f.failing = []float64{0, 0.5, 0.9, 1}[f.rng.IntN(4)]
+		return
+	case 1:
+		f.perS *= []float64{0.5, 2}[f.rng.IntN(2)]
+		f.perS = min(max(f.perS, 20), 800)
+		return
+	}
+	for i, v := range f.vms {
+		if f.rng.Float64() > affected {
+			continue
+		}
+		switch {
+		case kind == 2 || v == nil:
+			f.start(i)
+		case kind == 3:
+			f.vms[i] = nil
+		case kind == 4:
+			v.cutOff = !v.cutOff
+		case kind == 5:
+			v.standsStill = !v.standsStill
+		case kind == 6 && len(f.vms) < 120:
+			f.vms = append(f.vms, nil)
+			f.start(len(f.vms) - 1)
+		}
+	}
+}
+
 // Guards against VMs with unlike loads that make more attempts together than the bound allows, as their callers come and go.
 func TestBoundHoldsWhileLoadChanges(t *testing.T) {
 	for size, fleet := range sizes {
