Start goldcrestd's retry balance empty, so that restarts don't add to it

What callers saw: nothing known; the same cause looked for in the other router. Cause: each start gave a pool's balance two requests, and an attempt could be made on any positive balance, so that a VM ended with a debt of one attempt that nobody paid. Over restarts this adds up: TestExtraWorkOfVMsThatRestart on the code before has 1,800 retries for 3,000 requests at five requests a life and 500 at thirty, 300 allowed (a tenth). Change: the balance starts empty and must cover an attempt, or be full for a larger one.

Both errors: a VM that has just started now repeats nothing before its first ten requests.

--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -7,9 +7,10 @@
 // the pool does not recover (a retry storm).
 //
 // Extra work is paid from a budget. A first attempt adds Ratio of its size, and a retry
-// or hedge takes its whole size. Each account and the pool have a balance, and both
-// must be positive, so that the failures of one account do not use up the retries of
-// the others.
+// or hedge takes its whole size. Each account and the pool have a balance, so that the
+// failures of one account do not use up the retries of the others. The pool's balance
+// must cover an attempt and starts empty, since what a start gave would add up over
+// restarts.
 package retry
 
 import (
@@ -26,8 +27,8 @@
 	// It is enough to move the requests in flight on one endpoint, with 16 slots, to
 	// others when it crashes.
 	maxBalance = 16.0
-	// initialBalance lets a new account retry before its first ten requests, in mean
-	// requests.
+	// initialBalance lets a new account retry before its first ten requests if the pool's balance
+	// covers it, in mean requests.
 	initialBalance = 2.0
 	// hedgeReserve is the share of maxBalance that hedges leave in the pool's balance for
 	// retries: a hedge only makes an answer faster, whereas a retry saves it.
@@ -129,7 +130,6 @@
 	defer b.mu.Unlock()
 	if b.mean == 0 {
 		b.mean = size
-		b.pool = initialBalance * size
 	}
 	b.mean += meanGain * (size - b.mean)
 	balance, known := b.accounts[account]
@@ -196,10 +196,10 @@
 	return time.Duration(rng.Int64N(int64(2 * mean)))
 }
 
-// withdraw takes the size of an attempt out of both balances if they are positive. A
-// balance may be overdrawn by one attempt: if it had to cover the whole size, a large
-// request might never be repeated. The debt is paid before the next attempt. A hedge
-// must also leave hedgeReserve in the pool's balance.
+// withdraw takes the size of an attempt out of both balances. The account's must be positive and
+// may be overdrawn by one attempt. The pool's must cover the attempt, or be full for one that
+// is larger: the debt of a VM that ends would never be paid. A hedge must also leave hedgeReserve
+// in the pool's balance.
 func (b *Budget) withdraw(a Attempt) Reason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -210,7 +210,7 @@
 	if b.accounts[a.Account] <= 0 {
 		return ReasonAccountBudget
 	}
-	if b.pool <= reserved {
+	if b.pool-reserved < min(a.Size, maxBalance*b.mean-reserved) {
 		return ReasonPoolBudget
 	}
 	b.accounts[a.Account] -= a.Size
