--- a/cmd/goldcrest-node/repeats_test.go
+++ b/cmd/goldcrest-node/repeats_test.go
@@ -30,17 +30,73 @@
 	}
 }
 
-// failingPool is endpoints that fail all requests while failing is set. It records what reaches them.
-type failingPool struct {
-	bound   repeatBound
-	failing atomic.Bool
+// repeatRecord records the requests of callers and what reaches endpoints.
+type repeatRecord struct {
+	bound repeatBound
 
 	mu      sync.Mutex
-	sent    []time.Time // when callers sent their requests
+	sent    []time.Time // by callers, whether they reached a VM or not
 	repeats []time.Time // arrivals beyond the first of a request
 	arrived map[string]bool
 }
 
+func newRepeatRecord(b repeatBound) *repeatRecord {
+	return &repeatRecord{bound: b, arrived: make(map[string]bool)}
+}
+
+func (r *repeatRecord) send() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent = append(r.sent, time.Now())
+}
+
+func (r *repeatRecord) arrive(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.arrived[id] {
+		r.repeats = append(r.repeats, time.Now())
+	}
+	r.arrived[id] = true
+}
+
+func (r *repeatRecord) sentSoFar() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sent)
+}
+
+// worst returns the window with the most arrivals beyond the first above what the bound allows, as
+// that number, and its start. Requests count in the window, the one before it or the one half a
+// window before it, whichever has most.
+func (r *repeatRecord) worst() (excess float64, start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	within := func(at []time.Time, from time.Time) (n int) {
+		for _, x := range at {
+			if !x.Before(from) && x.Before(from.Add(r.bound.window)) {
+				n++
+			}
+		}
+		return n
+	}
+	for i, from := range r.repeats {
+		requests := 0
+		for _, earlier := range []time.Duration{0, r.bound.window / 2, r.bound.window} {
+			requests = max(requests, within(r.sent, from.Add(-earlier)))
+		}
+		if e := float64(within(r.repeats, from)) - r.bound.ratio*float64(requests) - r.bound.slack; i == 0 || e > excess {
+			excess, start = e, from
+		}
+	}
+	return excess, start
+}
+
+// failingPool is endpoints that fail all requests while failing is set.
+type failingPool struct {
+	*repeatRecord
+	failing atomic.Bool
+}
+
 // newFailingPool starts endpoints, and a store that lists them and has one route to them.
 func newFailingPool(t *testing.T, endpoints int, bound repeatBound) (p *failingPool, storeAddress string) {
 	store, address := platformtest.New(t)
@@ -50,7 +106,7 @@
 		"services": []any{map[string]any{"name": "s"}},
 		"tenants":  []any{map[string]any{"name": "acme", "apiKeys": []string{"k"}}},
 	})
-	p = &failingPool{bound: bound, arrived: make(map[string]bool)}
+	p = &failingPool{repeatRecord: newRepeatRecord(bound)}
 	for i := range endpoints {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		require.NoError(t, err)
@@ -67,12 +123,7 @@
 func (p *failingPool) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := platform.Names()
 	id := r.Header.Get(n.RequestID)
-	p.mu.Lock()
-	if p.arrived[id] {
-		p.repeats = append(p.repeats, time.Now())
-	}
-	p.arrived[id] = true
-	p.mu.Unlock()
+	p.arrive(id)
 	w.Header().Set(n.RequestID, id)
 	w.Header().Set(n.Signature, "sig")
 	if p.failing.Load() {
@@ -91,9 +142,7 @@
 	for name, value := range map[string]string{n.RequestID: id, n.Key: "k", n.Deadline: "5000"} {
 		req.Header.Set(name, value)
 	}
-	p.mu.Lock()
-	p.sent = append(p.sent, time.Now())
-	p.mu.Unlock()
+	p.send()
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return
@@ -118,42 +167,11 @@
 	}
 }
 
-// worst returns the window with the most arrivals beyond the first above what the bound allows, as
-// that number, and its start. Requests count in the window, the one before it or the one half a
-// window before it, whichever has most.
-func (p *failingPool) worst() (excess float64, start time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	within := func(at []time.Time, from time.Time) (n int) {
-		for _, x := range at {
-			if !x.Before(from) && x.Before(from.Add(p.bound.window)) {
-				n++
-			}
-		}
-		return n
-	}
-	for i, from := range p.repeats {
-		requests := 0
-		for _, earlier := range []time.Duration{0, p.bound.window / 2, p.bound.window} {
-			requests = max(requests, within(p.sent, from.Add(-earlier)))
-		}
-		if e := float64(within(p.repeats, from)) - p.bound.ratio*float64(requests) - p.bound.slack; i == 0 || e > excess {
-			excess, start = e, from
-		}
-	}
-	return excess, start
-}
-
 // awaitSent waits until callers have sent so many requests more.
 func (p *failingPool) awaitSent(t *testing.T, more int) {
 	t.Helper()
-	count := func() int {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return len(p.sent)
-	}
-	target := count() + more
-	require.Eventually(t, func() bool { return count() >= target }, 60*time.Second, time.Millisecond)
+	target := p.sentSoFar() + more
+	require.Eventually(t, func() bool { return p.sentSoFar() >= target }, 60*time.Second, time.Millisecond)
 }
 
 // Guards against VMs that, once restarted, repeat requests as if none had been repeated before.
--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -32,6 +32,9 @@
 	soakRevocation = 2 * time.Second // the VMs' setting bounds.revocationMs
 )
 
+// soakRepeats bounds the repeats of requests. The endpoints' failures make more necessary.
+var soakRepeats = repeatBound{ratio: 0.2, slack: 4, window: 2 * time.Second}
+
 // vmMissing is the cause of seeds that ended without one of the VM processes. The likely
 // cause is a SIGHUP during the start of the process: such exits occurred in repeated runs
 // of these seeds, but were not recorded in the failed runs.
@@ -160,6 +163,7 @@
 	proxies []*proxy
 	limit   *limitRecord
 	rest    *restRecord
+	repeats *repeatRecord
 	network *network
 
 	mu            sync.Mutex
@@ -234,6 +238,7 @@
 			}
 		}
 		w.mu.Unlock()
+		w.repeats.arrive(id)
 		rw.Header().Set(n.RequestID, id)
 		answered := func() {}
 		if name == soakLimited {
@@ -313,6 +318,7 @@
 	req.Header.Set(n.RequestID, id)
 	req.Header.Set(n.Key, rec.key)
 	req.Header.Set(n.Deadline, "3000")
+	w.repeats.send()
 	resp, err := client.Transport.RoundTrip(req)
 	if err != nil {
 		return 0
@@ -421,7 +427,7 @@
 	w := &soakTestbed{
 		t: t, store: store, rng: rand.New(rand.NewPCG(seed, 1)), records: map[string]*record{},
 		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: map[string]time.Time{}, requestCounts: map[string]int{}, faultsActive: true,
-		limit: newLimitRecord(seed), rest: newRestRecord(), network: newNetwork(),
+		limit: newLimitRecord(seed), rest: newRestRecord(), repeats: newRepeatRecord(soakRepeats), network: newNetwork(),
 	}
 	w.configure(w.keys)
 	addresses := map[string]string{}
@@ -434,7 +440,7 @@
 	for i := range 3 {
 		p := newProxy(t, address)
 		w.proxies = append(w.proxies, p)
-		w.vms = append(w.vms, startVM(t, p.Addr().String(), fmt.Sprint("vm", i), fmt.Sprint("bounds.revocationMs=", soakRevocation.Milliseconds())))
+		w.vms = append(w.vms, startVM(t, p.Addr().String(), fmt.Sprint("vm", i), append(soakRepeats.settings(), fmt.Sprint("bounds.revocationMs=", soakRevocation.Milliseconds()))...))
 		signalLocks = append(signalLocks, &sync.Mutex{})
 	}
 	w.network.setVMs(w.vms)
@@ -540,6 +546,11 @@
 	w.violations = append(w.violations, w.limit.violations()...)
 	broken, rests := w.rest.violations()
 	w.violations = append(w.violations, broken...)
+	excess, at := w.repeats.worst()
+	w.t.Logf("seed %d: %d arrivals beyond the first of their request, %.1f above the bound in the worst window", seed, len(w.repeats.repeats), excess)
+	if excess > 0 {
+		w.violations = append(w.violations, fmt.Sprintf("%.1f arrivals beyond the first above the bound from %s on", excess, at))
+	}
 	w.t.Logf("seed %d: %d rests were checked", seed, rests)
 	w.network.mu.Lock()
 	w.t.Logf("seed %d: the VM of %d connections wasn't found at the first look, of %d not at all", seed, w.network.missed, w.network.unknown)
