Count no first attempt again after another VM's answer broke off

What callers saw: nothing known; found when the change was read again. Cause: a VM learnt that another one had counted a request only from a refusal, so that a stream which broke off behind that VM, and went on through a third, was counted there once more. Evidence: the play 'stream broken there, through a third' of TestRequestThroughOtherVMsIsCountedOnce counts 2 first attempts on the code before. Change: any answer but a refusal of a request that wasn't run says that it has been counted. The header of a refusal is set only where the other VM reads it, so that no caller gets it with a 502.

--- a/gateway/forward/budget_test.go
+++ b/gateway/forward/budget_test.go
@@ -11,14 +11,16 @@
 func TestRequestThroughOtherVMsIsCountedOnce(t *testing.T) {
 	full := status(http.StatusServiceUnavailable, testNames.NotRun, "1")
 	for name, play := range map[string]struct {
+		path     string
 		a, b     http.HandlerFunc // nil: not reached
 		arrivals int64
 	}{
-		"no endpoint here":                   {nil, events(1, 1, false), 1},
-		"broken here":                        {crash, events(1, 1, false), 2},
-		"broken here and there":              {crash, crash, 2},
-		"full there, then through a third":   {nil, full, 2},
-		"no endpoint there, through a third": {nil, nil, 1},
+		"no endpoint here":                     {"/safe/x", nil, events(1, 1, false), 1},
+		"broken here":                          {"/safe/x", crash, events(1, 1, false), 2},
+		"broken here and there":                {"/safe/x", crash, crash, 2},
+		"full there, then through a third":     {"/safe/x", nil, full, 2},
+		"no endpoint there, through a third":   {"/safe/x", nil, nil, 1},
+		"stream broken there, through a third": {"/stream/x", nil, events(1, 1, true), 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			vms := []*testEnv{newTestEnv(t, 1), newTestEnv(t, 1), newTestEnv(t, 3)}
@@ -31,7 +33,7 @@
 			}
 			vms[2].setHandlers(events(1, 1, false))
 			vms[0].detourTo(vms[1:]...)
-			vms[0].send("POST", "/safe/x", "body")
+			vms[0].send("POST", play.path, "body")
 			var arrivals, firsts, extra int64
 			for _, v := range vms {
 				arrivals += v.totalRuns()
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -227,6 +227,7 @@
 // returns false for other answers.
 func (c *call) handlePeerNotRun(ch placement.Choice, a *upstream.Answer) bool {
 	if a.Header.Get(c.h.cfg.Names.Signature) != "" || !impliesNotRun(a.Status) {
+		c.counted = true
 		return false
 	}
 	var problem struct {
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -53,7 +53,7 @@
 		if c.h.stopping.Load() {
 			c.w.Header().Set("Connection", "close")
 		}
-		if c.forwardedBy != "" && c.reachedBefore() {
+		if c.forwardedBy != "" && c.reachedBefore() && impliesNotRun(r.Status) {
 			c.w.Header().Set(c.h.cfg.Names.Counted, "1")
 		}
 		r.WriteFine(c.w)
