Word the bound of repeats for newcomers

Requests weigh and allow, in place of paying; what a window has counted stands beside the counts; each function of gateway/node's budgets says what it returns. No behaviour changes.

--- a/gateway/node/budgets.go
+++ b/gateway/node/budgets.go
@@ -8,14 +8,14 @@
 	"goldcrestfork/policy/retry"
 )
 
-// budgets holds one window of repeated attempts for each service.
+// budgets bounds the extra attempts at each service over all VMs.
 type budgets struct {
 	n        *Node
 	mu       sync.Mutex
 	length   time.Duration // of the windows
 	windows  map[string]*retry.FleetWindow
 	slack    *retry.SlackPart
-	decided  map[string]*decisions // since reportedAt, by service
+	decided  map[string]*decisions // since the last report, by service
 	reported time.Duration         // bootClock time of the last report
 }
 
@@ -33,6 +33,7 @@
 	return &budgets{n: n, slack: retry.NewSlackPart(n.startedAt), windows: make(map[string]*retry.FleetWindow), decided: make(map[string]*decisions)}
 }
 
+// window returns the window of a service, with the bounds in force.
 func (b *budgets) window(service string) *retry.FleetWindow {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/policy/retry/counts.go
+++ b/policy/retry/counts.go
@@ -1,6 +1,21 @@
 package retry
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
+
+// Use is what a window has counted when it decides.
+type Use struct {
+	First, Extra int     // attempts in the last window
+	Slack        float64 // this VM's part
+
+	bucket int64 // that the extra attempt is counted in
+}
+
+// String formats a Use for a log line: "131/145+8.7" is 131 extra attempts for 145 requests, with a
+// part of 8.7 in the slack.
+func (u Use) String() string { return fmt.Sprintf("%d/%d+%.1f", u.Extra, u.First, u.Slack) }
 
 // counts holds the numbers of first and extra attempts of the last buckets of time. Times are those of
 // a clock that never steps and includes the time for which the VM is suspended: the time of day may
--- a/policy/retry/fleet.go
+++ b/policy/retry/fleet.go
@@ -11,9 +11,9 @@
 	fleetBuckets = 100
 	// historyBuckets covers a window, the one before it, and a part of a bucket at each end.
 	historyBuckets = 2*fleetBuckets + 2
-	// earlierShare is the share of the ratio that the requests of the window before pay for. It is
-	// what a VM can spend in an instant, as when an endpoint crashes, and what a VM that has just
-	// started leaves to the attempts that its predecessor may have made.
+	// earlierShare is the weight of the requests of the window before. It is the part of a window's
+	// attempts that a VM may make in an instant, as when an endpoint crashes. A VM that has just
+	// started leaves the same part to the attempts that its predecessor may have made.
 	earlierShare = 0.2
 	// slackShare is the share of the slack that is used. The rest covers attempts that reach their
 	// endpoints later than they were granted, and the random rounding.
@@ -29,8 +29,9 @@
 // In each window a VM makes at most ratio times (1 - earlierShare) of its own requests in that window
 // and earlierShare of those in the window before, plus its part of a slack. These sums add up over
 // VMs, also over those that end and those that start in their place, wherever callers send their
-// requests meanwhile. A limit on the window that has just passed does not add up: a VM could
-// spend what its earlier requests pay for and end, and later requests would pay again elsewhere.
+// requests meanwhile. A limit on the window that ends now does not add up: a VM could make all
+// attempts that its earlier requests allow and end, and the VMs that its callers turn to would
+// allow as many again for the same window.
 //
 // A FleetWindow is safe for concurrent use. Its mutex is a leaf of the lock order.
 type FleetWindow struct {
@@ -90,7 +91,7 @@
 
 // allows reports whether one more attempt keeps the bound in each window that contains the current
 // time, and sets the counts of u. Windows differ by the bucket in which they start: its extra attempts
-// count as made in the window, its requests as made in the window before, which pay less.
+// count as made in the window, its requests as made in the window before, which weigh less.
 func (w *FleetWindow) allows(u *Use) bool {
 	c := &w.counts
 	earlier := 0
@@ -100,8 +101,8 @@
 	allowed := true
 	for age := range fleetBuckets + 1 {
 		u.Extra += c.extra[c.index(age)]
-		paid := (1-earlierShare)*float64(u.First) + earlierShare*float64(earlier)
-		if float64(u.Extra)+w.rounding > w.ratio*paid+u.Slack {
+		weighted := (1-earlierShare)*float64(u.First) + earlierShare*float64(earlier)
+		if float64(u.Extra)+w.rounding > w.ratio*weighted+u.Slack {
 			allowed = false
 		}
 		first := c.first[c.index(age)]
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"fmt"
 	"sync"
 	"time"
 )
@@ -28,18 +27,6 @@
 	counts counts
 }
 
-// Use is what a Window has counted when it decides.
-type Use struct {
-	First, Extra int
-	Slack        float64 // this VM's part
-
-	bucket int64 // that the extra attempt is counted in
-}
-
-// String formats a Use for a log line: "131/145+8.7" is 131 extra attempts for 145 requests, with a
-// part of 8.7 in the slack.
-func (u Use) String() string { return fmt.Sprintf("%d/%d+%.1f", u.Extra, u.First, u.Slack) }
-
 // NewWindow returns a window of the given length that allows ratio times the number of
 // requests in it, plus slack, as extra attempts.
 func NewWindow(length time.Duration, ratio, slack float64) *Window {
