Take back an extra attempt that another VM refuses unsent

What callers saw: nothing known; found when the change was read again. Cause: a request whose attempt another VM refused, since it reaches no endpoint either, asked the budget again for the next VM, though no endpoint had received anything. Evidence: the play 'broken here, no endpoint there' counts 2 extra attempts for 1 made on the code before. Change: the grant comes back with a refusal that doesn't say that the request was counted. A VM of the version before doesn't say so even if it sent the request; while both versions run, such an attempt may be counted one too few.

--- a/gateway/forward/budget_test.go
+++ b/gateway/forward/budget_test.go
@@ -20,6 +20,7 @@
 		"broken here and there":                {"/safe/x", crash, crash, 2},
 		"full there, then through a third":     {"/safe/x", nil, full, 2},
 		"no endpoint there, through a third":   {"/safe/x", nil, nil, 1},
+		"broken here, no endpoint there":       {"/safe/x", crash, nil, 2},
 		"stream broken there, through a third": {"/stream/x", nil, events(1, 1, true), 2},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -51,6 +51,7 @@
 	pathFailures   reach.Request
 	status         int        // status code of the answer that was passed on
 	grant          *retry.Use // the retry budget's grant of the next attempt, nil for none
+	peerGrant      *retry.Use // the grant of the attempt that another VM has, nil for none
 	rerouted       bool       // an overdue attempt was sent to another endpoint
 	ran            refusal.Ran
 	attemptRecords []attemptRecord
--- a/gateway/forward/detour.go
+++ b/gateway/forward/detour.go
@@ -196,7 +196,7 @@
 	return c.h.cfg.PeerPool.Send(ctx, ch.Address, &upstream.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: head, Body: c.body,
 		ID: c.id, IDHeader: n.RequestID, AtMostOnce: !c.repeatable(),
-		OnSend: func() { c.grant = nil },
+		OnSend: func() { c.grant, c.peerGrant = nil, c.grant },
 	})
 }
 
@@ -241,6 +241,8 @@
 	c.sizingNote = string(problem.Code)
 	if a.Header.Get(c.h.cfg.Names.Counted) != "" {
 		c.counted, c.reachedByPeer = true, true
+	} else {
+		c.grant = c.peerGrant
 	}
 	c.finishAttempt(ch, placement.NoSignal, "refused")
 	if problem.Code == refusal.NoEndpoint {
