--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -113,8 +113,6 @@
 	// maxAtCapacity bounds the endpoints that refuse for lack of capacity: each further attempt
 	// loads another endpoint with a request that it must refuse.
 	maxAtCapacity = 3
-	// maxRepeatNotes bounds the decisions of the retry budget in a log line.
-	maxRepeatNotes = 8
 )
 
 // nextAction is what to do with a request after an attempt.
@@ -280,46 +278,10 @@
 	return choice, nil
 }
 
-// takeExtra asks the retry budget for one more attempt and notes the decision for the log.
-func (c *call) takeExtra() bool {
-	use, ok := c.h.cfg.Budget.TakeExtra(c.service)
-	if ok {
-		c.grant = &use
-	}
-	if len(c.repeatNotes) < maxRepeatNotes {
-		decision := "denied"
-		if ok {
-			decision = "granted"
-		}
-		c.repeatNotes = append(c.repeatNotes, decision+"("+use.String()+")")
-	}
-	return ok
-}
-
 // endpointsReached returns the number of endpoints that the request reached, whether they ran
 // it or not.
 func (c *call) endpointsReached() int { return c.possibleRuns + c.misdirected + c.atCapacity }
 
-// reachedBefore reports whether the next attempt is an extra one: an endpoint may have received the
-// request from this VM, or from another one that this VM sent it to.
-func (c *call) reachedBefore() bool { return c.endpointsReached() > 0 || c.reachedByPeer }
-
-// returnGrant returns the grant of an attempt that was not sent.
-func (c *call) returnGrant() {
-	if c.grant != nil {
-		c.h.cfg.Budget.ReturnExtra(c.service, *c.grant)
-		c.grant = nil
-	}
-}
-
-// countFirst counts the request's first attempt, at the first of all VMs that sends it to an endpoint.
-func (c *call) countFirst() {
-	if !c.counted {
-		c.counted = true
-		c.h.cfg.Budget.RecordFirst(c.service)
-	}
-}
-
 var missDetails = map[placement.NoChoiceReason]string{
 	placement.NoEndpoint: "no endpoint serves this now",
 	placement.AllCold:    "the endpoints are in cold start",
--- a/router/vm/vm_test.go
+++ b/router/vm/vm_test.go
@@ -156,7 +156,7 @@
 // state on a new one before it sends a request.
 func TestColdStartWithoutWarning(t *testing.T) {
 	w := newTestbed(t, 2)
-	for range 20 { // they pay for the attempts that the restart may break
+	for range 20 { // a tenth as many retries are allowed
 		require.Equal(t, http.StatusOK, w.chat(bakerKey, v1, prompt, 4, false, nil).status)
 	}
 	for i := range w.engines {
