Exchange sums of figures over the fleet, and lay out the parts for hard load

Cause: decisions about who is served under too little room, about slow endpoints and about memory need figures of all VMs, and nothing carries them.

--- a/cmd/goldcrest-node/repeats_test.go
+++ b/cmd/goldcrest-node/repeats_test.go
@@ -203,6 +203,8 @@
 	cancel()
 	loaded.Wait()
 	excess, start := p.worst()
+	p.mu.Lock() // an attempt that was under way may still arrive
+	defer p.mu.Unlock()
 	t.Logf("%d requests, %d arrivals beyond the first; %.0f above the bound from %s on", len(p.sent), len(p.repeats), excess, start.Sub(p.sent[0]))
 	require.LessOrEqual(t, excess, 0.0)
 }
--- a/fleet/tally/board.go
+++ b/fleet/tally/board.go
@@ -65,6 +65,8 @@
 	// outcomes are the outcomes of attempts by VM of this data centre, remoteOutcomes the sums
 	// by keeper of another data centre.
 	outcomes, remoteOutcomes outcomeRows
+	// sums are the sums by VM of this data centre, remoteSums the totals by keeper of another one.
+	sums, remoteSums sumRows
 }
 
 // NewAggregator returns an empty aggregator.
@@ -72,6 +74,7 @@
 	return &Aggregator{
 		reports: make(map[string]*row), summaries: make(map[string]*row),
 		outcomes: make(outcomeRows), remoteOutcomes: make(outcomeRows),
+		sums: make(sumRows), remoteSums: make(sumRows),
 	}
 }
 
--- a/fleet/tally/doc.go
+++ b/fleet/tally/doc.go
@@ -21,6 +21,9 @@
 // the sums over the fleet. In a fleet of hundreds, a VM sends an endpoint only one or two
 // requests in that time, too few to detect an endpoint that fails one in three.
 //
+// At the same times VMs exchange sums (Sum): pairs of figures of other parts of a VM that add up over
+// the fleet, such as the work that accounts ask for.
+//
 // Only the quality of a choice depends on this package: if a VM's keeper is silent, the VM
 // waits a few ms once, turns to the next keeper, and chooses by its own work under way.
 //
--- a/fleet/tally/service.go
+++ b/fleet/tally/service.go
@@ -56,7 +56,11 @@
 	// ApplyOutcomes is called with the sums over all VMs; endpoints that are left out had no
 	// failures.
 	ApplyOutcomes func([]Outcomes)
-	Log           zerolog.Logger
+	// Sums returns this VM's sums of the topics that it takes part in. ApplySums is called with the
+	// totals of a topic over all VMs, this one included.
+	Sums      func() []TopicSums
+	ApplySums func(TopicSums)
+	Log       zerolog.Logger
 	// Registerer registers the metrics and Traffic counts the packets; both are required.
 	Registerer prometheus.Registerer
 	Traffic    *datagram.Traffic
@@ -72,6 +76,9 @@
 	kindOutcomes                      // a VM's recent outcomes; answered by kindFleetOutcomes
 	kindOutcomeSums                   // a data centre's sums of outcomes, for the other keepers
 	kindFleetOutcomes                 // the sums of outcomes over all VMs
+	kindSums                          // a VM's sums of a topic; answered by kindFleetSums
+	kindSumTotals                     // a data centre's totals of a topic, for the other keepers
+	kindFleetSums                     // the totals of a topic over all VMs
 )
 
 // message is the content of a datagram.
@@ -84,6 +91,8 @@
 	State       State  `cbor:"6,keyasint"`
 	// Outcomes is set only in the three kinds that carry outcomes.
 	Outcomes []Outcomes `cbor:"7,keyasint,omitempty"`
+	// Sums is set only in the three kinds that carry sums.
+	Sums *TopicSums `cbor:"8,keyasint,omitempty"`
 }
 
 // Service queries and reports to the keeper, and is the keeper itself when this VM comes first.
@@ -140,6 +149,7 @@
 			last = now
 			s.ReportChange()
 			s.reportOutcomes()
+			s.reportSums()
 		}
 	}
 }
@@ -262,6 +272,8 @@
 		s.aggregator.RecordSummary(now, m.From, m.Incarnation, m.Sequence, m.State.Work)
 	case kindOutcomes, kindOutcomeSums, kindFleetOutcomes:
 		s.handleOutcomes(now, from, m)
+	case kindSums, kindSumTotals, kindFleetSums:
+		s.handleSums(now, from, m)
 	}
 }
 
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -86,6 +86,17 @@
 	state, applied State
 	outcomes       atomic.Pointer[[]Outcomes] // reported by this VM
 	fleet          atomic.Pointer[[]Outcomes] // applied
+	sums           atomic.Pointer[[]Sum]      // reported by this VM, on testTopic
+	totals         atomic.Pointer[TopicSums]  // applied
+}
+
+const testTopic = 9
+
+func (v *vm) ownSums() []TopicSums {
+	if list := v.sums.Load(); list != nil {
+		return []TopicSums{{Topic: testTopic, List: *list}}
+	}
+	return nil
 }
 
 func (v *vm) ownOutcomes() []Outcomes {
@@ -108,6 +119,7 @@
 			Keepers: func() []Keeper { return keepers }, RemoteKeepers: func() []Keeper { return nil },
 			State: func() State { return v.state }, Apply: func(s State) { v.applied = s },
 			Outcomes: v.ownOutcomes, ApplyOutcomes: func(o []Outcomes) { v.fleet.Store(&o) },
+			Sums: v.ownSums, ApplySums: func(s TopicSums) { v.totals.Store(&s) },
 			Log: zerolog.Nop(), Registerer: prometheus.NewRegistry(), Traffic: datagram.NewTraffic(prometheus.NewRegistry()),
 		})
 		require.NoError(t, err)
--- a/gateway/catalog/config.go
+++ b/gateway/catalog/config.go
@@ -68,6 +68,10 @@
 	// ColdRate is the number of requests a second that an endpoint in cold start can handle,
 	// from all VMs together; 0 for no limit.
 	ColdRate float64
+	// Slots is the number of requests that one endpoint runs at once, and MemoryTokens the tokens that
+	// it holds; 0 if they aren't stated, as for services without engines.
+	Slots        int
+	MemoryTokens int
 }
 
 // Account is a client account.
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -41,6 +41,11 @@
 	// Model is the model that the caller asks for; towards an endpoint, the model that must run
 	// the request. PromptParts are the prompt's parts as a list of ID:TOKENS.
 	Model, PromptParts string
+	// TokenCounts are a request's prompt tokens and the most output tokens, as "PROMPT,OUTPUT", and
+	// LengthHint is the caller's estimate of its output tokens.
+	TokenCounts, LengthHint string
+	// Priority is the urgency of a request towards an endpoint, 0 (first) to 9.
+	Priority string
 	// Session identifies the conversation that a request belongs to.
 	Session string
 	// LastEventID is the id of the last event that the caller has received of a stream.
--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -23,7 +23,7 @@
 			return n.localKeepers.get(bootClock(), func() []tally.Keeper { return n.keepers(n.s.DataCentre) })
 		},
 		RemoteKeepers: func() []tally.Keeper { return n.remoteKeepers.get(bootClock(), n.otherKeepers) }, State: n.load, Apply: n.applyLoad,
-		Outcomes: n.outcomes, ApplyOutcomes: n.applyOutcomes, Log: n.log, Registerer: n.registry, Traffic: n.traffic,
+		Outcomes: n.outcomes, ApplyOutcomes: n.applyOutcomes, Sums: n.collectSums, ApplySums: n.applySums, Log: n.log, Registerer: n.registry, Traffic: n.traffic,
 	})
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -105,6 +105,7 @@
 	handler        *forward.Handler
 	gossip         *gossip.Service
 	tally          *tally.Service
+	sums           map[uint8]sumTopic // by topic
 	rollouts       *rollouts
 	sticky         *sticky.Service
 	quota          *quota.Service
@@ -141,7 +142,10 @@
 // New connects the parts of a VM and opens its sockets for datagrams. Run starts serving.
 func New(s Settings, p Platform, edge Edge, registry *prometheus.Registry, log zerolog.Logger) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets()}
+	n := &Node{s: s, startedAt: bootClock(), currentBounds: new(atomic.Pointer[Bounds]), peersKnown: make(chan struct{}), p: p, edge: edge, log: log, registry: registry, table: placement.New(s.DataCentre), buckets: ratelimit.NewBuckets(), sums: make(map[uint8]sumTopic)}
+	if s.hasContract(contractPressure) {
+		n.table.SetAllManaged()
+	}
 	n.paths = newPaths(n)
 	n.pool = upstream.NewPool(registry, "goldcrest_upstream", n.paths)
 	n.peerPool = upstream.NewPool(registry, "goldcrest_detour", nil)
--- a/gateway/node/settings.go
+++ b/gateway/node/settings.go
@@ -1,6 +1,9 @@
 package node
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Settings are the settings of a VM at its start.
 type Settings struct {
@@ -23,9 +26,16 @@
 	FirstStart bool
 	// MemoryMB limits the memory of the process.
 	MemoryMB int
-	Bounds   Bounds
+	// Contracts are the names of the rules that the operators have put in force.
+	Contracts []string
+	Bounds    Bounds
 }
 
+// contractPressure is the contract under which the load of all services is managed.
+const contractPressure = "pressure"
+
+func (s *Settings) hasContract(name string) bool { return slices.Contains(s.Contracts, name) }
+
 // Bounds are the times and shares within which operators require the system to act.
 type Bounds struct {
 	// ContactWindow is the time after a fault from which the bounds hold again.
--- /dev/null
+++ b/policy/placement/managed.go
@@ -0,0 +1,32 @@
+package placement
+
+import "time"
+
+// SetAllManaged makes all services managed (Managed).
+func (t *Table) SetAllManaged() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.allManaged = true
+}
+
+// Managed reports whether the load of a service is managed over the fleet: the settings ask for it for
+// all services, or an endpoint of it has stated how slow its machine is.
+func (t *Table) Managed(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.managed(t.services[service])
+}
+
+func (t *Table) managed(p *pool) bool { return t.allManaged || p != nil && p.managed }
+
+// ReportSlowdown records how long work takes on an endpoint's machine at the moment, as the endpoint
+// stated: a percentage of the usual time. It makes the endpoint's service managed.
+func (t *Table) ReportSlowdown(now time.Time, id string, percent int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.endpoints[id]
+	if e == nil || percent <= 0 {
+		return
+	}
+	t.services[e.Service].managed = true
+}
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -127,6 +127,7 @@
 	services       map[string]*pool
 	dataCentresOut map[string]bool
 	pathsLost      bool // SetPathsLost
+	allManaged     bool // SetAllManaged
 	// active holds the endpoints that this VM has load or records of: few among thousands.
 	active map[*endpoint]struct{}
 	// byShortName indexes the endpoints by the short names that VMs use among themselves.
@@ -146,6 +147,7 @@
 	detector      *outlier.Detector
 	detectorStale bool // list changed since the detector was updated
 	unitTime      unitTime
+	managed       bool // an endpoint stated how slow its machine is
 }
 
 // New returns a table without endpoints for a VM in the given data centre.
