Report the work of all endpoints of a service with 200 of them

Cause: a datagram held the work at 90 endpoints, those with most. Change: entries take six bytes in place of eleven, figures to 4 in 1,000, and a datagram holds 208 of them less the avoided endpoints. Sums of figures are packed alike.

--- a/fleet/tally/board.go
+++ b/fleet/tally/board.go
@@ -14,10 +14,12 @@
 	reportTTL = 2 * time.Second
 	// summaryTTL is how long another data centre's sums count: ten of its summaries.
 	summaryTTL = time.Second
-	// maxEntries bounds the endpoints with work in one datagram, 11 bytes each. Those with the
-	// most work are included, since they are the ones to avoid.
-	maxEntries = 90
-	// maxAvoided bounds the avoided endpoints in one datagram, 5 bytes each.
+	// maxStateBytes bounds a State in one datagram. The endpoints with the most work are included, since
+	// they are the ones to avoid; the others look idle.
+	maxStateBytes = 1250
+	// avoidedBytes is the size of an avoided endpoint in a datagram, at most.
+	avoidedBytes = 5
+	// maxAvoided bounds the avoided endpoints in one datagram.
 	maxAvoided = 60
 	// minAvoidingVMs is how many VMs of a data centre must avoid an endpoint before the others
 	// do. A single VM may itself be the one that is partitioned. Only VMs of the same data
@@ -32,7 +34,6 @@
 // Entry is the work under way at one endpoint, in thousands of prompt tokens. Endpoint is the
 // hash that EndpointHash returns.
 type Entry struct {
-	_        struct{} `cbor:",toarray"`
 	Endpoint uint32
 	Work     float32
 }
@@ -44,7 +45,7 @@
 // State is the load of the endpoints: one VM's in a report, that of all other VMs in an answer.
 type State struct {
 	// Work is the work under way by endpoint.
-	Work []Entry `cbor:"1,keyasint,omitempty"`
+	Work WorkList `cbor:"1,keyasint,omitempty"`
 	// Avoided are the endpoints that recently broke or refused connections.
 	Avoided []uint32 `cbor:"2,keyasint,omitempty"`
 }
@@ -106,7 +107,7 @@
 	defer a.mu.Unlock()
 	total := make(map[uint32]float32)
 	addWork(total, a.reports, now, reportTTL, "")
-	return largest(total)
+	return largest(total, 0)
 }
 
 // Totals returns the load of all VMs of all data centres but that of the VM except.
@@ -116,7 +117,8 @@
 	total := make(map[uint32]float32)
 	addWork(total, a.reports, now, reportTTL, except)
 	addWork(total, a.summaries, now, summaryTTL, "")
-	return State{Work: largest(total), Avoided: a.avoided(except)}
+	avoided := a.avoided(except)
+	return State{Work: largest(total, len(avoided)), Avoided: avoided}
 }
 
 // avoided returns the endpoints that at least minAvoidingVMs VMs other than except avoid.
@@ -158,8 +160,10 @@
 	}
 }
 
-// largest returns the entries with the most work, at most maxEntries.
-func largest(total map[uint32]float32) []Entry {
+// largest returns the entries with the most work, as many as fit a State with the given number of
+// avoided endpoints.
+func largest(total map[uint32]float32, avoided int) []Entry {
+	maxEntries := (maxStateBytes - avoided*avoidedBytes) / entryBytes
 	out := make([]Entry, 0, len(total))
 	for m, w := range total {
 		out = append(out, Entry{Endpoint: m, Work: w})
--- a/fleet/tally/tally_test.go
+++ b/fleet/tally/tally_test.go
@@ -62,21 +62,24 @@
 	b := NewAggregator()
 	for vm := range 20 {
 		var s State
-		for i := range 100 {
+		for i := range 200 {
 			s.Work = append(s.Work, Entry{Endpoint: EndpointHash(fmt.Sprint(vm, i)), Work: float32(i)})
 			s.Avoided = append(s.Avoided, EndpointHash(fmt.Sprint(i)))
 		}
 		b.RecordReport(0, fmt.Sprint("vm", vm), 1, 1, s)
 	}
 	totals := b.Totals(0, "")
-	require.Len(t, totals.Work, maxEntries)
+	require.Len(t, totals.Work, (maxStateBytes-maxAvoided*avoidedBytes)/entryBytes)
 	require.Len(t, totals.Avoided, maxAvoided)
 	for _, e := range totals.Work {
-		require.Greater(t, e.Work, float32(90))
+		require.Greater(t, e.Work, float32(190))
 	}
 	raw, err := cbor.Marshal(&message{Kind: 2, From: "front-a-long-data-centre-name-12", Incarnation: 1 << 63, Sequence: 1 << 40, RequestID: 1 << 40, State: totals})
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(raw), datagram.MaxPacketSize)
+	raw, err = cbor.Marshal(&message{Kind: kindSummary, From: "front-a-long-data-centre-name-12", Incarnation: 1 << 63, Sequence: 1 << 40, State: State{Work: b.LocalSums(0)}})
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(raw), datagram.MaxPacketSize)
 }
 
 // vm is a VM's service over loopback, with the state that it reports and the last values that
@@ -199,7 +202,7 @@
 			}
 			aggregator.RecordReport(0, "own", 1, 1, State{Work: []Entry{{Endpoint: 1, Work: 1}}})
 			totals := aggregator.Totals(0, "").Work
-			require.LessOrEqual(t, len(totals), maxEntries)
+			require.LessOrEqual(t, len(totals), maxStateBytes/entryBytes)
 			for _, e := range totals {
 				require.Greater(t, e.Work, float32(0))
 			}
