--- a/policy/retry/fleet_test.go
+++ b/policy/retry/fleet_test.go
@@ -381,3 +381,20 @@
 		})
 	}
 }
+
+// Guards against a used share that misses a burst within the window, or that stays when the window has passed.
+func TestUseShare(t *testing.T) {
+	w := NewFleetWindow(10*time.Second, 0.9, rand.New(rand.NewPCG(1, 1)))
+	now := time.Minute
+	u, _ := w.TakeExtra(now, 4)
+	require.Zero(t, u.Share())
+	u, _ = w.TakeExtra(now, 4)
+	require.InDelta(t, 0.25, u.Share(), 1e-9)
+	for range 10 {
+		w.RecordFirst(now)
+	}
+	u, _ = w.TakeExtra(now, 4)
+	require.InDelta(t, 2/(0.9*earlierShare*10+4), u.Share(), 1e-9, "an instant has a fifth of the window's requests")
+	u, _ = w.TakeExtra(now+30*time.Second, 4)
+	require.Zero(t, u.Share())
+}
--- a/policy/sizing/load.go
+++ b/policy/sizing/load.go
@@ -229,7 +229,7 @@
 	n := len(s.Models)
 	ahead := float64(s.Wait) + float64(s.Read)*Work(model, n)/Work(n-1, n)
 	share := maxTargetShare
-	if s.RelativeWork <= 1 {
+	if s.RelativeWork > 0 && s.RelativeWork <= 1 {
 		share = 1
 		if s.Confidence < uselessConfidence && ahead <= maxAheadShare*float64(s.Left) {
 			share = lateShare
