Weight work by the speed of each endpoint in managed services

Cause: endpoints of one service differ in speed by a factor of three and turn slow for moments or seconds, but one time per unit of work stood for the whole service, so that requests queued at slow endpoints. Change: package policy/speed gives each endpoint a factor from measured answers of all VMs and the slowdown that it states; placement weights work by it in managed services, and estimates consider only the request's version there. Load headers have three or four figures, malformed ones are counted. The VMs exchange what their answers say by the topic pace.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -382,6 +382,9 @@
 // endpoint.
 func (c *call) recordAnswerHead(ch placement.Choice, a *upstream.Answer) {
 	now := time.Now()
+	if c.route.Kind == catalog.Streaming && a.Status < 300 {
+		c.h.cfg.Table.FirstEvent(now, ch)
+	}
 	if c.countsTowardLoad() {
 		c.h.cfg.Table.PromptRead(now, ch)
 		c.h.cfg.Load.ReportChange()
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -19,6 +19,8 @@
 	attempts   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	// malformedLoad counts answers whose load header is malformed.
+	malformedLoad prometheus.Counter
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
@@ -39,8 +41,12 @@
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "goldcrest_forward_first_event_seconds", Help: "Time from a request's head to its answer's head.", Buckets: buckets,
 		}, []string{"kind"}),
+		malformedLoad: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "goldcrest_forward_malformed_load_total",
+			Help: "Answers of endpoints whose load header is malformed and was ignored.",
+		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent)
+	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.malformedLoad)
 	return m
 }
 
--- a/gateway/forward/names.go
+++ b/gateway/forward/names.go
@@ -19,7 +19,8 @@
 	// ExpectInstance is the id of the incarnation that the request is meant for; another
 	// incarnation at the same address refuses the request.
 	ExpectInstance string
-	// Load is an endpoint's load as "running,waiting,slots".
+	// Load is an endpoint's load as "running,waiting,slots", or "running,waiting,slots,slowdown" with
+	// the time that work takes on its machine, in percent of the usual.
 	Load string
 	// RateLimit is the number of requests a second that an endpoint takes from all VMs together,
 	// a decimal number; it applies until an answer comes without it.
--- a/gateway/forward/report.go
+++ b/gateway/forward/report.go
@@ -68,6 +68,9 @@
 	a.Counted = p.paceCounted
 	p.paceCounted = true
 	p.paceReported = !answer.Arriving || answer.Events >= pace.KnownEvents
+	if p.paceReported && !answer.Unfinished {
+		c.h.cfg.Table.RecordPauses(time.Now(), ch, a.Kind(), answer.Events-1, answer.Span)
+	}
 	c.h.cfg.Versions.RecordPace(a)
 }
 
--- a/gateway/forward/request.go
+++ b/gateway/forward/request.go
@@ -61,15 +61,32 @@
 }
 
 // endpointLoad is an endpoint's load in requests, as reported with its answer.
-type endpointLoad struct{ running, waiting, slots int }
+type endpointLoad struct {
+	running, waiting, slots int
+	slowdown                int // time that work takes on its machine, in percent of the usual; 0 if not stated
+}
 
 // parseLoad parses a load header. A malformed header counts as no load.
 func parseLoad(h string) endpointLoad {
+	l, _ := parseLoadHeader(h)
+	return l
+}
+
+// parseLoadHeader parses a load header with three or four figures; ok is false if it is malformed.
+func parseLoadHeader(h string) (l endpointLoad, ok bool) {
 	f := strings.Split(h, ",")
-	if len(f) != 3 {
-		return endpointLoad{}
+	if len(f) != 3 && len(f) != 4 {
+		return endpointLoad{}, false
+	}
+	figures := make([]int, 4)
+	for i, s := range f {
+		n, err := strconv.Atoi(strings.TrimSpace(s))
+		if err != nil || n < 0 || i == 3 && n == 0 {
+			return endpointLoad{}, false
+		}
+		figures[i] = n
 	}
-	return endpointLoad{running: parseCount(f[0]), waiting: parseCount(f[1]), slots: parseCount(f[2])}
+	return endpointLoad{running: figures[0], waiting: figures[1], slots: figures[2], slowdown: figures[3]}, true
 }
 
 // inFlight returns the number of requests that run or wait at the endpoint.
--- a/gateway/forward/statements.go
+++ b/gateway/forward/statements.go
@@ -29,6 +29,7 @@
 	c.recordLimit(now, ch, a)
 	c.recordRest(now, ch, a)
 	c.recordBrittle(now, ch, a)
+	c.recordLoad(now, ch, a)
 	if a.Header.Get(n.Leaving) != "" && c.h.cfg.Table.MarkLeaving(ch.ID) {
 		c.statementLine(ch).Msg("endpoint says that it leaves")
 	}
@@ -55,7 +56,7 @@
 	}
 }
 
-// recordBrittle records how many requests an endpoint can turn away, and its load.
+// recordBrittle records how many requests an endpoint can turn away.
 func (c *call) recordBrittle(now time.Time, ch placement.Choice, a *upstream.Answer) {
 	n := &c.h.cfg.Names
 	t := c.h.cfg.Table
@@ -75,8 +76,24 @@
 			c.statementLine(ch).Int("per_s", bound).Msg("endpoint is brittle")
 		}
 	}
-	if load := parseLoad(a.Header.Get(n.Load)); load.slots > 0 {
-		t.ReportLoad(now, ch.ID, load.inFlight())
+}
+
+// recordLoad records an endpoint's load and how slow its machine is.
+func (c *call) recordLoad(now time.Time, ch placement.Choice, a *upstream.Answer) {
+	stated := a.Header.Get(c.h.cfg.Names.Load)
+	if stated == "" {
+		return
+	}
+	load, ok := parseLoadHeader(stated)
+	if !ok {
+		c.h.cfg.Metrics.malformedLoad.Inc()
+		return
+	}
+	if load.slots > 0 {
+		c.h.cfg.Table.ReportLoad(now, ch.ID, load.inFlight())
+	}
+	if load.slowdown > 0 {
+		c.h.cfg.Table.ReportSlowdown(now, ch.ID, load.slowdown)
 	}
 }
 
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -106,6 +106,7 @@
 	gossip         *gossip.Service
 	tally          *tally.Service
 	sums           map[uint8]sumTopic // by topic
+	slowEndpoints  *prometheus.GaugeVec
 	rollouts       *rollouts
 	sticky         *sticky.Service
 	quota          *quota.Service
@@ -146,6 +147,8 @@
 	if s.hasContract(contractPressure) {
 		n.table.SetAllManaged()
 	}
+	n.slowEndpoints = newSlowEndpoints(registry)
+	n.addSums(topicPace, n.collectPaces, n.applyPaces)
 	n.paths = newPaths(n)
 	n.pool = upstream.NewPool(registry, "goldcrest_upstream", n.paths)
 	n.peerPool = upstream.NewPool(registry, "goldcrest_detour", nil)
@@ -334,6 +337,7 @@
 			n.buckets.Sweep(time.Now())
 			n.rollouts.tick(ctx)
 			n.budgets.report()
+			n.reportSlowEndpoints()
 		}
 	}
 }
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -62,18 +62,25 @@
 
 // best returns the endpoint with the lowest cost, or nil for an empty list. The cost is the
 // work under way plus penalties, in requests; Request.Saving is deducted for the endpoints
-// preferred for the request's affinity.
+// preferred for the request's affinity. In a managed service the request's own work is added, and
+// all work is weighted by the endpoint's time factor.
 func (t *Table) best(now time.Time, rng *rand.Rand, list []*endpoint, r *Request) *endpoint {
 	preferred := preferredEndpoints(list, r.Affinity)
+	own := 0.0
+	if p := t.services[r.Service]; t.managed(p) {
+		t.refreshFactors(now, p)
+		own = r.Work + r.Prefill
+	}
 	var best *endpoint
 	var least float64
 	for _, e := range list {
-		cost := t.workAt(now, e) + t.failureCost(now, e)
+		factor := e.timeFactor()
+		cost := (t.workAt(now, e)+own)*factor + t.failureCost(now, e)
 		if e.peerLoad.Avoided && t.peerLoadFresh(now) {
 			cost += avoidedPenalty
 		}
 		if e == preferred[0] || e == preferred[1] {
-			cost -= r.Saving
+			cost -= r.Saving * factor
 		}
 		if e.DataCentre != t.DataCentre {
 			cost += remotePenalty
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -6,6 +6,7 @@
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
 	"goldcrestfork/policy/ratelimit"
+	"goldcrestfork/policy/speed"
 )
 
 // Spec is the configured and reported state of an endpoint.
@@ -60,6 +61,11 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
+	speed     speed.Endpoint
+	factor    float64   // of its time, as of serviceTimes.factorsAt; 0 if unknown
+	slow      bool      // as last returned by Table.SlowEndpoints
+	slowSince time.Time // since when slow is out of date, zero if it isn't
+
 	needs     *needs              // as the endpoint stated them to this VM; nil for none
 	limit     ratelimit.Statement // as the endpoint stated it in answers
 	limitPace ratelimit.Pace      // of this VM's questions for requests within the limit
--- a/policy/placement/managed.go
+++ b/policy/placement/managed.go
@@ -28,5 +28,9 @@
 	if e == nil || percent <= 0 {
 		return
 	}
-	t.services[e.Service].managed = true
+	p := t.services[e.Service]
+	p.managed = true
+	e.speed.State(now, percent)
+	// Other choices of the next moment use the new figure at once.
+	e.factor = e.speed.Factor(now, p.times.usual)
 }
--- a/policy/placement/pace.go
+++ b/policy/placement/pace.go
@@ -32,12 +32,16 @@
 
 // update adds the time that a request took to its first event with the given work ahead of it.
 func (u *unitTime) update(ahead float64, took time.Duration) {
-	if ahead < minWorkAhead {
-		return
+	if ahead >= minWorkAhead {
+		u.updateBy(unitTimeGain, ahead, took)
 	}
+}
+
+// updateBy is update with the given weight of the request, whatever the work ahead of it.
+func (u *unitTime) updateBy(gain, ahead float64, took time.Duration) {
 	average := u.get()
 	measured := min(took.Seconds()/ahead, maxSampleRatio*average)
-	u.perUnit = average + unitTimeGain*(measured-average)
+	u.perUnit = average + gain*(measured-average)
 }
 
 // WaitEstimate is an estimate of the time that a request waits for its first event.
@@ -50,9 +54,10 @@
 	Scarce bool
 }
 
-// EstimateWait estimates the time to a request's first event at the usable endpoint with the least
-// work under way, by the recent time per unit of work in the service. The share of an engine's
-// slots in use is a poor predictor: long prompts make requests wait while most slots are free.
+// EstimateWait estimates the time to a request's first event at the usable endpoint where it would come
+// first, by the recent time per unit of work in the service. The share of an engine's slots in use is a
+// poor predictor: long prompts make requests wait while most slots are free. The request's version
+// counts in managed services only.
 func (t *Table) EstimateWait(now time.Time, rng *rand.Rand, r *Request) WaitEstimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -60,17 +65,39 @@
 	if p == nil {
 		return WaitEstimate{}
 	}
-	warm, cold, _ := t.candidates(now, rng, p, r)
-	if len(warm) == 0 {
-		warm = cold
+	list := t.estimated(now, rng, p, r)
+	own := r.Work + r.Prefill
+	ofCost := 0.0
+	if t.managed(p) {
+		ofCost = own
 	}
-	least, scarce := -1.0, true
-	for _, e := range warm {
+	under, factor, scarce := 0.0, 1.0, true
+	for i, e := range list {
 		scarce = scarce && e.limit.Limited
-		if under := t.workAt(now, e); least < 0 || under < least {
-			least = under
+		if w, f := t.workAt(now, e), e.timeFactor(); i == 0 || (w+ofCost)*f < (under+ofCost)*factor {
+			under, factor = w, f
 		}
 	}
-	unit := p.unitTime.get() * float64(time.Second)
-	return WaitEstimate{Wait: time.Duration(max(least, 0) * unit), Read: time.Duration((r.Work + r.Prefill) * unit), Scarce: scarce}
+	unit := factor * p.unitTime.get() * float64(time.Second)
+	return WaitEstimate{Wait: time.Duration(under * unit), Read: time.Duration(own * unit), Scarce: scarce}
+}
+
+// estimated returns the endpoints that EstimateWait considers.
+func (t *Table) estimated(now time.Time, rng *rand.Rand, p *pool, r *Request) []*endpoint {
+	anyVersion := *r
+	anyVersion.Version = ""
+	if !t.managed(p) {
+		anyVersion.NotVersion = ""
+		r = &anyVersion
+	}
+	t.refreshFactors(now, p)
+	warm, cold, _ := t.candidates(now, rng, p, r)
+	if len(warm)+len(cold) == 0 && r.Version != "" {
+		// A request whose version has no endpoint may use another one.
+		warm, cold, _ = t.candidates(now, rng, p, &anyVersion)
+	}
+	if len(warm) > 0 {
+		return warm
+	}
+	return cold
 }
--- a/policy/placement/rows.go
+++ b/policy/placement/rows.go
@@ -31,7 +31,10 @@
 	Limit *float64 `json:"limit"`
 	// Brittle is the number of requests that the endpoint said that it can turn away in a second;
 	// null for none.
-	Brittle *int    `json:"brittle"`
+	Brittle *int `json:"brittle"`
+	// Factor is the time that work takes at the endpoint relative to the usual time of its service;
+	// 1 if the service isn't managed.
+	Factor  float64 `json:"factor"`
 	Load    float64 `json:"load"`
 	Running int     `json:"running"`
 	Slots   int     `json:"slots"`
@@ -41,6 +44,9 @@
 func (t *Table) Rows(now time.Time) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, p := range t.services {
+		t.refreshFactors(now, p)
+	}
 	out := make([]Row, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
 		var limit *float64
@@ -57,7 +63,7 @@
 			Draining: e.Draining, Leaving: e.isLeaving(), Out: t.dataCentresOut[e.DataCentre], ColdMs: max(e.coldUntil.Sub(now).Milliseconds(), 0),
 			AvoidMs: max(e.avoidUntil.Sub(now).Milliseconds(), 0), RestMs: e.restLeft(now).Milliseconds(), Lost: e.lost, Detector: int(e.outlierState),
 			Failing: e.excessFailures, OtherLife: e.fleetRecord.OtherLife,
-			Limit: limit, Brittle: brittle, Load: e.load, Running: e.requests, Slots: e.Slots,
+			Limit: limit, Brittle: brittle, Factor: e.timeFactor(), Load: e.load, Running: e.requests, Slots: e.Slots,
 		})
 	}
 	slices.SortFunc(out, func(a, b Row) int { return strings.Compare(a.ID, b.ID) })
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -66,12 +66,9 @@
 	// request's work is known, as for prompts.
 	Expected time.Duration
 	// Ahead is the work up to the request's first event in requests, its own included.
-	Ahead float64
-	// work is the request's current contribution to the load; it changes when the prompt is
-	// read and when the request ends.
-	work            *float64
-	workAfterPrompt float64 // contribution after the prompt is read
-	sentAt          time.Time
+	Ahead   float64
+	attempt *attempt // guarded by Table.mu
+	sentAt  time.Time
 }
 
 // NoChoiceReason is the reason why no endpoint was chosen.
@@ -148,6 +145,7 @@
 	detectorStale bool // list changed since the detector was updated
 	unitTime      unitTime
 	managed       bool // an endpoint stated how slow its machine is
+	times         serviceTimes
 }
 
 // New returns a table without endpoints for a VM in the given data centre.
@@ -324,9 +322,9 @@
 		}
 		e.admitCold(now, true)
 	}
-	work := r.Work + r.Prefill
-	ahead := t.workAt(now, e) + work
-	e.load += work
+	a := &attempt{work: r.Work + r.Prefill, workAfterPrompt: r.Work, prefill: r.Prefill, saving: r.Saving}
+	ahead := t.workAt(now, e) + a.work
+	e.load += a.work
 	e.requests++
 	t.active[e] = struct{}{}
 	if e.avoidFor > 0 {
@@ -338,8 +336,8 @@
 	return Choice{
 		ID: e.ID, Address: e.Address, DataCentre: e.DataCentre, Version: e.Version, Cold: e.cold(now),
 		Limited: e.limit.Limited, Limit: e.limit.Rate,
-		Expected: time.Duration(ahead * p.unitTime.get() * float64(time.Second)),
-		work:     &work, Ahead: ahead, workAfterPrompt: r.Work, sentAt: now,
+		Expected: time.Duration(ahead * e.timeFactor() * p.unitTime.get() * float64(time.Second)),
+		Ahead:    ahead, attempt: a, sentAt: now,
 	}, Picked
 }
 
@@ -367,10 +365,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.endpoints[c.ID]; e != nil {
-		e.load = max(e.load-*c.work+c.workAfterPrompt, 0)
-		t.services[e.Service].unitTime.update(c.Ahead, now.Sub(c.sentAt))
+		e.load = max(e.load-c.attempt.work+c.attempt.workAfterPrompt, 0)
+		if p := t.services[e.Service]; !t.managed(p) { // otherwise FirstEvent does it
+			p.unitTime.update(c.Ahead, now.Sub(c.sentAt))
+		}
 	}
-	*c.work = c.workAfterPrompt
+	c.attempt.work = c.attempt.workAfterPrompt
 }
 
 // EndpointLoad is the load that one VM, or the other VMs together, have at an endpoint. VMs
@@ -424,8 +424,9 @@
 	if e == nil {
 		return
 	}
-	e.load = max(e.load-*c.work, 0)
+	e.load = max(e.load-c.attempt.work, 0)
 	e.requests = max(e.requests-1, 0)
+	t.recordEnd(now, e, c, o)
 	switch o {
 	case Good, Failed:
 		e.endAvoidance()
