Spread plain requests by speed, and document the pace by endpoint

Cause: plain requests don't count in the load from other VMs, so that weighting them by speed alone sends all VMs to the fastest endpoint, and an endpoint with many answers was taken for the usual one.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -188,7 +188,7 @@
 func (c *call) requestFor(v VersionChoice, model int) *placement.Request {
 	r := &placement.Request{
 		Service: c.service, Version: v.Version, NotVersion: v.ExcludedVersion, Regions: c.route.Regions,
-		Exclude: c.tried, Work: 1,
+		Exclude: c.tried, Work: 1, LoadUnknown: !c.countsTowardLoad(),
 	}
 	weight := 1.0
 	if c.prompt.wildcard {
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -66,16 +66,13 @@
 // all work is weighted by the endpoint's time factor.
 func (t *Table) best(now time.Time, rng *rand.Rand, list []*endpoint, r *Request) *endpoint {
 	preferred := preferredEndpoints(list, r.Affinity)
-	own := 0.0
-	if p := t.services[r.Service]; t.managed(p) {
-		t.refreshFactors(now, p)
-		own = r.Work + r.Prefill
-	}
+	p := t.services[r.Service]
+	t.refreshFactors(now, p)
 	var best *endpoint
 	var least float64
 	for _, e := range list {
 		factor := e.timeFactor()
-		cost := (t.workAt(now, e)+own)*factor + t.failureCost(now, e)
+		cost := (t.workAt(now, e)+t.ownWork(now, rng, p, r))*factor + t.failureCost(now, e)
 		if e.peerLoad.Avoided && t.peerLoadFresh(now) {
 			cost += avoidedPenalty
 		}
--- a/policy/placement/doc.go
+++ b/policy/placement/doc.go
@@ -23,6 +23,9 @@
 // for the hash of the shared prefix, the same on each VM, are preferred unless the least loaded
 // endpoint saves more than reading the prefix again would cost.
 //
+// In managed services work is weighted by the time that each endpoint takes for it relative to the
+// others (package speed).
+//
 // In pools of more than 200 endpoints a choice looks at a sample, so that its cost stays
 // constant. The time to a request's first event can be estimated without placing the request
 // (Table.EstimateWait).
--- a/policy/placement/speed.go
+++ b/policy/placement/speed.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,9 @@
 	// fullWeightWork is the work ahead from which the time to a first event says most, and
 	// minMeasuredWork the least from which it says anything.
 	fullWeightWork, minMeasuredWork = 20.0, 2.0
+	// spread is the range of a request's own work where the load from the other VMs isn't known: twice
+	// that of a usual request, so that its mean is right.
+	spread = 2.0
 	// fixedTime is added to the measured and to the expected time to a first event, for the network
 	// and the engine's first step, which take as long on a slow machine.
 	fixedTime = 0.010 // seconds
@@ -74,6 +78,19 @@
 	return e.factor
 }
 
+// ownWork returns the request's own work as far as it counts in the cost of an endpoint. Without the
+// load from the other VMs it is random: all VMs would else send their requests to the fastest endpoint
+// at once. The endpoints then get about the share of the requests that their speed allows.
+func (t *Table) ownWork(now time.Time, rng *rand.Rand, p *pool, r *Request) float64 {
+	switch {
+	case !t.managed(p):
+		return 0
+	case r.LoadUnknown || !t.peerLoadFresh(now):
+		return spread * rng.Float64()
+	}
+	return r.Work + r.Prefill
+}
+
 // FirstEvent records the time to the first event of a stream that an endpoint of a managed service has
 // begun to send. It must be called before PromptRead.
 func (t *Table) FirstEvent(now time.Time, c Choice) {
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -35,6 +35,8 @@
 	// Prefill is the work of reading its prompt, in the same unit; it counts until the first
 	// event.
 	Prefill float64
+	// LoadUnknown says that requests like this one don't count in the load from other VMs.
+	LoadUnknown bool
 }
 
 // LimitedUse says which endpoints that have stated a request limit a choice considers.
--- a/policy/speed/speed.go
+++ b/policy/speed/speed.go
@@ -159,25 +159,23 @@
 }
 
 // Usual returns the usual logarithm of the ratio among the endpoints of a service: the mean of the
-// middle half, by weight. Up to a quarter of the endpoints don't change it however slow they are. It
-// sorts the list.
+// middle half. Up to a quarter of the endpoints don't change it however slow they are. Each endpoint
+// weighs at most 1, so that one with many answers isn't taken for the usual one. It changes the list.
 func Usual(list []Sums) float64 {
 	list = slices.DeleteFunc(list, func(s Sums) bool { return s.Weight <= 0 })
-	slices.SortFunc(list, func(a, b Sums) int { return cmp.Compare(a.Log*b.Weight, b.Log*a.Weight) })
 	total := 0.0
-	for _, s := range list {
-		total += s.Weight
+	for i, s := range list {
+		list[i] = Sums{s.Log / s.Weight, s.Weight / (s.Weight + priorWeight)}
+		total += list[i].Weight
 	}
 	if total == 0 {
 		return 0
 	}
+	slices.SortFunc(list, func(a, b Sums) int { return cmp.Compare(a.Log, b.Log) })
 	from, to := total/4, total*3/4
 	sum, before := 0.0, 0.0
 	for _, s := range list {
-		inside := min(before+s.Weight, to) - max(before, from)
-		if inside > 0 {
-			sum += inside * s.Log / s.Weight
-		}
+		sum += max(min(before+s.Weight, to)-max(before, from), 0) * s.Log
 		before += s.Weight
 	}
 	return sum / (to - from)
--- a/policy/speed/speed_test.go
+++ b/policy/speed/speed_test.go
@@ -89,6 +89,7 @@
 	require.Zero(t, Usual([]Sums{{}}))
 	list := []Sums{{Log: 3, Weight: 10}, {}, {Log: 3, Weight: 10}, {Log: 3, Weight: 10}, {Log: 20, Weight: 10}}
 	require.InDelta(t, 0.3, Usual(list), 1e-9)
+	require.Less(t, Usual([]Sums{{Weight: 4}, {Weight: 4}, {Weight: 4}, {Log: 200, Weight: 100}}), 0.5)
 	var e Endpoint
 	now := measure(&e, start, math.Exp(0.3), 5*time.Second)
 	require.InDelta(t, 1, e.Factor(now, 0.3), 0.01)
