--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -189,7 +189,7 @@
 func (c *call) requestFor(v VersionChoice, model int) *placement.Request {
 	r := &placement.Request{
 		Service: c.service, Version: v.Version, NotVersion: v.ExcludedVersion, Regions: c.route.Regions,
-		Exclude: c.tried, Work: 1,
+		Exclude: c.tried, Work: 1, LoadUnknown: !c.countsTowardLoad(),
 	}
 	weight := 1.0
 	if c.prompt.wildcard {
@@ -385,6 +385,9 @@
 // endpoint.
 func (c *call) recordAnswerHead(ch placement.Choice, a *upstream.Answer) {
 	now := time.Now()
+	if c.route.Kind == catalog.Streaming && a.Status < 300 {
+		c.h.cfg.Table.FirstEvent(now, ch)
+	}
 	if c.countsTowardLoad() {
 		c.h.cfg.Table.PromptRead(now, ch)
 		c.h.cfg.Load.ReportChange()
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -20,6 +20,8 @@
 	latency    *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
 	weakKept   *prometheus.CounterVec
+	// malformedLoad counts answers whose load header is malformed.
+	malformedLoad prometheus.Counter
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
@@ -44,8 +46,12 @@
 			Name: "goldcrest_forward_weak_kept_total",
 			Help: "Weak answers of managed services that were passed on, by reason.",
 		}, []string{"reason"}),
+		malformedLoad: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "goldcrest_forward_malformed_load_total",
+			Help: "Answers of endpoints whose load header is malformed and was ignored.",
+		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.weakKept)
+	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.weakKept, m.malformedLoad)
 	return m
 }
 
