Estimate the room of managed services without endpoints that other VMs avoid

Cause: an endpoint that has crashed has the least work under way, and a slow one with few requests looks free, so that the wait and the share of the capacity in use were too low. Change: both leave out endpoints that other VMs avoid, and the capacity in use is weighed by the endpoint's time factor.

--- a/policy/placement/capacity.go
+++ b/policy/placement/capacity.go
@@ -29,10 +29,12 @@
 	if len(warm) == 0 {
 		warm = cold
 	}
+	t.refreshFactors(now, p)
 	uses := make([]float64, 0, len(warm))
-	for _, e := range warm {
+	for _, e := range t.withoutAvoided(now, warm) {
 		if e.Slots > 0 {
-			uses = append(uses, min(t.workAt(now, e)/float64(e.Slots), maxUse))
+			// A slow endpoint with few requests isn't free: its slots are released late.
+			uses = append(uses, min(t.workAt(now, e)*max(e.timeFactor(), 1)/float64(e.Slots), maxUse))
 		}
 	}
 	if len(uses) == 0 {
@@ -45,3 +47,21 @@
 	}
 	return use / float64(len(least)), true
 }
+
+// withoutAvoided returns the endpoints of a list that the other VMs don't avoid, or all if they avoid
+// all. A crashed endpoint has the least work of all.
+func (t *Table) withoutAvoided(now time.Time, list []*endpoint) []*endpoint {
+	if !t.peerLoadFresh(now) {
+		return list
+	}
+	out := make([]*endpoint, 0, len(list))
+	for _, e := range list {
+		if !e.peerLoad.Avoided {
+			out = append(out, e)
+		}
+	}
+	if len(out) == 0 {
+		return list
+	}
+	return out
+}
--- a/policy/placement/pace.go
+++ b/policy/placement/pace.go
@@ -96,8 +96,11 @@
 		// A request whose version has no endpoint may use another one.
 		warm, cold, _ = t.candidates(now, rng, p, &anyVersion)
 	}
-	if len(warm) > 0 {
-		return warm
+	if len(warm) == 0 {
+		warm = cold
 	}
-	return cold
+	if t.managed(p) {
+		return t.withoutAvoided(now, warm)
+	}
+	return warm
 }
