--- a/gateway/node/room_test.go
+++ b/gateway/node/room_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
@@ -131,3 +132,13 @@
 	n.table.SetMemory(nil, nil)
 	require.Nil(t, n.collectTokens())
 }
+
+// Guards against limits on memory in a deployment that doesn't ask for them.
+func TestMemoryIsLimitedOnlyUnderPressure(t *testing.T) {
+	n := &Node{registry: prometheus.NewRegistry(), sums: make(map[uint8]sumTopic)}
+	require.Nil(t, n.newRoom())
+	require.Empty(t, n.sums)
+	n.s.Contracts = []string{contractPressure}
+	require.NotNil(t, n.newRoom())
+	require.Contains(t, n.sums, topicMemory)
+}
