Renew a caller's write deadline while its kernel takes bytes

Cause: the kernel lets a write go on only once a third of its buffer is free. Change: while a write waits, the VM looks once a second at the bytes queued for the caller and renews the deadline if their number changed. TestCallerThatTakesQueuedBytesIsNotCutOff passes.

--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -222,7 +222,7 @@
 	defer h.active.Add(-1)
 	c := &call{h: h, w: w, r: r, start: time.Now(), id: r.Header.Get(h.cfg.Names.RequestID)}
 	if h.cfg.Memory != nil {
-		cw := newCallerWriter(w, h.cfg.Metrics.memory.stalled.Inc)
+		cw := newCallerWriter(w, queuedBytes(r), h.cfg.Metrics.memory.stalled.Inc)
 		// The server sends the rest of the answer after the handler has returned.
 		defer cw.extend()
 		defer c.releaseBytes()
--- a/gateway/forward/memory_test.go
+++ b/gateway/forward/memory_test.go
@@ -86,14 +86,14 @@
 // serveCaller serves one request by a handler with callerWriter, and calls read with the caller's
 // connection. It returns how long the handler took, whether the caller was found to have stalled,
 // and the handler's error.
-func serveCaller(t *testing.T, handler func(w http.ResponseWriter) error, read func(c net.Conn)) (took time.Duration, stalled bool, err error) {
+func serveCaller(t *testing.T, queued func() (int, bool), handler func(w http.ResponseWriter) error, read func(c net.Conn)) (took time.Duration, stalled bool, err error) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		l := pipeListener{conns: make(chan net.Conn)}
 		done := make(chan struct{})
 		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			began := time.Now()
-			cw := newCallerWriter(w, func() { stalled = true })
+			cw := newCallerWriter(w, queued, func() { stalled = true })
 			err = handler(cw)
 			took = time.Since(began)
 			close(done)
@@ -141,7 +141,7 @@
 // Guards against a caller that doesn't read and so holds the VM's memory.
 func TestCallerThatDoesNotReadIsCutOff(t *testing.T) {
 	for _, answer := range []func(http.ResponseWriter) error{writeWhole, writeSilentStream} {
-		took, stalled, err := serveCaller(t, answer, func(net.Conn) {})
+		took, stalled, err := serveCaller(t, nil, answer, func(net.Conn) {})
 		require.Error(t, err)
 		require.True(t, stalled)
 		require.Equal(t, callerStall, took)
@@ -150,7 +150,7 @@
 
 // Guards against a caller that reads slowly but steadily being cut off.
 func TestSlowCallerGetsItsAnswer(t *testing.T) {
-	took, stalled, err := serveCaller(t, writeWhole, func(c net.Conn) {
+	took, stalled, err := serveCaller(t, nil, writeWhole, func(c net.Conn) {
 		for buf := make([]byte, 4<<10); ; {
 			time.Sleep(callerStall * 9 / 10)
 			if _, err := c.Read(buf); err != nil {
@@ -163,9 +163,23 @@
 	require.Greater(t, took, 10*callerStall)
 }
 
+// Guards against a caller being cut off whose kernel takes bytes while the VM's own lets no write go on, and
+// against one being kept that takes nothing any more.
+func TestCallerThatTakesQueuedBytesIsNotCutOff(t *testing.T) {
+	left := 30 // looks at which the caller has taken something
+	queued := func() (int, bool) {
+		left = max(left-1, 0)
+		return left, true
+	}
+	took, stalled, err := serveCaller(t, queued, writeWhole, func(net.Conn) {})
+	require.Error(t, err)
+	require.True(t, stalled)
+	require.Equal(t, 30*progressInterval+callerStall, took)
+}
+
 // Guards against a stream being cut off that is silent for longer than a caller may take to read.
 func TestSilentStreamIsNotCutOff(t *testing.T) {
-	took, stalled, err := serveCaller(t, writeSilentStream, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+	took, stalled, err := serveCaller(t, nil, writeSilentStream, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
 	require.NoError(t, err)
 	require.False(t, stalled)
 	require.Equal(t, 30*callerStall, took)
--- a/gateway/node/listen.go
+++ b/gateway/node/listen.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/forward"
 )
 
 const (
@@ -36,7 +37,7 @@
 func (n *Node) listen() error {
 	n.front = &http.Server{Handler: n.handler}
 	if n.s.hasContract(contractPressure) {
-		n.front.ConnState = limitCallerBuffer
+		n.front.ConnState, n.front.ConnContext = limitCallerBuffer, forward.WithCallerConn
 	}
 	if err := n.serve(n.front, n.s.Front); err != nil {
 		return err
--- a/gateway/node/room.go
+++ b/gateway/node/room.go
@@ -12,9 +12,8 @@
 	"goldcrestfork/policy/room"
 )
 
-// callerBuffer is the size of the kernel's buffer for the answers on a caller's connection. The kernel
-// lets a writer continue once a third of the buffer is free. By default the buffer grows to megabytes,
-// so that a caller that reads slowly would seem to read nothing for long.
+// callerBuffer is the size of the kernel's buffer for the answers on a caller's connection. By default it
+// grows to 4 MB for a caller that doesn't read, and a VM has 144 MB.
 const callerBuffer = 64 << 10
 
 // newRoom returns the counter of the bytes that this VM holds for callers, and takes part in the sums of
@@ -94,6 +93,6 @@
 // limitCallerBuffer sets the size of the kernel's buffer of a new connection of a caller.
 func limitCallerBuffer(c net.Conn, state http.ConnState) {
 	if tcp, ok := c.(*net.TCPConn); ok && state == http.StateNew {
-		_ = tcp.SetWriteBuffer(callerBuffer) // without it slow callers may be cut off early
+		_ = tcp.SetWriteBuffer(callerBuffer) // a refusal leaves the usual buffer
 	}
 }
