--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -22,12 +22,14 @@
 	weakKept   *prometheus.CounterVec
 	// malformedLoad counts answers whose load header is malformed.
 	malformedLoad prometheus.Counter
+	memory     memoryMetrics
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 14)
 	m := &Metrics{
+		memory: newMemoryMetrics(r),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrest_forward_requests_total",
 			Help: "Callers' requests, by kind and outcome.",
