Let large requests have the larger model while there is room for all

Cause: the pressure rose from a capacity in use of 0.55 on. The work under way counts prompts that are being read beside running requests, so that at 8 of 16 running requests it was 0.76 and large requests' weak answers were kept, small urgent ones' from there on. Change: the pressure rises from 0.8 to 1.6, and one endpoint counts up to 4.

--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -22,7 +22,7 @@
 	weakKept   *prometheus.CounterVec
 	// malformedLoad counts answers whose load header is malformed.
 	malformedLoad prometheus.Counter
-	memory     memoryMetrics
+	memory        memoryMetrics
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
--- a/policy/placement/capacity.go
+++ b/policy/placement/capacity.go
@@ -12,7 +12,7 @@
 	leastLoadedShare = 0.25
 	// maxUse bounds the use of one endpoint, so that a long prompt at one of a few endpoints does
 	// not stand for the others.
-	maxUse = 2.0
+	maxUse = 4.0
 )
 
 // CapacityUse returns the share of the capacity in use over the endpoints that may get the request:
--- a/policy/sizing/load.go
+++ b/policy/sizing/load.go
@@ -12,10 +12,10 @@
 	// spareEnd is the pressure up to which there is spare capacity.
 	spareEnd = 0.4
 	// lowCapacityUse and highCapacityUse are the shares of the capacity in use between which the
-	// pressure rises. From 0.7 on large requests keep too much of the capacity in an overload, and
-	// below 0.4 they yield while there is some.
-	lowCapacityUse  = 0.55
-	highCapacityUse = 1.2
+	// pressure rises. The work under way counts prompts that are being read beside the requests that
+	// run, so that it exceeds the slots while some are free.
+	lowCapacityUse  = 0.8
+	highCapacityUse = 1.6
 	// lowWait and highWait are the waits between which the pressure rises as well, as shares of the
 	// shortest target latency of the service.
 	lowWait  = 0.04
