Keep choices in unmanaged services as cheap as before, and tighten the tests of pace

Change: the speed state is behind a pointer and the weights are computed in managed services only; a case for each.

--- a/gateway/forward/load_test.go
+++ b/gateway/forward/load_test.go
@@ -66,3 +66,28 @@
 	require.Len(t, w.table.Rows(time.Now()), 1)
 	require.Equal(t, 1.0, valueOf(t, counted))
 }
+
+// Guards against answers that say nothing of their endpoint's speed, and refusals that do.
+func TestAnswersAreMeasured(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, parts string
+		answer      http.HandlerFunc
+		measured    int
+	}{
+		"whole answers": {"/safe/a", "", answerOK, 1},
+		"first events":  {"/stream/a", "a:40000", events(1, 1, false), 1},
+		"pauses":        {"/stream/a", "", events(1, 8, false), 1},
+		"refusals":      {"/stream/a", "a:40000", status(http.StatusServiceUnavailable, testNames.NotRun, "1"), 0},
+		"plain refusal": {"/safe/a", "", status(http.StatusServiceUnavailable, testNames.NotRun, "1"), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestEnv(t, 1)
+			w.table.SetAllManaged()
+			w.setHandlers(c.answer)
+			for range 8 {
+				w.send(http.MethodGet, c.path, "", testNames.PromptParts, c.parts)
+			}
+			require.Len(t, w.table.Paces(time.Now()), c.measured)
+		})
+	}
+}
--- a/policy/placement/choose.go
+++ b/policy/placement/choose.go
@@ -67,12 +67,17 @@
 func (t *Table) best(now time.Time, rng *rand.Rand, list []*endpoint, r *Request) *endpoint {
 	preferred := preferredEndpoints(list, r.Affinity)
 	p := t.services[r.Service]
+	managed := t.managed(p)
 	t.refreshFactors(now, p)
 	var best *endpoint
 	var least float64
 	for _, e := range list {
-		factor := e.timeFactor()
-		cost := (t.workAt(now, e)+t.ownWork(now, rng, p, r))*factor + t.failureCost(now, e)
+		cost, factor := t.workAt(now, e), 1.0
+		if managed {
+			factor = e.timeFactor()
+			cost = (cost + t.ownWork(now, rng, r)) * factor
+		}
+		cost += t.failureCost(now, e)
 		if e.peerLoad.Avoided && t.peerLoadFresh(now) {
 			cost += avoidedPenalty
 		}
--- a/policy/placement/endpoint.go
+++ b/policy/placement/endpoint.go
@@ -61,7 +61,7 @@
 	fleetRecord    Record  // attempts of all VMs, as of Table.recordsAt
 	excessFailures float64 // failure share above what is usual in the pool
 
-	speed     speed.Endpoint
+	speed     *speed.Endpoint
 	factor    float64   // of its time, as of serviceTimes.factorsAt; 0 if unknown
 	slow      bool      // as last returned by Table.SlowEndpoints
 	slowSince time.Time // since when slow is out of date, zero if it isn't
--- a/policy/placement/speed.go
+++ b/policy/placement/speed.go
@@ -78,14 +78,11 @@
 	return e.factor
 }
 
-// ownWork returns the request's own work as far as it counts in the cost of an endpoint. Without the
+// ownWork returns a request's own work, as part of the cost of an endpoint of a managed service. Without the
 // load from the other VMs it is random: all VMs would else send their requests to the fastest endpoint
 // at once. The endpoints then get about the share of the requests that their speed allows.
-func (t *Table) ownWork(now time.Time, rng *rand.Rand, p *pool, r *Request) float64 {
-	switch {
-	case !t.managed(p):
-		return 0
-	case r.LoadUnknown || !t.peerLoadFresh(now):
+func (t *Table) ownWork(now time.Time, rng *rand.Rand, r *Request) float64 {
+	if r.LoadUnknown || !t.peerLoadFresh(now) {
 		return spread * rng.Float64()
 	}
 	return r.Work + r.Prefill
--- a/policy/placement/speed_test.go
+++ b/policy/placement/speed_test.go
@@ -48,6 +48,9 @@
 	for _, row := range a.Rows(now) {
 		require.Equal(t, 1.0, row.Factor)
 	}
+	setPeerLoad(a, now, func(string) EndpointLoad { return EndpointLoad{Work: 100} })
+	a.Set(now, Spec{ID: "new", Service: "s", DataCentre: "a", Version: "v2", Slots: 8})
+	require.Zero(t, a.EstimateWait(now, ra, &Request{Service: "s", Work: 1, Version: "v1"}).Wait)
 }
 
 // Guards against estimates that take a slow endpoint for a usual one, or that are those of endpoints
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -8,6 +8,7 @@
 
 	"goldcrestfork/fleet/rendezvous"
 	"goldcrestfork/policy/outlier"
+	"goldcrestfork/policy/speed"
 )
 
 // affinityReplicas is the number of endpoints preferred for a shared prefix: the second one
@@ -165,7 +166,7 @@
 		e = nil
 	}
 	if e == nil {
-		e = &endpoint{Spec: s, idHash: rendezvous.HashOf(s.ID), needs: t.needs[incarnation{s.ID, s.StartedAt}]}
+		e = &endpoint{Spec: s, idHash: rendezvous.HashOf(s.ID), speed: &speed.Endpoint{}, needs: t.needs[incarnation{s.ID, s.StartedAt}]}
 		t.endpoints[s.ID] = e
 		t.byShortName[e.idHash.Short()] = e
 		p := t.services[s.Service]
--- a/policy/speed/speed.go
+++ b/policy/speed/speed.go
@@ -133,6 +133,9 @@
 // usual is the result of Usual for the service.
 func (e *Endpoint) Factor(now time.Time, usual float64) float64 {
 	m := e.Measured(now)
+	if m.Weight == 0 && now.Sub(e.statedAt) >= forgetAfter {
+		return 1 // without exponentials, for services with thousands of endpoints
+	}
 	log := (m.Log - usual*m.Weight) / (m.Weight + priorWeight)
 	effect := e.statedEffect(now, m.Weight/(m.Weight+priorWeight))
 	if e.hasRecentAnswers(now) {
--- a/policy/speed/speed_test.go
+++ b/policy/speed/speed_test.go
@@ -58,6 +58,15 @@
 		}
 		require.InDelta(t, 0, math.Log(liar.Factor(now, 0)/honest), 0.5, "stated %d for 5 s", lie)
 	}
+	var turned Endpoint
+	now := start
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		turned.Measure(now, 1, 1)
+		turned.State(now, 100)
+	}
+	turned.State(now, 800)
+	require.InDelta(t, maxStatedEffect, turned.Factor(now, 0), 0.01, "stated once")
 }
 
 // Guards against answers that count twice because the totals contain this VM's own, totals that no
@@ -70,6 +79,8 @@
 	alone := a.Factor(now, 0)
 	a.SetFleet(now, own)
 	require.Equal(t, alone, a.Factor(now, 0), "totals without other VMs")
+	a.SetFleet(now, own.plus(Sums{Weight: own.Weight}))
+	require.InDelta(t, math.Exp(own.Log/(2*own.Weight+priorWeight)), a.Factor(now, 0), 1e-9, "totals with another VM")
 	b.SetFleet(now, own)
 	require.InDelta(t, alone, b.Factor(now, 0), 0.01, "a VM without answers of its own")
 	b.SetFleet(now, Sums{})
