Admit requests of managed services by shares over the fleet (first version)

Cause: demand above the room of a service is decided by rejections of endpoints, so that a few accounts displace the others. Change: policy/admission.Gate decides by rank and fair shares from sums of demand over all VMs; gateway/forward asks it before a body is read, gateway/node exchanges the sums by the topic demand.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -72,6 +72,7 @@
 	repeatNotes  []string          // decisions of the retry budget, for the log
 	scarce       bool              // the next model may find no endpoint
 	reserved     *placement.Choice // the endpoint for the next attempt, if it was picked already
+	slots        slotUse
 
 	// forwardedBy is the VM that sent the request here, "" for none, and maxForwardedAttempts the
 	// number of attempts that it allows.
@@ -127,7 +128,6 @@
 // run tries endpoints until the caller has an answer or a refusal.
 func (c *call) run() {
 	c.ran = refusal.NotRun
-	c.service = c.pickService()
 	c.fingerprint = uint64(poison.NewFingerprint(c.accountName(), c.r.RequestURI, c.body))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
@@ -223,7 +223,7 @@
 
 // countsTowardLoad reports whether the request occupies an endpoint long enough to count in the
 // load that the VMs exchange.
-func (c *call) countsTowardLoad() bool { return c.route.Kind == catalog.Streaming }
+func (c *call) countsTowardLoad() bool { return c.route.Kind == catalog.Streaming || c.serviceBusy() }
 
 // tokensPerWorkUnit converts tokens to placement's unit of work: the smallest model reads that
 // many tokens in the time by which one more running request delays the others at its engine.
@@ -361,6 +361,7 @@
 			c.begun = true
 			c.grant = nil
 			c.countFirst()
+			c.useSlot(ch)
 			c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint, c.prompt.sharedParts...)
 		},
 	}
@@ -387,6 +388,7 @@
 		c.h.cfg.Load.ReportChange()
 	}
 	c.recordStatements(now, ch, a)
+	c.noteSlots(now, a)
 }
 
 // handleSendError ends an attempt that got no answer head; t is nil if the attempt had no time
@@ -464,7 +466,7 @@
 		c.finishAttempt(ch, placement.OtherIncarnation, "misdirected")
 		c.misdirected++
 	case a.Header.Get(n.NotRun) != "" && a.Status >= 400:
-		c.finishAttempt(ch, placement.AtCapacity, "full")
+		c.finishAttempt(ch, placement.AtCapacity, resultFull)
 		c.atCapacity++
 	default:
 		return false
@@ -473,10 +475,12 @@
 	return true
 }
 
-// resultOK is the result of a complete answer, resultBroken that of a broken connection.
+// resultOK is the result of a complete answer, resultFull that of a refusal for want of room, and
+// resultBroken that of a broken connection.
 // docs/OPERATIONS.md lists the other results.
 const (
 	resultOK     = "ok"
+	resultFull   = "full"
 	resultBroken = "broken"
 )
 
@@ -484,6 +488,7 @@
 // load, the poison detector, the log line and the metrics.
 func (c *call) finishAttempt(ch placement.Choice, o placement.Outcome, result string) {
 	c.h.cfg.Table.Done(time.Now(), ch, o)
+	c.releaseSlot(result)
 	if c.countsTowardLoad() {
 		c.h.cfg.Load.ReportChange()
 	}
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -19,6 +19,7 @@
 	attempts   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	admission  *prometheus.CounterVec
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
@@ -40,7 +41,11 @@
 			Name: "goldcrest_forward_first_event_seconds", Help: "Time from a request's head to its answer's head.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent)
+	m.admission = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrest_forward_admission_total",
+		Help: "Requests of managed services, by service, priority and whether they were admitted or refused for the load.",
+	}, []string{"service", "priority", "result"})
+	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.admission)
 	return m
 }
 
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -15,6 +15,7 @@
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/admission"
 	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
@@ -107,8 +108,11 @@
 	Poison   Poison
 	Load     LoadExchange
 	Limits   RateLimits
-	Metrics  *Metrics
-	Log      zerolog.Logger
+	// Admission returns the gate that admits the requests of a service; nil if the service isn't
+	// managed, so that no request is refused for the load of the fleet.
+	Admission func(service string) *admission.Gate
+	Metrics   *Metrics
+	Log       zerolog.Logger
 	// Clock returns the time since some moment. It never steps, and includes the time for which the VM
 	// is suspended.
 	Clock func() time.Duration
@@ -225,6 +229,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.requestAdmission(); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.readBody(); refused != nil {
 		c.refuse(refused)
 		return
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -21,6 +21,7 @@
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/admission"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
 	"goldcrestfork/policy/reach"
@@ -59,6 +60,7 @@
 	budget    *fakeBudget
 	poison    *fakePoison
 	limits    fakeLimits
+	gate      *admission.Gate // nil: the service isn't managed
 	endpoints []*fakeEndpoint
 }
 
@@ -219,7 +221,7 @@
 	registry, start := prometheus.NewRegistry(), time.Now()
 	w.handler = New(Config{
 		Names: testNames, State: w.state, Table: w.table, Pool: upstream.NewPool(registry, "test", nil), Versions: w.versions,
-		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Detours: noDetours{}, VMs: func() int { return 1 }, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(), Clock: func() time.Duration { return time.Since(start) },
+		Budget: w.budget, Poison: w.poison, Load: noLoad{}, Limits: &w.limits, Admission: func(string) *admission.Gate { return w.gate }, Detours: noDetours{}, VMs: func() int { return 1 }, Self: "a", PeerPool: upstream.NewPool(prometheus.NewRegistry(), "test", nil), Metrics: NewMetrics(registry), Log: zerolog.Nop(), Clock: func() time.Duration { return time.Since(start) },
 		MaxKeyConfigAge: func() time.Duration { return 4 * time.Second }, MaxDenyConfigAge: 2 * time.Second,
 	})
 	close(w.state.loaded)
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -111,6 +111,7 @@
 	quota          *quota.Service
 	buckets        *ratelimit.Buckets
 	budgets        *budgets
+	demand         *demand
 	sourcePolicy   *sourcePolicy
 	suspects       *suspects
 	paths          *paths
@@ -179,10 +180,11 @@
 		Regions:   s.Regions, ColdShare: n.coldShare, OnRemove: n.pool.Forget,
 	})
 	n.budgets = newBudgets(n)
+	n.demand = newDemand(n)
 	n.handler = forward.New(forward.Config{
 		Self: s.VM, PeerPool: n.peerPool, Detours: n.paths, VMs: func() int { return max(len(n.sharingVMs()), 1) },
 		Names: edge.Names, State: n.view, Table: n.table, Pool: n.pool, Versions: n.rollouts,
-		Budget: n.budgets, Poison: n.suspects, Load: n.tally, Limits: n.quota, Metrics: forward.NewMetrics(registry), Log: log, Clock: bootClock,
+		Budget: n.budgets, Poison: n.suspects, Load: n.tally, Limits: n.quota, Admission: n.demand.gate, Metrics: forward.NewMetrics(registry), Log: log, Clock: bootClock,
 		MaxKeyConfigAge: func() time.Duration { return n.bounds().Revocation - revocationMargin }, MaxDenyConfigAge: denyMaxAge,
 	})
 	return n, nil
@@ -334,6 +336,7 @@
 			n.buckets.Sweep(time.Now())
 			n.rollouts.tick(ctx)
 			n.budgets.report()
+			n.demand.tick()
 		}
 	}
 }
--- a/gateway/node/state.go
+++ b/gateway/node/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"goldcrestfork/gateway/catalog"
+	"goldcrestfork/policy/admission"
 	"goldcrestfork/policy/placement"
 )
 
@@ -26,13 +27,15 @@
 	IdleConns   int               `json:"idleConnections"`
 	// Sessions is the number of sessions that this VM keeps for the fleet.
 	Sessions int `json:"sessionsKept"`
+	// Admission is, for each managed service, whether requests are refused for its load, and why.
+	Admission map[string]admission.Report `json:"admission,omitempty"`
 }
 
 func (n *Node) serveState(w http.ResponseWriter, _ *http.Request) {
 	d := Dump{
 		VM: n.s.VM, Ready: n.Ready(), Stopping: n.stopping.Load(), PathsLost: n.paths.tracker.Lost(), Active: n.handler.Active(),
 		ConfigAgeMs: n.view.ConfigAge().Milliseconds(), VMs: n.gossip.Table().AliveNames(bootClock()),
-		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(), Sessions: n.sticky.Sweep(),
+		Endpoints: n.table.Rows(time.Now()), RollOuts: n.view.RollOuts(), IdleConns: n.pool.Idle(), Sessions: n.sticky.Sweep(), Admission: n.demand.reports(),
 	}
 	if c := n.view.Config(); c != nil {
 		d.Config = c.Version
--- a/policy/admission/account.go
+++ b/policy/admission/account.go
@@ -12,17 +12,26 @@
 // a small account would count as a flood.
 const usageTimeConstant = 10 * time.Second
 
-// decayingSum is a sum of work that decays exponentially with usageTimeConstant.
+// decayingSum is a sum of work that decays exponentially with its time constant, which is
+// usageTimeConstant if it is 0.
 type decayingSum struct {
-	sum float64
-	at  time.Time
+	sum      float64
+	at       time.Time
+	constant time.Duration
+}
+
+func (d *decayingSum) timeConstant() float64 {
+	if d.constant > 0 {
+		return d.constant.Seconds()
+	}
+	return usageTimeConstant.Seconds()
 }
 
 func (d *decayingSum) value(now time.Time) float64 {
 	if d.sum == 0 {
 		return 0
 	}
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/usageTimeConstant.Seconds())
+	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/d.timeConstant())
 }
 
 func (d *decayingSum) add(now time.Time, work float64) {
@@ -32,7 +41,7 @@
 
 // rate returns the recent work per second.
 func (d *decayingSum) rate(now time.Time) float64 {
-	return d.value(now) / usageTimeConstant.Seconds()
+	return d.value(now) / d.timeConstant()
 }
 
 // queuedItem is an item in the queue.
--- a/policy/admission/doc.go
+++ b/policy/admission/doc.go
@@ -31,5 +31,9 @@
 //
 // The queue counts slots (SetCapacity, Next, Release) and has no knowledge of endpoints.
 //
-// Lock order: Queue.mu is a leaf.
+// A Gate decides for the whole fleet instead, without a queue: on each VM it admits the requests of
+// one service or refuses them at once, by fair shares that all VMs compute from the same sums of
+// demand (docs/design/fleet-admission.md).
+//
+// Lock order: Queue.mu and Gate.mu are leaves.
 package admission
--- /dev/null
+++ b/policy/admission/figures.go
@@ -0,0 +1,151 @@
+package admission
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"goldcrestfork/fleet/rendezvous"
+)
+
+// Figure is a pair of figures of one subject that add up over the VMs. The exchange keeps the
+// subjects with the largest B if there are too many. Demand is therefore in B: the admitted work of
+// an account that is refused entirely is 0, and the account would be missing from the totals.
+type Figure struct {
+	Key uint32
+	// A is the admitted work, B the offered work, in slots, except for the subjects below.
+	A, B float64
+}
+
+// Keys consist of 12 bits of the service's hash, 16 bits of a subject's hash and 4 bits of its kind:
+// a rank from 0 to 9 for an account's demand, or one of the following.
+const (
+	kindBits, subjectBits = 4, 16
+	maxRank               = 9
+	// kindRank: a rank's demand of all accounts. The subject is the rank.
+	kindRank = 12
+	// kindVersion: requests a second sent to a version's endpoints, in A and B.
+	kindVersion = 13
+	// kindRejected: A is the rejections for want of room a second, B the attempts a second.
+	kindRejected = 14
+	// kindUnderWay: A is the requests under way at endpoints, B is underWayWeight for each VM.
+	kindUnderWay = 15
+	// underWayWeight keeps the subject among those with the largest B.
+	underWayWeight = 1 << 20
+)
+
+func servicePrefix(service string) uint32 {
+	return rendezvous.HashOf(service).Short() >> (kindBits + subjectBits) << (kindBits + subjectBits)
+}
+
+func subjectKey(prefix uint32, subject uint32, kind int) uint32 {
+	return prefix | subject&(1<<subjectBits-1)<<kindBits | uint32(kind)
+}
+
+func shortHash(s string) uint32 { return rendezvous.HashOf(s).Short() >> (32 - subjectBits) }
+
+func keyKind(key uint32) int       { return int(key & (1<<kindBits - 1)) }
+func keySubject(key uint32) uint32 { return key >> kindBits & (1<<subjectBits - 1) }
+func clampRank(rank int) int       { return min(max(rank, 0), maxRank) }
+
+// ServiceOf reports whether a key belongs to a service.
+func ServiceOf(key uint32, service string) bool {
+	return key>>(kindBits+subjectBits)<<(kindBits+subjectBits) == servicePrefix(service)
+}
+
+// subject is one account at one rank.
+type subject struct {
+	account string
+	rank    int
+}
+
+// flow is the recent work of a subject on this VM.
+type flow struct {
+	offered, admitted decayingSum
+	// balance is the admitted part of the requests so far that was not used; a request is
+	// admitted when it reaches 1.
+	balance float64
+	credits []time.Time // return times of refused requests, in order
+}
+
+// minFlow is the demand in slots below which a subject is forgotten.
+const minFlow = 1e-4
+
+// figures returns this VM's figures and forgets subjects without recent demand.
+func (g *Gate) figures(now time.Time) (out []Figure) {
+	var ranks [maxRank + 1]Figure
+	for s, f := range g.flows {
+		a, b := f.admitted.rate(now), f.offered.rate(now)
+		if b < minFlow {
+			delete(g.flows, s)
+			continue
+		}
+		out = append(out, Figure{Key: subjectKey(g.prefix, shortHash(s.account), s.rank), A: a, B: b})
+		ranks[s.rank].A += a
+		ranks[s.rank].B += b
+	}
+	for rank, f := range ranks {
+		if f.B > 0 {
+			out = append(out, Figure{Key: subjectKey(g.prefix, uint32(rank), kindRank), A: f.A, B: f.B})
+		}
+	}
+	for _, version := range slices.Sorted(maps.Keys(g.versions)) {
+		rate := g.versions[version].rate(now)
+		if rate < minFlow {
+			delete(g.versions, version)
+			continue
+		}
+		out = append(out, Figure{Key: subjectKey(g.prefix, shortHash(version), kindVersion), A: rate, B: rate})
+	}
+	return append(out,
+		Figure{Key: subjectKey(g.prefix, 0, kindRejected), A: g.rejected.rate(now), B: g.attempts.rate(now)},
+		Figure{Key: subjectKey(g.prefix, 0, kindUnderWay), A: g.underWayMean(now), B: underWayWeight})
+}
+
+// totals are the figures of a service over the VMs that they come from.
+type totals struct {
+	demands            []demand
+	offered            float64
+	rejected, attempts float64
+	underWay           float64
+	versions           map[uint32]float64
+}
+
+// restKey is the key of the demands of a rank that are missing from the totals.
+func restKey(rank int) uint32 { return subjectKey(0, 0, rank) }
+
+// newTotals reads the figures of one service. What a rank's demand exceeds the sum of its accounts is
+// that of the small accounts that don't fit a datagram; they count as usual.
+func newTotals(prefix uint32, figures []Figure) totals {
+	t := totals{versions: make(map[uint32]float64)}
+	var rest, ranks [maxRank + 1]float64
+	for _, f := range figures {
+		if f.Key>>(kindBits+subjectBits)<<(kindBits+subjectBits) != prefix {
+			continue
+		}
+		a, b := max(f.A, 0), max(f.B, 0)
+		switch kind := keyKind(f.Key); kind {
+		case kindRank:
+			ranks[min(keySubject(f.Key), maxRank)] += b
+			t.offered += b
+		case kindVersion:
+			t.versions[keySubject(f.Key)] += b
+		case kindRejected:
+			t.rejected, t.attempts = t.rejected+a, t.attempts+b
+		case kindUnderWay:
+			t.underWay += a
+		default:
+			if kind <= maxRank {
+				t.demands = append(t.demands, demand{key: f.Key, rank: kind, offered: b})
+				rest[kind] -= b
+			}
+		}
+	}
+	slices.SortFunc(t.demands, func(a, b demand) int { return int(int64(a.key) - int64(b.key)) })
+	for rank := range ranks {
+		if left := ranks[rank] + rest[rank]; left > minFlow {
+			t.demands = append(t.demands, demand{key: restKey(rank), rank: rank, offered: left, usual: left})
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/policy/admission/overload.go
@@ -0,0 +1,252 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// startShare is the share of the capacity above which the offered work can start admission,
+	// endShare that below which admission ends after endTime.
+	startShare = 0.95
+	endShare   = 0.85
+	endTime    = time.Second
+	// maxRejections is the share of attempts that endpoints may reject for want of room.
+	maxRejections = 0.01
+	// busyShare is the share of the slots in use above which rejections alone start admission.
+	// Below it they come from uneven placement, which a retry elsewhere solves.
+	busyShare = 0.8
+	// minOwnRejections is the recent rejections that a VM without totals must have seen itself:
+	// its part of the capacity is a few slots, and its demand varies by as much.
+	minOwnRejections = 3.0
+	// minVersionRate is the fleet's requests a second below which a version's endpoints don't
+	// count. One request 2 s ago leaves 0.135.
+	minVersionRate = 0.13
+	// usualAge is how long a VM measures demand before it counts as the usual one, and
+	// usualLearning the time in which it then follows freely. Later it rises by usualRise a second
+	// at most, so that a sudden flood doesn't become usual before it is detected.
+	usualAge      = 1500 * time.Millisecond
+	usualLearning = 4 * time.Second
+	usualRise     = 0.05
+	usualGain     = 0.2
+)
+
+// Trim corrects the capacity while admission is in force, by factors for each trimInterval. It falls
+// while endpoints reject requests or hold a long queue, and rises while slots are free: the mean time
+// that a request holds a slot may be wrong by as much.
+const (
+	trimInterval   = 500 * time.Millisecond
+	minTrim        = 0.6
+	maxTrim        = 2.0
+	trimRejected   = 0.94
+	trimQueued     = 0.97
+	trimFree       = 1.06
+	trimNearlyFull = 1.02
+	queuedShare    = 1.25 // requests under way per slot above which the queue is long
+	freeShare      = 0.85 // below which slots are free
+	idleShare      = 0.5  // below which admission ends whatever the demand
+)
+
+// gateState is the current decision of a gate.
+type gateState struct {
+	active       bool
+	since        time.Time // the start of the overload
+	calmSince    time.Time // zero if the service isn't calm
+	evaluatedAt  time.Time
+	trim         float64
+	capacity     float64 // in slots
+	ownCapacity  float64 // this VM's part
+	vms          float64
+	offered      float64
+	underWay     float64
+	rejections   float64 // share of the attempts
+	ownOnly      bool    // without totals of the fleet
+	shares       map[uint32]float64
+	usual        map[uint32]float64
+	usualSince   time.Time
+	usualUpdated time.Time
+}
+
+// Capacity is the room of a service.
+type Capacity struct {
+	// Slots are the slots of usable endpoints by version.
+	Slots map[string]int
+	// VMs is the number of VMs that share them.
+	VMs int
+}
+
+// Report is a gate's decision, for operators.
+type Report struct {
+	Active     bool    `json:"active"`
+	OwnOnly    bool    `json:"ownFiguresOnly"`
+	Capacity   float64 `json:"capacitySlots"`
+	Trim       float64 `json:"trim"`
+	Offered    float64 `json:"offeredSlots"`
+	UnderWay   float64 `json:"underWay"`
+	Rejections float64 `json:"rejections"`
+}
+
+// Evaluate decides whether admission is in force and computes the shares. It is to be called after
+// ApplyTotals and at least twice a second. changed says that admission started or ended.
+func (g *Gate) Evaluate(now time.Time, c Capacity) (r Report, changed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	st := &g.state
+	t := g.fleet
+	st.ownOnly = g.fleetAt.IsZero() || now.Sub(g.fleetAt) > totalsMaxAge
+	st.vms = float64(max(c.VMs, 1))
+	st.capacity = t.slots(c.Slots)
+	if st.ownOnly {
+		t = newTotals(g.prefix, g.figures(now))
+		st.capacity = totals{}.slots(c.Slots) / st.vms
+	}
+	st.ownCapacity = st.capacity
+	if !st.ownOnly {
+		st.ownCapacity /= st.vms
+	}
+	st.offered, st.underWay, st.rejections = t.offered, t.underWay, 0
+	if t.attempts > 0 {
+		st.rejections = t.rejected / t.attempts
+	}
+	was := st.active
+	st.update(now, &t)
+	if !st.active && !st.ownOnly {
+		st.learnUsual(now, t.demands)
+	}
+	st.setShares(t.demands)
+	st.evaluatedAt = now
+	return g.report(), st.active != was
+}
+
+// Report returns the last decision.
+func (g *Gate) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.report()
+}
+
+func (g *Gate) report() Report {
+	st := &g.state
+	return Report{
+		Active: st.active, OwnOnly: st.ownOnly, Capacity: st.capacity, Trim: st.trim, Offered: st.offered,
+		UnderWay: st.underWay, Rejections: st.rejections,
+	}
+}
+
+// slots sums the slots of the versions in use. While no requests are known of, all count.
+func (t totals) slots(byVersion map[string]int) float64 {
+	used, all := 0, 0
+	for version, n := range byVersion {
+		all += n
+		if t.versions[shortHash(version)] >= minVersionRate {
+			used += n
+		}
+	}
+	if used == 0 {
+		used = all
+	}
+	return float64(used)
+}
+
+// update starts, continues or ends admission.
+func (st *gateState) update(now time.Time, t *totals) {
+	if st.capacity <= 0 { // unknown, or no endpoint is usable, which is refused elsewhere
+		st.active = false
+		return
+	}
+	if !st.active {
+		if st.tooLittleRoom(t) {
+			st.active, st.since, st.trim, st.calmSince = true, now, startShare, time.Time{}
+		}
+		return
+	}
+	st.adjustTrim(now)
+	calm := st.offered < endShare*st.trim*st.capacity && st.rejections <= maxRejections ||
+		!st.ownOnly && st.underWay < idleShare*st.capacity
+	switch {
+	case !calm:
+		st.calmSince = time.Time{}
+	case st.calmSince.IsZero():
+		st.calmSince = now
+	case now.Sub(st.calmSince) >= endTime:
+		st.active = false
+	}
+}
+
+// tooLittleRoom reports whether the measured signals agree that the room is used up.
+func (st *gateState) tooLittleRoom(t *totals) bool {
+	demand := st.offered > startShare*st.capacity
+	rejecting := st.rejections > maxRejections
+	if st.ownOnly {
+		return demand && rejecting && t.rejected*demandTimeConstant.Seconds() >= minOwnRejections
+	}
+	return demand && (rejecting || st.underWay > st.capacity) || rejecting && st.underWay > busyShare*st.capacity
+}
+
+func (st *gateState) adjustTrim(now time.Time) {
+	if st.ownOnly {
+		return // the few requests of one VM say too little
+	}
+	use, factor := st.underWay/st.capacity, 1.0
+	switch {
+	case st.rejections > maxRejections && use > busyShare:
+		factor = trimRejected
+	case use > queuedShare:
+		factor = trimQueued
+	case use < freeShare:
+		factor = trimFree
+	case use < 1 && st.rejections <= maxRejections:
+		factor = trimNearlyFull
+	}
+	steps := min(now.Sub(st.evaluatedAt).Seconds()/trimInterval.Seconds(), 2)
+	st.trim = min(max(st.trim*math.Pow(factor, steps), minTrim), maxTrim)
+}
+
+// learnUsual follows the demands while there is room.
+func (st *gateState) learnUsual(now time.Time, demands []demand) {
+	if st.usualSince.IsZero() {
+		st.usualSince = now
+	}
+	age := now.Sub(st.usualSince)
+	dt := now.Sub(st.usualUpdated).Seconds()
+	st.usualUpdated = now
+	if age < usualAge {
+		return
+	}
+	for _, d := range demands {
+		if d.key == restKey(d.rank) {
+			continue
+		}
+		usual := st.usual[d.key]
+		if age < usualLearning {
+			st.usual[d.key] = max(usual, d.offered)
+			continue
+		}
+		step := usualGain * min(dt, 1) * (d.offered - usual)
+		st.usual[d.key] = usual + min(step, usualRise*min(dt, 1)*max(usual, minUsual))
+	}
+}
+
+// minUsual is the usual demand in slots from which a new account's one grows.
+const minUsual = 0.1
+
+// setShares computes the share of the requests of each account and rank that are admitted.
+func (st *gateState) setShares(demands []demand) {
+	clear(st.shares)
+	if !st.active {
+		return
+	}
+	for i := range demands {
+		if d := &demands[i]; d.usual == 0 {
+			d.usual = st.usual[d.key]
+			if st.ownOnly {
+				d.usual /= st.vms
+			}
+		}
+	}
+	for i, got := range allocate(st.trim*st.capacity, demands) {
+		if d := demands[i]; d.offered > 0 {
+			st.shares[d.key] = got / d.offered
+		}
+	}
+}
--- a/policy/admission/types.go
+++ b/policy/admission/types.go
@@ -51,6 +51,8 @@
 	ReasonNoCapacity Reason = "no-capacity"
 	// ReasonPoolFailing means that nearly all answers of the pool fail.
 	ReasonPoolFailing Reason = "pool-failing"
+	// ReasonShare means that the account's share of the capacity is used up.
+	ReasonShare Reason = "over-share"
 )
 
 // Verdict is the answer to an offer.
