Exchange demand in requests a second, and drain the queues at endpoints

Change: the time that a slot is held is exchanged by rank; returning requests have a share of their own, computed from the same sums; admission leaves room for the queues at endpoints, and corrects the capacity while slots are free or endpoints reject.

--- a/gateway/forward/admission.go
+++ b/gateway/forward/admission.go
@@ -16,8 +16,8 @@
 type slotUse struct {
 	gate *admission.Gate // nil if the service isn't managed
 	sent bool            // the current attempt was sent
-	// inSlot is the share of the current attempt's time in which it held a slot; the rest it waited
-	// at the endpoint.
+	// inSlot is the share of the current attempt's time up to the head of its answer in which it held
+	// a slot; the rest it waited at the endpoint.
 	inSlot float64
 	held   time.Duration // by ended attempts
 }
@@ -37,7 +37,7 @@
 	now := time.Now()
 	returning := c.route.Timeout > 0 && c.timeout < c.route.Timeout-returningMargin
 	v := c.slots.gate.Arrive(now, admission.Arrival{
-		Account: c.accountName(), Rank: c.priority, Route: c.route.Name, Left: c.deadline.Sub(now), Returning: returning,
+		Account: c.accountName(), Rank: c.priority, Left: c.deadline.Sub(now), Returning: returning,
 	})
 	counter, rank := c.h.cfg.Metrics.admission, strconv.Itoa(c.priority)
 	if v.Outcome != admission.Refused {
@@ -58,8 +58,8 @@
 	}
 }
 
-// noteSlots records the load that an endpoint states. If all slots are in use, a request waits for a
-// part of its time that is that of the waiting requests among all at the endpoint.
+// noteSlots records the load that an endpoint states. If all slots are in use, a request waits for the
+// part of its time that the waiting requests are of all at the endpoint (Little's law).
 func (c *call) noteSlots(now time.Time, a *upstream.Answer) {
 	gate := c.slots.gate
 	if gate == nil {
@@ -85,9 +85,14 @@
 	if !mayHaveRun(result) {
 		return
 	}
-	c.slots.held += time.Duration(c.slots.inSlot * float64(now.Sub(c.sentAt)))
+	toHead := now.Sub(c.sentAt)
+	if !c.answer.head.IsZero() {
+		toHead = c.answer.head.Sub(c.sentAt)
+		c.slots.held += now.Sub(c.answer.head)
+	}
+	c.slots.held += time.Duration(c.slots.inSlot * float64(toHead))
 	if result == resultOK { // the request's last attempt
-		gate.Held(c.route.Name, c.slots.held)
+		gate.Held(now, c.priority, c.slots.held)
 	}
 }
 
--- a/policy/admission/figures.go
+++ b/policy/admission/figures.go
@@ -9,11 +9,12 @@
 )
 
 // Figure is a pair of figures of one subject that add up over the VMs. The exchange keeps the
-// subjects with the largest B if there are too many. Demand is therefore in B: the admitted work of
-// an account that is refused entirely is 0, and the account would be missing from the totals.
+// subjects with the largest B if there are too many. Demand is therefore in B: with the
+// admitted part there, an account that is refused entirely would be missing from the totals.
 type Figure struct {
 	Key uint32
-	// A is the admitted work, B the offered work, in slots, except for the subjects below.
+	// A is the requests a second that return after a refusal, B all that are offered, except for the
+	// subjects below.
 	A, B float64
 }
 
@@ -22,7 +23,11 @@
 const (
 	kindBits, subjectBits = 4, 16
 	maxRank               = 9
-	// kindRank: a rank's demand of all accounts. The subject is the rank.
+	// kindHeld: A is the seconds for which requests of a rank held slots, B the number of these
+	// requests. The subject is the rank.
+	kindHeld = 11
+	// kindRank: A is the admitted requests a second of a rank, B all of its requests a second. The
+	// subject is the rank.
 	kindRank = 12
 	// kindVersion: requests a second sent to a version's endpoints, in A and B.
 	kindVersion = 13
@@ -59,34 +64,38 @@
 	rank    int
 }
 
-// flow is the recent work of a subject on this VM.
+// flow is the recent requests of a subject on this VM.
 type flow struct {
-	offered, admitted decayingSum
+	offered, returning decayingSum
 	// balance is the admitted part of the requests so far that was not used; a request is
 	// admitted when it reaches 1.
 	balance float64
 	credits []time.Time // return times of refused requests, in order
 }
 
-// minFlow is the demand in slots below which a subject is forgotten.
+// minFlow is the requests a second below which a subject is forgotten.
 const minFlow = 1e-4
 
 // figures returns this VM's figures and forgets subjects without recent demand.
 func (g *Gate) figures(now time.Time) (out []Figure) {
-	var ranks [maxRank + 1]Figure
+	var ranks [maxRank + 1]float64
 	for s, f := range g.flows {
-		a, b := f.admitted.rate(now), f.offered.rate(now)
+		a, b := f.returning.rate(now), f.offered.rate(now)
 		if b < minFlow {
 			delete(g.flows, s)
 			continue
 		}
 		out = append(out, Figure{Key: subjectKey(g.prefix, shortHash(s.account), s.rank), A: a, B: b})
-		ranks[s.rank].A += a
-		ranks[s.rank].B += b
+		ranks[s.rank] += b
 	}
-	for rank, f := range ranks {
-		if f.B > 0 {
-			out = append(out, Figure{Key: subjectKey(g.prefix, uint32(rank), kindRank), A: f.A, B: f.B})
+	for rank, offered := range ranks {
+		if offered > 0 {
+			out = append(out, Figure{Key: subjectKey(g.prefix, uint32(rank), kindRank), A: g.admitted[rank].rate(now), B: offered})
+		}
+	}
+	for rank := range g.held {
+		if n := g.held[rank].requests.value(now); n > minFlow {
+			out = append(out, Figure{Key: subjectKey(g.prefix, uint32(rank), kindHeld), A: g.held[rank].seconds.value(now), B: n})
 		}
 	}
 	for _, version := range slices.Sorted(maps.Keys(g.versions)) {
@@ -105,7 +114,8 @@
 // totals are the figures of a service over the VMs that they come from.
 type totals struct {
 	demands            []demand
-	offered            float64
+	admitted           [maxRank + 1]float64 // requests a second
+	held               [maxRank + 1]Figure
 	rejected, attempts float64
 	underWay           float64
 	versions           map[uint32]float64
@@ -127,7 +137,10 @@
 		switch kind := keyKind(f.Key); kind {
 		case kindRank:
 			ranks[min(keySubject(f.Key), maxRank)] += b
-			t.offered += b
+			t.admitted[min(keySubject(f.Key), maxRank)] += a
+		case kindHeld:
+			h := &t.held[min(keySubject(f.Key), maxRank)]
+			h.A, h.B = h.A+a, h.B+b
 		case kindVersion:
 			t.versions[keySubject(f.Key)] += b
 		case kindRejected:
@@ -136,7 +149,7 @@
 			t.underWay += a
 		default:
 			if kind <= maxRank {
-				t.demands = append(t.demands, demand{key: f.Key, rank: kind, offered: b})
+				t.demands = append(t.demands, demand{key: f.Key, rank: kind, offered: b, returning: a})
 				rest[kind] -= b
 			}
 		}
@@ -144,7 +157,7 @@
 	slices.SortFunc(t.demands, func(a, b demand) int { return int(int64(a.key) - int64(b.key)) })
 	for rank := range ranks {
 		if left := ranks[rank] + rest[rank]; left > minFlow {
-			t.demands = append(t.demands, demand{key: restKey(rank), rank: rank, offered: left, usual: left})
+			t.demands = append(t.demands, demand{key: restKey(rank), rank: rank, offered: left, usual: left, small: true})
 		}
 	}
 	return t
--- a/policy/admission/gate.go
+++ b/policy/admission/gate.go
@@ -10,6 +10,9 @@
 const (
 	// demandTimeConstant is the time over which demand and rejections are averaged.
 	demandTimeConstant = time.Second
+	// underWayTimeConstant is the time over which the requests under way are averaged. Requests of
+	// plain services end within some 10 ms, so that a count at one moment is mostly chance.
+	underWayTimeConstant = 300 * time.Millisecond
 	// totalsMaxAge is how long the totals over the fleet are used.
 	totalsMaxAge = 2 * time.Second
 	// startupTime is how long a VM that has just started admits all requests.
@@ -17,12 +20,9 @@
 	// busyTime is how long a rejection, or an endpoint with half of its slots in use, makes a
 	// service busy.
 	busyTime = time.Second
-	// slotTimeGain is the weight of one request in the mean time that requests of a route hold a
-	// slot.
-	slotTimeGain = 0.03
-	// maxAdvance is the number of returning requests by which an account and rank may exceed its
-	// share on one VM. Later requests of the same account make up for it.
-	maxAdvance = 2.0
+	// heldTimeConstant is the time over which the mean time that requests hold a slot is taken. At
+	// one request a second of a rank on each VM only the fleet together knows it within seconds.
+	heldTimeConstant = 4 * time.Second
 	// maxCredits bounds the refusals of an account and rank that are remembered, and creditTime is
 	// how long after its return time a refused caller may come back.
 	maxCredits = 64
@@ -33,8 +33,6 @@
 type Arrival struct {
 	Account string
 	Rank    int // 0 is the most urgent
-	// Route identifies requests that hold a slot for about as long as each other.
-	Route string
 	// Left is the time that the caller still waits.
 	Left time.Duration
 	// Returning says that the caller waits for less time than usual, as after a refusal.
@@ -58,10 +56,11 @@
 	retries retrySchedule
 
 	// Figures of this VM.
-	slotTimes          map[string]*slotTime // by route
 	flows              map[subject]*flow
+	held               [maxRank + 1]heldTime
 	versions           map[string]*decayingSum // requests sent, by version
 	rejected, attempts decayingSum
+	admitted           [maxRank + 1]decayingSum
 	underWay           int
 	underWayAverage    float64 // as of underWayAt
 	underWayAt         time.Time
@@ -74,21 +73,24 @@
 	state gateState
 }
 
-// slotTime is the mean time in seconds that the requests of a route hold slots.
-type slotTime struct {
-	n    int
-	mean float64
-}
+// heldTime sums the recent time in seconds for which the requests of a rank held slots, and their
+// number.
+type heldTime struct{ seconds, requests decayingSum }
 
 // NewGate returns a gate that admits all requests until Evaluate finds too little room. The gate owns
 // rng.
 func NewGate(service string, rng *rand.Rand) *Gate {
-	return &Gate{
+	g := &Gate{
 		prefix: servicePrefix(service), rng: rng,
-		slotTimes: make(map[string]*slotTime), flows: make(map[subject]*flow), versions: make(map[string]*decayingSum),
+		flows: make(map[subject]*flow), versions: make(map[string]*decayingSum),
 		rejected: newDemandSum(), attempts: newDemandSum(),
-		state: gateState{shares: make(map[uint32]float64), usual: make(map[uint32]float64), trim: 1},
+		state: gateState{shares: make(map[uint32]share), usual: make(map[uint32]float64), trim: 1},
+	}
+	for rank := range g.held {
+		g.admitted[rank] = newDemandSum()
+		g.held[rank].seconds.constant, g.held[rank].requests.constant = heldTimeConstant, heldTimeConstant
 	}
+	return g
 }
 
 func newDemandSum() decayingSum { return decayingSum{constant: demandTimeConstant} }
@@ -103,26 +105,26 @@
 	s := subject{a.Account, clampRank(a.Rank)}
 	f := g.flows[s]
 	if f == nil {
-		f = &flow{offered: newDemandSum(), admitted: newDemandSum(), balance: g.rng.Float64()}
+		f = &flow{offered: newDemandSum(), returning: newDemandSum(), balance: g.rng.Float64()}
 		g.flows[s] = f
 	}
-	work := 0.0
-	if t := g.slotTimes[a.Route]; t != nil {
-		work = t.mean
+	f.offered.add(now, 1)
+	returning := f.takeCredit(now) || a.Returning
+	if returning {
+		f.returning.add(now, 1)
 	}
-	f.offered.add(now, work)
 	share := g.share(now, s)
-	if share < 1 && !f.admit(now, share, a.Returning) {
-		return GateVerdict{Verdict{Outcome: Refused, Reason: ReasonShare, RetryAfter: g.returnTime(now, f, work, a.Left)}, share}
+	if !f.admit(share, returning) {
+		return GateVerdict{Verdict{Outcome: Refused, Reason: ReasonShare, RetryAfter: g.returnTime(now, f, g.state.slotTime[s.rank], a.Left)}, share.all}
 	}
-	f.admitted.add(now, work)
-	return GateVerdict{Share: share}
+	g.admitted[s.rank].add(now, 1)
+	return GateVerdict{Share: share.all}
 }
 
 // share returns the part of a subject's requests that are admitted now.
-func (g *Gate) share(now time.Time, s subject) float64 {
+func (g *Gate) share(now time.Time, s subject) share {
 	if !g.state.active || now.Sub(g.began) < startupTime {
-		return 1
+		return fullShare
 	}
 	if share, ok := g.state.shares[subjectKey(g.prefix, shortHash(s.account), s.rank)]; ok {
 		return share
@@ -130,24 +132,36 @@
 	if share, ok := g.state.shares[restKey(s.rank)]; ok {
 		return share
 	}
-	return 1
+	return fullShare
 }
 
-// admit decides on one request of a subject. Over time it admits the share exactly. Requests that
-// return after a refusal come first: they may use the share of later ones.
-func (f *flow) admit(now time.Time, share float64, returning bool) bool {
-	f.balance = min(f.balance+share, 2)
+// takeCredit reports whether a refused request of the subject was to return about now, and counts it as
+// returned.
+func (f *flow) takeCredit(now time.Time) bool {
 	for len(f.credits) > 0 && now.Sub(f.credits[0]) > creditTime {
 		f.credits = f.credits[1:]
 	}
-	due := len(f.credits) > 0 && !now.Before(f.credits[0])
-	if f.balance < 1 && (!due && !returning || f.balance < 1-maxAdvance) {
+	if len(f.credits) == 0 || now.Before(f.credits[0]) {
 		return false
 	}
-	f.balance--
-	if due {
-		f.credits = f.credits[1:]
+	f.credits = f.credits[1:]
+	return true
+}
+
+// admit decides on one request of a subject. Over time it admits the share exactly.
+func (f *flow) admit(s share, returning bool) bool {
+	part := s.first
+	if returning {
+		part = s.returning
+	}
+	if part >= 1 {
+		return true
+	}
+	f.balance += part
+	if f.balance < 1 {
+		return false
 	}
+	f.balance--
 	return true
 }
 
@@ -196,17 +210,13 @@
 	}
 }
 
-// Held records for how long a request of a route held slots, in all its attempts.
-func (g *Gate) Held(route string, held time.Duration) {
+// Held records for how long an admitted request of a rank held slots, in all its attempts.
+func (g *Gate) Held(now time.Time, rank int, held time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := g.slotTimes[route]
-	if t == nil {
-		t = &slotTime{}
-		g.slotTimes[route] = t
-	}
-	t.n++
-	t.mean += max(slotTimeGain, 1/float64(t.n)) * (held.Seconds() - t.mean)
+	h := &g.held[clampRank(rank)]
+	h.seconds.add(now, held.Seconds())
+	h.requests.add(now, 1)
 }
 
 // ReportLoad records the requests that an endpoint stated, and its slots.
@@ -232,7 +242,7 @@
 	if g.underWayAt.IsZero() {
 		return 0
 	}
-	old := math.Exp(-now.Sub(g.underWayAt).Seconds() / demandTimeConstant.Seconds())
+	old := math.Exp(-now.Sub(g.underWayAt).Seconds() / underWayTimeConstant.Seconds())
 	return old*g.underWayAverage + (1-old)*float64(g.underWay)
 }
 
--- a/policy/admission/gate_load_test.go
+++ b/policy/admission/gate_load_test.go
@@ -32,7 +32,7 @@
 	{0.49, 600 * time.Millisecond, time.Second, 4 * time.Second},
 }
 
-func simLoud(account int) bool { return account == 5 || account == 9 || account == 14 }
+func simLoud(account int) bool { return account == 1 || account == 4 || account == 9 }
 
 type simPolicy int
 
@@ -46,6 +46,7 @@
 type simRequest struct {
 	account, kind int
 	arrived, sent time.Duration
+	vm            int
 	deadline      time.Duration
 	returned      bool
 }
@@ -58,9 +59,8 @@
 }
 
 type simRun struct {
-	r    *simRequest
-	ends time.Duration
-	vm   int
+	r                  *simRequest
+	ends, held, waited time.Duration
 }
 
 // simCount counts the requests that arrived in a phase and those that were served, which begin within
@@ -95,14 +95,13 @@
 	rng       *rand.Rand
 	policy    simPolicy
 	gates     []*Gate
-	pending   map[*simRequest]int // VM
 	endpoints []*simEndpoint
 	at        time.Duration
 	result    simResult
 	refuse    []float64 // simOwn: probability by VM
 	own       [][2]float64
 	returns   []*simRequest
-	delayed   [][]Figure
+	current   []Figure // totals that were collected last
 	mutate    func(s *sim, sums []Figure) []Figure
 	order     []int
 }
@@ -112,8 +111,7 @@
 func runSim(policy simPolicy, seed uint64, overload bool, options ...func(*sim)) *simResult {
 	s := &sim{
 		rng: rand.New(rand.NewPCG(seed, 1)), policy: policy, refuse: make([]float64, simVMs), own: make([][2]float64, simVMs),
-		pending: make(map[*simRequest]int),
-		result:  simResult{counts: make(map[string]*simCount)},
+		result: simResult{counts: make(map[string]*simCount)},
 	}
 	for i := range simVMs {
 		s.gates = append(s.gates, NewGate("s", rand.New(rand.NewPCG(seed, uint64(i)))))
@@ -143,6 +141,8 @@
 		}
 		if s.at%(500*time.Millisecond) == 0 {
 			s.exchange()
+		} else if s.at%(250*time.Millisecond) == 0 {
+			s.apply()
 		}
 	}
 	return &s.result
@@ -185,10 +185,10 @@
 		gone := overload && i%5 < 2 && s.at >= 10*time.Second && s.at < 16*time.Second
 		if gone && !e.gone {
 			for _, run := range e.running {
-				s.gates[run.vm].Ended(simNow(s.at), false)
+				s.gates[run.r.vm].Ended(simNow(s.at), false)
 			}
-			for range e.queue {
-				s.gates[s.rng.IntN(simVMs)].Ended(simNow(s.at), false)
+			for _, r := range e.queue {
+				s.gates[r.vm].Ended(simNow(s.at), false)
 			}
 			e.running, e.queue = nil, nil
 		}
@@ -230,7 +230,7 @@
 		s.gates[vm].Sent(simNow(s.at), "v1")
 		if len(e.running)+len(e.queue) < simSlots+simQueue {
 			r.sent = s.at
-			s.pending[r] = vm
+			r.vm = vm
 			e.queue = append(e.queue, r)
 			s.start(e)
 			return
@@ -260,7 +260,7 @@
 	case simOwn:
 		return s.rng.Float64() >= s.refuse[vm], left / 4
 	}
-	v := s.gates[vm].Arrive(simNow(s.at), Arrival{Account: fmt.Sprint(r.account), Rank: r.kind, Route: fmt.Sprint(r.kind), Left: left, Returning: r.returned})
+	v := s.gates[vm].Arrive(simNow(s.at), Arrival{Account: fmt.Sprint(r.account), Rank: r.kind, Left: left, Returning: r.returned})
 	if v.Share < 1 {
 		c := &s.result.firstTry
 		if r.returned {
@@ -305,8 +305,7 @@
 			s.count(r, 0, 1)
 		}
 		hold := time.Duration((0.5 + s.rng.Float64()) / e.speed * float64(kind.hold))
-		e.running = append(e.running, simRun{r: r, ends: s.at + hold, vm: s.pending[r]})
-		delete(s.pending, r)
+		e.running = append(e.running, simRun{r: r, ends: s.at + hold, held: hold, waited: s.at - r.sent})
 	}
 }
 
@@ -318,15 +317,15 @@
 			}
 			inFlight := len(e.running) + len(e.queue)
 			share := min(float64(simSlots)/float64(max(inFlight, 1)), 1)
-			s.gates[run.vm].Ended(simNow(s.at), false)
-			s.gates[run.vm].Held(fmt.Sprint(run.r.kind), time.Duration(share*float64(s.at-run.r.sent)))
+			s.gates[run.r.vm].Ended(simNow(s.at), false)
+			s.gates[run.r.vm].Held(simNow(s.at), run.r.kind, run.held+time.Duration(share*float64(run.waited)))
 			return true
 		})
 		s.start(e)
 	}
 }
 
-// exchange passes the totals on as the keepers do, one interval late.
+// exchange collects the totals as the keepers do.
 func (s *sim) exchange() {
 	for vm := range simVMs {
 		rejected, attempts := s.own[vm][0], s.own[vm][1]
@@ -337,8 +336,22 @@
 		}
 		s.own[vm] = [2]float64{}
 	}
-	sums := s.sums()
-	s.delayed = append(s.delayed, sums)
+	s.current = s.sums()
+	s.evaluate()
+}
+
+// apply passes the totals on a quarter of a second after they were collected: VMs send at times of their
+// own, and a keeper answers with the last lists that it has.
+func (s *sim) apply() {
+	for _, g := range s.gates {
+		if s.current != nil {
+			g.ApplyTotals(simNow(s.at), s.current)
+		}
+	}
+	s.evaluate()
+}
+
+func (s *sim) evaluate() {
 	slots := 0
 	for _, e := range s.endpoints {
 		if !e.gone {
@@ -346,9 +359,6 @@
 		}
 	}
 	for _, g := range s.gates {
-		if len(s.delayed) > 1 && s.delayed[len(s.delayed)-2] != nil {
-			g.ApplyTotals(simNow(s.at), s.delayed[len(s.delayed)-2])
-		}
 		g.Evaluate(simNow(s.at), Capacity{Slots: map[string]int{"v1": slots}, VMs: simVMs})
 		if s.policy == simRanksOnly {
 			clear(g.state.usual)
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -11,6 +12,9 @@
 	startShare = 0.95
 	endShare   = 0.85
 	endTime    = time.Second
+	// drainTime is the time in which the queues at endpoints are to be served. With 1 s, slots were
+	// free before the end of the queues was known.
+	drainTime = 2 * time.Second
 	// maxRejections is the share of attempts that endpoints may reject for want of room.
 	maxRejections = 0.01
 	// busyShare is the share of the slots in use above which rejections alone start admission.
@@ -31,40 +35,48 @@
 	usualGain     = 0.2
 )
 
-// Trim corrects the capacity while admission is in force, by factors for each trimInterval. It falls
-// while endpoints reject requests or hold a long queue, and rises while slots are free: the mean time
-// that a request holds a slot may be wrong by as much.
+// The trim corrects the capacity while admission is in force, by a factor for each trimInterval. It falls
+// while endpoints reject requests, and rises while slots are free: the mean time that a request holds a
+// slot may be wrong by as much. A wrong refusal costs a caller more than a rejection that is tried again
+// elsewhere, so that it rises faster than it falls.
 const (
-	trimInterval   = 500 * time.Millisecond
-	minTrim        = 0.6
-	maxTrim        = 2.0
-	trimRejected   = 0.94
-	trimQueued     = 0.97
-	trimFree       = 1.06
-	trimNearlyFull = 1.02
-	queuedShare    = 1.25 // requests under way per slot above which the queue is long
-	freeShare      = 0.85 // below which slots are free
-	idleShare      = 0.5  // below which admission ends whatever the demand
+	trimInterval = 500 * time.Millisecond
+	minTrim      = 0.6
+	maxTrim      = 2.0
+	trimRejected = 0.94
+	maxTrimRise  = 1.1
+	queuedShare  = 1.1 // requests under way per slot above which a raised trim falls
+	// useRising is the use of the slots relative to its mean over useTimeConstant above which it rises.
+	useRising       = 1.03
+	useTimeConstant = time.Second
+	// minDrained is the share of the capacity that is admitted however long the queues are.
+	minDrained = 0.36
+	idleShare  = 0.5 // share of the slots in use below which admission ends whatever the demand
 )
 
 // gateState is the current decision of a gate.
 type gateState struct {
-	active       bool
-	since        time.Time // the start of the overload
-	calmSince    time.Time // zero if the service isn't calm
-	evaluatedAt  time.Time
-	trim         float64
-	capacity     float64 // in slots
-	ownCapacity  float64 // this VM's part
-	vms          float64
-	offered      float64
-	underWay     float64
-	rejections   float64 // share of the attempts
-	ownOnly      bool    // without totals of the fleet
-	shares       map[uint32]float64
-	usual        map[uint32]float64
-	usualSince   time.Time
-	usualUpdated time.Time
+	active      bool
+	since       time.Time // the start of the overload
+	calmSince   time.Time // zero if the service isn't calm
+	evaluatedAt time.Time
+	trim        float64
+	drain       float64 // slots that are left to the queues at endpoints
+	useMean     float64 // of the share of the slots in use
+	capacity    float64 // in slots
+	ownCapacity float64 // this VM's part
+	vms         float64
+	offered     float64
+	// slotTime is the mean seconds for which a request of a rank holds a slot, slotTimeBefore that
+	// before the overload.
+	slotTime, slotTimeBefore [maxRank + 1]float64
+	underWay                 float64
+	rejections               float64 // share of the attempts
+	ownOnly                  bool    // without totals of the fleet
+	shares                   map[uint32]share
+	usual                    map[uint32]float64
+	usualSince               time.Time
+	usualUpdated             time.Time
 }
 
 // Capacity is the room of a service.
@@ -104,15 +116,16 @@
 	if !st.ownOnly {
 		st.ownCapacity /= st.vms
 	}
-	st.offered, st.underWay, st.rejections = t.offered, t.underWay, 0
+	st.underWay, st.rejections = t.underWay, 0
 	if t.attempts > 0 {
 		st.rejections = t.rejected / t.attempts
 	}
-	was := st.active
-	st.update(now, &t)
 	if !st.active && !st.ownOnly {
 		st.learnUsual(now, t.demands)
 	}
+	st.toSlots(&t)
+	was := st.active
+	st.update(now, &t)
 	st.setShares(t.demands)
 	st.evaluatedAt = now
 	return g.report(), st.active != was
@@ -157,10 +170,12 @@
 	if !st.active {
 		if st.tooLittleRoom(t) {
 			st.active, st.since, st.trim, st.calmSince = true, now, startShare, time.Time{}
+			st.slotTimeBefore = st.slotTime
 		}
 		return
 	}
 	st.adjustTrim(now)
+	st.setDrain(t)
 	calm := st.offered < endShare*st.trim*st.capacity && st.rejections <= maxRejections ||
 		!st.ownOnly && st.underWay < idleShare*st.capacity
 	switch {
@@ -191,17 +206,25 @@
 	switch {
 	case st.rejections > maxRejections && use > busyShare:
 		factor = trimRejected
-	case use > queuedShare:
-		factor = trimQueued
-	case use < freeShare:
-		factor = trimFree
-	case use < 1 && st.rejections <= maxRejections:
-		factor = trimNearlyFull
+	case use > queuedShare && st.trim > startShare:
+		factor = trimRejected
+	case st.rejections <= maxRejections && use < useRising*st.useMean:
+		// While the use still rises, slots are free since the capacity rose or others were refused.
+		factor = min(max(startShare/max(use, idleShare), 1), maxTrimRise)
 	}
+	st.useMean += min(now.Sub(st.evaluatedAt).Seconds()/useTimeConstant.Seconds(), 1) * (use - st.useMean)
 	steps := min(now.Sub(st.evaluatedAt).Seconds()/trimInterval.Seconds(), 2)
 	st.trim = min(max(st.trim*math.Pow(factor, steps), minTrim), maxTrim)
 }
 
+// setDrain sets aside what the requests that wait at endpoints take if they are served within drainTime.
+func (st *gateState) setDrain(t *totals) {
+	st.drain = 0
+	if !st.ownOnly {
+		st.drain = max(st.underWay-st.capacity, 0) * t.meanSlotTime(st) / drainTime.Seconds()
+	}
+}
+
 // learnUsual follows the demands while there is room.
 func (st *gateState) learnUsual(now time.Time, demands []demand) {
 	if st.usualSince.IsZero() {
@@ -214,7 +237,7 @@
 		return
 	}
 	for _, d := range demands {
-		if d.key == restKey(d.rank) {
+		if d.small {
 			continue
 		}
 		usual := st.usual[d.key]
@@ -227,26 +250,82 @@
 	}
 }
 
-// minUsual is the usual demand in slots from which a new account's one grows.
+// minUsual is the usual demand in requests a second from which a new account's one grows.
 const minUsual = 0.1
 
-// setShares computes the share of the requests of each account and rank that are admitted.
-func (st *gateState) setShares(demands []demand) {
-	clear(st.shares)
-	if !st.active {
-		return
+// toSlots converts demands from requests a second to slots, and adds the usual ones.
+func (st *gateState) toSlots(t *totals) {
+	for rank, h := range t.held {
+		if h.B < minHeld {
+			continue
+		}
+		slotTime := h.A / h.B
+		if st.active {
+			slotTime = min(slotTime, maxSlower*st.slotTimeBefore[rank])
+		}
+		st.slotTime[rank] = slotTime
 	}
+	st.offered = 0
+	demands := slices.Clone(t.demands)
 	for i := range demands {
-		if d := &demands[i]; d.usual == 0 {
-			d.usual = st.usual[d.key]
+		d := &demands[i]
+		if !d.small {
+			if usual := st.usual[d.key]; usual > 0 {
+				d.usual = usualMargin*usual + usualAllowance
+			}
 			if st.ownOnly {
 				d.usual /= st.vms
 			}
 		}
+		slotTime := st.slotTime[d.rank]
+		d.offered, d.usual, d.returning = d.offered*slotTime, d.usual*slotTime, d.returning*slotTime
+		st.offered += d.offered
+	}
+	t.demands = demands
+}
+
+// maxSlower is the multiple of the time before an overload that a request is taken to hold a slot for
+// during it. Low ranks wait at endpoints for most of their time then, more than the load tells.
+const maxSlower = 1.5
+
+// minHeld is the recent requests of a rank from which the time that they held slots is known.
+const minHeld = 3.0
+
+// meanSlotTime is the mean time for which the admitted requests hold a slot.
+func (t *totals) meanSlotTime(st *gateState) float64 {
+	seconds, requests := 0.0, 0.0
+	for rank, rate := range t.admitted {
+		seconds, requests = seconds+rate*st.slotTime[rank], requests+rate
+	}
+	return seconds / max(requests, minFlow)
+}
+
+// allotted returns the capacity that is allocated now. The usual demand of the most urgent rank doesn't
+// wait for the end of the queues at endpoints, since they serve it first.
+func (st *gateState) allotted(demands []demand) float64 {
+	full := st.trim * st.capacity
+	urgent, rank := 0.0, maxRank
+	for _, d := range demands {
+		rank = min(rank, d.rank)
+	}
+	for _, d := range demands {
+		if d.rank == rank {
+			urgent += min(d.offered, d.usual)
+		}
+	}
+	least := max(urgent/(1-2*rankFloor), minDrained*st.capacity)
+	return max(full-st.drain, min(least, full))
+}
+
+// setShares computes the share of the requests of each account and rank that are admitted.
+func (st *gateState) setShares(demands []demand) {
+	clear(st.shares)
+	if !st.active {
+		return
 	}
-	for i, got := range allocate(st.trim*st.capacity, demands) {
+	for i, got := range allocate(st.allotted(demands), demands) {
 		if d := demands[i]; d.offered > 0 {
-			st.shares[d.key] = got / d.offered
+			st.shares[d.key] = newShare(got, d)
 		}
 	}
 }
--- a/policy/admission/share.go
+++ b/policy/admission/share.go
@@ -10,17 +10,43 @@
 	// flood of urgent requests doesn't stop the others entirely.
 	rankFloor = 0.1
 	// usualMargin is the multiple of its usual demand up to which an account is served before the
-	// excess of others. The demand of a small account varies by half from second to second.
-	usualMargin = 1.5
+	// excess of others. It covers times at which all traffic is 1.8 times the usual one. With 1.5,
+	// requests of accounts that send as usual were refused at such times for the excess of others.
+	// usualAllowance, in requests a second, covers the chance in the arrivals of a small account.
+	usualMargin    = 2.0
+	usualAllowance = 1.0
 )
 
-// demand is what one account asks for at one rank, in slots: arrivals per second times the time
-// that each holds a slot.
+// demand is what one account asks for at one rank, in requests a second until gateState.toSlots
+// converts it to slots.
 type demand struct {
 	key  uint32
 	rank int
-	// offered is the recent demand, usual that before the overload; 0 if it isn't known.
+	// offered is the recent demand, usual the demand that counts as usual; 0 if it isn't known.
 	offered, usual float64
+	// returning is the part of the offered demand that returns after a refusal.
+	returning float64
+	// small says that it is that of all accounts of the rank that aren't listed.
+	small bool
+}
+
+// share is the part of the requests of an account and rank that are admitted: of all of them, of those
+// that return after a refusal, and of the first ones.
+type share struct{ all, returning, first float64 }
+
+var fullShare = share{1, 1, 1}
+
+// newShare serves returning requests first.
+func newShare(got float64, d demand) share {
+	returning := min(got, d.returning)
+	s := share{all: got / d.offered, returning: 1, first: 1}
+	if d.returning > 0 {
+		s.returning = returning / d.returning
+	}
+	if first := d.offered - d.returning; first > 0 {
+		s.first = min((got-returning)/first, 1)
+	}
+	return s
 }
 
 // allocate returns the part of each demand that the capacity serves. Demand up to the usual one
@@ -29,7 +55,7 @@
 func allocate(capacity float64, demands []demand) []float64 {
 	usual, excess := make([]float64, len(demands)), make([]float64, len(demands))
 	for i, d := range demands {
-		usual[i] = min(d.offered, usualMargin*d.usual)
+		usual[i] = min(d.offered, d.usual)
 	}
 	got := allocateByRank(capacity, demands, usual)
 	for i, d := range demands {
