Count rejections in the last second, and no returning request twice, in the admission of the fleet

Change: rejections are counted in the last second, returning requests don't add to the demand, the capacity isn't lowered for a few rejections while the demand fits, and demand is averaged over 0.5 s.

--- a/policy/admission/figures.go
+++ b/policy/admission/figures.go
@@ -73,6 +73,38 @@
 	credits []time.Time // return times of refused requests, in order
 }
 
+// lastSecond counts events in the last second. A sum that decays would still be a third a second after the
+// last rejection, and as many requests would be refused for it.
+type lastSecond struct {
+	counts [8]float64
+	newest int64 // number of the newest interval since the Unix epoch
+}
+
+const lastSecondInterval = time.Second / 8
+
+func (l *lastSecond) advance(now time.Time) {
+	at := now.UnixNano() / int64(lastSecondInterval)
+	for n := int64(len(l.counts)); l.newest < at; l.newest++ {
+		if l.newest < at-n {
+			l.newest = at - n
+		}
+		l.counts[(l.newest+1)%n] = 0
+	}
+}
+
+func (l *lastSecond) add(now time.Time) {
+	l.advance(now)
+	l.counts[l.newest%int64(len(l.counts))]++
+}
+
+func (l *lastSecond) count(now time.Time) (sum float64) {
+	l.advance(now)
+	for _, n := range l.counts {
+		sum += n
+	}
+	return sum
+}
+
 // minFlow is the requests a second below which a subject is forgotten.
 const minFlow = 1e-4
 
@@ -107,18 +139,19 @@
 		out = append(out, Figure{Key: subjectKey(g.prefix, shortHash(version), kindVersion), A: rate, B: rate})
 	}
 	return append(out,
-		Figure{Key: subjectKey(g.prefix, 0, kindRejected), A: g.rejected.rate(now), B: g.attempts.rate(now)},
+		Figure{Key: subjectKey(g.prefix, 0, kindRejected), A: g.rejected.count(now), B: g.attempts.count(now)},
 		Figure{Key: subjectKey(g.prefix, 0, kindUnderWay), A: g.underWayMean(now), B: underWayWeight})
 }
 
 // totals are the figures of a service over the VMs that they come from.
 type totals struct {
-	demands            []demand
-	admitted           [maxRank + 1]float64 // requests a second
-	held               [maxRank + 1]Figure
-	rejected, attempts float64
-	underWay           float64
-	versions           map[uint32]float64
+	demands []demand
+	// offered and admitted are requests a second by rank, returning those that return after a refusal.
+	offered, admitted, returning [maxRank + 1]float64
+	held                         [maxRank + 1]Figure
+	rejected, attempts           float64
+	underWay                     float64
+	versions                     map[uint32]float64
 }
 
 // restKey is the key of the demands of a rank that are missing from the totals.
@@ -128,7 +161,7 @@
 // that of the small accounts that don't fit a datagram; they count as usual.
 func newTotals(prefix uint32, figures []Figure) totals {
 	t := totals{versions: make(map[uint32]float64)}
-	var rest, ranks [maxRank + 1]float64
+	var rest [maxRank + 1]float64
 	for _, f := range figures {
 		if f.Key>>(kindBits+subjectBits)<<(kindBits+subjectBits) != prefix {
 			continue
@@ -136,8 +169,8 @@
 		a, b := max(f.A, 0), max(f.B, 0)
 		switch kind := keyKind(f.Key); kind {
 		case kindRank:
-			ranks[min(keySubject(f.Key), maxRank)] += b
-			t.admitted[min(keySubject(f.Key), maxRank)] += a
+			rank := min(keySubject(f.Key), maxRank)
+			t.offered[rank], t.admitted[rank] = t.offered[rank]+b, t.admitted[rank]+a
 		case kindHeld:
 			h := &t.held[min(keySubject(f.Key), maxRank)]
 			h.A, h.B = h.A+a, h.B+b
@@ -151,12 +184,13 @@
 			if kind <= maxRank {
 				t.demands = append(t.demands, demand{key: f.Key, rank: kind, offered: b, returning: a})
 				rest[kind] -= b
+				t.returning[kind] += a
 			}
 		}
 	}
 	slices.SortFunc(t.demands, func(a, b demand) int { return int(int64(a.key) - int64(b.key)) })
-	for rank := range ranks {
-		if left := ranks[rank] + rest[rank]; left > minFlow {
+	for rank := range t.offered {
+		if left := t.offered[rank] + rest[rank]; left > minFlow {
 			t.demands = append(t.demands, demand{key: restKey(rank), rank: rank, offered: left, usual: left, small: true})
 		}
 	}
--- a/policy/admission/gate.go
+++ b/policy/admission/gate.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// demandTimeConstant is the time over which demand and rejections are averaged.
-	demandTimeConstant = time.Second
+	// demandTimeConstant is the time over which demand is averaged. With 1 s, demand that rises to
+	// its double within a second was admitted half too much meanwhile.
+	demandTimeConstant = 500 * time.Millisecond
 	// underWayTimeConstant is the time over which the requests under way are averaged. Requests of
 	// plain services end within some 10 ms, so that a count at one moment is mostly chance.
 	underWayTimeConstant = 300 * time.Millisecond
@@ -27,6 +28,9 @@
 	// how long after its return time a refused caller may come back.
 	maxCredits = 64
 	creditTime = 500 * time.Millisecond
+	// lessTimeMemory is how long requests that wait for less time than usual tell something after a
+	// refusal, the longest Retry-After of a request with 30 s.
+	lessTimeMemory = 10 * time.Second
 )
 
 // Arrival is a request that asks for admission.
@@ -59,12 +63,13 @@
 	flows              map[subject]*flow
 	held               [maxRank + 1]heldTime
 	versions           map[string]*decayingSum // requests sent, by version
-	rejected, attempts decayingSum
+	rejected, attempts lastSecond
 	admitted           [maxRank + 1]decayingSum
 	underWay           int
 	underWayAverage    float64 // as of underWayAt
 	underWayAt         time.Time
 	busyUntil          time.Time
+	lessTimeAt         time.Time // when a request waited for less time than usual
 
 	// Totals over the fleet, zero before the first ones.
 	fleet   totals
@@ -83,7 +88,6 @@
 	g := &Gate{
 		prefix: servicePrefix(service), rng: rng,
 		flows: make(map[subject]*flow), versions: make(map[string]*decayingSum),
-		rejected: newDemandSum(), attempts: newDemandSum(),
 		state: gateState{shares: make(map[uint32]share), usual: make(map[uint32]float64), trim: 1},
 	}
 	for rank := range g.held {
@@ -109,7 +113,7 @@
 		g.flows[s] = f
 	}
 	f.offered.add(now, 1)
-	returning := f.takeCredit(now) || a.Returning
+	returning := g.returns(now, f, a.Returning)
 	if returning {
 		f.returning.add(now, 1)
 	}
@@ -135,6 +139,16 @@
 	return fullShare
 }
 
+// returns reports whether a request returns after a refusal. That callers wait for less time shows it, but
+// they may do so for other reasons, and if none does, only the times of earlier refusals on this VM tell.
+func (g *Gate) returns(now time.Time, f *flow, lessTime bool) bool {
+	if lessTime {
+		g.lessTimeAt = now
+		return !g.state.lastActive.IsZero() && now.Sub(g.state.lastActive) < lessTimeMemory
+	}
+	return now.Sub(g.lessTimeAt) > lessTimeMemory && f.takeCredit(now)
+}
+
 // takeCredit reports whether a refused request of the subject was to return about now, and counts it as
 // returned.
 func (f *flow) takeCredit(now time.Time) bool {
@@ -190,7 +204,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.setUnderWay(now, g.underWay+1)
-	g.attempts.add(now, 1)
+	g.attempts.add(now)
 	v := g.versions[version]
 	if v == nil {
 		v = &decayingSum{constant: demandTimeConstant}
@@ -205,7 +219,7 @@
 	defer g.mu.Unlock()
 	g.setUnderWay(now, max(g.underWay-1, 0))
 	if rejected {
-		g.rejected.add(now, 1)
+		g.rejected.add(now)
 		g.busyUntil = now.Add(busyTime)
 	}
 }
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -43,7 +43,8 @@
 	trimInterval = 500 * time.Millisecond
 	minTrim      = 0.6
 	maxTrim      = 2.0
-	trimRejected = 0.94
+	maxTrimFall  = 0.8
+	trimQueued   = 0.95
 	maxTrimRise  = 1.1
 	startTrim    = 0.9
 	// useGoal is the share of the slots in use that the trim aims at. With 0.95, one in ten requests
@@ -56,7 +57,8 @@
 	useTimeConstant = time.Second
 	// minDrained is the share of the capacity that is admitted however long the queues are.
 	minDrained = 0.36
-	idleShare  = 0.5 // share of the slots in use below which admission ends whatever the demand
+	// idleShare bounds the share of the slots in use that a rise of the trim is computed from.
+	idleShare = 0.5
 )
 
 // gateState is the current decision of a gate.
@@ -75,13 +77,17 @@
 	// slotTime is the mean seconds for which a request of a rank holds a slot, slotTimeBefore that
 	// before the overload.
 	slotTime, slotTimeBefore [maxRank + 1]float64
-	underWay                 float64
-	rejections               float64 // share of the attempts
-	ownOnly                  bool    // without totals of the fleet
-	shares                   map[uint32]share
-	usual                    map[uint32]float64
-	usualSince               time.Time
-	usualUpdated             time.Time
+	// demand is the offered work in slots without requests that return after a refusal: they have been
+	// counted before.
+	demand       float64
+	lastActive   time.Time
+	underWay     float64
+	rejections   float64 // share of the attempts
+	ownOnly      bool    // without totals of the fleet
+	shares       map[uint32]share
+	usual        map[uint32]float64
+	usualSince   time.Time
+	usualUpdated time.Time
 }
 
 // Capacity is the room of a service.
@@ -131,6 +137,9 @@
 	st.toSlots(&t)
 	was := st.active
 	st.update(now, &t)
+	if st.active {
+		st.lastActive = now
+	}
 	st.setShares(t.demands)
 	st.evaluatedAt = now
 	return g.report(), st.active != was
@@ -181,8 +190,7 @@
 	}
 	st.adjustTrim(now)
 	st.setDrain(t)
-	calm := st.offered < endShare*st.trim*st.capacity && st.rejections <= maxRejections ||
-		!st.ownOnly && st.underWay < idleShare*st.capacity
+	calm := st.demand < endShare*st.trim*st.capacity && st.rejections <= maxRejections
 	switch {
 	case !calm:
 		st.calmSince = time.Time{}
@@ -195,14 +203,17 @@
 
 // tooLittleRoom reports whether the measured signals agree that the room is used up.
 func (st *gateState) tooLittleRoom(t *totals) bool {
-	demand := st.offered > startShare*st.capacity
+	demand := !st.fits()
 	rejecting := st.rejections > maxRejections
 	if st.ownOnly {
-		return demand && rejecting && t.rejected*demandTimeConstant.Seconds() >= minOwnRejections
+		return demand && rejecting && t.rejected >= minOwnRejections
 	}
 	return demand && (rejecting || st.underWay > st.capacity) || rejecting && st.underWay > busyShare*st.capacity
 }
 
+// fits reports whether the capacity bears the demand.
+func (st *gateState) fits() bool { return st.demand <= startShare*st.capacity }
+
 func (st *gateState) adjustTrim(now time.Time) {
 	if st.ownOnly {
 		return // the few requests of one VM say too little
@@ -210,16 +221,20 @@
 	use, factor := st.underWay/st.capacity, 1.0
 	switch {
 	case st.rejections > maxRejections && use > busyShare:
-		factor = trimRejected
+		factor = max(1-st.rejections, maxTrimFall)
 	case use > 1 && st.trim > fallTrim:
-		factor = trimRejected
+		factor = trimQueued
 	case st.rejections <= maxRejections && use < useRising*st.useMean:
 		// While the use still rises, slots are free since the capacity rose or others were refused.
 		factor = min(max(useGoal/max(use, idleShare), 1), maxTrimRise)
 	}
 	st.useMean += min(now.Sub(st.evaluatedAt).Seconds()/useTimeConstant.Seconds(), 1) * (use - st.useMean)
 	steps := min(now.Sub(st.evaluatedAt).Seconds()/trimInterval.Seconds(), 2)
-	st.trim = min(max(st.trim*math.Pow(factor, steps), minTrim), maxTrim)
+	least := minTrim
+	if st.fits() {
+		least = max(startTrim*(1-st.rejections), minTrim)
+	}
+	st.trim = min(max(st.trim*math.Pow(factor, steps), least), maxTrim)
 }
 
 // setDrain sets aside what the requests that wait at endpoints take if they are served within drainTime.
@@ -270,7 +285,12 @@
 		}
 		st.slotTime[rank] = slotTime
 	}
-	st.offered = 0
+	st.offered, st.demand = 0, 0
+	for rank, offered := range t.offered {
+		st.offered += offered * st.slotTime[rank]
+		// A refused caller returns once, so that at least half of the requests are first ones.
+		st.demand += (offered - min(t.returning[rank], max(offered-t.admitted[rank], 0), offered/2)) * st.slotTime[rank]
+	}
 	demands := slices.Clone(t.demands)
 	for i := range demands {
 		d := &demands[i]
@@ -284,7 +304,6 @@
 		}
 		slotTime := st.slotTime[d.rank]
 		d.offered, d.usual, d.returning = d.offered*slotTime, d.usual*slotTime, d.returning*slotTime
-		st.offered += d.offered
 	}
 	t.demands = demands
 }
@@ -319,7 +338,12 @@
 		}
 	}
 	least := max(urgent/(1-2*rankFloor), minDrained*st.capacity)
-	return max(full-st.drain, min(least, full))
+	allotted := max(full-st.drain, min(least, full))
+	if st.fits() {
+		// A few rejections that are tried again elsewhere cost callers less than as many refusals.
+		allotted = max(allotted, st.demand*(1-st.rejections))
+	}
+	return allotted
 }
 
 // setShares computes the share of the requests of each account and rank that are admitted.
