Measure the slot time of a rank that comes first in an overload

Cause: a rank without requests before an overload had a slot time of 0 until its end, and was never refused; the drain of an earlier overload held for the first moment of the next. Change: the bound on slot times applies to measured ranks only, the drain starts at 0.

--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -164,7 +164,7 @@
 	}
 	if !st.active {
 		if st.tooLittleRoom(t) {
-			st.active, st.since, st.trim, st.calmSince = true, now, startTrim, time.Time{}
+			st.active, st.since, st.trim, st.drain, st.calmSince = true, now, startTrim, 0, time.Time{}
 			st.slotTimeBefore, st.useMean = st.slotTime, st.underWay/st.capacity
 		}
 		return
@@ -237,8 +237,8 @@
 			continue
 		}
 		slotTime := h.A / h.B
-		if st.active {
-			slotTime = min(slotTime, maxSlower*st.slotTimeBefore[rank])
+		if before := st.slotTimeBefore[rank]; st.active && before > 0 {
+			slotTime = min(slotTime, maxSlower*before)
 		}
 		st.slotTime[rank] = slotTime
 	}
