--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -23,6 +23,7 @@
 	// malformedLoad counts answers whose load header is malformed.
 	malformedLoad prometheus.Counter
 	memory        memoryMetrics
+	admission     *prometheus.CounterVec
 }
 
 // NewMetrics creates the handler's metrics and registers them with r.
@@ -53,7 +54,11 @@
 			Help: "Answers of endpoints whose load header is malformed and was ignored.",
 		}),
 	}
-	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.weakKept, m.malformedLoad)
+	m.admission = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "goldcrest_forward_admission_total",
+		Help: "Requests of managed services, by service, priority and whether they were admitted or refused for the load.",
+	}, []string{"service", "priority", "result"})
+	r.MustRegister(m.requests, m.attempts, m.latency, m.firstEvent, m.weakKept, m.malformedLoad, m.admission)
 	return m
 }
 
--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -15,6 +15,7 @@
 	"goldcrestfork/fleet/quota"
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/upstream"
+	"goldcrestfork/policy/admission"
 	"goldcrestfork/policy/pace"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/poison"
@@ -108,7 +109,10 @@
 	Poison   Poison
 	Load     LoadExchange
 	Limits   RateLimits
-	Metrics  *Metrics
+	// Admission returns the gate that admits the requests of a service; nil if the service isn't
+	// managed, so that no request is refused for the load of the fleet.
+	Admission func(service string) *admission.Gate
+	Metrics   *Metrics
 	// Memory counts the bytes that the VM holds for callers. If it is nil, neither these nor the time
 	// that a caller takes to read its answer are limited.
 	Memory *room.Bytes
@@ -237,6 +241,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.requestAdmission(); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.reserveBody(); refused != nil {
 		c.refuse(refused)
 		return
