Keep the totals of the exchanged sums up to date with each list, and finite

A keeper added up the rows of all VMs for each report that it answered: 0.30 ms with 75 VMs of 140 subjects each (BenchmarkSumTotals). With 75 VMs in a data centre, three topics and two reports a second that is 0.14 of a core, as much as the smallest VM has.

Two finite figures could add up to an infinite one, from which a VM computes a pace factor that isn't a number. Such totals are now left out, also by the VM that gets them (TestSumTotalsStayFinite failed before).

--- a/fleet/tally/board.go
+++ b/fleet/tally/board.go
@@ -75,7 +75,7 @@
 	return &Aggregator{
 		reports: make(map[string]*row), summaries: make(map[string]*row),
 		outcomes: make(outcomeRows), remoteOutcomes: make(outcomeRows),
-		sums: make(sumRows), remoteSums: make(sumRows),
+		sums: newSumRows(), remoteSums: newSumRows(),
 	}
 }
 
--- a/fleet/tally/sums.go
+++ b/fleet/tally/sums.go
@@ -38,35 +38,70 @@
 	list                  []Sum
 }
 
-// sumRows are the last lists by sender and topic.
-type sumRows map[sumsSource]*sumsRow
+// sumRows are the last lists by sender and topic, with their totals.
+type sumRows struct {
+	rows   map[sumsSource]*sumsRow
+	totals map[uint8]*topicTotals
+}
+
+// topicTotals are the totals of the rows of one topic. They are updated with each list that arrives:
+// adding up the rows for each answer took 0.3 ms with 75 VMs, 0.14 of a core in all.
+type topicTotals struct {
+	validUntil time.Duration // when the first row expires
+	sums       map[uint32]total
+}
 
-func (rows sumRows) store(now time.Duration, from sumsSource, incarnation, sequence uint64, list []Sum) {
-	if r := rows[from]; r != nil && r.incarnation == incarnation && r.sequence >= sequence {
+// total has the precision to take lists out again.
+type total struct{ a, b float64 }
+
+func newSumRows() sumRows {
+	return sumRows{rows: make(map[sumsSource]*sumsRow), totals: make(map[uint8]*topicTotals)}
+}
+
+func (s *sumRows) store(now time.Duration, from sumsSource, incarnation, sequence uint64, list []Sum) {
+	r := s.rows[from]
+	if r != nil && r.incarnation == incarnation && r.sequence >= sequence {
 		return // reordered on the network
 	}
-	rows[from] = &sumsRow{incarnation: incarnation, sequence: sequence, receivedAt: now, list: list}
+	s.rows[from] = &sumsRow{incarnation: incarnation, sequence: sequence, receivedAt: now, list: list}
+	if t := s.totals[from.topic]; t != nil {
+		if r != nil {
+			t.add(r.list, -1)
+		}
+		t.add(list, 1)
+		t.validUntil = min(t.validUntil, now+reportTTL)
+	}
 }
 
-// addTo adds the rows of a topic to the totals and removes expired rows. It ignores figures that aren't
-// finite.
-func (rows sumRows) addTo(totals map[uint32]Sum, now time.Duration, topic uint8) {
-	for from, r := range rows {
-		if now-r.receivedAt > reportTTL {
-			delete(rows, from)
-			continue
+// add adds a list with the given sign. It ignores figures that aren't finite.
+func (t *topicTotals) add(list []Sum, sign float64) {
+	for _, s := range list {
+		if isFinite(s.A) && isFinite(s.B) {
+			old := t.sums[s.Key]
+			t.sums[s.Key] = total{old.a + sign*float64(s.A), old.b + sign*float64(s.B)}
 		}
-		if from.topic != topic {
+	}
+}
+
+// of returns the totals of a topic, without expired rows.
+func (s *sumRows) of(now time.Duration, topic uint8) map[uint32]total {
+	if t := s.totals[topic]; t != nil && now <= t.validUntil {
+		return t.sums
+	}
+	t := &topicTotals{validUntil: math.MaxInt64, sums: make(map[uint32]total)}
+	for from, r := range s.rows {
+		if now-r.receivedAt > reportTTL {
+			delete(s.rows, from)
+			delete(s.totals, from.topic)
 			continue
 		}
-		for _, s := range r.list {
-			if !isFinite(s.A) || !isFinite(s.B) {
-				continue
-			}
-			t := totals[s.Key]
-			totals[s.Key] = Sum{Key: s.Key, A: t.A + s.A, B: t.B + s.B}
+		if from.topic == topic {
+			t.add(r.list, 1)
+			t.validUntil = min(t.validUntil, r.receivedAt+reportTTL)
 		}
 	}
+	s.totals[topic] = t
+	return t.sums
 }
 
 func isFinite(x float32) bool { return !math.IsNaN(float64(x)) && !math.IsInf(float64(x), 0) }
@@ -76,9 +111,9 @@
 func (a *Aggregator) RecordSums(now time.Duration, from string, incarnation, sequence uint64, s TopicSums, remote bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	rows := a.sums
+	rows := &a.sums
 	if remote {
-		rows = a.remoteSums
+		rows = &a.remoteSums
 	}
 	rows.store(now, sumsSource{from, s.Topic}, incarnation, sequence, s.List)
 }
@@ -88,12 +123,20 @@
 func (a *Aggregator) SumTotals(now time.Duration, topic uint8, all bool) TopicSums {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	totals := make(map[uint32]Sum)
-	a.sums.addTo(totals, now, topic)
+	totals := a.sums.of(now, topic)
 	if all {
-		a.remoteSums.addTo(totals, now, topic)
+		totals = maps.Clone(totals)
+		for key, t := range a.remoteSums.of(now, topic) {
+			totals[key] = total{totals[key].a + t.a, totals[key].b + t.b}
+		}
+	}
+	list := make([]Sum, 0, len(totals))
+	for key, t := range totals {
+		if s := (Sum{Key: key, A: float32(t.a), B: float32(t.b)}); isFinite(s.A) && isFinite(s.B) {
+			list = append(list, s)
+		}
 	}
-	return TopicSums{Topic: topic, List: largestSums(slices.Collect(maps.Values(totals)))}
+	return TopicSums{Topic: topic, List: largestSums(list)}
 }
 
 // largestSums returns at most MaxSums of a list, those with the largest B.
@@ -144,6 +187,7 @@
 	case kindSumTotals:
 		s.aggregator.RecordSums(now, m.From, m.Incarnation, m.Sequence, *m.Sums, true)
 	case kindFleetSums:
+		m.Sums.List = slices.DeleteFunc(m.Sums.List, func(s Sum) bool { return !isFinite(s.A) || !isFinite(s.B) })
 		s.cfg.ApplySums(*m.Sums)
 	}
 }
--- a/fleet/tally/sums_test.go
+++ b/fleet/tally/sums_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -55,3 +56,60 @@
 		}, 20*time.Second, time.Millisecond)
 	}
 }
+
+// Guards against totals that aren't finite, since the figures of two VMs overflow.
+func TestSumTotalsStayFinite(t *testing.T) {
+	a := NewAggregator()
+	for _, vm := range []string{"vm1", "vm2"} {
+		a.RecordSums(0, vm, 1, 1, topicSums(Sum{Key: 7, A: -math.MaxFloat32, B: math.MaxFloat32}), false)
+	}
+	for _, s := range a.SumTotals(0, testTopic, true).List {
+		require.True(t, isFinite(s.A) && isFinite(s.B), "%v", s)
+	}
+}
+
+// Guards against totals that miss a change, or contain an expired list, since they are kept between answers.
+func TestSumTotalsFollowEachList(t *testing.T) {
+	kept := NewAggregator()
+	require.Empty(t, kept.SumTotals(0, testTopic, true).List)
+	rng := rand.New(rand.NewPCG(1, 2))
+	lists, at := make(map[string][]Sum), make(map[string]time.Duration)
+	for step := range uint64(2000) {
+		now := time.Duration(step) * 200 * time.Millisecond
+		vm := fmt.Sprint("vm", rng.IntN(20))
+		lists[vm], at[vm] = []Sum{{Key: uint32(rng.IntN(4)), A: -1, B: float32(rng.IntN(9))}}, now
+		kept.RecordSums(now, vm, 1, step, topicSums(lists[vm]...), vm == "vm1")
+		want := make(map[uint32]Sum)
+		for name, list := range lists {
+			if now-at[name] <= reportTTL {
+				sum := want[list[0].Key]
+				want[list[0].Key] = Sum{Key: list[0].Key, A: sum.A - 1, B: sum.B + list[0].B}
+			}
+		}
+		for _, got := range kept.SumTotals(now, testTopic, true).List {
+			w := want[got.Key]
+			w.Key = got.Key
+			require.Equal(t, w, got, "step %d", step)
+			delete(want, got.Key)
+		}
+		require.Empty(t, want, "step %d", step)
+	}
+}
+
+// BenchmarkSumTotals measures the answer to one report at the keeper of a data centre of 75 VMs, each with
+// figures of 140 subjects on three topics.
+func BenchmarkSumTotals(b *testing.B) {
+	a := NewAggregator()
+	var list []Sum
+	for i := range uint32(140) {
+		list = append(list, Sum{Key: i * 2654435761, A: 1, B: float32(i)})
+	}
+	for vm := range 75 {
+		for topic := range uint8(3) {
+			a.RecordSums(0, fmt.Sprint("vm", vm), 1, 1, TopicSums{Topic: topic, List: list}, false)
+		}
+	}
+	for b.Loop() {
+		a.SumTotals(0, 1, true)
+	}
+}
