Exchange sums with the first keeper only

A query for the load that isn't answered in 10 ms makes a VM skip the keeper for half a second. It then also reported its sums to the next VM in the order and applied the totals of that one, which knows only the VMs that skip the keeper too: the tokens held at the endpoints, the demand and the paces looked close to none, and the memory of an endpoint could be given out twice. A next VM that skips the keeper itself also sent totals to the other data centres, which counted its own data centre twice for 2 s.

Sums now go to the first keeper. TestSumsStayWithTheFirstKeeper failed before.

--- a/fleet/tally/sums.go
+++ b/fleet/tally/sums.go
@@ -151,12 +151,15 @@
 // reportSums sends this VM's sums to its keeper, which answers with the totals over the fleet. If this
 // VM is the keeper, it applies the totals itself and sends those of its data centre to the other data
 // centres' keepers.
+//
+// Sums go to the first keeper also while queries skip it (silentBackoff): the next one has only the sums of
+// the few VMs that skip it too, and its totals would look like those of the fleet.
 func (s *Service) reportSums() {
-	topics := s.cfg.Sums()
-	k, ok := s.currentKeeper()
-	if !ok {
+	topics, keepers := s.cfg.Sums(), s.cfg.Keepers()
+	if len(keepers) == 0 {
 		return
 	}
+	k := keepers[0]
 	for _, own := range topics {
 		own.List = largestSums(own.List)
 		seq := s.sequence.Add(1)
--- a/fleet/tally/sums_test.go
+++ b/fleet/tally/sums_test.go
@@ -57,6 +57,23 @@
 	}
 }
 
+// Guards against totals that contain only a few VMs: a VM that skips the keeper for half a second, since one
+// query for the load was lost, must not exchange its sums with a VM that the others don't report to.
+func TestSumsStayWithTheFirstKeeper(t *testing.T) {
+	vms := open(t, 3)
+	vms[2].mu.Lock()
+	vms[2].backoffUntil["vm0"] = time.Hour
+	vms[2].mu.Unlock()
+	vms[0].sums.Store(&[]Sum{{Key: 7, A: 1, B: 1}})
+	vms[2].sums.Store(&[]Sum{{Key: 7, A: 2, B: 3}})
+	for _, v := range []*vm{vms[0], vms[2]} {
+		require.Eventually(t, func() bool {
+			got := v.totals.Load()
+			return got != nil && len(got.List) == 1 && got.List[0] == Sum{Key: 7, A: 3, B: 4}
+		}, 10*time.Second, time.Millisecond)
+	}
+}
+
 // Guards against totals that aren't finite, since the figures of two VMs overflow.
 func TestSumTotalsStayFinite(t *testing.T) {
 	a := NewAggregator()
