Give no tokens back at an endpoint's next life

An endpoint that restarts keeps its ID. Attempts at its earlier life, which end after it is known again, reduced the tokens held by the requests of the new life, so that the VM could fill it beyond its memory. A choice now remembers the endpoint that it was made for. TestTokensOfAnEarlierLife failed before.

--- a/policy/placement/speed.go
+++ b/policy/placement/speed.go
@@ -36,6 +36,7 @@
 
 // attempt is what a table remembers of one request at an endpoint.
 type attempt struct {
+	endpoint *endpoint // as it was chosen; another one may have its ID after a restart
 	// work is the current contribution to the load; it changes when the prompt is read and when the
 	// request ends.
 	work            float64
--- a/policy/placement/table.go
+++ b/policy/placement/table.go
@@ -333,7 +333,7 @@
 		}
 		e.admitCold(now, true)
 	}
-	a := &attempt{work: r.Work + r.Prefill, workAfterPrompt: r.Work, prefill: r.Prefill, saving: r.Saving}
+	a := &attempt{endpoint: e, work: r.Work + r.Prefill, workAfterPrompt: r.Work, prefill: r.Prefill, saving: r.Saving}
 	ahead := t.workAt(now, e) + a.work
 	e.load += a.work
 	e.requests++
@@ -439,7 +439,9 @@
 	e.load = max(e.load-c.attempt.work, 0)
 	e.requests = max(e.requests-1, 0)
 	t.recordEnd(now, e, c, o)
-	e.tokens.own = max(e.tokens.own-c.tokens, 0)
+	if e == c.attempt.endpoint { // otherwise its tokens ended with the endpoint's earlier life
+		e.tokens.own = max(e.tokens.own-c.tokens, 0)
+	}
 	switch o {
 	case Good, Failed:
 		e.endAvoidance()
