Bound the tokens of each part of a prompt

Parts whose counts overflow in sum gave a request a negative number of tokens (and a negative work), so that others could exceed the endpoint's memory while it ran. Each part now counts 16 million tokens at most, as the other figures of a caller do. TestTokensAreNeverNegative failed before, with -2 tokens. Requests below that bound are served as before, in all deployments.

--- a/gateway/forward/memory_test.go
+++ b/gateway/forward/memory_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
+	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/room"
 )
@@ -228,3 +231,15 @@
 	}
 	require.ElementsMatch(t, []string{"", "3", "2", "3", "2"}, seen, "two attempts are the second ones of their requests")
 }
+
+// Guards against counts of a caller that overflow and count as less than none, which would let other requests
+// exceed the endpoint's memory.
+func TestTokensAreNeverNegative(t *testing.T) {
+	most := strconv.Itoa(math.MaxInt)
+	for _, parts := range []string{"a:" + most + ",b:" + most, "a:" + most + ",b:1"} {
+		h := http.Header{}
+		h.Set(testNames.PromptParts, parts)
+		p := parsePrompt(h, &testNames, &catalog.Route{})
+		require.Equal(t, maxTokens, parseTokens(h, &testNames, &p), parts)
+	}
+}
--- a/gateway/forward/request.go
+++ b/gateway/forward/request.go
@@ -39,7 +39,7 @@
 	var parts []promptPart
 	for f := range strings.SplitSeq(h.Get(n.PromptParts), ",") {
 		if id, tokens, ok := strings.Cut(strings.TrimSpace(f), ":"); ok {
-			parts = append(parts, promptPart{id: id, tokens: parseCount(tokens)})
+			parts = append(parts, promptPart{id: id, tokens: min(parseCount(tokens), maxTokens)})
 		}
 	}
 	p := prompt{wildcard: len(r.Models) > 0 && h.Get(n.Model) == anyModel}
--- a/gateway/forward/tokens.go
+++ b/gateway/forward/tokens.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// maxTokens bounds the tokens that a caller states, far above any engine's memory, so that sums can't
-// overflow.
+// maxTokens bounds the tokens that a caller states for one part of a prompt, for the prompt and for the
+// output, far above any engine's memory, so that sums can't overflow.
 const maxTokens = 1 << 24
 
 // parseTokens returns the tokens of an endpoint's memory that a request may take: those of its prompt and
