Allocate nothing for each endpoint when a choice checks its memory

Each choice allocated a function for each endpoint of a service with a stated memory, 200 times among 200 endpoints, also for requests without a token count. The function is now kept with the endpoint.

--- a/policy/placement/tokens.go
+++ b/policy/placement/tokens.go
@@ -37,6 +37,7 @@
 	others   int // of the other VMs in the last sums
 	rank     int // this VM's place, as of rankAt
 	rankAt   time.Time
+	rankFunc func() int // returns rank; kept, since a choice would allocate one for each endpoint
 }
 
 // SetMemory sets the tokens of memory of one endpoint by service. The endpoints of services that aren't
@@ -92,8 +93,11 @@
 
 // hasMemory reports whether an endpoint has memory for a request.
 func (t *Table) hasMemory(now time.Time, e *endpoint, tokens int) bool {
+	if tokens <= 0 {
+		return true
+	}
 	u, known := t.usage(now, e)
-	return !known || tokens <= 0 || u.Fits(tokens)
+	return !known || u.Fits(tokens)
 }
 
 // usage returns the use of an endpoint's memory; known is false if its memory isn't stated.
@@ -108,15 +112,17 @@
 		s.fleetAt = now
 	}
 	h := &e.tokens
-	return room.Usage{
-		Capacity: capacity, Own: h.own, Summed: h.summed, Others: h.others,
-		Recent: !s.sumsAt.IsZero() && now.Sub(s.sumsAt) <= tokenSumsMaxAge, VMs: s.vms,
-		Rank: func() int {
+	if h.rankFunc == nil {
+		h.rankFunc = func() int {
 			if h.rankAt != s.fleetAt {
 				h.rank, h.rankAt = s.rank(e.ID), s.fleetAt
 			}
 			return h.rank
-		},
+		}
+	}
+	return room.Usage{
+		Capacity: capacity, Own: h.own, Summed: h.summed, Others: h.others,
+		Recent: !s.sumsAt.IsZero() && now.Sub(s.sumsAt) <= tokenSumsMaxAge, VMs: s.vms, Rank: h.rankFunc,
 	}, true
 }
 
