Let the VMs with the fastest links keep the tally of managed services

Cause: a keeper answers one query an attempt of its data centre. Change: a VM tells the others its link's bandwidth, and where a service is managed the keepers are those with the fastest links first, by hash among equals.

--- a/fleet/gossip/table.go
+++ b/fleet/gossip/table.go
@@ -54,6 +54,8 @@
 	Peer       string `cbor:"2,keyasint"` // ip:port for datagrams
 	Front      string `cbor:"3,keyasint"` // ip:port for callers
 	DataCentre string `cbor:"4,keyasint"`
+	// LinkMbps is the bandwidth of the VM's link, 0 if unknown.
+	LinkMbps int `cbor:"5,keyasint,omitempty"`
 }
 
 // Message is the content of a datagram.
--- a/gateway/node/load.go
+++ b/gateway/node/load.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,7 +43,7 @@
 		}
 	}
 	var out []tally.Keeper
-	for _, m := range rendezvous.RankBy("load", near, func(m gossip.Member) string { return m.Name }) {
+	for _, m := range rankKeepers(near, n.table.AnyManaged()) {
 		host, port, err := net.SplitHostPort(m.Peer)
 		if err != nil {
 			continue // the member announced a malformed address and can't be asked
@@ -55,6 +57,17 @@
 	return out
 }
 
+// rankKeepers returns the members in the order in which they keep the tally; byLink puts those with the
+// fastest links first. A keeper answers a query of its data centre's VMs for each attempt, which in an
+// overload of 140 endpoints is more than a link of 10 Mbit/s carries.
+func rankKeepers(members []gossip.Member, byLink bool) []gossip.Member {
+	ranked := rendezvous.RankBy("load", members, func(m gossip.Member) string { return m.Name })
+	if byLink {
+		slices.SortStableFunc(ranked, func(a, b gossip.Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	}
+	return ranked
+}
+
 // otherKeepers returns the first keeper of each other data centre.
 func (n *Node) otherKeepers() []tally.Keeper {
 	var out []tally.Keeper
--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -218,7 +218,7 @@
 // self returns this VM's entry for other VMs.
 func (n *Node) self() gossip.Member {
 	return gossip.Member{
-		Name: n.s.VM, Peer: net.JoinHostPort(n.s.IP, strconv.Itoa(n.s.PortFirst)), Front: n.s.Front, DataCentre: n.s.DataCentre,
+		Name: n.s.VM, Peer: net.JoinHostPort(n.s.IP, strconv.Itoa(n.s.PortFirst)), Front: n.s.Front, DataCentre: n.s.DataCentre, LinkMbps: n.s.LinkMbps,
 	}
 }
 
--- a/gateway/node/settings.go
+++ b/gateway/node/settings.go
@@ -26,6 +26,8 @@
 	FirstStart bool
 	// MemoryMB limits the memory of the process.
 	MemoryMB int
+	// LinkMbps is the bandwidth of the VM's link, 0 if unknown.
+	LinkMbps int
 	// Contracts are the names of the rules that the operators have put in force.
 	Contracts []string
 	Bounds    Bounds
--- a/policy/placement/managed.go
+++ b/policy/placement/managed.go
@@ -34,3 +34,18 @@
 	// Other choices of the next moment use the new figure at once.
 	e.factor = e.speed.Factor(now, p.times.usual)
 }
+
+// AnyManaged reports whether any service is managed.
+func (t *Table) AnyManaged() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.allManaged {
+		return true
+	}
+	for _, p := range t.services {
+		if p.managed {
+			return true
+		}
+	}
+	return false
+}
