Leave the retry budget to the weakest answers first

Cause: where there was room, answers of a confidence up to 70 were dropped for a larger model, each by an attempt of the retry budget. Change: answers of 55 and more take of the first seven tenths of the budget only, and the last quarter is kept for weaker answers and more urgent ranks by degrees.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -74,6 +74,7 @@
 	limitNotes   []limitNote
 	repeatNotes  []string          // decisions of the retry budget, for the log
 	scarce       bool              // the next model may find no endpoint
+	confidence   int               // of the last answer of a managed service
 	reserved     *placement.Choice // the endpoint for the next attempt, if it was picked already
 	slots        slotUse
 
--- a/gateway/forward/model.go
+++ b/gateway/forward/model.go
@@ -39,6 +39,7 @@
 	if !known || c.model >= len(c.route.Models)-1 {
 		return c.model, false
 	}
+	c.confidence = confidence
 	use, measured := c.capacityUse(ctx, confidence)
 	now := time.Now()
 	outlook := c.h.cfg.Table.EstimateWait(now, newRand(), c.requestForLargest())
@@ -103,14 +104,14 @@
 // standing returns the standing of the request's priority at its service.
 func (c *call) standing() catalog.Standing { return c.conf.Standing(c.service, c.priority) }
 
-// rankMayRetry reports whether the request's rank may use the retry budget's grant, for managed
-// services: the last part of the budget is left to more urgent ranks.
-func (c *call) rankMayRetry() bool {
+// mayUseGrant reports whether the request may use the retry budget's grant to drop the last answer, for
+// managed services: the last parts of the budget are left to weaker answers and more urgent ranks.
+func (c *call) mayUseGrant() bool {
 	if c.grant == nil || !c.h.cfg.Table.Managed(c.service) {
 		return true
 	}
 	standing := c.standing()
-	return sizing.BudgetAllows(standing.Rank, standing.Ranks, c.grant.Share())
+	return sizing.BudgetAllows(standing.Rank, standing.Ranks, c.confidence, c.grant.Share())
 }
 
 // keepWeak records why a weak answer of a managed service is passed on.
--- a/gateway/forward/model_test.go
+++ b/gateway/forward/model_test.go
@@ -99,8 +99,8 @@
 	}{{4, true}, {3, false}} {
 		u := used(play.extras)
 		for priority, allowed := range map[int]bool{0: true, 2: play.low} {
-			c := &call{h: w.handler, conf: conf, service: "s", priority: priority, grant: &u}
-			require.Equal(t, allowed, c.rankMayRetry(), "priority %d after %v", priority, u)
+			c := &call{h: w.handler, conf: conf, service: "s", priority: priority, confidence: 54, grant: &u}
+			require.Equal(t, allowed, c.mayUseGrant(), "priority %d after %v", priority, u)
 		}
 	}
 }
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -81,7 +81,7 @@
 	switch {
 	case !larger:
 		return false
-	case !c.reserveRetry() || !c.rankMayRetry():
+	case !c.reserveRetry() || !c.mayUseGrant():
 		c.keepWeak(sizing.ReasonBudget)
 		return false
 	case !c.switchModel(ctx, next):
--- a/policy/sizing/fleet_test.go
+++ b/policy/sizing/fleet_test.go
@@ -88,7 +88,7 @@
 	// first returns the first model to ask; nil for the smallest.
 	first func(rank int, relative, use float64) int
 	// budget reports whether a rank may take from the budget; nil for always.
-	budget func(rank int, used float64) bool
+	budget func(rank, confidence int, used float64) bool
 }
 
 // fleetResult counts requests and good answers by rank.
@@ -232,7 +232,8 @@
 	k := kinds[r.rank]
 	if r.model < len(kindModels)-1 {
 		used := f.budgetUse(now)
-		if next, up := f.rule.next(f.input(now, r)); up && used < 1 && (f.rule.budget == nil || f.rule.budget(r.rank, used)) {
+		in := f.input(now, r)
+		if next, up := f.rule.next(in); up && used < 1 && (f.rule.budget == nil || f.rule.budget(r.rank, in.Confidence, used)) {
 			f.extras = append(f.extras, now)
 			f.leave(now, r)
 			again := &fleetRequest{rank: r.rank, hard: r.hard, arrived: r.arrived, model: next, left: r.left - 1}
--- a/policy/sizing/kinds_test.go
+++ b/policy/sizing/kinds_test.go
@@ -11,7 +11,9 @@
 	return d.Model, d.Escalate
 }
 
-func byRank(rank int, used float64) bool { return BudgetAllows(rank, len(kinds), used) }
+func byRank(rank, confidence int, used float64) bool {
+	return BudgetAllows(rank, len(kinds), confidence, used)
+}
 
 var fleetRules = map[string]fleetRule{
 	"present": {next: func(s LoadInput) (int, bool) { return NextModel(s.Input) }},
--- a/policy/sizing/load.go
+++ b/policy/sizing/load.go
@@ -38,8 +38,11 @@
 	// maxAheadShare is the share of the caller's time left that the wait for such an event may
 	// take.
 	maxAheadShare = 0.5
-	// budgetReserve is the share of the retry budget that is left to more urgent ranks.
+	// budgetReserve is the share of the retry budget that is left to more urgent ranks and weaker
+	// answers, and spareBudget that up to which answers of Threshold or more may be dropped. On a calm day
+	// a budget of nine tenths of the requests doesn't suffice for these beside the weak ones.
 	budgetReserve = 0.25
+	spareBudget   = 0.7
 	// tokensPerStep is the number of prompt tokens that an engine with 16 running requests reads in
 	// the time of one step of the same model.
 	tokensPerStep = 340
@@ -140,10 +143,15 @@
 	return d
 }
 
-// BudgetAllows reports whether a request of the given rank may take an attempt from a retry budget of
-// which the given share is used. The last quarter is left to more urgent ranks.
-func BudgetAllows(rank, ranks int, used float64) bool {
-	return used <= 1-budgetReserve*(1-urgency(rank, ranks))
+// BudgetAllows reports whether a request of the given rank may drop an answer of the given confidence by
+// an attempt from a retry budget of which the given share is used. Three tenths of the budget are left to answers
+// below Threshold, and the last quarter to weaker ones and to more urgent ranks.
+func BudgetAllows(rank, ranks, confidence int, used float64) bool {
+	if confidence >= Threshold {
+		return used <= spareBudget
+	}
+	certainty := float64(max(confidence, 0)) / Threshold
+	return used <= 1-budgetReserve*certainty*(1-urgency(rank, ranks))
 }
 
 // RequestWork returns the work of a request for the model with index at, of n models by size, at an
--- a/policy/sizing/under_load_test.go
+++ b/policy/sizing/under_load_test.go
@@ -63,12 +63,15 @@
 
 // Guards against an account's priority beyond the routes' that gets a larger share of the budget, or none.
 func TestBudgetAllows(t *testing.T) {
-	require.True(t, BudgetAllows(0, 3, 0.99))
-	require.False(t, BudgetAllows(2, 3, 0.76))
-	require.True(t, BudgetAllows(2, 3, 0.74))
-	require.True(t, BudgetAllows(1, 3, 0.8))
-	require.True(t, BudgetAllows(0, 0, 0.99))
-	require.Equal(t, BudgetAllows(2, 3, 0.76), BudgetAllows(9, 3, 0.76))
+	require.True(t, BudgetAllows(0, 3, 54, 0.99))
+	require.False(t, BudgetAllows(2, 3, 54, 0.77))
+	require.True(t, BudgetAllows(2, 3, 54, 0.74))
+	require.True(t, BudgetAllows(2, 3, 10, 0.9), "a weak answer of a low rank")
+	require.True(t, BudgetAllows(1, 3, 54, 0.8))
+	require.True(t, BudgetAllows(0, 0, 54, 0.99))
+	require.False(t, BudgetAllows(0, 3, 60, 0.75), "an answer that is kept in an overload")
+	require.True(t, BudgetAllows(2, 3, 60, 0.4))
+	require.Equal(t, BudgetAllows(2, 3, 54, 0.77), BudgetAllows(9, 3, 54, 0.77))
 }
 
 // Guards against work that is compared with a mean of nothing, and against hints that make it 0 or infinite.
