Let a new keeper give no totals before the VMs have reported to it

When another VM becomes the keeper, by a start or an end, the first answers held only the VMs that had reported by then: for half a second tokens held at endpoints, demand and paces looked lower than they were, and the other data centres got these totals too. A keeper now gives totals 1.5 s after it became the first; VMs use the last ones for 2 s. TestNewKeeperWaitsForReports covers it with a given clock; it wasn't measured in a fleet.

--- a/fleet/tally/sums.go
+++ b/fleet/tally/sums.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// MaxSums bounds the sums of one topic in a datagram.
-const MaxSums = 150
+const (
+	// MaxSums bounds the sums of one topic in a datagram.
+	MaxSums = 150
+	// keeperDelay is the time after which a new keeper gives totals: three reports of each VM. Until then it
+	// may know only some of them, and the last keeper's totals are in use for 2 s.
+	keeperDelay = 3 * refreshInterval
+)
 
 // Sum is a pair of figures about one subject that add up over the VMs. Key is the hash of the subject;
 // package tally doesn't interpret it.
@@ -160,6 +165,7 @@
 		return
 	}
 	k := keepers[0]
+	keeps := s.keeps(s.cfg.Clock(), k)
 	for _, own := range topics {
 		own.List = largestSums(own.List)
 		seq := s.sequence.Add(1)
@@ -169,6 +175,9 @@
 		}
 		now := s.cfg.Clock()
 		s.aggregator.RecordSums(now, s.cfg.Self, s.incarnation, seq, own, false)
+		if !keeps {
+			continue
+		}
 		s.cfg.ApplySums(s.aggregator.SumTotals(now, own.Topic, true))
 		local := s.aggregator.SumTotals(now, own.Topic, false)
 		for _, other := range s.cfg.RemoteKeepers() {
@@ -177,6 +186,36 @@
 	}
 }
 
+// keeps reports whether this VM has been the keeper for long enough to give totals, given the first keeper.
+func (s *Service) keeps(now time.Duration, first Keeper) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case first.Name != s.cfg.Self:
+		s.keeperSince = 0
+	case s.keeperSince == 0:
+		s.keeperSince = now
+	}
+	return s.hasReports(now)
+}
+
+// hasReports reports whether all VMs had time to report to this keeper. Callers hold s.mu.
+func (s *Service) hasReports(now time.Duration) bool {
+	return s.keeperSince != 0 && now-s.keeperSince >= keeperDelay
+}
+
+// sumsAnswer records a VM's sums and returns the answer with the totals, nil if this VM can't give them.
+func (s *Service) sumsAnswer(now time.Duration, m *message) *message {
+	s.aggregator.RecordSums(now, m.From, m.Incarnation, m.Sequence, *m.Sums, false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.hasReports(now) {
+		return nil
+	}
+	totals := s.aggregator.SumTotals(now, m.Sums.Topic, true)
+	return &message{Kind: kindFleetSums, Sequence: s.sequence.Add(1), Sums: &totals}
+}
+
 // handleSums processes a message about sums.
 func (s *Service) handleSums(now time.Duration, from string, m *message) {
 	if m.Sums == nil {
@@ -184,9 +223,9 @@
 	}
 	switch m.Kind {
 	case kindSums:
-		s.aggregator.RecordSums(now, m.From, m.Incarnation, m.Sequence, *m.Sums, false)
-		totals := s.aggregator.SumTotals(now, m.Sums.Topic, true)
-		s.sendTo(from, message{Kind: kindFleetSums, Sequence: s.sequence.Add(1), Sums: &totals})
+		if answer := s.sumsAnswer(now, m); answer != nil {
+			s.sendTo(from, *answer)
+		}
 	case kindSumTotals:
 		s.aggregator.RecordSums(now, m.From, m.Incarnation, m.Sequence, *m.Sums, true)
 	case kindFleetSums:
--- a/fleet/tally/sums_test.go
+++ b/fleet/tally/sums_test.go
@@ -74,6 +74,25 @@
 	}
 }
 
+// Guards against totals that contain only a few VMs: a new keeper must not give any before the others had time
+// to report to it, also if it was the keeper before.
+func TestNewKeeperWaitsForReports(t *testing.T) {
+	v, now := &Service{cfg: Config{Self: "vm0"}, aggregator: NewAggregator()}, time.Hour
+	self := Keeper{Name: "vm0"}
+	own := message{Kind: kindSums, From: "vm9", Sums: new(topicSums(Sum{Key: 1, A: 1, B: 1}))}
+	for range 2 {
+		require.False(t, v.keeps(now, self))
+		require.False(t, v.keeps(now+keeperDelay-1, self))
+		require.Nil(t, v.sumsAnswer(now+keeperDelay-1, &own))
+		require.True(t, v.keeps(now+keeperDelay, self))
+		own.Sequence++
+		require.Len(t, v.sumsAnswer(now+keeperDelay, &own).Sums.List, 1)
+		now += time.Hour
+		require.False(t, v.keeps(now, Keeper{Name: "another"}))
+		require.Nil(t, v.sumsAnswer(now, &own))
+	}
+}
+
 // Guards against totals that aren't finite, since the figures of two VMs overflow.
 func TestSumTotalsStayFinite(t *testing.T) {
 	a := NewAggregator()
