Start admission only when half a second of signals agree that room is short

Cause: for a plain service with few slots, endpoints reject more than 1 in 100 attempts and 0.8 of the slots are in use at a load that it serves. Admission started by these two alone, and the trim then fell for the rejections, which chance causes at such a load.

Change: demand or mean use must have risen above 0.95 of the capacity half a second before. Rejections alone start admission only if the mean use over 2 s is above 0.95. As long as endpoints have no queue, the mean demand over 2 s decides whether it fits, and nobody is refused while it does. The trim rises while under 0.7 of the slots are in use, in spite of rejections.

--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -16,13 +16,15 @@
 	drainTime = 2 * time.Second
 	// maxRejections is the share of attempts that endpoints may reject for want of room.
 	maxRejections = 0.01
-	// busyShare is the share of the slots in use above which rejections alone start admission.
-	// Below it they come from uneven placement, which a retry elsewhere solves.
-	busyShare = 0.8
-	// mildRejections is the share of attempts that endpoints may reject while the mean demand over
-	// demandMeanTime decides. The demand of a plain service with 30 slots varies by a tenth from half a
-	// second to the next; without the mean, twice as many requests were refused at 0.8 of the slots.
-	mildRejections = 0.1
+	// startTime is how long the demand or the mean use must exceed startShare of the capacity before
+	// admission can start. The endpoints' rejections or queues follow later and must agree at its end.
+	startTime = 500 * time.Millisecond
+	// fullUse is the mean share of the slots in use above which rejections start admission even if the
+	// demand seems to fit, since requests may hold slots for longer than measured. Below it they come from uneven placement or chance, which a retry elsewhere solves: endpoints of
+	// a plain service with 30 slots reject up to a third of the attempts of a second at 0.8 of the slots.
+	fullUse = 0.95
+	// demandMeanTime is the time over which demand and use are averaged as long as endpoints have no
+	// queue. The demand of a plain service with 30 slots varies by a tenth from half a second to the next.
 	demandMeanTime = 2 * time.Second
 	// minOwnRejections is the recent rejections that a VM without totals must have seen itself:
 	// its part of the capacity is a few slots, and its demand varies by as much.
@@ -43,6 +45,7 @@
 type gateState struct {
 	active      bool
 	since       time.Time // the start of the overload
+	scarceSince time.Time // when the demand or the use rose above startShare of the capacity; zero once both are below endShare
 	calmSince   time.Time // zero if the service isn't calm
 	evaluatedAt time.Time
 	trim        float64
@@ -58,6 +61,7 @@
 	// demand is the offered work in slots without requests that return after a refusal: they have been
 	// counted before.
 	demand, demandMean float64
+	underWayMean       float64 // over demandMeanTime
 	lastActive         time.Time
 	underWay           float64
 	rejections         float64 // share of the attempts
@@ -115,7 +119,9 @@
 		st.learnUsual(now, t.demands)
 	}
 	st.toSlots(&t)
-	st.demandMean += min(now.Sub(st.evaluatedAt).Seconds()/demandMeanTime.Seconds(), 1) * (st.demand - st.demandMean)
+	gain := min(now.Sub(st.evaluatedAt).Seconds()/demandMeanTime.Seconds(), 1)
+	st.demandMean += gain * (st.demand - st.demandMean)
+	st.underWayMean += gain * (st.underWay - st.underWayMean)
 	was := st.active
 	st.update(now, &t)
 	if st.active {
@@ -159,16 +165,23 @@
 // update starts, continues or ends admission.
 func (st *gateState) update(now time.Time, t *totals) {
 	if st.capacity <= 0 { // unknown, or no endpoint is usable, which is refused elsewhere
-		st.active = false
+		st.active, st.scarceSince = false, time.Time{}
 		return
 	}
 	if !st.active {
-		if st.tooLittleRoom(t) {
+		switch most := max(st.demand, st.underWayMean); {
+		case most <= endShare*st.capacity:
+			st.scarceSince = time.Time{}
+		case most > startShare*st.capacity && st.scarceSince.IsZero():
+			st.scarceSince = now
+		}
+		if !st.scarceSince.IsZero() && now.Sub(st.scarceSince) >= startTime && st.tooLittleRoom(t) {
 			st.active, st.since, st.trim, st.drain, st.calmSince = true, now, startTrim, 0, time.Time{}
 			st.slotTimeBefore, st.useMean = st.slotTime, st.underWay/st.capacity
 		}
 		return
 	}
+	st.scarceSince = time.Time{}
 	st.adjustTrim(now)
 	st.setDrain(t)
 	calm := st.demand < endShare*st.trim*st.capacity && st.rejections <= maxRejections
@@ -189,14 +202,14 @@
 	if st.ownOnly {
 		return demand && rejecting && t.rejected >= minOwnRejections
 	}
-	return demand && (rejecting || st.underWay > st.capacity) || rejecting && st.underWay > busyShare*st.capacity
+	return demand && (rejecting || st.underWay > st.capacity) || rejecting && min(st.underWay, st.underWayMean) > fullUse*st.capacity
 }
 
-// fits reports whether the capacity bears the demand. Unless endpoints show that it doesn't, a rise that may
-// be chance doesn't count.
+// fits reports whether the capacity bears the demand. Unless endpoints have queues, a rise that may be chance
+// doesn't count.
 func (st *gateState) fits() bool {
 	demand := st.demand
-	if st.rejections <= mildRejections && st.underWay <= st.capacity {
+	if st.underWay <= st.capacity {
 		demand = min(demand, st.demandMean)
 	}
 	return demand <= startShare*st.capacity
--- a/policy/admission/trim.go
+++ b/policy/admission/trim.go
@@ -21,6 +21,10 @@
 	useGoal = 0.88
 	// fallTrim is the trim below which it doesn't fall for the queues at endpoints alone.
 	fallTrim = 0.8
+	// busyShare is the share of the slots in use above which the trim falls for rejections, and lowUse that
+	// below which it rises in spite of them: with few slots some endpoints are full by chance.
+	busyShare = 0.8
+	lowUse    = 0.7
 	// useRising is the use of the slots relative to its mean over useTimeConstant above which it rises.
 	useRising       = 1.03
 	useTimeConstant = time.Second
@@ -41,7 +45,7 @@
 		factor = max(1-st.rejections, maxTrimFall)
 	case use > 1 && st.trim > fallTrim:
 		factor = trimQueued
-	case st.rejections <= maxRejections && use < useRising*st.useMean:
+	case use < lowUse, st.rejections <= maxRejections && use < useRising*st.useMean:
 		// While the use still rises, slots are free since the capacity rose or others were refused.
 		factor = min(max(useGoal/max(use, idleShare), 1), maxTrimRise)
 	}
@@ -78,7 +82,10 @@
 	least := max(urgent/(1-2*rankFloor), minDrained*st.capacity)
 	allotted := max(full-st.drain, min(least, full))
 	if st.fits() {
-		// A few rejections that are tried again elsewhere cost callers less than as many refusals.
+		// Rejections that are tried again elsewhere cost callers less than refusals.
+		if st.underWay <= st.capacity {
+			return max(allotted, st.offered)
+		}
 		allotted = max(allotted, st.demand*(1-st.rejections))
 	}
 	return allotted
