Forget usual demands without requests, and send no figures of idle services

Cause: the usual demand of an account and rank was only followed while it was in the totals, so that one that had stopped kept its precedence for good and stayed in memory. Each gate sent its rejections and requests under way also when there were none, the latter with a weight above all demands: 70 managed services that had one request ever fill the datagram.

A gate without recent requests sends nothing; its VM asks for the totals with an empty list.

Measured: TestServicesAndAccountsWithoutRequests fails without either change: two figures are sent after a minute without requests, and the two usual demands stay.

--- a/gateway/node/demand.go
+++ b/gateway/node/demand.go
@@ -59,10 +59,14 @@
 	return out
 }
 
-// collect returns this VM's figures of all managed services, nil if there are none.
+// collect returns this VM's figures of all managed services, nil if there are none. The list is empty, and
+// asks for the totals, if they have no requests now.
 func (d *demand) collect() (out []tally.Sum) {
 	now := time.Now()
 	for _, g := range d.all() {
+		if out == nil {
+			out = []tally.Sum{}
+		}
 		for _, f := range g.Figures(now) {
 			out = append(out, tally.Sum{Key: f.Key, A: float32(f.A), B: float32(f.B)})
 		}
--- a/policy/admission/figures.go
+++ b/policy/admission/figures.go
@@ -142,6 +142,9 @@
 		}
 		out = append(out, Figure{Key: subjectKey(g.prefix, shortHash(version), kindVersion), A: rate, B: rate})
 	}
+	if len(out) == 0 && g.underWay == 0 && g.underWayMean(now) < minFlow {
+		return nil // a service without requests would displace the figures of others
+	}
 	return append(out,
 		Figure{Key: subjectKey(g.prefix, 0, kindRejected), A: g.rejected.count(now), B: g.attempts.count(now)},
 		Figure{Key: subjectKey(g.prefix, 0, kindUnderWay), A: g.underWayMean(now), B: underWayWeight})
--- a/policy/admission/gate_test.go
+++ b/policy/admission/gate_test.go
@@ -172,3 +172,24 @@
 	require.Greater(t, g.Arrive(at, Arrival{Account: "3", Rank: 0}).Share, 0.99)
 	require.Less(t, g.Arrive(at, Arrival{Account: "large", Rank: 0}).Share, 0.99)
 }
+
+// Guards against managed services without requests that fill the datagram, and against usual demands of
+// accounts that have gone.
+func TestServicesAndAccountsWithoutRequests(t *testing.T) {
+	g := newTestGate()
+	at := overload(g, time.Unix(1000, 0), 0)
+	capacity := Capacity{Slots: map[string]int{"v1": 1000}, VMs: 1}
+	for range 4 {
+		at = overload(g, at, 0)
+		g.ApplyTotals(at, g.Figures(at))
+		g.Evaluate(at, capacity)
+	}
+	require.Len(t, g.state.usual, 2)
+	for range 120 {
+		at = at.Add(500 * time.Millisecond)
+		g.ApplyTotals(at, g.Figures(at))
+		g.Evaluate(at, capacity)
+	}
+	require.Empty(t, g.Figures(at))
+	require.Empty(t, g.state.usual)
+}
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -226,10 +226,12 @@
 	if age < usualAge {
 		return
 	}
+	offered := make(map[uint32]bool, len(demands))
 	for _, d := range demands {
 		if d.small {
 			continue
 		}
+		offered[d.key] = true
 		usual := st.usual[d.key]
 		if age < usualLearning {
 			st.usual[d.key] = max(usual, d.offered)
@@ -238,6 +240,17 @@
 		step := usualGain * min(dt, 1) * (d.offered - usual)
 		st.usual[d.key] = usual + min(step, usualRise*min(dt, 1)*max(usual, minUsual))
 	}
+	for key, usual := range st.usual {
+		if offered[key] {
+			continue
+		}
+		// Without demand, a usual one that stayed would let the account go before others for good.
+		if usual *= 1 - usualGain*min(dt, 1); usual >= minUsual/10 {
+			st.usual[key] = usual
+		} else {
+			delete(st.usual, key)
+		}
+	}
 }
 
 // minUsual is the usual demand in requests a second from which a new account's one grows.
