Count no time without an answer, nor that to connect, as time in a slot

Cause: the time that a request held slots began before the connection was made, and included attempts at endpoints that never answered. After a crash that breaks no connection, a request of 60 ms that waited a second for the dead endpoint counted for 1.06 s, and the demand seemed to exceed the endpoints that were left.

Change: the time counts from the first byte sent, and only for attempts with a head.

Measured: TestTimeWithoutAnswerIsNoTimeInSlot; before, 7200 s in place of 120 s.

--- a/gateway/forward/admission.go
+++ b/gateway/forward/admission.go
@@ -19,6 +19,7 @@
 	// inSlot is the share of the current attempt's time up to the head of its answer in which it held
 	// a slot; the rest it waited at the endpoint.
 	inSlot float64
+	sentAt time.Time     // of the current attempt, without the time to connect
 	held   time.Duration // by ended attempts
 }
 
@@ -53,8 +54,9 @@
 // useSlot records that the current attempt was sent to an endpoint.
 func (c *call) useSlot(ch placement.Choice) {
 	if gate := c.slots.gate; gate != nil && !c.slots.sent {
-		c.slots.sent, c.slots.inSlot = true, 1
-		gate.Sent(time.Now(), ch.Version)
+		now := time.Now()
+		c.slots.sent, c.slots.inSlot, c.slots.sentAt = true, 1, now
+		gate.Sent(now, ch.Version)
 	}
 }
 
@@ -82,15 +84,10 @@
 	now := time.Now()
 	c.slots.sent = false
 	gate.Ended(now, result == resultFull)
-	if !mayHaveRun(result) {
-		return
-	}
-	toHead := now.Sub(c.sentAt)
-	if !c.answer.head.IsZero() {
-		toHead = c.answer.head.Sub(c.sentAt)
-		c.slots.held += now.Sub(c.answer.head)
+	// Without a head the endpoint may be dead, and the slot isn't one of the service's capacity.
+	if head := c.answer.head; !head.IsZero() && mayHaveRun(result) {
+		c.slots.held += now.Sub(head) + time.Duration(c.slots.inSlot*float64(head.Sub(c.slots.sentAt)))
 	}
-	c.slots.held += time.Duration(c.slots.inSlot * float64(toHead))
 	if result == resultOK { // the request's last attempt
 		gate.Held(now, c.priority, c.slots.held)
 	}
--- a/gateway/forward/admission_test.go
+++ b/gateway/forward/admission_test.go
@@ -113,3 +113,22 @@
 	w.gate.Evaluate(now.Add(10*time.Second), admission.Capacity{Slots: map[string]int{"v1": 16}, VMs: 1})
 	require.InDelta(t, 0, w.gate.Report().UnderWay, 1e-6)
 }
+
+// Guards against requests that are refused after the crash of an endpoint that doesn't answer: the time for which it was
+// waited for, and that to connect, is no time in a slot of an endpoint that is left.
+func TestTimeWithoutAnswerIsNoTimeInSlot(t *testing.T) {
+	gate := admission.NewGate("s", rand.New(rand.NewPCG(1, 2)))
+	now := time.Now()
+	c := &call{slots: slotUse{gate: gate, sent: true, inSlot: 1, sentAt: now.Add(-time.Hour)}}
+	c.releaseSlot("overdue")
+	c.sentAt, c.answer.head = now.Add(-time.Hour), now.Add(-time.Minute)
+	c.slots.sent, c.slots.sentAt = true, now.Add(-2*time.Minute)
+	c.releaseSlot(resultOK)
+	seconds := 0.0
+	for _, f := range gate.Figures(now) {
+		if f.Key&15 == 11 { // the time in slots
+			seconds += f.A
+		}
+	}
+	require.InDelta(t, 120, seconds, 5)
+}
