--- a/policy/sizing/load.go
+++ b/policy/sizing/load.go
@@ -65,6 +65,9 @@
 	// Measured says that it is known.
 	CapacityUse float64
 	Measured    bool
+	// Refusing says that callers of the service are refused for want of room. A larger model holds a slot
+	// for several times as long, in which the smallest one serves several callers.
+	Refusing bool
 	// ShortestTarget is the shortest target latency of the service's routes, 0 for none. A wait
 	// harms the requests with the shortest one first, whichever request adds to it.
 	ShortestTarget time.Duration
@@ -182,8 +185,11 @@
 	return relative
 }
 
-// pressure rises from 0 to 1 with the capacity in use and the wait.
+// pressure rises from 0 to 1 with the capacity in use and the wait; it is 1 while callers are refused.
 func (s *LoadInput) pressure() float64 {
+	if s.Refusing {
+		return 1
+	}
 	pressure := 0.0
 	if s.Measured {
 		pressure = ramp(s.CapacityUse, lowCapacityUse, highCapacityUse)
--- a/policy/sizing/under_load_test.go
+++ b/policy/sizing/under_load_test.go
@@ -29,6 +29,7 @@
 		"large, endpoints busy":              {func(s *LoadInput) { large(s); s.CapacityUse = 1.3 }, 0, ReasonPressure},
 		"large and urgent, endpoints busy":   {func(s *LoadInput) { large(s); s.Rank, s.CapacityUse = 0, 1.3 }, 2, ReasonNone},
 		"small and urgent, endpoints full":   {func(s *LoadInput) { s.CapacityUse = 1.7 }, 0, ReasonPressure},
+		"callers are refused":                {func(s *LoadInput) { s.Refusing = true }, 0, ReasonPressure},
 		"one endpoint full":                  {func(s *LoadInput) { s.Running, s.Slots = 16, 16 }, 2, ReasonNone},
 		"no load known":                      {func(s *LoadInput) { s.CapacityUse, s.Measured = 1.7, false }, 2, ReasonNone},
 		"no load known, long wait":           {func(s *LoadInput) { s.Measured, s.Wait = false, 700*time.Millisecond }, 0, ReasonPressure},
