--- a/policy/speed/speed_test.go
+++ b/policy/speed/speed_test.go
@@ -46,17 +46,17 @@
 	require.InDelta(t, 2.5, e.Factor(start, 0), 0.01)
 	require.Less(t, e.Factor(start.Add(500*time.Millisecond), 0), 1.15)
 	require.InDelta(t, 1, e.Factor(start.Add(2*time.Second), 0), 0.01)
-	for _, lie := range []int{1, 20, 800, math.MaxInt} {
-		var liar Endpoint
-		now := measure(&liar, start, 1.6, 6*time.Second)
-		honest := liar.Factor(now, 0)
+	for _, percent := range []int{1, 20, 800, math.MaxInt} {
+		var wrong Endpoint
+		now := measure(&wrong, start, 1.6, 6*time.Second)
+		unstated := wrong.Factor(now, 0)
 		for range 50 {
-			liar.Measure(now, 1.6, 1)
+			wrong.Measure(now, 1.6, 1)
 			now = now.Add(100 * time.Millisecond)
-			liar.State(now, lie)
-			require.InDelta(t, 0, math.Log(liar.Factor(now, 0)/honest), math.Log(maxStatedEffect)+0.1, "stated %d", lie)
+			wrong.State(now, percent)
+			require.InDelta(t, 0, math.Log(wrong.Factor(now, 0)/unstated), math.Log(maxStatedEffect)+0.1, "stated %d", percent)
 		}
-		require.InDelta(t, 0, math.Log(liar.Factor(now, 0)/honest), 0.5, "stated %d for 5 s", lie)
+		require.InDelta(t, 0, math.Log(wrong.Factor(now, 0)/unstated), 0.5, "stated %d for 5 s", percent)
 	}
 	var turned Endpoint
 	now := start
