Let the usual demand of absent accounts decay over a minute

Cause: accounts whose figures don't fit the datagram are absent too, and would have lost their usual demand within some seconds.

Change: an absent one decays by 0.02 a second, and is forgotten within some minutes.

--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -39,6 +39,8 @@
 	usualLearning = 4 * time.Second
 	usualRise     = 0.05
 	usualGain     = 0.2
+	// usualAbsentGain is lower since a small account may be missing from the totals for a while.
+	usualAbsentGain = 0.02
 )
 
 // gateState is the current decision of a gate.
@@ -245,7 +247,7 @@
 			continue
 		}
 		// Without demand, a usual one that stayed would let the account go before others for good.
-		if usual *= 1 - usualGain*min(dt, 1); usual >= minUsual/10 {
+		if usual *= 1 - usualAbsentGain*min(dt, 1); usual >= minUsual/10 {
 			st.usual[key] = usual
 		} else {
 			delete(st.usual, key)
