Start admission only if endpoints state that their slots are in use

Cause: the time in a slot and the requests under way that a VM measures contain the network and the VM's own waiting for a processor. With 60 ms on the network, requests of 60 ms seem to need twice the slots, and the few rejections of a plain service by chance completed the signals.

Change: VMs exchange the shares of their slots in use that endpoints state with their answers. Where at least five recent answers state it, the mean must be 0.75 of the slots other than the answer's own. Without statements nothing changes.

--- a/policy/admission/figures.go
+++ b/policy/admission/figures.go
@@ -23,6 +23,8 @@
 const (
 	kindBits, subjectBits = 4, 16
 	maxRank               = 9
+	// kindStated: A is the sum of the shares of their slots in use that endpoints stated, B their number.
+	kindStated = 10
 	// kindHeld: A is the seconds for which requests of a rank held slots, B the number of these
 	// requests. The subject is the rank.
 	kindHeld = 11
@@ -134,6 +136,9 @@
 			out = append(out, Figure{Key: subjectKey(g.prefix, uint32(rank), kindHeld), A: g.held[rank].seconds.value(now), B: n})
 		}
 	}
+	if n := g.statedUse.answers.value(now); n > minFlow {
+		out = append(out, Figure{Key: subjectKey(g.prefix, 0, kindStated), A: g.statedUse.shares.value(now), B: n})
+	}
 	for _, version := range slices.Sorted(maps.Keys(g.versions)) {
 		rate := g.versions[version].rate(now)
 		if rate < minFlow {
@@ -156,6 +161,7 @@
 	// offered and admitted are requests a second by rank, returning those that return after a refusal.
 	offered, admitted, returning [maxRank + 1]float64
 	held                         [maxRank + 1]Figure
+	stated                       Figure
 	rejected, attempts           float64
 	underWay                     float64
 	versions                     map[uint32]float64
@@ -181,6 +187,8 @@
 		case kindHeld:
 			h := &t.held[min(keySubject(f.Key), maxRank)]
 			h.A, h.B = h.A+a, h.B+b
+		case kindStated:
+			t.stated.A, t.stated.B = t.stated.A+a, t.stated.B+b
 		case kindVersion:
 			t.versions[keySubject(f.Key)] += b
 		case kindRejected:
--- a/policy/admission/gate.go
+++ b/policy/admission/gate.go
@@ -26,6 +26,8 @@
 	// heldTimeConstant is the time over which the mean time that requests hold a slot is taken. At
 	// one request a second of a rank on each VM only the fleet together knows it within seconds.
 	heldTimeConstant = 4 * time.Second
+	// statedTimeConstant is the time over which the use that endpoints state is averaged.
+	statedTimeConstant = time.Second
 	// maxCredits bounds the refusals of an account and rank that are remembered, and creditTime is
 	// how long after its return time a refused caller may come back.
 	maxCredits = 64
@@ -67,6 +69,7 @@
 	versions           map[string]*decayingSum // requests sent, by version
 	rejected, attempts lastSecond
 	admitted           [maxRank + 1]decayingSum
+	statedUse          statedUse
 	underWay           int
 	underWayAverage    float64 // as of underWayAt
 	underWayAt         time.Time
@@ -84,6 +87,9 @@
 // number.
 type heldTime struct{ seconds, requests decayingSum }
 
+// statedUse sums the shares of their slots in use that endpoints stated recently, and their number.
+type statedUse struct{ shares, answers decayingSum }
+
 // NewGate returns a gate that admits all requests until Evaluate finds too little room. The gate owns
 // rng.
 func NewGate(service string, rng *rand.Rand) *Gate {
@@ -92,6 +98,7 @@
 		flows: make(map[subject]*flow), versions: make(map[string]*decayingSum),
 		state: gateState{shares: make(map[uint32]share), usual: make(map[uint32]float64), trim: 1},
 	}
+	g.statedUse.shares.constant, g.statedUse.answers.constant = statedTimeConstant, statedTimeConstant
 	for rank := range g.held {
 		g.admitted[rank] = newDemandSum()
 		g.held[rank].seconds.constant, g.held[rank].requests.constant = heldTimeConstant, heldTimeConstant
@@ -237,12 +244,18 @@
 
 // ReportLoad records the requests that an endpoint stated, and its slots.
 func (g *Gate) ReportLoad(now time.Time, inFlight, slots int) {
-	if slots <= 0 || 2*inFlight < slots {
+	if slots <= 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.busyUntil = now.Add(busyTime)
+	// An answer's own slot is in use at any load, which is much of an endpoint with few slots.
+	own := min(1, slots-1)
+	g.statedUse.shares.add(now, min(max(float64(inFlight-own), 0)/float64(slots-own), 1))
+	g.statedUse.answers.add(now, 1)
+	if 2*inFlight >= slots {
+		g.busyUntil = now.Add(busyTime)
+	}
 }
 
 // Busy reports whether an endpoint rejected a request or stated that half of its slots are in use in
--- a/policy/admission/gate_load_test.go
+++ b/policy/admission/gate_load_test.go
@@ -50,6 +50,8 @@
 	use         float64    // share of the slots in use on a calm day
 	loud, surge float64
 	outage      bool
+	// network is the time that answers are under way after they left their slot.
+	network time.Duration
 	// untried is the share of the endpoints that run a version that no request may use yet.
 	untried float64
 }
@@ -106,6 +108,7 @@
 	gates      []*Gate
 	endpoints  []*simEndpoint
 	returns    []*simRequest
+	answers    []simRun                  // under way to their VM, until ends
 	current    []Figure                  // totals that were collected last
 	lost       func(s *sim, vm int) bool // whether a VM gets no totals now; may be nil
 	refuse     [simVMs]float64           // simOwn: probability
@@ -315,12 +318,30 @@
 			if run.ends > s.at {
 				return false
 			}
-			s.gates[run.vm].Ended(s.now(), false)
-			s.gates[run.vm].Held(s.now(), run.kind, run.held)
+			s.gates[run.vm].ReportLoad(s.now(), len(e.running)+len(e.queue), s.day.service.slots)
+			run.ends, run.held = s.at+s.day.network, run.held+s.day.network
+			if s.day.network > 0 {
+				s.answers = append(s.answers, run)
+			} else {
+				s.answered(run)
+			}
 			return true
 		})
 		s.start(e)
 	}
+	s.answers = slices.DeleteFunc(s.answers, func(run simRun) bool {
+		if run.ends > s.at {
+			return false
+		}
+		s.answered(run)
+		return true
+	})
+}
+
+// answered lets a VM get an answer.
+func (s *sim) answered(run simRun) {
+	s.gates[run.vm].Ended(s.now(), false)
+	s.gates[run.vm].Held(s.now(), run.kind, run.held)
 }
 
 // exchange collects the totals twice a second and passes them on a quarter of a second later: VMs send at
@@ -356,6 +377,7 @@
 
 // simTotals sums the figures as fleet/tally does, which keeps the 70 with the largest B.
 func simTotals(now time.Time, gates []*Gate) (out []Figure) {
+	out = []Figure{} // VMs get totals also while no service has requests
 	total := make(map[uint32]Figure)
 	for _, g := range gates {
 		for _, f := range g.Figures(now) {
@@ -462,6 +484,16 @@
 	}
 }
 
+// Guards against refusals for answers that take as long to reach the VM as they hold a slot: they seem to
+// need twice the slots.
+func TestDistantPlainService(t *testing.T) {
+	for seed := range uint64(2) {
+		s := runSim(simFleet, seed, simDay{service: simPlain, use: 0.6, loud: 1, surge: 1, network: 60 * time.Millisecond}, nil)
+		s.log(t)
+		require.Less(t, 200*s.refusals, s.attempts)
+	}
+}
+
 // Guards against an overload that nobody limits because totals are lost, one in three or all.
 func TestTotalsLostInAnOverload(t *testing.T) {
 	none := runSim(simNone, 0, overloadedDay, nil)
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -23,6 +23,10 @@
 	// demand seems to fit, since requests may hold slots for longer than measured. Below it they come from uneven placement or chance, which a retry elsewhere solves: endpoints of
 	// a plain service with 30 slots reject up to a third of the attempts of a second at 0.8 of the slots.
 	fullUse = 0.95
+	// minStatedUse is the mean share of their slots in use that endpoints must state, in at least minStated recent
+	// answers, before admission can start. What a VM measures is too high by the time on the network and in the VM.
+	minStatedUse = 0.75
+	minStated    = 5.0
 	// demandMeanTime is the time over which demand and use are averaged as long as endpoints have no
 	// queue. The demand of a plain service with 30 slots varies by a tenth from half a second to the next.
 	demandMeanTime = 2 * time.Second
@@ -199,6 +203,9 @@
 
 // tooLittleRoom reports whether the measured signals agree that the room is used up.
 func (st *gateState) tooLittleRoom(t *totals) bool {
+	if t.stated.B >= minStated && t.stated.A < minStatedUse*t.stated.B {
+		return false
+	}
 	demand := !st.fits()
 	rejecting := st.rejections > maxRejections
 	if st.ownOnly {
