--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -23,6 +23,10 @@
 	// demand seems to fit, since requests may hold slots for longer than measured. Below it they come from uneven placement or chance, which a retry elsewhere solves: endpoints of
 	// a plain service with 30 slots reject up to a third of the attempts of a second at 0.8 of the slots.
 	fullUse = 0.95
+	// minStatedUse is the mean share of their slots in use that endpoints must state, in at least minStated recent
+	// answers, before admission can start. What a VM measures is too high by the time on the network and in the VM.
+	minStatedUse = 0.75
+	minStated    = 5.0
 	// demandMeanTime is the time over which demand and use are averaged as long as endpoints have no
 	// queue. The demand of a plain service with 30 slots varies by a tenth from half a second to the next.
 	demandMeanTime = 2 * time.Second
@@ -39,6 +43,8 @@
 	usualLearning = 4 * time.Second
 	usualRise     = 0.05
 	usualGain     = 0.2
+	// usualAbsentGain is lower since a small account may be missing from the totals for a while.
+	usualAbsentGain = 0.02
 )
 
 // gateState is the current decision of a gate.
@@ -99,6 +105,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := &g.state
+	if now.Before(st.evaluatedAt) {
+		now = st.evaluatedAt // of two concurrent calls, the later one came first
+	}
 	t := g.fleet
 	st.ownOnly = g.fleetAt.IsZero() || now.Sub(g.fleetAt) > totalsMaxAge
 	st.vms = float64(max(c.VMs, 1))
@@ -197,6 +206,9 @@
 
 // tooLittleRoom reports whether the measured signals agree that the room is used up.
 func (st *gateState) tooLittleRoom(t *totals) bool {
+	if t.stated.B >= minStated && t.stated.A < minStatedUse*t.stated.B {
+		return false
+	}
 	demand := !st.fits()
 	rejecting := st.rejections > maxRejections
 	if st.ownOnly {
@@ -245,7 +257,7 @@
 			continue
 		}
 		// Without demand, a usual one that stayed would let the account go before others for good.
-		if usual *= 1 - usualGain*min(dt, 1); usual >= minUsual/10 {
+		if usual *= 1 - usualAbsentGain*min(dt, 1); usual >= minUsual/10 {
 			st.usual[key] = usual
 		} else {
 			delete(st.usual, key)
