--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +21,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/platform"
@@ -153,6 +157,10 @@
 	sent          time.Time
 	status        int
 	runs          int
+	rank          int    // priority
+	code          string // of a refusal
+	share         bool   // refused for the account's share
+	arrivals      int    // at endpoints, also of attempts that an endpoint refused
 }
 
 // soakTestbed holds the state that callers, endpoints and faults share.
@@ -164,6 +172,7 @@
 	limit   *limitRecord
 	rest    *restRecord
 	repeats *repeatRecord
+	load    *loadRecord
 	network *network
 
 	mu            sync.Mutex
@@ -230,8 +239,19 @@
 		if w.faultsActive {
 			fault = w.rng.IntN(100)
 		}
-		if fault >= 5 {
-			if rec := w.records[id]; rec != nil {
+		var held *heldRequest
+		var notHeld error
+		if w.load.on() && fault >= 5 {
+			held, notHeld = w.load.endpoints[name].enter(r)
+		}
+		runs := fault >= 5 && !errors.Is(notHeld, errEndpointFull)
+		rec := w.records[id]
+		if rec != nil {
+			rec.arrivals++
+			w.load.checkPriority(r.Header.Values(n.Priority), id, rec.rank)
+		}
+		if runs {
+			if rec != nil {
 				rec.runs++
 			} else {
 				w.violations = append(w.violations, "an endpoint ran "+id+", which no caller sent")
@@ -240,6 +260,9 @@
 		w.mu.Unlock()
 		w.repeats.arrive(id)
 		rw.Header().Set(n.RequestID, id)
+		if w.load.on() {
+			w.load.stateLoad(rw, name, w.randomInt)
+		}
 		answered := func() {}
 		if name == soakLimited {
 			answered = w.limit.arrive(rw, from)
@@ -251,8 +274,17 @@
 				return
 			}
 		}
+		if held != nil {
+			hold := soakHold
+			if w.load.slowdown {
+				hold = hold * time.Duration(slowdownNow(name)) / 100
+			}
+			notHeld = w.load.endpoints[name].run(r.Context(), held, hold)
+		}
 		switch {
-		case fault < 5:
+		case notHeld != nil && runs:
+			panic(http.ErrAbortHandler)
+		case !runs:
 			rw.Header().Set(n.NotRun, "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			answered()
@@ -272,36 +304,60 @@
 			time.Sleep(time.Duration(fault) * 10 * time.Millisecond)
 		}
 		rw.Header().Set(n.Signature, "sig")
-		_, _ = io.WriteString(rw, "whole:"+id)
+		_, _ = io.WriteString(rw, wholeAnswer(id))
 		answered()
 	}
 }
 
+// wholeAnswer returns the answer to a request.
+func wholeAnswer(id string) string {
+	if strings.HasPrefix(id, bigPrefix) {
+		return "whole:" + id + strings.Repeat("x", soakBig)
+	}
+	return "whole:" + id
+}
+
 // configure writes the next configuration with the given API keys.
 func (w *soakTestbed) configure(keys []string) {
 	w.version++
-	route := func(name, kind string) map[string]any {
-		return map[string]any{"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "service": "s", "maxAttempts": 3, "timeoutMs": 5000}
+	route := func(name, kind string, rank int) map[string]any {
+		return map[string]any{"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "service": "s", "maxAttempts": 3, "timeoutMs": 5000, "priority": rank}
 	}
 	w.store.Put("config", "main", map[string]any{
-		"version": w.version, "routes": []any{route("once", "non_idempotent"), route("again", "idempotent")},
-		"services": []any{map[string]any{"name": "s"}}, "tenants": []any{map[string]any{"name": "acme", "apiKeys": keys}},
+		"version": w.version, "routes": []any{route("once", "non_idempotent", soakRanks[true]), route("again", "idempotent", soakRanks[false])},
+		"services": []any{map[string]any{"name": "s", "engine": map[string]any{"slots": w.load.slots(), "kvCapacityTokens": soakMemory}}},
+		"tenants": []any{
+			map[string]any{"name": "acme", "apiKeys": keys},
+			map[string]any{"name": "loud", "apiKeys": []string{soakLoudKey}, "priority": soakLoudRank},
+		},
 	})
 }
 
 // putServer writes the store's entry of an endpoint.
 func (w *soakTestbed) putServer(name, address, state string) {
 	w.store.Put("servers", name, map[string]any{
-		"service": "s", "address": address, "zone": "a", "version": "v1", "slots": 8, "state": state,
+		"service": "s", "address": address, "zone": "a", "version": "v1", "slots": w.load.slots(), "state": state,
 	})
 }
 
 // call sends one request through a random VM, records the result and checks the answer.
 // It returns the status, or 0 without an answer.
 func (w *soakTestbed) call(ctx context.Context, client *http.Client, id string) int {
+	return w.callWith(ctx, client, id, callOptions{})
+}
+
+func (w *soakTestbed) callWith(ctx context.Context, client *http.Client, id string, o callOptions) int {
 	n := platform.Names()
+	if o.read == nil {
+		o.read = io.ReadAll
+	}
+	o.deadline = cmp.Or(o.deadline, soakDeadline)
 	w.mu.Lock()
-	rec := &record{nonRepeatable: w.rng.IntN(2) == 0, key: w.keys[w.rng.IntN(len(w.keys))], sent: time.Now()}
+	rec := &record{nonRepeatable: w.rng.IntN(2) == 0, key: cmp.Or(o.key, w.keys[w.rng.IntN(len(w.keys))]), sent: time.Now()}
+	rec.rank = soakRanks[rec.nonRepeatable]
+	if rec.key == soakLoudKey {
+		rec.rank = soakLoudRank
+	}
 	w.records[id] = rec
 	rec.vm = w.rng.IntN(len(w.vms))
 	front := w.vms[rec.vm].front
@@ -310,28 +366,64 @@
 	if rec.nonRepeatable {
 		method, path = http.MethodPost, "/once/"+id
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, nil)
+	var sent io.Reader
+	if rec.nonRepeatable {
+		sent = bytes.NewReader(make([]byte, w.randomInt(64<<10)))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+front+path, sent)
 	if err != nil {
 		return 0
 	}
 	req.Host = "h"
+	w.setLoadHeaders(req.Header)
 	req.Header.Set(n.RequestID, id)
 	req.Header.Set(n.Key, rec.key)
-	req.Header.Set(n.Deadline, "3000")
+	req.Header.Set(n.Deadline, strconv.FormatInt(o.deadline.Milliseconds(), 10))
 	w.repeats.send()
 	resp, err := client.Transport.RoundTrip(req)
 	if err != nil {
 		return 0
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := w.readAnswer(rec, resp, id, o)
+	after, share := time.Duration(0), false
+	if resp.StatusCode == http.StatusServiceUnavailable && err == nil {
+		after, share = w.load.checkRefusal(id, resp, body, o.deadline)
+	}
+	w.mu.Lock()
+	rec.share = share
+	if resp.StatusCode != http.StatusOK {
+		rec.code = readRefusal(body).Code
+	}
+	if resp.StatusCode == http.StatusOK && err == nil && string(body) != wholeAnswer(id) {
+		w.violations = append(w.violations, fmt.Sprintf("%s got %d bytes, %.60q", id, len(body), body))
+	}
+	w.mu.Unlock()
+	left := o.deadline - time.Since(rec.sent)
+	if !o.returns || after <= 0 || after > left/3 {
+		return resp.StatusCode
+	}
+	time.Sleep(after)
+	w.load.count(&w.load.returned)
+	o.returns, o.deadline = false, left-after
+	return w.callWith(ctx, client, id+"-returned", o)
+}
+
+// readAnswer records the status of an answer and reads it. A caller that reads steadily must get its
+// whole answer, unless the process of its VM was ended.
+func (w *soakTestbed) readAnswer(rec *record, resp *http.Response, id string, o callOptions) ([]byte, error) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	rec.status = resp.StatusCode
-	if resp.StatusCode == http.StatusOK && err == nil && string(body) != "whole:"+id {
-		w.violations = append(w.violations, fmt.Sprintf("%s got %q", id, body))
+	w.mu.Unlock()
+	body, err := o.read(resp.Body)
+	if !strings.HasPrefix(id, bigPrefix+"steady") || resp.StatusCode != http.StatusOK {
+		return body, err
 	}
-	return resp.StatusCode
+	w.load.count(&w.load.steady)
+	if err != nil && !w.load.endedWithin(rec.vm, rec.sent, time.Now()) {
+		w.load.violate("%s got %d bytes of its answer through VM %d, in %s: %v", id, len(body), rec.vm, time.Since(rec.sent), err)
+	}
+	return body, err
 }
 
 // injectFault starts one random fault and ends it in the background, if it has an end.
@@ -354,6 +446,9 @@
 				defer w.limit.excuse(i, restart)()
 				defer w.rest.excuse(i)()
 			}
+			if restart {
+				defer w.load.end(i)()
+			}
 			started := v.hasStarted()
 			_ = v.cmd.Process.Signal(sig)
 			if sig == syscall.SIGHUP {
@@ -427,7 +522,7 @@
 	w := &soakTestbed{
 		t: t, store: store, rng: rand.New(rand.NewPCG(seed, 1)), records: map[string]*record{},
 		keys: []string{"key-a", "key-b", "key-c"}, revokedAt: map[string]time.Time{}, requestCounts: map[string]int{}, faultsActive: true,
-		limit: newLimitRecord(seed), rest: newRestRecord(), repeats: newRepeatRecord(soakRepeats), network: newNetwork(),
+		limit: newLimitRecord(seed), rest: newRestRecord(), repeats: newRepeatRecord(soakRepeats), load: newLoadRecord(seed), network: newNetwork(),
 	}
 	w.configure(w.keys)
 	addresses := map[string]string{}
@@ -440,7 +535,7 @@
 	for i := range 3 {
 		p := newProxy(t, address)
 		w.proxies = append(w.proxies, p)
-		w.vms = append(w.vms, startVM(t, p.Addr().String(), fmt.Sprint("vm", i), append(soakRepeats.settings(), fmt.Sprint("bounds.revocationMs=", soakRevocation.Milliseconds()))...))
+		w.vms = append(w.vms, startVM(t, p.Addr().String(), fmt.Sprint("vm", i), slices.Concat(soakRepeats.settings(), w.load.settings(), []string{fmt.Sprint("bounds.revocationMs=", soakRevocation.Milliseconds())})...))
 		signalLocks = append(signalLocks, &sync.Mutex{})
 	}
 	w.network.setVMs(w.vms)
@@ -456,11 +551,22 @@
 			defer callers.Done()
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 			for i := 0; ctx.Err() == nil; i++ {
-				w.call(context.Background(), client, fmt.Sprintf("c%d-%d", c, i))
+				w.callWith(context.Background(), client, fmt.Sprintf("c%d-%d", c, i), callOptions{returns: c%2 == 0})
 				time.Sleep(time.Duration(w.randomInt(20)) * time.Millisecond)
 			}
 		}()
 	}
+	done := make(chan struct{})
+	defer close(done)
+	callers.Go(func() { w.slowCallers(ctx, done, &callers) })
+	if w.load.on() {
+		callers.Go(func() {
+			time.Sleep(length / 6)
+			loud, quiet := context.WithTimeout(ctx, length/2)
+			defer quiet()
+			w.flood(loud)
+		})
+	}
 	faults.Go(func() { w.cutPaths(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	for ctx.Err() == nil {
 		w.injectFault(&faults, signalLocks)
@@ -469,6 +575,7 @@
 	callers.Wait()
 	faults.Wait()
 	w.checkRecovery(addresses)
+	w.checkHeldBytes()
 	w.checkRecords(seed)
 }
 
@@ -482,7 +589,7 @@
 	w.limit.end()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	n := 0
-	require.Eventually(w.t, func() bool {
+	if !assert.Eventually(w.t, func() bool {
 		for range 30 {
 			n++
 			if w.call(w.t.Context(), client, fmt.Sprint("calm-", n)) != http.StatusOK {
@@ -490,7 +597,10 @@
 			}
 		}
 		return true
-	}, 40*time.Second, 50*time.Millisecond, "not all requests are served after the faults have ended")
+	}, 40*time.Second, 50*time.Millisecond, "not all requests are served after the faults have ended") {
+		w.logUnserved("calm-")
+		w.t.FailNow()
+	}
 	w.putServer("e0", addresses["e0"], "draining")
 	require.Eventually(w.t, func() bool {
 		before := w.requestCount("e0")
@@ -508,6 +618,18 @@
 	return w.requestCounts[endpoint]
 }
 
+// logUnserved logs what the VMs wrote about the requests with a prefix that were not served.
+func (w *soakTestbed) logUnserved(prefix string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, r := range w.records {
+		if strings.HasPrefix(id, prefix) && r.status != http.StatusOK {
+			w.t.Logf("%s: status %d of VM %d, sent at %s", id, r.status, r.vm, r.sent)
+			w.logLines(id)
+		}
+	}
+}
+
 // logLines logs what the VMs wrote about a request.
 func (w *soakTestbed) logLines(request string) {
 	for i, v := range w.vms {
@@ -536,6 +658,10 @@
 			w.violations = append(w.violations, fmt.Sprintf("%s ran %d times", id, r.runs))
 		case r.nonRepeatable && refused && r.runs > 0:
 			w.violations = append(w.violations, fmt.Sprintf("%s was answered %d and ran", id, r.status))
+		case r.share && r.arrivals > 0:
+			w.violations = append(w.violations, fmt.Sprintf("%s was refused for its account's share and reached an endpoint", id))
+		case refused && r.runs > 0:
+			w.violations = append(w.violations, fmt.Sprintf("%s (repeatable) was answered %d and ran", id, r.status))
 		case revoked && r.runs > 0 && r.sent.After(revokedAt.Add(soakRevocation)):
 			w.violations = append(w.violations, fmt.Sprintf("%s ran with a key that was revoked %s before", id, r.sent.Sub(revokedAt)))
 		}
@@ -544,6 +670,8 @@
 		}
 	}
 	w.violations = append(w.violations, w.limit.violations()...)
+	w.violations = append(w.violations, w.load.takeBroken()...)
+	w.logLoad(seed)
 	broken, rests := w.rest.violations()
 	w.violations = append(w.violations, broken...)
 	excess, at := w.repeats.worst()
@@ -558,6 +686,11 @@
 	for _, v := range broken {
 		w.logLines(v[strings.LastIndex(v, " ")+1:])
 	}
+	for _, v := range w.violations {
+		if id, _, _ := strings.Cut(v, " "); w.records[id] != nil {
+			w.logLines(id)
+		}
+	}
 	w.t.Logf("seed %d: %d requests at the endpoint with a limit of %v a second were counted", seed, len(w.limit.counted), w.limit.limit)
 	w.t.Logf("seed %d: %d requests, %d served, %d keys revoked", seed, len(w.records), served, len(w.revokedAt))
 	require.Empty(w.t, w.violations, "seed %d", seed)
