Let the admission of the fleet fill free slots sooner

Change: the time in a slot is taken over 2 s, the trim rises by up to 0.3 and to 6, and the pressure on the model is 1 only while less than 0.97 of the demand is admitted.

--- a/gateway/forward/model.go
+++ b/gateway/forward/model.go
@@ -52,7 +52,7 @@
 			AttemptsLeft: c.maxAttempts() - c.possibleRuns, Left: c.deadline.Sub(now), Total: c.timeout,
 		},
 		Rank: standing.Rank, Ranks: standing.Ranks, ShortestTarget: standing.ShortestTarget,
-		CapacityUse: use, Measured: measured, Refusing: c.slots.gate != nil && c.slots.gate.Refusing(now),
+		CapacityUse: use, Measured: measured, Refusing: c.slots.gate != nil && c.slots.gate.Refusing(),
 	}
 	if in.Weak() {
 		in.RelativeWork = c.h.meanWork.relative(c.service, c.largestWork(load.slots))
--- a/policy/admission/gate.go
+++ b/policy/admission/gate.go
@@ -25,7 +25,7 @@
 	versionTimeConstant = time.Second
 	// heldTimeConstant is the time over which the mean time that requests hold a slot is taken. At
 	// one request a second of a rank on each VM only the fleet together knows it within seconds.
-	heldTimeConstant = 4 * time.Second
+	heldTimeConstant = 2 * time.Second
 	// statedTimeConstant is the time over which the use that endpoints state is averaged.
 	statedTimeConstant = time.Second
 	// maxCredits bounds the refusals of an account and rank that are remembered, and creditTime is
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -72,6 +72,7 @@
 	underWay           float64
 	rejections         float64 // share of the attempts
 	ownOnly            bool    // without totals of the fleet
+	refusing           bool    // a part of the demand isn't admitted
 	shares             map[uint32]share
 	usual              map[uint32]float64
 	usualSince         time.Time
@@ -322,12 +323,16 @@
 // setShares computes the share of the requests of each account and rank that are admitted.
 func (st *gateState) setShares(demands []demand) {
 	clear(st.shares)
+	st.refusing = false
 	if !st.active {
 		return
 	}
+	offered, admitted := 0.0, 0.0
 	for i, got := range allocate(st.allotted(demands), demands) {
 		if d := demands[i]; d.offered > 0 {
 			st.shares[d.key] = newShare(got, d)
+			offered, admitted = offered+d.offered, admitted+got
 		}
 	}
+	st.refusing = admitted < refusingShare*offered
 }
--- a/policy/admission/trim.go
+++ b/policy/admission/trim.go
@@ -11,10 +11,10 @@
 const (
 	trimInterval = 500 * time.Millisecond
 	minTrim      = 0.6
-	maxTrim      = 2.0
+	maxTrim      = 6.0
 	maxTrimFall  = 0.8
 	trimQueued   = 0.95
-	maxTrimRise  = 1.1
+	maxTrimRise  = 1.3
 	startTrim    = 0.9
 	// useGoal is the share of the slots in use that the trim aims at. With 0.95, one in ten requests
 	// of the lowest rank waited for longer than its target behind those of other ranks.
