Test that a disturbed plain service with room refuses nobody

Guards the start of admission at restarts of all VMs, lost totals, endpoints that leave and come back, and a roll-out. The test allows 1 in 200.

--- a/policy/admission/gate_load_test.go
+++ b/policy/admission/gate_load_test.go
@@ -494,6 +494,34 @@
 	}
 }
 
+// Guards against refusals of a plain service with room when all VMs start anew, when totals are lost
+// for some seconds, when endpoints leave and come back, and during a roll-out.
+func TestDisturbedPlainServiceRefusesNobody(t *testing.T) {
+	none := func(*sim, int) bool { return false }
+	for name, c := range map[string]struct {
+		day  simDay
+		lost func(*sim, int) bool
+	}{
+		"restart": {simDay{use: 0.8}, func(s *sim, vm int) bool {
+			if s.at == 8250*time.Millisecond {
+				s.gates[vm] = NewGate("s", rand.New(rand.NewPCG(7, uint64(vm))))
+			}
+			return false
+		}},
+		"totals lost":           {simDay{use: 0.8}, func(s *sim, _ int) bool { return s.at > 8*time.Second && s.at < 12*time.Second }},
+		"totals lost, each VM":  {simDay{use: 0.8}, func(s *sim, vm int) bool { return int(s.at/time.Second)%12 == vm%12 }},
+		"endpoints leave":       {simDay{use: 0.45, outage: true}, none},
+		"roll-out of a version": {simDay{use: 0.4, untried: 0.4}, none},
+	} {
+		for seed := range uint64(2) {
+			c.day.service, c.day.loud, c.day.surge = simPlain, 1, 1
+			s := runSim(simFleet, seed, c.day, c.lost)
+			t.Logf("%s seed %d: refused %d, rejected %d of %d", name, seed, s.refusals, s.rejections, s.attempts)
+			require.Less(t, 200*s.refusals, s.attempts, "%s: %d refused of %d", name, s.refusals, s.attempts)
+		}
+	}
+}
+
 // Guards against an overload that nobody limits because totals are lost, one in three or all.
 func TestTotalsLostInAnOverload(t *testing.T) {
 	none := runSim(simNone, 0, overloadedDay, nil)
