Never evaluate a gate at a time before its last evaluation

Cause: the tick and the totals evaluate from two goroutines, which take the time before the gate's mutex. The later one may come first, and the means and the trim then moved a little backwards.

Change: the later time counts.

--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -105,6 +105,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := &g.state
+	if now.Before(st.evaluatedAt) {
+		now = st.evaluatedAt // of two concurrent calls, the later one came first
+	}
 	t := g.fleet
 	st.ownOnly = g.fleetAt.IsZero() || now.Sub(g.fleetAt) > totalsMaxAge
 	st.vms = float64(max(c.VMs, 1))
