--- a/policy/admission/gate.go
+++ b/policy/admission/gate.go
@@ -32,8 +32,8 @@
 	// how long after its return time a refused caller may come back.
 	maxCredits = 64
 	creditTime = 500 * time.Millisecond
-	// lessTimeMemory is how long requests that wait for less time than usual tell something after a
-	// refusal, the longest Retry-After of a request with 30 s.
+	// lessTimeMemory is how long after a refusal a request that waits for less time than usual counts as
+	// returning: the longest Retry-After of a request with 30 s.
 	lessTimeMemory = 10 * time.Second
 )
 
@@ -148,8 +148,8 @@
 	return fullShare
 }
 
-// returns reports whether a request returns after a refusal. That callers wait for less time shows it, but
-// they may do so for other reasons, and if none does, only the times of earlier refusals on this VM tell.
+// returns reports whether a request returns after a refusal. Callers that wait for less time than usual after
+// recent refusals count as returning. If none states less time, the return times of this VM's refusals decide.
 func (g *Gate) returns(now time.Time, f *flow, lessTime bool) bool {
 	if lessTime {
 		g.lessTimeAt = now
