Take a VM for a keeper by the reports that it gets

A new keeper gave no totals for 1.5 s by its own order of keepers. Where VMs differ in the order, as while only some of them know that a service is managed and rank by link, the one that the others report to would never have answered. The 1.5 s now run from the first report, and anew after a pause as long. TestNewKeeperWaitsForReports is rewritten for that, with the pause in it.

--- a/fleet/tally/service.go
+++ b/fleet/tally/service.go
@@ -108,7 +108,8 @@
 	waiting      map[uint64]chan struct{}
 	backoffUntil map[string]time.Duration // by keeper
 	lastApplied  uint64                   // highest request ID whose answer was applied
-	keeperSince  time.Duration            // since when this VM is the first keeper, 0 if it isn't
+	// keeperSince is since when VMs report their sums to this one, and reportedAt the last time.
+	keeperSince, reportedAt time.Duration
 }
 
 // Listen opens the socket at Address. It returns an error if the address can't be used.
--- a/fleet/tally/sums.go
+++ b/fleet/tally/sums.go
@@ -165,7 +165,6 @@
 		return
 	}
 	k := keepers[0]
-	keeps := s.keeps(s.cfg.Clock(), k)
 	for _, own := range topics {
 		own.List = largestSums(own.List)
 		seq := s.sequence.Add(1)
@@ -175,7 +174,7 @@
 		}
 		now := s.cfg.Clock()
 		s.aggregator.RecordSums(now, s.cfg.Self, s.incarnation, seq, own, false)
-		if !keeps {
+		if !s.noteReport(now) {
 			continue
 		}
 		s.cfg.ApplySums(s.aggregator.SumTotals(now, own.Topic, true))
@@ -186,30 +185,23 @@
 	}
 }
 
-// keeps reports whether this VM has been the keeper for long enough to give totals, given the first keeper.
-func (s *Service) keeps(now time.Duration, first Keeper) bool {
+// noteReport records that a VM, maybe this one, reports to this VM as its keeper, and returns whether it has been
+// a keeper for long enough to give totals. It doesn't go by this VM's own order of keepers, which may differ
+// from that of the others for a while.
+func (s *Service) noteReport(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case first.Name != s.cfg.Self:
-		s.keeperSince = 0
-	case s.keeperSince == 0:
+	if s.reportedAt == 0 || now-s.reportedAt > keeperDelay {
 		s.keeperSince = now
 	}
-	return s.hasReports(now)
-}
-
-// hasReports reports whether all VMs had time to report to this keeper. Callers hold s.mu.
-func (s *Service) hasReports(now time.Duration) bool {
-	return s.keeperSince != 0 && now-s.keeperSince >= keeperDelay
+	s.reportedAt = now
+	return now-s.keeperSince >= keeperDelay
 }
 
 // sumsAnswer records a VM's sums and returns the answer with the totals, nil if this VM can't give them.
 func (s *Service) sumsAnswer(now time.Duration, m *message) *message {
 	s.aggregator.RecordSums(now, m.From, m.Incarnation, m.Sequence, *m.Sums, false)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.hasReports(now) {
+	if !s.noteReport(now) {
 		return nil
 	}
 	totals := s.aggregator.SumTotals(now, m.Sums.Topic, true)
