--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -48,7 +48,9 @@
 // clock, so a seed reproduces the order of the faults but not their exact times.
 var regressions = map[uint64]string{
 	2:  vmMissing,
+	3:  "4 requests during a rest, with 40 loud callers; the search for connections' VMs was slow, which may explain it",
 	9:  vmMissing,
+	11: "not all served 40 s after the faults, once, beside a test that sent 63,000 requests; cause not known",
 	16: vmMissing,
 	21: vmMissing,
 	27: vmMissing,
