Let requests wait at endpoints while the wait fits the target latency

Cause: admission took each request beyond the slots for a queue, and admitted down to 0.36 of the capacity until it was served. Change: what waits for less than 0.4 of the service's shortest target latency, one request a slot at most, isn't a queue.

--- a/gateway/node/demand.go
+++ b/gateway/node/demand.go
@@ -97,7 +97,13 @@
 
 func (d *demand) evaluate(now time.Time, service string, g *admission.Gate) {
 	vms := max(len(d.n.sharingVMs()), 1)
-	r, changed := g.Evaluate(now, admission.Capacity{Slots: d.n.table.UsableSlots(now, service), VMs: vms})
+	capacity := admission.Capacity{Slots: d.n.table.UsableSlots(now, service), VMs: vms}
+	if d.n.view != nil {
+		if conf := d.n.view.Config(); conf != nil {
+			capacity.Target = conf.Standing(service, 0).ShortestTarget
+		}
+	}
+	r, changed := g.Evaluate(now, capacity)
 	active := 0.0
 	if r.Active {
 		active = 1
--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -59,6 +59,7 @@
 	useMean     float64 // of the share of the slots in use
 	capacity    float64 // in slots
 	ownCapacity float64 // this VM's part
+	room        float64 // requests that may be under way, the queues at endpoints included
 	vms         float64
 	offered     float64
 	// slotTime is the mean seconds for which a request of a rank holds a slot, slotTimeBefore that
@@ -85,6 +86,8 @@
 	Slots map[string]int
 	// VMs is the number of VMs that share them.
 	VMs int
+	// Target is the shortest target latency of the service's requests, 0 if unknown.
+	Target time.Duration
 }
 
 // Report is a gate's decision, for operators.
@@ -129,6 +132,7 @@
 		st.learnUsual(now, t.demands)
 	}
 	st.toSlots(&t)
+	st.setRoom(&t, c.Target)
 	gain := min(now.Sub(st.evaluatedAt).Seconds()/demandMeanTime.Seconds(), 1)
 	st.demandMean += gain * (st.demand - st.demandMean)
 	st.underWayMean += gain * (st.underWay - st.underWayMean)
@@ -187,7 +191,7 @@
 		}
 		if !st.scarceSince.IsZero() && now.Sub(st.scarceSince) >= startTime && st.tooLittleRoom(t) {
 			st.active, st.since, st.trim, st.drain, st.calmSince = true, now, startTrim, 0, time.Time{}
-			st.slotTimeBefore, st.useMean = st.slotTime, st.underWay/st.capacity
+			st.slotTimeBefore, st.useMean = st.slotTime, st.underWay/st.room
 		}
 		return
 	}
@@ -215,14 +219,14 @@
 	if st.ownOnly {
 		return demand && rejecting && t.rejected >= minOwnRejections
 	}
-	return demand && (rejecting || st.underWay > st.capacity) || rejecting && min(st.underWay, st.underWayMean) > fullUse*st.capacity
+	return demand && (rejecting || st.underWay > st.room) || rejecting && min(st.underWay, st.underWayMean) > fullUse*st.capacity
 }
 
 // fits reports whether the capacity bears the demand. Unless endpoints have queues, a rise that may be chance
 // doesn't count.
 func (st *gateState) fits() bool {
 	demand := st.demand
-	if st.underWay <= st.capacity {
+	if st.underWay <= st.room {
 		demand = min(demand, st.demandMean)
 	}
 	return demand <= startShare*st.capacity
--- a/policy/admission/trim.go
+++ b/policy/admission/trim.go
@@ -30,6 +30,10 @@
 	useTimeConstant = time.Second
 	// minDrained is the share of the capacity that is admitted however long the queues are.
 	minDrained = 0.36
+	// queueShare is the part of the shortest target latency that requests may wait at an endpoint, and
+	// maxQueue bounds the queue that follows from it, in slots. Endpoints reject requests at twice the slots.
+	queueShare = 0.4
+	maxQueue   = 1.0
 	// idleShare bounds the share of the slots in use that a rise of the trim is computed from.
 	idleShare = 0.5
 )
@@ -39,7 +43,7 @@
 	if st.ownOnly {
 		return // the few requests of one VM say too little
 	}
-	use, factor := st.underWay/st.capacity, 1.0
+	use, factor := st.underWay/st.room, 1.0
 	switch {
 	case st.rejections > maxRejections && use > busyShare:
 		factor = max(1-st.rejections, maxTrimFall)
@@ -58,11 +62,20 @@
 	st.trim = min(max(st.trim*math.Pow(factor, steps), least), maxTrim)
 }
 
+// setRoom computes how many requests may be under way. Those that wait at an endpoint for less than
+// queueShare of the shortest target cost their callers little, and keep its slots in use.
+func (st *gateState) setRoom(t *totals, target time.Duration) {
+	st.room = st.capacity
+	if mean := t.meanSlotTime(st); mean > 0 {
+		st.room += st.capacity * min(queueShare*target.Seconds()/mean, maxQueue)
+	}
+}
+
 // setDrain sets aside what the requests that wait at endpoints take if they are served within drainTime.
 func (st *gateState) setDrain(t *totals) {
 	st.drain = 0
 	if !st.ownOnly {
-		st.drain = max(st.underWay-st.capacity, 0) * t.meanSlotTime(st) / drainTime.Seconds()
+		st.drain = max(st.underWay-st.room, 0) * t.meanSlotTime(st) / drainTime.Seconds()
 	}
 }
 
@@ -83,7 +96,7 @@
 	allotted := max(full-st.drain, min(least, full))
 	if st.fits() {
 		// Rejections that are tried again elsewhere cost callers less than refusals.
-		if st.underWay <= st.capacity {
+		if st.underWay <= st.room {
 			return max(allotted, st.offered)
 		}
 		allotted = max(allotted, st.demand*(1-st.rejections))
