--- a/cmd/goldcrest-node/admission_test.go
+++ b/cmd/goldcrest-node/admission_test.go
@@ -119,8 +119,7 @@
 	return f.counts[what]
 }
 
-// Guards against a fleet that lets one account's flood take the room of the others once the VM that
-// keeps the sums of demand has ended.
+// Guards against a fleet that lets one account's flood take the room of the others once the VM that keeps the sums of demand has ended.
 func TestQuietAccountsAreServedWhenTheKeeperIsKilled(t *testing.T) {
 	const awaited = 120
 	quiet := []string{"q0", "q1", "q2"}
--- a/fleet/tally/sums_test.go
+++ b/fleet/tally/sums_test.go
@@ -57,8 +57,7 @@
 	}
 }
 
-// Guards against totals that contain only a few VMs: a VM that skips the keeper for half a second, since one
-// query for the load was lost, must not exchange its sums with a VM that the others don't report to.
+// Guards against totals that contain only a few VMs: a VM that skips the keeper for half a second, since one query for the load was lost, must not exchange its sums with a VM that the others don't report to.
 func TestSumsStayWithTheFirstKeeper(t *testing.T) {
 	vms := open(t, 3)
 	vms[2].mu.Lock()
@@ -74,8 +73,7 @@
 	}
 }
 
-// Guards against totals that contain only a few VMs: a new keeper must not give any before the others had time
-// to report to it, also if it was the keeper before.
+// Guards against totals that contain only a few VMs: a new keeper must not give any before the others had time to report to it, also if it was the keeper before.
 func TestNewKeeperWaitsForReports(t *testing.T) {
 	v, now := &Service{cfg: Config{Self: "vm0"}, aggregator: NewAggregator()}, time.Hour
 	m := message{Kind: kindSums, From: "vm9", Sums: new(topicSums(Sum{Key: 1, A: 1, B: 1}))}
--- a/gateway/forward/admission_test.go
+++ b/gateway/forward/admission_test.go
@@ -33,8 +33,7 @@
 	return g
 }
 
-// Guards against a refusal of an overloaded service after something was sent or a second time at another VM, and one without a
-// time to return or with a time that the caller doesn't have.
+// Guards against a refusal of an overloaded service after something was sent or a second time at another VM, and one without a time to return or with a time that the caller doesn't have.
 func TestOverloadedServiceRefusesBeforeSending(t *testing.T) {
 	w := newTestEnv(t, 1)
 	require.Equal(t, http.StatusOK, w.send(http.MethodPost, "/once/a", "x").status, "not managed")
@@ -114,8 +113,7 @@
 	require.InDelta(t, 0, w.gate.Report().UnderWay, 1e-6)
 }
 
-// Guards against requests that are refused after the crash of an endpoint that doesn't answer: the time for which it was
-// waited for, and that to connect, is no time in a slot of an endpoint that is left.
+// Guards against requests that are refused after the crash of an endpoint that doesn't answer: the time for which it was waited for, and that to connect, is no time in a slot of an endpoint that is left.
 func TestTimeWithoutAnswerIsNoTimeInSlot(t *testing.T) {
 	gate := admission.NewGate("s", rand.New(rand.NewPCG(1, 2)))
 	now := time.Now()
--- a/gateway/forward/load_test.go
+++ b/gateway/forward/load_test.go
@@ -18,8 +18,7 @@
 	return families[0].GetMetric()[0].GetCounter().GetValue()
 }
 
-// Guards against a load header that is dropped since it has four figures, and one that is malformed, or
-// has more figures than known, and is taken for a load.
+// Guards against a load header that is dropped since it has four figures, and one that is malformed, or has more figures than known, and is taken for a load.
 func TestLoadHeader(t *testing.T) {
 	for stated, want := range map[string]endpointLoad{
 		"3,1,16":                   {running: 3, waiting: 1, slots: 16},
--- a/gateway/forward/memory_test.go
+++ b/gateway/forward/memory_test.go
@@ -45,8 +45,7 @@
 	return rec
 }
 
-// Guards against many large bodies that fill the VM: beyond the limit they are refused as not run before
-// they are read, and accepted again once the others have ended.
+// Guards against many large bodies that fill the VM: beyond the limit they are refused as not run before they are read, and accepted again once the others have ended.
 func TestLargeBodiesBeyondTheMemoryAreRefused(t *testing.T) {
 	env := newTestEnv(t, 1)
 	memory := room.NewBytes(1)
@@ -166,8 +165,7 @@
 	require.Greater(t, took, 10*callerStall)
 }
 
-// Guards against a caller being cut off whose kernel takes bytes while the VM's own lets no write go on, and
-// against one being kept that takes nothing any more.
+// Guards against a caller being cut off whose kernel takes bytes while the VM's own lets no write go on, and against one being kept that takes nothing any more.
 func TestCallerThatTakesQueuedBytesIsNotCutOff(t *testing.T) {
 	left := 30 // looks at which the caller has taken something
 	queued := func() (int, bool) {
@@ -232,8 +230,7 @@
 	require.ElementsMatch(t, []string{"", "3", "2", "3", "2"}, seen, "two attempts are the second ones of their requests")
 }
 
-// Guards against counts of a caller that overflow and count as less than none, which would let other requests
-// exceed the endpoint's memory.
+// Guards against counts of a caller that overflow and count as less than none, which would let other requests exceed the endpoint's memory.
 func TestTokensAreNeverNegative(t *testing.T) {
 	most := strconv.Itoa(math.MaxInt)
 	for _, parts := range []string{"a:" + most + ",b:" + most, "a:" + most + ",b:1"} {
--- a/gateway/forward/model_test.go
+++ b/gateway/forward/model_test.go
@@ -37,8 +37,7 @@
 	w.table.SetPeerLoad(time.Now().Add(time.Hour), shares)
 }
 
-// Guards against escalation that the one endpoint that answered prevents by its load, while others of the version are free, on managed
-// services; the others keep that rule.
+// Guards against escalation that the one endpoint that answered prevents by its load, while others of the version are free, on managed services; the others keep that rule.
 func TestBusyEndpointDoesNotPreventEscalation(t *testing.T) {
 	for _, managed := range []bool{false, true} {
 		w := newTestEnv(t, 2)
@@ -71,8 +70,7 @@
 	}
 }
 
-// Guards against weak answers that are kept without a reason for operators when the retry budget is used up, and against a budget
-// that the least urgent rank uses up.
+// Guards against weak answers that are kept without a reason for operators when the retry budget is used up, and against a budget that the least urgent rank uses up.
 func TestWeakAnswersKeptForTheBudget(t *testing.T) {
 	w := newTestEnv(t, 2)
 	w.table.SetAllManaged()
--- a/gateway/node/demand_test.go
+++ b/gateway/node/demand_test.go
@@ -52,8 +52,7 @@
 	require.NotNil(t, n.demand.collect())
 }
 
-// Guards against totals with the figures of an ended VM or of its earlier life, and against a VM without a keeper that uses
-// old totals or the whole capacity.
+// Guards against totals with the figures of an ended VM or of its earlier life, and against a VM without a keeper that uses old totals or the whole capacity.
 func TestDemandFollowsTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vm1, vm2, keeper := demandVM(true), demandVM(true), tally.NewAggregator()
--- a/gateway/node/speeds_test.go
+++ b/gateway/node/speeds_test.go
@@ -26,8 +26,7 @@
 	return n
 }
 
-// Guards against datagrams in fleets without a managed service, against VMs that learn nothing from the
-// others, and against operators who aren't told of a slow endpoint, or are told of each moment.
+// Guards against datagrams in fleets without a managed service, against VMs that learn nothing from the others, and against operators who aren't told of a slow endpoint, or are told of each moment.
 func TestPacesOfOtherVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
--- a/policy/admission/gate_load_test.go
+++ b/policy/admission/gate_load_test.go
@@ -405,8 +405,7 @@
 	t.Logf("%s; under limits first %.2f returned %.2f", line, s.firstTry.share(), s.secondTry.share())
 }
 
-// Guards against a few accounts, more requests of all and lost endpoints together that cost the urgent
-// requests of others, and against refusals that are worse than the endpoints' own.
+// Guards against a few accounts, more requests of all and lost endpoints together that cost the urgent requests of others, and against refusals that are worse than the endpoints' own.
 func TestOverloadedDay(t *testing.T) {
 	for seed := range uint64(2) {
 		days := make(map[simPolicy]*sim)
@@ -461,8 +460,7 @@
 	}
 }
 
-// Guards against refusals by a plain service with few slots whose demand and rejections vary by chance,
-// and against an overload of it that is not limited.
+// Guards against refusals by a plain service with few slots whose demand and rejections vary by chance, and against an overload of it that is not limited.
 func TestPlainService(t *testing.T) {
 	for seed := range uint64(2) {
 		day := simDay{service: simPlain, use: 0.8, loud: 1, surge: 1}
@@ -484,8 +482,7 @@
 	}
 }
 
-// Guards against refusals for answers that take as long to reach the VM as they hold a slot: they seem to
-// need twice the slots.
+// Guards against refusals for answers that take as long to reach the VM as they hold a slot: they seem to need twice the slots.
 func TestDistantPlainService(t *testing.T) {
 	for seed := range uint64(2) {
 		s := runSim(simFleet, seed, simDay{service: simPlain, use: 0.6, loud: 1, surge: 1, network: 60 * time.Millisecond}, nil)
@@ -494,8 +491,7 @@
 	}
 }
 
-// Guards against refusals of a plain service with room when all VMs start anew, when totals are lost
-// for some seconds, when endpoints leave and come back, and during a roll-out.
+// Guards against refusals of a plain service with room when all VMs start anew, when totals are lost for some seconds, when endpoints leave and come back, and during a roll-out.
 func TestDisturbedPlainServiceRefusesNobody(t *testing.T) {
 	none := func(*sim, int) bool { return false }
 	for name, c := range map[string]struct {
--- a/policy/admission/gate_test.go
+++ b/policy/admission/gate_test.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// Guards against a VM without totals, since its keeper is gone, that takes the whole capacity, and one
-// that has just started and refuses by half a second of figures.
+// Guards against a VM without totals, since its keeper is gone, that takes the whole capacity, and one that has just started and refuses by half a second of figures.
 func TestGateOnItsOwn(t *testing.T) {
 	g := newTestGate()
 	start := time.Unix(1000, 0)
@@ -173,8 +172,7 @@
 	require.Less(t, g.Arrive(at, Arrival{Account: "large", Rank: 0}).Share, 0.99)
 }
 
-// Guards against managed services without requests that fill the datagram, and against usual demands of
-// accounts that have gone.
+// Guards against managed services without requests that fill the datagram, and against usual demands of accounts that have gone.
 func TestServicesAndAccountsWithoutRequests(t *testing.T) {
 	g := newTestGate()
 	at := overload(g, time.Unix(1000, 0), 0)
--- a/policy/placement/speed_test.go
+++ b/policy/placement/speed_test.go
@@ -53,8 +53,7 @@
 	require.Zero(t, a.EstimateWait(now, ra, &Request{Service: "s", Work: 1, Version: "v1"}).Wait)
 }
 
-// Guards against estimates that take a slow endpoint for a usual one, or that are those of endpoints
-// that the request's version doesn't allow: during a roll-out the new version's endpoints are idle.
+// Guards against estimates that take a slow endpoint for a usual one, or that are those of endpoints that the request's version doesn't allow: during a roll-out the new version's endpoints are idle.
 func TestEstimatesFollowSpeedAndVersion(t *testing.T) {
 	tb := table(3)
 	require.False(t, tb.Managed("s"))
@@ -80,8 +79,7 @@
 	require.Zero(t, tb.EstimateWait(now, rng(), &Request{Service: "s", Work: 1, Version: "v3"}).Wait, "a version without endpoints")
 }
 
-// Guards against an endpoint that looks fast because it refuses streams, or usual because its
-// answers never come.
+// Guards against an endpoint that looks fast because it refuses streams, or usual because its answers never come.
 func TestOnlyFirstEventsAreFast(t *testing.T) {
 	tb := table(3)
 	tb.SetAllManaged()
--- a/policy/placement/tokens_test.go
+++ b/policy/placement/tokens_test.go
@@ -10,8 +10,7 @@
 	"goldcrestfork/fleet/rendezvous"
 )
 
-// Guards against an endpoint that is filled beyond its memory after a restart, since the attempts at its
-// earlier life end and give back tokens that the new life doesn't hold.
+// Guards against an endpoint that is filled beyond its memory after a restart, since the attempts at its earlier life end and give back tokens that the new life doesn't hold.
 func TestTokensOfAnEarlierLife(t *testing.T) {
 	table := table(1)
 	table.SetMemory(map[string]int{"s": 100_000}, nil)
--- a/policy/placement/uneven_test.go
+++ b/policy/placement/uneven_test.go
@@ -112,8 +112,7 @@
 	}
 }
 
-// Guards against requests that queue at slow engines while fast ones idle: engines with speeds of 0.6,
-// 1 and 1.6, of which some are slow for moments of 0.6 s, or a third for seconds.
+// Guards against requests that queue at slow engines while fast ones idle: engines with speeds of 0.6, 1 and 1.6, of which some are slow for moments of 0.6 s, or a third for seconds.
 func TestWorkFollowsSpeed(t *testing.T) {
 	for name, slow := range map[string]func(int, time.Duration) float64{
 		"speeds": func(e int, _ time.Duration) float64 { return unevenSpeed(e) },
@@ -211,8 +210,7 @@
 	return rejections / arrivals, fromSlow / answers
 }
 
-// Guards against a slow plain endpoint that gets as many requests as the others and rejects many, and
-// against VMs that all send to the fastest endpoint because none knows what the others send.
+// Guards against a slow plain endpoint that gets as many requests as the others and rejects many, and against VMs that all send to the fastest endpoint because none knows what the others send.
 func TestPlainWorkFollowsSpeed(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
 		before, evenly := playPlain(seed, false, true)
--- a/policy/room/room_test.go
+++ b/policy/room/room_test.go
@@ -132,8 +132,7 @@
 // load is a load for replay: burst requests of two sizes, the larger of the given tokens, each time.
 type load struct{ vms, endpoints, every, burst, tokens, lateFrom int }
 
-// Guards against endpoints that crash since several VMs fill them at once between two sums, also when the
-// sums are lost after a while.
+// Guards against endpoints that crash since several VMs fill them at once between two sums, also when the sums are lost after a while.
 func TestFleetDoesNotOverfillEndpoints(t *testing.T) {
 	rules := map[string]rule{"none": noRule, "own": ownOnly, "sum": sumOnly, "times VMs": timesVMs, "fits": fitsRule}
 	for _, l := range []load{
@@ -163,8 +162,7 @@
 	}
 }
 
-// Guards against endpoints that a request with more tokens than usual never gets, or that two VMs send such
-// requests to at once.
+// Guards against endpoints that a request with more tokens than usual never gets, or that two VMs send such requests to at once.
 func TestLargeRequestsGoToAnEmptyEndpoint(t *testing.T) {
 	usage := Usage{Capacity: 100, VMs: 3, Recent: true, Rank: func() int { return 0 }}
 	require.True(t, usage.Fits(95))
--- a/policy/sizing/kinds_test.go
+++ b/policy/sizing/kinds_test.go
@@ -40,8 +40,7 @@
 	}},
 }
 
-// Guards against weak answers to small urgent requests that are kept as often as those to large ones that can wait, while engines
-// of 16 slots are 10 to 16 busy, and against a rule that pays for that with the worth of all.
+// Guards against weak answers to small urgent requests that are kept as often as those to large ones that can wait, while engines of 16 slots are 10 to 16 busy, and against a rule that pays for that with the worth of all.
 func TestKindsUnderLoad(t *testing.T) {
 	for _, l := range []fleetLoad{
 		{"calm", 0.4, false, 0.9}, {"load 0.7", 0.7, false, 0.9}, {"load 1.0", 1, false, 0.9}, {"load 1.5", 1.5, false, 0.9},
--- a/policy/speed/speed_test.go
+++ b/policy/speed/speed_test.go
@@ -18,8 +18,7 @@
 	return from
 }
 
-// Guards against an endpoint that is judged by few answers, keeps a factor that no answer confirms, or
-// gets one beyond the bounds.
+// Guards against an endpoint that is judged by few answers, keeps a factor that no answer confirms, or gets one beyond the bounds.
 func TestFactorFollowsAnswers(t *testing.T) {
 	var e Endpoint
 	require.Equal(t, 1.0, e.Factor(start, 0))
@@ -69,8 +68,7 @@
 	require.InDelta(t, maxStatedEffect, turned.Factor(now, 0), 0.01, "stated once")
 }
 
-// Guards against answers that count twice because the totals contain this VM's own, totals that no
-// longer arrive, and a factor without answers for 5 s at any VM.
+// Guards against answers that count twice because the totals contain this VM's own, totals that no longer arrive, and a factor without answers for 5 s at any VM.
 func TestFleetSums(t *testing.T) {
 	var a, b Endpoint
 	now := measure(&a, start, 3, 3*time.Second)
@@ -93,8 +91,7 @@
 	require.False(t, ok)
 }
 
-// Guards against factors that differ from 1 because the expected time is wrong for all, or that
-// are set by a few very slow endpoints.
+// Guards against factors that differ from 1 because the expected time is wrong for all, or that are set by a few very slow endpoints.
 func TestUsual(t *testing.T) {
 	require.Zero(t, Usual(nil))
 	require.Zero(t, Usual([]Sums{{}}))
