Measure the room for admission by the smallest model

Cause: the time for which a request holds a slot included larger models, several times as long, though none is asked while callers are refused: more callers were refused than the room asks for. Change: only requests that the smallest model answered, and plain ones, count.

--- a/gateway/forward/admission.go
+++ b/gateway/forward/admission.go
@@ -88,7 +88,8 @@
 	if head := c.answer.head; !head.IsZero() && mayHaveRun(result) {
 		c.slots.held += now.Sub(head) + time.Duration(c.slots.inSlot*float64(head.Sub(c.slots.sentAt)))
 	}
-	if result == resultOK { // the request's last attempt
+	// Larger models are not asked while callers are refused, so that the room is what the smallest leaves.
+	if result == resultOK && c.sentModel == 0 {
 		gate.Held(now, c.priority, c.slots.held)
 	}
 }
