--- a/policy/admission/overload.go
+++ b/policy/admission/overload.go
@@ -20,8 +20,9 @@
 	// admission can start. The endpoints' rejections or queues follow later and must agree at its end.
 	startTime = 500 * time.Millisecond
 	// fullUse is the mean share of the slots in use above which rejections start admission even if the
-	// demand seems to fit, since requests may hold slots for longer than measured. Below it they come from uneven placement or chance, which a retry elsewhere solves: endpoints of
-	// a plain service with 30 slots reject up to a third of the attempts of a second at 0.8 of the slots.
+	// demand seems to fit, since requests may hold slots for longer than measured. Below it they come from
+	// uneven placement or chance, which a retry elsewhere solves: endpoints of a plain service with 30 slots
+	// reject up to a third of the attempts of a second at 0.8 of the slots.
 	fullUse = 0.95
 	// minStatedUse is the mean share of their slots in use that endpoints must state, in at least minStated recent
 	// answers, before admission can start. What a VM measures is too high by the time on the network and in the VM.
@@ -49,9 +50,11 @@
 
 // gateState is the current decision of a gate.
 type gateState struct {
-	active      bool
-	since       time.Time // the start of the overload
-	scarceSince time.Time // when the demand or the use rose above startShare of the capacity; zero once both are below endShare
+	active bool
+	since  time.Time // the start of the overload
+	// scarceSince is when the demand or the use rose above startShare of the capacity; it is zero once both
+	// are below endShare.
+	scarceSince time.Time
 	calmSince   time.Time // zero if the service isn't calm
 	evaluatedAt time.Time
 	trim        float64
--- a/policy/sizing/load.go
+++ b/policy/sizing/load.go
@@ -7,7 +7,8 @@
 
 const (
 	// MaxThreshold is the highest confidence below which an answer may be dropped. It replaces Threshold and
-	// nextThreshold for requests of little work while there is spare capacity. Two in a hundred of the answers above it are poor.
+	// nextThreshold for requests of little work while there is spare capacity. Two in a hundred of the
+	// answers above it are poor.
 	MaxThreshold = 70
 	// spareEnd is the pressure up to which there is spare capacity.
 	spareEnd = 0.4
@@ -147,8 +148,8 @@
 }
 
 // BudgetAllows reports whether a request of the given rank may drop an answer of the given confidence by
-// an attempt from a retry budget of which the given share is used. Three tenths of the budget are left to answers
-// below Threshold, and the last quarter to weaker ones and to more urgent ranks.
+// an attempt from a retry budget of which the given share is used. Three tenths of the budget are left to
+// answers below Threshold, and the last quarter to weaker ones and to more urgent ranks.
 func BudgetAllows(rank, ranks, confidence int, used float64) bool {
 	if confidence >= Threshold {
 		return used <= spareBudget
