Log where a decision against a request or part came from, and how many VMs are heard

After the users' report nothing told apart whether a VM had decided itself, had heard the decision, or had forgotten it, nor whether it heard the other VMs. Lines on quarantines now have the source (own, heard), the crashes and answers that count, and the VMs that are heard and known; lines on heard decisions name them and the age of their last crash.

No decision changes: the tests of policy/poison and those of crashes in gateway/node pass.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -157,6 +157,10 @@
 	n.rollouts = newRollouts(n)
 	n.sourcePolicy = newSourcePolicy(n)
 	n.suspects = newSuspects(n.pool.CanConnect, n.paths, func() { n.gossip.TriggerRound() }, log)
+	n.suspects.reach = func() (heard, known int) {
+		table := n.gossip.Table()
+		return len(table.AliveNames(bootClock())), len(table.KnownNames())
+	}
 	n.feeds = make(map[string]*view.Feed)
 	for _, kind := range []string{kindConfig, kindEndpoints, kindRollOuts, kindDataCentresOut} {
 		n.feeds[kind] = view.NewFeed(bootClock, share(n.bound(kind), feedLimitShare))
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -49,7 +49,10 @@
 	paths    pathEvidence
 	// announce makes this VM report to the others at once.
 	announce func()
-	log      zerolog.Logger
+	// reach returns how many VMs this one hears and how many it knows, itself included, for logs; nil for
+	// unknown.
+	reach func() (heard, known int)
+	log   zerolog.Logger
 
 	mu          sync.Mutex
 	pools       map[string]*suspectPool
@@ -280,7 +283,7 @@
 		hasPaths, up = s.awaitPaths(now, a.Address)
 	}
 	s.log.Info().Str("service", a.Service).Str("endpoint", a.Endpoint).Bool("crashed", !up && hasPaths).Bool("has_paths", hasPaths).Int("in_flight", len(inFlight)).
-		Strs("runs", s.describe(inFlight, now)).Msg("endpoint checked after a broken connection")
+		Strs("runs", s.describe(inFlight, now)).Func(s.addReach).Msg("endpoint checked after a broken connection")
 	if up || !hasPaths {
 		return
 	}
@@ -307,7 +310,7 @@
 func (s *suspects) blameRefusal(now time.Time, service, endpoint, address string, ended []*run) {
 	hasPaths, up := s.awaitPaths(now, address)
 	s.log.Info().Str("service", service).Str("endpoint", endpoint).Bool("crashed", hasPaths && !up).Bool("has_paths", hasPaths).Int("in_flight", len(ended)).
-		Strs("runs", s.describe(ended, now)).Msg("endpoint refused a connection")
+		Strs("runs", s.describe(ended, now)).Func(s.addReach).Msg("endpoint refused a connection")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.pool(service).checking, endpoint)
@@ -357,7 +360,9 @@
 	for service, p := range s.pools {
 		in := p.tracker.Quarantined(now)
 		line := func(f poison.Fingerprint, quarantined bool) {
-			s.log.Info().Str("service", service).Str("fingerprint", f.String()).Bool("quarantined", quarantined).Msg("request that crashes endpoints")
+			state := p.tracker.Describe(f)
+			s.log.Info().Str("service", service).Str("fingerprint", f.String()).Bool("quarantined", quarantined).Str("source", sourceOf(state.Heard)).
+				Int("crashes", state.Crashes).Int("survived", state.Survived).Func(s.addReach).Msg("request that crashes endpoints")
 		}
 		for _, f := range in {
 			if !p.quarantined[f] {
@@ -371,16 +376,33 @@
 				line(f, false)
 			}
 		}
-		p.logQuarantinedParts(now, s.log.With().Str("service", service).Logger())
+		p.logQuarantinedParts(now, s.log.With().Str("service", service).Logger(), s.addReach)
 	}
 }
 
-func (p *suspectPool) logQuarantinedParts(now time.Time, log zerolog.Logger) {
+// sourceOf names where a decision was made.
+func sourceOf(heard bool) string {
+	if heard {
+		return "heard"
+	}
+	return "own"
+}
+
+// addReach adds to a log line whose evidence this VM has.
+func (s *suspects) addReach(e *zerolog.Event) {
+	if s.reach != nil {
+		heard, known := s.reach()
+		e.Int("vms_heard", heard).Int("vms_known", known)
+	}
+}
+
+func (p *suspectPool) logQuarantinedParts(now time.Time, log zerolog.Logger, addReach func(*zerolog.Event)) {
 	in := make(map[poison.Fingerprint]bool)
 	for _, s := range p.tracker.QuarantinedParts(now) {
 		in[s.Part] = true
 		if !p.quarantinedParts[s.Part] {
-			log.Info().Str("part", s.Part.String()).Bool("quarantined", true).Int("crashes", s.Crashes).Int("survived", s.Survived).Msg("prompt part that crashes endpoints")
+			log.Info().Str("part", s.Part.String()).Bool("quarantined", true).Str("source", sourceOf(s.Heard)).
+				Int("crashes", s.Crashes).Int("survived", s.Survived).Int("answers", s.Answers).Func(addReach).Msg("prompt part that crashes endpoints")
 		}
 	}
 	for part := range p.quarantinedParts {
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -189,13 +189,13 @@
 		p.tracker.SetOtherAnswers(sum)
 	}
 	for service, verdicts := range r.Verdicts {
-		if s.pool(service).tracker.MergeVerdicts(now, verdicts, nil) {
-			s.log.Info().Str("service", service).Str("from", from).Int("verdicts", len(verdicts)).Msg("requests that crash endpoints heard from another VM")
+		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, verdicts, nil) {
+			s.log.Info().Str("service", service).Str("from", from).Strs("fingerprints", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("requests that crash endpoints heard from another VM")
 		}
 	}
 	for service, verdicts := range r.PartVerdicts {
-		if s.pool(service).tracker.MergeVerdicts(now, nil, verdicts) {
-			s.log.Info().Str("service", service).Str("from", from).Int("verdicts", len(verdicts)).Msg("prompt parts that crash endpoints heard from another VM")
+		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, nil, verdicts) {
+			s.log.Info().Str("service", service).Str("from", from).Strs("parts", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("prompt parts that crash endpoints heard from another VM")
 		}
 	}
 }
@@ -206,3 +206,15 @@
 	}
 	return out
 }
+
+func fingerprintsOf(verdicts []poison.Verdict) (out []string) {
+	for _, v := range verdicts {
+		out = append(out, v.Fingerprint.String())
+	}
+	return out
+}
+
+// youngest returns the time in ms since the last crash by any of the verdicts' subjects.
+func youngest(verdicts []poison.Verdict) int64 {
+	return int64(slices.MinFunc(verdicts, func(a, b poison.Verdict) int { return cmp.Compare(a.AgeMs, b.AgeMs) }).AgeMs)
+}
--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -72,19 +72,28 @@
 			}
 		}
 		if now.Sub(last) >= verdictDelay {
-			addVerdict(t.verdicts, f, last)
+			addVerdict(t.verdicts, f, verdict{last: last})
 		}
 	}
 }
 
+// verdict is a final decision against a request or a part.
+type verdict struct {
+	last  time.Time // its last crash
+	heard bool      // the decision came from elsewhere
+}
+
 // addVerdict records that a request or part crashes endpoints. It reports whether that is new.
-func addVerdict(verdicts map[Fingerprint]time.Time, f Fingerprint, last time.Time) bool {
+func addVerdict(verdicts map[Fingerprint]verdict, f Fingerprint, v verdict) bool {
 	known, found := verdicts[f]
 	if !found && len(verdicts) >= maxVerdicts {
 		return false
 	}
-	if last.After(known) {
-		verdicts[f] = last
+	if found {
+		v.heard = known.heard
+	}
+	if v.last.After(known.last) {
+		verdicts[f] = v
 	}
 	return !found
 }
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -100,9 +100,9 @@
 	since       map[Fingerprint]time.Time
 	// suspects are the parts whose requests are sent to no second endpoint, by the same decision.
 	suspects map[Fingerprint]bool
-	// verdicts holds the last crash of each part that was found to crash endpoints, by this VM or
-	// another, once the evidence had settled.
-	verdicts map[Fingerprint]time.Time
+	// verdicts holds the parts that were found to crash endpoints, by this VM or another, once the
+	// evidence had settled.
+	verdicts map[Fingerprint]verdict
 }
 
 func newPartEvidence() partEvidence {
@@ -110,7 +110,7 @@
 	if err != nil {
 		panic(err) // only for a size that isn't positive
 	}
-	return partEvidence{records: make(map[Fingerprint]*partRecord), sound: sound, verdicts: make(map[Fingerprint]time.Time)}
+	return partEvidence{records: make(map[Fingerprint]*partRecord), sound: sound, verdicts: make(map[Fingerprint]verdict)}
 }
 
 // RecordParts records that a request with the given parts ran at an endpoint when it crashed, and may
@@ -215,8 +215,8 @@
 // hasPartVerdict reports whether there is a final decision against a part.
 func (t *Tracker) hasPartVerdict(now time.Time, parts []Fingerprint) bool {
 	return len(t.parts.verdicts) > 0 && slices.ContainsFunc(parts, func(part Fingerprint) bool {
-		last, found := t.parts.verdicts[part]
-		return found && now.Sub(last) <= crashLifetime
+		v, found := t.parts.verdicts[part]
+		return found && now.Sub(v.last) <= crashLifetime
 	})
 }
 
@@ -266,7 +266,7 @@
 			since[part] = before
 		}
 		if last := t.lastCrashOfPart(part); !last.IsZero() && now.Sub(since[part]) >= partVerdictDelay {
-			addVerdict(t.parts.verdicts, part, last)
+			addVerdict(t.parts.verdicts, part, verdict{last: last})
 		}
 	}
 	t.parts.since = since
@@ -424,6 +424,10 @@
 	// Crashes is the number of known crashes that it was part of, Survived that of answers that their
 	// endpoints survived.
 	Crashes, Survived int
+	// Answers is the number of answers of all VMs that their endpoints survived, as far as known.
+	Answers int
+	// Heard says that the decision came from elsewhere.
+	Heard bool
 }
 
 // QuarantinedParts returns the parts with which requests are to be refused, sorted by fingerprint.
@@ -432,7 +436,7 @@
 	defer t.mu.Unlock()
 	t.decide(now)
 	for part := range t.parts.quarantined {
-		s := PartState{Part: part}
+		s := PartState{Part: part, Answers: t.parts.answers + t.parts.otherAnswers, Heard: t.parts.verdicts[part].heard}
 		if r := t.parts.records[part]; r != nil {
 			s.Crashes, s.Survived = r.crashes, r.survived
 		}
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -157,15 +157,15 @@
 	quarantined map[Fingerprint]bool
 	stale       bool
 	validUntil  time.Time
-	// verdicts holds the last crash of each request that was found to crash endpoints, by this VM
-	// or another, once the evidence had settled.
-	verdicts map[Fingerprint]time.Time
+	// verdicts holds the requests that were found to crash endpoints, by this VM or another, once the
+	// evidence had settled.
+	verdicts map[Fingerprint]verdict
 	parts    partEvidence
 }
 
 // New returns a tracker for a pool with the given number of endpoints.
 func New(endpoints int) *Tracker {
-	t := &Tracker{records: make(map[Fingerprint]*record), verdicts: make(map[Fingerprint]time.Time), parts: newPartEvidence(), rules: defaultRules}
+	t := &Tracker{records: make(map[Fingerprint]*record), verdicts: make(map[Fingerprint]verdict), parts: newPartEvidence(), rules: defaultRules}
 	t.Resize(endpoints)
 	return t
 }
@@ -187,7 +187,7 @@
 func (t *Tracker) IsQuarantined(now time.Time, f Fingerprint, parts ...Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if last, found := t.verdicts[f]; found && now.Sub(last) <= crashLifetime {
+	if v, found := t.verdicts[f]; found && now.Sub(v.last) <= crashLifetime {
 		return true
 	}
 	if t.hasPartVerdict(now, parts) {
@@ -209,6 +209,25 @@
 	return slices.Sorted(maps.Keys(t.quarantined))
 }
 
+// RequestState is what is known of a request in quarantine, for logs.
+type RequestState struct {
+	// Crashes is the number of endpoints at whose known crashes it was, Survived that of complete answers.
+	Crashes, Survived int
+	// Heard says that the decision came from elsewhere.
+	Heard bool
+}
+
+// Describe returns what is known of a request.
+func (t *Tracker) Describe(f Fingerprint) RequestState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := RequestState{Heard: t.verdicts[f].heard}
+	if r := t.records[f]; r != nil {
+		s.Crashes, s.Survived = len(r.crashes), r.survived
+	}
+	return s
+}
+
 // IsSuspect reports whether the request was in flight at a crash and has not completed
 // since. It must not share an endpoint with another suspect.
 func (t *Tracker) IsSuspect(now time.Time, f Fingerprint) bool {
@@ -325,9 +344,9 @@
 	if n > 0 {
 		t.dropCrashes(n)
 	}
-	for _, verdicts := range []map[Fingerprint]time.Time{t.verdicts, t.parts.verdicts} {
-		for f, last := range verdicts {
-			if now.Sub(last) > crashLifetime {
+	for _, verdicts := range []map[Fingerprint]verdict{t.verdicts, t.parts.verdicts} {
+		for f, v := range verdicts {
+			if now.Sub(v.last) > crashLifetime {
 				delete(verdicts, f)
 				t.stale = true
 			}
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -138,10 +138,10 @@
 	return reportVerdicts(now, t.verdicts), reportVerdicts(now, t.parts.verdicts)
 }
 
-func reportVerdicts(now time.Time, verdicts map[Fingerprint]time.Time) []Verdict {
+func reportVerdicts(now time.Time, verdicts map[Fingerprint]verdict) []Verdict {
 	out := make([]Verdict, 0, len(verdicts))
 	for _, f := range slices.Sorted(maps.Keys(verdicts)) {
-		out = append(out, Verdict{Fingerprint: f, AgeMs: uint32(max(now.Sub(verdicts[f]).Milliseconds(), 0))})
+		out = append(out, Verdict{Fingerprint: f, AgeMs: uint32(max(now.Sub(verdicts[f].last).Milliseconds(), 0))})
 	}
 	return out
 }
@@ -156,10 +156,10 @@
 	return changed
 }
 
-func mergeVerdicts(now time.Time, known map[Fingerprint]time.Time, heard []Verdict) (changed bool) {
+func mergeVerdicts(now time.Time, known map[Fingerprint]verdict, heard []Verdict) (changed bool) {
 	for _, v := range heard {
 		if age := time.Duration(v.AgeMs) * time.Millisecond; age <= crashLifetime {
-			changed = addVerdict(known, v.Fingerprint, now.Add(-age)) || changed
+			changed = addVerdict(known, v.Fingerprint, verdict{last: now.Add(-age), heard: true}) || changed
 		}
 	}
 	return changed
