--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -175,7 +175,7 @@
 func (s *suspects) Answering(service, endpoint string, f uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.pool(service).underWay(endpoint, poison.Fingerprint(f)); r != nil {
+	if r := s.pool(service).underWay(endpoint, poison.Fingerprint(f)); r != nil && r.answering.IsZero() {
 		r.answering = time.Now()
 	}
 }
