Find a part that begins to crash endpoints after sound answers

What callers saw: requests with one part crash one endpoint after the other, on a fleet without any other trouble. Cause: answers from before a part's first crash counted against its guilt for good. Five of them called for 40 crashes, and a part with one counted as no suspect, so that its requests went on to a second and third endpoint.

Answers of a part no longer count once it was part of three crashes in a row since the last of them, while ten answers with it were to be expected by those to all requests since then. VMs tell each other when the last answer with a part began. The numbers of answers of other VMs are kept in policy/poison for both routers.

The test's harness repeated sound requests with the part after it had turned; it stops them now.

--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -79,8 +79,6 @@
 	// quarantinedParts is the same for parts of prompts.
 	quarantinedParts map[poison.Fingerprint]bool
 	reported         map[string]reportState // by endpoint
-	// answers holds, by VM, the last reported number of answers that their endpoints survived.
-	answers map[string]int
 }
 
 // run is one attempt of this VM at an endpoint.
@@ -117,6 +115,14 @@
 	return !r.answering.IsZero() && last.Sub(r.answering) > partCrashDelay
 }
 
+// answerBegan returns when the answer began, for a complete answer that isn't a stream when it was complete.
+func (r *run) answerBegan() time.Time {
+	if r.answering.IsZero() {
+		return r.ended
+	}
+	return r.answering
+}
+
 // describe formats the run for a log line: its fingerprint, how long before the given time it was
 // sent and answered ("-" if it wasn't), and the parts of its prompt.
 func (r *run) describe(at time.Time) string {
@@ -142,7 +148,7 @@
 	if p == nil {
 		p = &suspectPool{
 			tracker: poison.New(poolSize), runs: make(map[string][]*run), crashed: make(map[string]time.Time), checking: make(map[string]bool),
-			quarantined: make(map[poison.Fingerprint]bool), reported: make(map[string]reportState), answers: make(map[string]int),
+			quarantined: make(map[poison.Fingerprint]bool), reported: make(map[string]reportState),
 		}
 		s.pools[service] = p
 	}
@@ -258,7 +264,7 @@
 				if !r.partsJudged && r.hasBeenAnswered(now) {
 					r.partsJudged = true
 					if !p.tracker.HasCrashed(endpoint, r.began) {
-						p.tracker.RecordAnswer(r.parts)
+						p.tracker.RecordAnswer(now, r.answerBegan(), r.parts)
 					}
 				}
 			}
@@ -402,7 +408,7 @@
 		in[s.Part] = true
 		if !p.quarantinedParts[s.Part] {
 			log.Info().Str("part", s.Part.String()).Bool("quarantined", true).Str("source", sourceOf(s.Heard)).
-				Int("crashes", s.Crashes).Int("survived", s.Survived).Int("answers", s.Answers).Func(addReach).Msg("prompt part that crashes endpoints")
+				Int("crashes", s.Crashes).Int("survived", s.Survived).Bool("turned", s.Turned).Int("answers", s.Answers).Func(addReach).Msg("prompt part that crashes endpoints")
 		}
 	}
 	for part := range p.quarantinedParts {
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -218,6 +219,9 @@
 	v, _ := f.randomVM()
 	tried := make(map[string]bool)
 	for range crashAttempts {
+		if slices.Contains(parts, f.soundPart) && time.Since(f.began) >= f.soundUntil {
+			return // the request would crash endpoints by now
+		}
 		quarantined := v.Quarantined(crashService, content, parts...)
 		if quarantined || len(tried) > 0 && !v.MayRepeat(crashService, parts...) {
 			f.mu.Lock()
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -15,7 +15,7 @@
 	verdictBytes, answersBytes = 16, 8
 	// crashBytes is the most that a crash takes without the endpoint's name, its requests and its parts;
 	// requestBytes and partBytes are the most that each of those takes.
-	crashBytes, requestBytes, partBytes = 20, 17, 18
+	crashBytes, requestBytes, partBytes = 20, 17, 23
 	// maxReportedRequests bounds the requests of one crash in a datagram. Those that were part of
 	// the most crashes are reported.
 	maxReportedRequests = 20
@@ -29,10 +29,10 @@
 	maxReportedVerdicts = 4
 )
 
-// crashReports is a VM's part of a datagram about crashes, by service. The key 1 belonged to crashes
-// without parts.
+// crashReports is a VM's part of a datagram about crashes, by service. The keys 1 and 3 belonged to
+// crashes in other forms.
 type crashReports struct {
-	Crashes      map[string][]poison.Crash   `cbor:"3,keyasint,omitempty"`
+	Crashes      map[string][]poison.Crash   `cbor:"6,keyasint,omitempty"`
 	Verdicts     map[string][]poison.Verdict `cbor:"2,keyasint,omitempty"`
 	PartVerdicts map[string][]poison.Verdict `cbor:"4,keyasint,omitempty"`
 	// Answers are the answers of the reporting VM that their endpoints survived, for services with crashes.
@@ -130,7 +130,7 @@
 			}
 			if c.Age() <= suspectTTL && r.rounds < maxReportRounds {
 				r.Requests = mostSuspect(c.Requests)
-				r.Parts = poison.MostSuspect(c.Parts, maxReportedParts)
+				r.Parts = poison.MostSuspect(c.Parts, maxReportedParts, r.rounds)
 				for _, request := range r.Requests {
 					r.suspicion = max(r.suspicion, request.Endpoints)
 				}
@@ -180,13 +180,7 @@
 		}
 	}
 	for service, n := range r.Answers {
-		p := s.pool(service)
-		p.answers[from] = n
-		sum := 0
-		for _, n := range p.answers {
-			sum += n
-		}
-		p.tracker.SetOtherAnswers(sum)
+		s.pool(service).tracker.SetOtherAnswers(now, from, n)
 	}
 	for service, verdicts := range r.Verdicts {
 		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, verdicts, nil) {
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -42,9 +42,12 @@
 	// maxParts bounds the parts that were part of crashes, maxSoundParts those for which survived
 	// answers are counted before a crash.
 	maxParts, maxSoundParts = 2048, 4096
-	// maxPriorAnswers bounds the survived answers that count from before a part's first crash. A
-	// part that begins to crash endpoints, for instance on a new version, is still found.
+	// maxPriorAnswers bounds the survived answers that count from before a part's first crash.
 	maxPriorAnswers = 5
+	// minTurnedCrashes is the number of crashes with a part in a row, and minTurnedAnswers that of survived
+	// answers that were to be expected meanwhile, without a single one, after which earlier answers don't
+	// count: a part may begin to crash endpoints, for instance on a new version.
+	minTurnedCrashes, minTurnedAnswers = 3, 10
 )
 
 // crashPart is a part that a request at a crash had in its prompt.
@@ -79,20 +82,49 @@
 
 // partRecord is the evidence about one part.
 type partRecord struct {
-	crashes  int // that it was part of
-	survived int // answers with it that their endpoints survived
+	crashes int // that it was part of
+	answers partAnswers
+	// turned says that the answers don't count: the part crashes endpoints since the last one.
+	turned bool
 }
 
+// partAnswers are the answers with a part that their endpoints survived.
+type partAnswers struct {
+	n    int
+	last time.Time // when the last of them began
+}
+
+// add adds an answer that began at the given time.
+func (a partAnswers) add(began time.Time) partAnswers {
+	return partAnswers{n: a.n + 1, last: later(a.last, began)}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// survived returns the number of survived answers that count for the part.
+func (r *partRecord) survived() int {
+	if r.turned {
+		return 0
+	}
+	return r.answers.n
+}
+
+// counts reports whether a crash counts against the part.
+func (r *partRecord) counts(c *crash) bool { return !r.turned || c.at.After(r.answers.last) }
+
 // partEvidence is what a Tracker knows about parts of prompts. Each run of a request tests all parts
 // of its prompt: a part that crashes endpoints never has an answer that its endpoint survives, and a
 // part that most requests share has many, however many crashes it was part of.
 type partEvidence struct {
 	records map[Fingerprint]*partRecord
 	// sound counts the survived answers of parts that were part of no crash, maxPriorAnswers at most.
-	sound *simplelru.LRU[Fingerprint, int]
-	// answers is the number of survived answers to all requests of this VM, otherAnswers that of other
-	// VMs as far as known.
-	answers, otherAnswers int
+	sound   *simplelru.LRU[Fingerprint, partAnswers]
+	answers answerCounts
 	// quarantined is the decision of decidedAt, computed by Tracker.decide. since is when each part in it
 	// was found to crash endpoints.
 	decidedAt   time.Time
@@ -106,7 +138,7 @@
 }
 
 func newPartEvidence() partEvidence {
-	sound, err := simplelru.NewLRU[Fingerprint, int](maxSoundParts, nil)
+	sound, err := simplelru.NewLRU[Fingerprint, partAnswers](maxSoundParts, nil)
 	if err != nil {
 		panic(err) // only for a size that isn't positive
 	}
@@ -126,18 +158,21 @@
 	t.stale = t.stale || changed
 }
 
-// RecordAnswer records an answer to a request with the given parts that its endpoint survived.
-func (t *Tracker) RecordAnswer(parts []Fingerprint) {
+// RecordAnswer records an answer, which began at the given time, to a request with the given parts, and
+// that its endpoint survived.
+func (t *Tracker) RecordAnswer(now, began time.Time, parts []Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.parts.answers++
+	t.parts.answers.add(now)
 	for _, part := range parts {
 		if r := t.parts.records[part]; r != nil {
-			r.survived++
+			r.answers = r.answers.add(began)
 			// An answer can only end a quarantine.
 			t.stale = t.stale || t.parts.quarantined[part]
-		} else if n, _ := t.parts.sound.Get(part); n < maxPriorAnswers {
-			t.parts.sound.Add(part, n+1)
+		} else if known, _ := t.parts.sound.Get(part); known.n < maxPriorAnswers {
+			t.parts.sound.Add(part, known.add(began))
+		} else {
+			t.parts.sound.Add(part, partAnswers{n: known.n, last: later(known.last, began)})
 		}
 	}
 }
@@ -146,14 +181,14 @@
 func (t *Tracker) Answers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.parts.answers
+	return t.parts.answers.own
 }
 
-// SetOtherAnswers records that number of all other VMs together.
-func (t *Tracker) SetOtherAnswers(n int) {
+// SetOtherAnswers records that number of another VM.
+func (t *Tracker) SetOtherAnswers(now time.Time, from string, n int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.parts.otherAnswers = n
+	t.parts.answers.set(now, from, n)
 }
 
 // addPart records that a part was in flight at a crash. It reports whether that is new.
@@ -171,9 +206,9 @@
 		if len(t.parts.records) >= maxParts {
 			return false
 		}
-		survived, _ := t.parts.sound.Get(part)
+		answers, _ := t.parts.sound.Get(part)
 		t.parts.sound.Remove(part)
-		r = &partRecord{survived: survived}
+		r = &partRecord{answers: answers}
 		t.parts.records[part] = r
 	}
 	r.crashes++
@@ -199,7 +234,7 @@
 		r := t.parts.records[p.part]
 		if r.crashes--; r.crashes == 0 {
 			delete(t.parts.records, p.part)
-			t.parts.sound.Add(p.part, min(r.survived, maxPriorAnswers))
+			t.parts.sound.Add(p.part, partAnswers{n: min(r.answers.n, maxPriorAnswers), last: r.answers.last})
 		}
 	}
 }
@@ -228,7 +263,7 @@
 	defer t.mu.Unlock()
 	mayBeSuspect := func(part Fingerprint) bool {
 		r := t.parts.records[part]
-		return r != nil && r.crashes >= minSuspectCarriers && r.survived == 0
+		return r != nil && r.crashes >= minSuspectCarriers && r.survived() == 0
 	}
 	if !slices.ContainsFunc(parts, mayBeSuspect) {
 		return true
@@ -241,6 +276,7 @@
 // the crashes that it explains count against no other one.
 func (t *Tracker) decideParts(now time.Time) {
 	t.parts.decidedAt = now
+	t.findTurned()
 	quarantined := make(map[Fingerprint]bool)
 	for part := range t.parts.verdicts {
 		quarantined[part] = true
@@ -272,6 +308,37 @@
 	t.parts.since = since
 }
 
+// findTurned finds the parts with earlier answers that crash endpoints since the last of these: no answer
+// has followed, though several were to be expected by the answers to all requests.
+func (t *Tracker) findTurned() {
+	runs := 0
+	for _, c := range t.crashes {
+		runs += c.recentRuns()
+	}
+	type row struct{ crashes, runs, answers int } // since the last answer
+	rows := make(map[Fingerprint]*row)
+	for _, c := range t.crashes {
+		for _, p := range c.parts {
+			r := t.parts.records[p.part]
+			if r.answers.n == 0 || r.crashes < minTurnedCrashes || !c.at.After(r.answers.last) {
+				continue
+			}
+			if rows[p.part] == nil {
+				rows[p.part] = &row{runs: runs, answers: t.parts.answers.since(c.at.Add(answerJudgement))}
+			}
+			rows[p.part].crashes++
+		}
+		runs -= c.recentRuns()
+	}
+	for part, r := range t.parts.records {
+		r.turned = false
+		if w := rows[part]; w != nil && w.crashes >= minTurnedCrashes {
+			share := float64(w.crashes) / float64(max(w.runs, w.crashes))
+			r.turned = share*float64(w.answers) >= minTurnedAnswers
+		}
+	}
+}
+
 func (t *Tracker) lastCrashOfPart(part Fingerprint) time.Time {
 	for _, c := range slices.Backward(t.crashes) {
 		if c.hasPart(part) {
@@ -313,7 +380,7 @@
 		runs += c.recentRuns()
 	}
 	share := min(float64(s.crashes+s.repeats)/float64(max(runs, 1)), 1)
-	return share*float64(t.parts.answers+t.parts.otherAnswers) >= minExpectedAnswers
+	return share*float64(t.parts.answers.all()) >= minExpectedAnswers
 }
 
 // worstPart returns the part with the highest score among those that are to be quarantined.
@@ -374,12 +441,12 @@
 		}
 		for j, p := range c.parts {
 			r := t.parts.records[p.part]
-			if r.crashes < 2 {
+			if r.crashes < 2 || !r.counts(c) {
 				continue // most parts; one crash decides nothing
 			}
 			s := scores[p.part]
 			if s == nil {
-				s = &partScore{first: i, survived: r.survived, carriers: make(map[uint32]bool), endpoints: make(map[string]bool)}
+				s = &partScore{first: i, survived: r.survived(), carriers: make(map[uint32]bool), endpoints: make(map[string]bool)}
 				scores[p.part] = s
 			}
 			s.add(c, p.carrier, odds[j]/total, t.rules.simultaneous)
@@ -415,7 +482,7 @@
 	if r.crashes > 1 && scores[part] != nil {
 		odds += scores[part].blame
 	}
-	return odds / float64(1+r.survived)
+	return odds / float64(1+r.survived())
 }
 
 // PartState is a part in quarantine, for logs.
@@ -424,6 +491,8 @@
 	// Crashes is the number of known crashes that it was part of, Survived that of answers that their
 	// endpoints survived.
 	Crashes, Survived int
+	// Turned says that the answers don't count, since the part crashes endpoints since the last of them.
+	Turned bool
 	// Answers is the number of answers of all VMs that their endpoints survived, as far as known.
 	Answers int
 	// Heard says that the decision came from elsewhere.
@@ -436,9 +505,9 @@
 	defer t.mu.Unlock()
 	t.decide(now)
 	for part := range t.parts.quarantined {
-		s := PartState{Part: part, Answers: t.parts.answers + t.parts.otherAnswers, Heard: t.parts.verdicts[part].heard}
+		s := PartState{Part: part, Answers: t.parts.answers.all(), Heard: t.parts.verdicts[part].heard}
 		if r := t.parts.records[part]; r != nil {
-			s.Crashes, s.Survived = r.crashes, r.survived
+			s.Crashes, s.Survived, s.Turned = r.crashes, r.answers.n, r.turned
 		}
 		out = append(out, s)
 	}
--- a/policy/poison/parts_test.go
+++ b/policy/poison/parts_test.go
@@ -40,7 +40,7 @@
 	}
 	out := make(map[Fingerprint]bool)
 	for part, list := range carriers {
-		if len(list) >= minCarriers && t.parts.records[part].survived < len(list)/minCarriers {
+		if len(list) >= minCarriers && t.parts.records[part].answers.n < len(list)/minCarriers {
 			out[part] = true
 		}
 	}
@@ -74,7 +74,7 @@
 	answered := func(n int) {
 		for range n {
 			parts := sound()
-			tracker.RecordAnswer(parts)
+			tracker.RecordAnswer(now, now, parts)
 		}
 	}
 	if !l.fresh {
@@ -221,7 +221,7 @@
 				vm.RecordCrash(at, e, []Fingerprint{f}, 0)
 				vm.RecordParts(at, e, f, parts)
 				if rapid.Bool().Draw(t, "survives") {
-					vm.RecordAnswer(parts[:1])
+					vm.RecordAnswer(at, at, parts[:1])
 				}
 			}
 		}
@@ -245,10 +245,10 @@
 	const newPart Fingerprint = 77
 	for _, spacing := range []time.Duration{0, 5 * time.Millisecond, 15 * time.Millisecond} {
 		tracker := New(stormPool)
+		now, f := start, Fingerprint(1000)
 		for range 200 {
-			tracker.RecordAnswer([]Fingerprint{1})
+			tracker.RecordAnswer(now, now, []Fingerprint{1})
 		}
-		now, f := start, Fingerprint(1000)
 		for e := range 8 {
 			for range 4 {
 				f++
@@ -263,7 +263,7 @@
 			require.False(t, tracker.IsQuarantined(now, 1, 1, newPart), "%s apart", spacing)
 		}
 		require.False(t, tracker.MayRepeat(now, newPart), "it has no answer yet")
-		tracker.RecordAnswer([]Fingerprint{1, newPart})
+		tracker.RecordAnswer(now, now, []Fingerprint{1, newPart})
 		require.True(t, tracker.MayRepeat(now, newPart))
 	}
 }
@@ -278,10 +278,10 @@
 		f++
 		tracker.RecordParts(now, e, f, []Fingerprint{1, 2})
 		for range 50 {
-			tracker.RecordAnswer([]Fingerprint{1})
+			tracker.RecordAnswer(now, now, []Fingerprint{1})
 		}
 		if i%4 == 0 {
-			tracker.RecordAnswer([]Fingerprint{1, 2})
+			tracker.RecordAnswer(now, now, []Fingerprint{1, 2})
 		}
 		require.False(t, tracker.IsQuarantined(now, f, 1, 2), "crash %d", i)
 	}
@@ -292,7 +292,7 @@
 	const sound, bad Fingerprint = 2, 3
 	tracker, f, now := New(stormPool), Fingerprint(1000), start
 	for range 50 {
-		tracker.RecordAnswer([]Fingerprint{1})
+		tracker.RecordAnswer(now, now, []Fingerprint{1})
 	}
 	crash := func(parts ...Fingerprint) {
 		now = now.Add(300 * time.Millisecond)
@@ -303,8 +303,8 @@
 		crash(sound, bad)
 		require.False(t, tracker.IsQuarantined(now, f, sound))
 	}
-	tracker.RecordAnswer([]Fingerprint{sound})
-	tracker.RecordAnswer([]Fingerprint{sound})
+	tracker.RecordAnswer(now, now, []Fingerprint{sound})
+	tracker.RecordAnswer(now, now, []Fingerprint{sound})
 	crash(sound, bad)
 	now = now.Add(minPartInterval)
 	require.False(t, tracker.IsQuarantined(now, f, sound))
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -42,10 +42,13 @@
 	Part Fingerprint
 	// Carrier identifies a request with the part.
 	Carrier uint32
-	// Survived is the number of answers with the part that their endpoints survived.
-	Survived uint32
+	// Survived is the number of answers with the part that their endpoints survived, and AnsweredMs the
+	// time since the last of these began in ms.
+	Survived   uint32
+	AnsweredMs uint32
 	// Crashes is the number of crashes that the part was in. It isn't exchanged.
 	Crashes int `cbor:"-"`
+	turned  bool
 }
 
 // commonParts is how many of the reported parts are those that were part of the most crashes, so that a VM
@@ -53,8 +56,9 @@
 const commonParts = 2
 
 // MostSuspect returns the n most suspect of a crash's parts, and those that were part of the most
-// crashes. Parts that are surely sound are left out.
-func MostSuspect(parts []Part, n int) []Part {
+// crashes. Parts that are surely sound are left out. If there are too many suspect ones, another turn
+// returns others.
+func MostSuspect(parts []Part, n, turn int) []Part {
 	if len(parts) <= commonParts {
 		return parts
 	}
@@ -63,10 +67,23 @@
 	suspects := slices.DeleteFunc(out[commonParts:], func(p Part) bool { return p.suspicion() < 1 })
 	slices.SortStableFunc(suspects, func(a, b Part) int { return cmp.Compare(b.suspicion(), a.suspicion()) })
 	out = out[:commonParts+len(suspects)]
-	return out[:min(len(out), n)]
+	if len(out) <= n {
+		return out
+	}
+	// Half of the places are for the most suspect, and the others take turns.
+	fixed := max(n/2, min(commonParts, n))
+	rest := out[fixed:]
+	first := turn * (n - fixed) % len(rest)
+	return append(out[:fixed:fixed], append(slices.Clone(rest[first:]), rest[:first]...)[:n-fixed]...)
 }
 
-func (p *Part) suspicion() float64 { return float64(p.Crashes) / float64(1+p.Survived) }
+// suspicion orders parts. Those that crash endpoints since their last answer come first.
+func (p *Part) suspicion() float64 {
+	if p.turned {
+		return float64(p.Crashes)
+	}
+	return float64(p.Crashes) / float64(1+p.Survived)
+}
 
 // Crashes returns all crashes in the order of time, for the other VMs.
 func (t *Tracker) Crashes(now time.Time) []Crash {
@@ -82,7 +99,11 @@
 		}
 		for _, p := range c.parts {
 			r := t.parts.records[p.part]
-			e.Parts = append(e.Parts, Part{Part: p.part, Carrier: p.carrier, Survived: uint32(r.survived), Crashes: r.crashes})
+			part := Part{Part: p.part, Carrier: p.carrier, Survived: uint32(r.answers.n), Crashes: r.crashes, turned: r.turned}
+			if r.answers.n > 0 {
+				part.AnsweredMs = uint32(max(now.Sub(r.answers.last).Milliseconds(), 0))
+			}
+			e.Parts = append(e.Parts, part)
 		}
 		out = append(out, e)
 	}
@@ -111,8 +132,10 @@
 		}
 		for _, p := range e.Parts {
 			changed = t.addPart(c, p.Part, p.Carrier) || changed
-			if known := t.parts.records[p.Part]; known != nil && int(p.Survived) > known.survived {
-				known.survived, changed = int(p.Survived), true
+			if known := t.parts.records[p.Part]; known != nil && p.Survived > 0 {
+				last := now.Add(-time.Duration(p.AnsweredMs) * time.Millisecond)
+				changed = changed || int(p.Survived) > known.answers.n
+				known.answers = partAnswers{n: max(known.answers.n, int(p.Survived)), last: later(known.answers.last, last)}
 			}
 		}
 		c.running = max(c.running, int(e.Running), len(c.requests))
--- a/router/dispatch/dispatcher.go
+++ b/router/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	// ramping holds the data centres that have returned to service and are still below
 	// their full weight.
 	ramping map[string]bool
+	// poisonTurn counts the reports about crashes.
+	poisonTurn int
 }
 
 // New returns a dispatcher without endpoints.
--- a/router/dispatch/line.go
+++ b/router/dispatch/line.go
@@ -22,8 +22,6 @@
 	budget        *retry.Budget
 	tracker       *poison.Tracker
 	endpointCount int
-	// answers holds, by VM, the last reported number of answers that their endpoints survived.
-	answers map[string]int
 }
 
 // waiter is a request in a queue. Its channel has capacity for the one grant that it
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -59,24 +59,11 @@
 	for name, ps := range d.pools {
 		ps.tracker.MergeVerdicts(now, r.Verdicts[name], r.PartVerdicts[name])
 		if n, found := r.Answers[name]; found {
-			ps.setAnswers(from, n)
+			ps.tracker.SetOtherAnswers(now, from, n)
 		}
 	}
 }
 
-// setAnswers records the number of survived answers of another VM.
-func (ps *poolState) setAnswers(from string, n int) {
-	if ps.answers == nil {
-		ps.answers = make(map[string]int)
-	}
-	ps.answers[from] = n
-	sum := 0
-	for _, n := range ps.answers {
-		sum += n
-	}
-	ps.tracker.SetOtherAnswers(sum)
-}
-
 // maxReportedParts bounds the parts of one crash in a report.
 const maxReportedParts = 16
 
@@ -86,12 +73,13 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.poisonTurn++
 	out := make(map[string][]poison.Crash)
 	for name, ps := range d.pools {
 		for _, c := range ps.tracker.Crashes(now) {
 			if c.Age() <= maxAge && len(c.Requests) > 0 && limit > 0 {
 				c.Requests = c.Requests[:min(len(c.Requests), limit)]
-				c.Parts = poison.MostSuspect(c.Parts, maxReportedParts)
+				c.Parts = poison.MostSuspect(c.Parts, maxReportedParts, d.poisonTurn)
 				out[name] = append(out[name], c)
 				limit -= len(c.Requests)
 			}
--- a/router/dispatch/ticket.go
+++ b/router/dispatch/ticket.go
@@ -201,7 +201,7 @@
 		e.lastSuccess[t.pool.name] = now
 		t.pool.tracker.RecordSuccess(t.need.Fingerprint)
 		if len(t.need.Parts) > 0 {
-			t.pool.tracker.RecordAnswer(t.need.Parts)
+			t.pool.tracker.RecordAnswer(now, t.start, t.need.Parts)
 		}
 	}
 	if (r.Crashed || r.Unreached) && e.spec.Service == "" {
