Take only events that arrived for a sign that an endpoint survived an answer

Cause: a VM judged by the time since an answer's beginning whether its endpoint had survived the prompt's parts. Class: a date of knowledge taken for that of the event.

An answer now counts as survived, and ends to be a possible cause of a crash, by the last event that arrived. forward tells the detector of each read with events.

TestSilentAnswerIsNoSignForItsParts and two new cases of TestAnswersThatClearAPart fail before and pass now. Two older cases of that test, and TestLongAnswerIsNoCauseByItsParts, let an answer grow old without a single event, which is the fault; events arrive in them now, and their checks are as they were.

--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -164,7 +164,8 @@
 	MayRepeat(service string, parts ...poison.Fingerprint) bool
 	// Begin and End are called once for each attempt that is sent.
 	Begin(service, endpoint string, fingerprint uint64, parts ...poison.Fingerprint)
-	// Answering is called when the endpoint has begun to answer the attempt with a stream.
+	// Answering is called when the endpoint has begun to answer the attempt with a stream, and when
+	// events of it arrive.
 	Answering(service, endpoint string, fingerprint uint64)
 	End(a Attempt)
 	// Refused is called when an endpoint refuses a connection, so that nothing runs at its address.
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// recordAnswering records that an endpoint has begun to answer the current attempt.
+// recordAnswering records that an endpoint has begun to answer the current attempt, or goes on with it.
 func (c *call) recordAnswering(ch placement.Choice) {
 	if c.begun {
 		c.h.cfg.Poison.Answering(c.service, ch.ID, c.fingerprint)
@@ -251,6 +251,7 @@
 			c.answer.add(events, time.Now())
 			if events > 0 {
 				c.reportEvents(ch)
+				c.recordAnswering(ch)
 			}
 			if wrote || !r.flushed {
 				r.flushed = true
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -87,6 +87,7 @@
 	parts        []poison.Fingerprint // of its prompt that other requests may hold too
 	began, ended time.Time            // ended is zero while the attempt is under way
 	answering    time.Time            // when the endpoint began to answer with a stream; zero if it didn't
+	lastEvent    time.Time            // when the last part of the stream arrived
 	survived     bool                 // the endpoint gave a complete answer
 	// successJudged says that it is known whether the endpoint survived the complete answer.
 	successJudged bool
@@ -96,23 +97,19 @@
 }
 
 // partsMayHaveCrashed reports whether a crash of the endpoint at the given time may be the doing of a
-// part of the run's prompt. Such a part does it when the answer begins.
+// part of the run's prompt. Such a part does it soon after the answer begins. Only what arrived shows how
+// long the endpoint has answered: a VM may find a crash late.
 func (r *run) partsMayHaveCrashed(at time.Time) bool {
-	return r.mayHaveCrashed(at) && (r.answering.IsZero() || at.Sub(r.answering) <= partCrashDelay)
+	return r.mayHaveCrashed(at) && !r.isAnsweredLong()
 }
 
+func (r *run) isAnsweredLong() bool { return r.lastEvent.Sub(r.answering) > partCrashDelay }
+
 // hasBeenAnswered reports whether the answer has been complete or arriving for so long that no part of
 // the prompt crashes endpoints. An answer that was dropped shows nothing: often no VM notices the crash
 // until later.
 func (r *run) hasBeenAnswered(now time.Time) bool {
-	if r.survived {
-		return now.Sub(r.ended) > partCrashDelay
-	}
-	last := r.ended
-	if last.IsZero() {
-		last = now
-	}
-	return !r.answering.IsZero() && last.Sub(r.answering) > partCrashDelay
+	return r.isAnsweredLong() || r.survived && now.Sub(r.ended) > partCrashDelay
 }
 
 // answerBegan returns when the answer began, for a complete answer that isn't a stream when it was complete.
@@ -181,8 +178,11 @@
 func (s *suspects) Answering(service, endpoint string, f uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r := s.pool(service).underWay(endpoint, poison.Fingerprint(f)); r != nil && r.answering.IsZero() {
-		r.answering = time.Now()
+	if r := s.pool(service).underWay(endpoint, poison.Fingerprint(f)); r != nil {
+		r.lastEvent = time.Now()
+		if r.answering.IsZero() {
+			r.answering = r.lastEvent
+		}
 	}
 }
 
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -257,6 +257,7 @@
 func TestAnswersThatClearAPart(t *testing.T) {
 	for name, c := range map[string]struct {
 		answering bool
+		silent    bool // no event follows the first one
 		length    time.Duration
 		survived  bool
 		answers   int
@@ -268,13 +269,19 @@
 		"never answered":        {length: 2 * partCrashDelay},
 		"complete, no stream":   {length: 20 * time.Millisecond, survived: true, answers: 1},
 		"under way for a while": {answering: true, length: time.Hour, answers: 1},
+		"silent for a while":    {answering: true, silent: true, length: time.Hour},
+		"silent, then dropped":  {answering: true, silent: true, length: 2 * partCrashDelay},
+		"silent, then complete": {answering: true, silent: true, length: 2 * partCrashDelay, survived: true, answers: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newSuspects(func(string) bool { return true }, intactPaths{}, func() {}, zerolog.Nop())
 				s.Begin("s", "e", 7, poison.NewPart("p"))
-				if c.answering {
+				switch {
+				case c.answering && c.silent:
 					s.Answering("s", "e", 7)
+				case c.answering:
+					defer streamEvents(s, attempt("e", 7))()
 				}
 				time.AfterFunc(c.length, func() {
 					a := attempt("e", 7)
@@ -291,6 +298,25 @@
 	}
 }
 
+// Guards against a VM that stands still, or hears nothing from an endpoint, and takes the time that passes for a sign that the endpoint survived.
+func TestSilentAnswerIsNoSignForItsParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSuspects(func(string) bool { return false }, intactPaths{}, func() {}, zerolog.Nop())
+		s.Begin("s", "e", 7, poison.NewPart("p"))
+		s.Answering("s", "e", 7)
+		time.Sleep(3 * time.Second)
+		s.report(maxPayloadBytes)
+		at := attempt("e", 7)
+		at.ConnectionBroke = true
+		s.End(at)
+		synctest.Wait()
+		crashes := s.pools["s"].tracker.Crashes(time.Now())
+		require.Len(t, crashes, 1)
+		require.Len(t, crashes[0].Parts, 1, "parts that may have crashed the endpoint")
+		require.Zero(t, s.pools["s"].tracker.Answers())
+	})
+}
+
 // Guards against a part that is blamed for the crash of an endpoint which had been answering the request for long.
 func TestLongAnswerIsNoCauseByItsParts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -300,6 +326,7 @@
 		}
 		s.Answering("s", "e", 7)
 		time.Sleep(2 * partCrashDelay)
+		s.Answering("s", "e", 7)
 		s.Answering("s", "e", 8)
 		for _, f := range []uint64{7, 8, 9} {
 			at := attempt("e", f)
