Keep evidence of crashing requests at the platform

What callers saw: after all VMs had ended, or while VMs heard no other one, a part or request crashed its way through the endpoints again. Cause: which requests were in flight at which crashes, and what was decided by it, was in VMs' memory alone and went from VM to VM alone. Class: state that must outlast a process kept in processes.

VMs now keep this evidence in a kind of their own, goldcrest-crashes, one entry a VM. The VM that ranks first writes crashes that have a candidate in common 0.2 s after the first one, others 0.5 s later each if the platform still lacks them; a VM that hears fewer VMs than it knows writes every crash at once. All follow the kind as they follow the others, so that a VM that starts knows the evidence with its first list, and VMs that hear no other one share it. An entry holds 64 crashes with 32 requests and parts each, verdicts and the numbers of answers; it is deleted 15 minutes after its youngest crash. The price is a fifth watch.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -41,6 +41,12 @@
 	// RecordRollOut writes the state s of a roll-out if its order is unchanged since r;
 	// otherwise it returns durable.ErrConflict.
 	RecordRollOut(ctx context.Context, r catalog.RollOut, s catalog.RollOutState) error
+	// CrashEvidence returns the source of what VMs know of requests that crash endpoints.
+	// WriteCrashEvidence writes the entry by a name, which is known to exist or may not, and
+	// DropCrashEvidence deletes one.
+	CrashEvidence() view.Source[catalog.CrashEvidence]
+	WriteCrashEvidence(ctx context.Context, name string, known bool, e catalog.CrashEvidence) error
+	DropCrashEvidence(ctx context.Context, name string) error
 }
 
 // Edge holds the parts of the interface to callers and to the platform's checks that depend on
@@ -127,6 +133,7 @@
 	rollOutsListed atomic.Bool   // whether the roll-outs were listed
 	outListed      atomic.Bool   // whether the data centres that are out were listed
 	membersRead    atomic.Bool   // whether the entries of the VMs were read
+	crashesRead    atomic.Bool   // whether the crash evidence was read
 	startedAt      time.Duration // bootClock time of New
 
 	// Values derived from the fleet's members, recomputed when they are older than fleetAge.
@@ -162,7 +169,7 @@
 		return len(table.AliveNames(bootClock())), len(table.KnownNames())
 	}
 	n.feeds = make(map[string]*view.Feed)
-	for _, kind := range []string{kindConfig, kindEndpoints, kindRollOuts, kindDataCentresOut} {
+	for _, kind := range []string{kindConfig, kindEndpoints, kindRollOuts, kindDataCentresOut, kindCrashes} {
 		n.feeds[kind] = view.NewFeed(bootClock, share(n.bound(kind), feedLimitShare))
 	}
 	n.feedTransport = view.NewFeedTransport(n.feeds, registry)
@@ -267,6 +274,7 @@
 	kindEndpoints      = "endpoints"
 	kindRollOuts       = "roll-outs"
 	kindDataCentresOut = "data-centres-out"
+	kindCrashes        = "crashes"
 )
 
 // bound returns how long after a change of a kind the change must be in force.
@@ -278,6 +286,8 @@
 		return n.bounds().DrainTimeout
 	case kindRollOuts:
 		return n.bounds().RollBack
+	case kindCrashes:
+		return n.bounds().ContactWindow
 	}
 	return n.bounds().Evacuation
 }
@@ -323,11 +333,13 @@
 	// Without old lists the cost at the restart of a whole fleet grows with its size. A VM that has
 	// just started may learn the last roll-outs and data centres a moment later, but it must
 	// know the current keys and endpoints from its first request on.
-	orders.StaleList, out.StaleList = !n.s.FirstStart, !n.s.FirstStart
+	crashes := follower(n, kindCrashes, n.p.CrashEvidence(), n.applyCrashEvidence)
+	orders.StaleList, out.StaleList, crashes.StaleList = !n.s.FirstStart, !n.s.FirstStart, !n.s.FirstStart
 	n.spawn(func() { configs.Run(ctx) })
 	n.spawn(func() { endpoints.Run(ctx) })
 	n.spawn(func() { orders.Run(ctx) })
 	n.spawn(func() { out.Run(ctx) })
+	n.spawn(func() { crashes.Run(ctx) })
 }
 
 func (n *Node) upkeep(ctx context.Context) {
@@ -346,6 +358,7 @@
 			n.quota.Sweep()
 			n.buckets.Sweep(time.Now())
 			n.rollouts.tick(ctx)
+			n.storeCrashEvidence(ctx)
 			n.budgets.report()
 			n.reportSlowEndpoints()
 			n.demand.tick()
--- a/gateway/node/suspects.go
+++ b/gateway/node/suspects.go
@@ -57,6 +57,7 @@
 	mu          sync.Mutex
 	pools       map[string]*suspectPool
 	announcedAt time.Time
+	stored      storedCrashes
 }
 
 // pathEvidence shows whether this VM has its network paths to the endpoints.
@@ -136,7 +137,7 @@
 }
 
 func newSuspects(connects func(string) bool, paths pathEvidence, announce func(), log zerolog.Logger) *suspects {
-	return &suspects{connects: connects, paths: paths, announce: announce, log: log, pools: make(map[string]*suspectPool)}
+	return &suspects{connects: connects, paths: paths, announce: announce, log: log, pools: make(map[string]*suspectPool), stored: storedCrashes{own: make(candidates), others: make(candidates), youngest: make(map[string]time.Time)}}
 }
 
 // pool returns the pool of a service. Callers hold s.mu.
--- a/gateway/node/suspects_fleet_test.go
+++ b/gateway/node/suspects_fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/fleet/gossip"
+	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/poison"
 )
@@ -73,6 +74,10 @@
 	announced   chan int                           // VMs that report at once
 
 	disruption
+	stored                             map[string]catalog.CrashEvidence // at the platform's store, by VM
+	storeLag                           []map[string]time.Time           // by VM, when it reads each entry that has changed
+	nextStore                          time.Time
+	storeWrites                        int
 	began                              time.Time
 	nextOther, nextReplaced, nextRound time.Time
 }
@@ -86,6 +91,8 @@
 	// deaf VMs, the first ones, send and get no reports from deafFrom to deafTo.
 	deaf             int
 	deafFrom, deafTo time.Duration
+	// The platform's store answers nobody from storeAwayFrom to storeAwayTo.
+	storeAwayFrom, storeAwayTo time.Duration
 	// soundPart is in one harmless prompt in ten until soundUntil.
 	soundPart  poison.Fingerprint
 	soundUntil time.Duration
@@ -98,7 +105,8 @@
 }
 
 func newCrashFleet(vms, endpoints int, seed uint64) *crashFleet {
-	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), vms: make([]*suspects, vms), announced: make(chan int, 1000), foundDown: make(map[*suspects]map[string]time.Time), startedAt: make([]time.Time, vms)}
+	f := &crashFleet{rng: rand.New(rand.NewPCG(seed, 1)), vms: make([]*suspects, vms), announced: make(chan int, 1000), foundDown: make(map[*suspects]map[string]time.Time), startedAt: make([]time.Time, vms), stored: make(map[string]catalog.CrashEvidence), storeLag: make([]map[string]time.Time, vms)}
+	f.began = time.Now()
 	for i := range endpoints {
 		f.endpoints = append(f.endpoints, &crashEndpoint{name: fmt.Sprint("e", i), up: true, crashed: make(chan struct{})})
 	}
@@ -106,7 +114,6 @@
 		f.startVM(i)
 	}
 	clear(f.startedAt)
-	f.began = time.Now()
 	return f
 }
 
@@ -123,6 +130,66 @@
 		return false
 	}, intactPaths{}, func() { f.announced <- i }, zerolog.Nop())
 	f.startedAt[i] = time.Now()
+	f.storeLag[i] = make(map[string]time.Time)
+	for name := range f.stored {
+		f.storeLag[i][name] = time.Now()
+	}
+	f.readStore(i)
+}
+
+func (f *crashFleet) isStoreAway() bool {
+	now := time.Since(f.began)
+	return now >= f.storeAwayFrom && now < f.storeAwayTo
+}
+
+// readStore lets a VM read the entries that are due. Callers hold f.mu.
+func (f *crashFleet) readStore(i int) {
+	if f.isStoreAway() {
+		return
+	}
+	for name, at := range f.storeLag[i] {
+		if time.Now().Before(at) {
+			continue
+		}
+		delete(f.storeLag[i], name)
+		if err := f.vms[i].applyStored(name, name == fmt.Sprint(i), f.stored[name]); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// exchangeByStore lets all VMs read what is due and write what the store lacks. Changes reach the other
+// VMs within maxStoreLag. Callers hold f.mu.
+func (f *crashFleet) exchangeByStore() {
+	const maxStoreLag = time.Second
+	if f.isStoreAway() {
+		return
+	}
+	rank := 0
+	for i, v := range f.vms {
+		f.readStore(i)
+		own := rank
+		if f.isDeaf(i) {
+			own = 0
+		} else {
+			rank++
+		}
+		alone := f.deaf > 0 && time.Since(f.began) >= f.deafFrom && time.Since(f.began) < f.deafTo
+		e := v.unstored(time.Now(), own, alone)
+		if e == nil {
+			continue
+		}
+		name := fmt.Sprint(i)
+		f.stored[name] = *e
+		f.storeWrites++
+		v.beginWrite(name)
+		v.endWrite(name, e, nil)
+		for j := range f.vms {
+			if j != i {
+				f.storeLag[j][name] = time.Now().Add(time.Duration(f.rng.Int64N(int64(maxStoreLag))))
+			}
+		}
+	}
 }
 
 // pick returns the endpoint with the least requests among those that a VM takes for up, nil if
@@ -329,19 +396,19 @@
 // exchange sends a VM's report to as many others as a round of datagrams reaches. Callers hold
 // f.mu.
 func (f *crashFleet) exchange(t *testing.T, i int) {
-	if f.isDeaf(i) {
-		return
-	}
 	b, err := cbor.Marshal(f.vms[i].report(maxPayloadBytes))
 	assert.NoError(t, err)
 	f.largest = max(f.largest, len(b))
+	if f.isDeaf(i) {
+		return
+	}
 	for n, j := range f.rng.Perm(len(f.vms)) {
 		if j == i || n > crashFanout || f.isDeaf(j) {
 			continue
 		}
 		var r crashReports
 		assert.NoError(t, cbor.Unmarshal(b, &r))
-		f.vms[j].merge(fmt.Sprint(i), &r)
+		f.vms[j].merge(fmt.Sprint(i), &r, false)
 	}
 }
 
@@ -384,6 +451,10 @@
 	for len(f.announced) > 0 {
 		f.exchange(t, <-f.announced)
 	}
+	if !now.Before(f.nextStore) {
+		f.nextStore = now.Add(upkeepInterval)
+		f.exchangeByStore()
+	}
 }
 
 // run plays the fleet for a time: harmless requests, crashing ones that come again, crashes of
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -129,7 +129,7 @@
 				r.reportState = reportState{requests: len(c.Requests), parts: len(c.Parts)}
 			}
 			if c.Age() <= suspectTTL && r.rounds < maxReportRounds {
-				r.Requests = mostSuspect(c.Requests)
+				r.Requests = mostSuspect(c.Requests, maxReportedRequests)
 				r.Parts = poison.MostSuspect(c.Parts, maxReportedParts, r.rounds)
 				for _, request := range r.Requests {
 					r.suspicion = max(r.suspicion, request.Endpoints)
@@ -149,19 +149,19 @@
 	return out
 }
 
-// mostSuspect returns the requests that were part of the most crashes, maxReportedRequests at most.
-func mostSuspect(requests []poison.Request) []poison.Request {
-	if len(requests) <= maxReportedRequests {
+// mostSuspect returns the requests that were part of the most crashes, n at most.
+func mostSuspect(requests []poison.Request, n int) []poison.Request {
+	if len(requests) <= n {
 		return requests
 	}
 	out := slices.Clone(requests)
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	slices.SortStableFunc(out, func(a, b poison.Request) int { return cmp.Compare(b.Endpoints, a.Endpoints) })
-	return out[:maxReportedRequests]
+	return out[:n]
 }
 
-// merge applies another VM's part of a datagram about crashes.
-func (s *suspects) merge(from string, r *crashReports) {
+// merge applies another VM's part of a datagram about crashes, or what it wrote to the platform.
+func (s *suspects) merge(from string, r *crashReports, stored bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,20 +176,24 @@
 			}
 		}
 		if changed {
-			s.log.Info().Str("service", service).Str("from", from).Strs("endpoints", endpointsOf(crashes)).Msg("crashes heard from another VM")
+			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("endpoints", endpointsOf(crashes)).Msg("crashes heard from another VM")
 		}
 	}
 	for service, n := range r.Answers {
-		s.pool(service).tracker.SetOtherAnswers(now, from, n)
+		if stored {
+			s.pool(service).tracker.RaiseAnswers(from, n)
+		} else {
+			s.pool(service).tracker.SetOtherAnswers(now, from, n)
+		}
 	}
 	for service, verdicts := range r.Verdicts {
 		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, verdicts, nil) {
-			s.log.Info().Str("service", service).Str("from", from).Strs("fingerprints", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("requests that crash endpoints heard from another VM")
+			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("fingerprints", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("requests that crash endpoints heard from another VM")
 		}
 	}
 	for service, verdicts := range r.PartVerdicts {
 		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, nil, verdicts) {
-			s.log.Info().Str("service", service).Str("from", from).Strs("parts", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("prompt parts that crash endpoints heard from another VM")
+			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("parts", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("prompt parts that crash endpoints heard from another VM")
 		}
 	}
 }
--- a/gateway/node/suspects_test.go
+++ b/gateway/node/suspects_test.go
@@ -56,7 +56,7 @@
 			synctest.Wait()
 			time.Sleep(4 * time.Second)
 		}
-		b.merge("a", a.report(maxPayloadBytes))
+		b.merge("a", a.report(maxPayloadBytes), false)
 		for _, s := range []*suspects{a, b} {
 			require.True(t, s.Quarantined("s", 7))
 			for f := uint64(101); f <= next; f++ {
@@ -95,8 +95,8 @@
 				crashWith(b, e, uint64(100+i))
 				synctest.Wait()
 				time.Sleep(400 * time.Millisecond)
-				a.merge("b", b.report(maxPayloadBytes))
-				b.merge("a", a.report(maxPayloadBytes))
+				a.merge("b", b.report(maxPayloadBytes), false)
+				b.merge("a", a.report(maxPayloadBytes), false)
 				time.Sleep(4 * time.Second)
 				a.report(maxPayloadBytes)
 			}
@@ -120,8 +120,8 @@
 			time.Sleep(500 * time.Millisecond)
 			b.Refused("s", e, e)
 			synctest.Wait()
-			a.merge("b", b.report(maxPayloadBytes))
-			b.merge("a", a.report(maxPayloadBytes))
+			a.merge("b", b.report(maxPayloadBytes), false)
+			b.merge("a", a.report(maxPayloadBytes), false)
 			time.Sleep(time.Second)
 		}
 		require.True(t, a.Quarantined("s", 7))
@@ -172,7 +172,7 @@
 		}
 		for _, s := range vms[1:] {
 			time.Sleep(time.Minute)
-			s.merge("before", vms[0].report(maxPayloadBytes))
+			s.merge("before", vms[0].report(maxPayloadBytes), false)
 			require.True(t, s.Quarantined("s", 7))
 			vms[0] = s // the one before is lost
 		}
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -46,7 +46,7 @@
 	}
 	n.rollouts.mergeReports(bootClock(), from+"/"+strconv.FormatUint(incarnation, 36), w.Orders)
 	if w.Crashes != nil {
-		n.suspects.merge(from, w.Crashes)
+		n.suspects.merge(from, w.Crashes, false)
 	}
 	n.mergeLimitReports(from, w.Limits)
 }
--- a/policy/poison/answers.go
+++ b/policy/poison/answers.go
@@ -18,15 +18,17 @@
 
 // answerCounts counts the answers to all requests that their endpoints survived.
 type answerCounts struct {
-	own    int                   // of this VM
-	others map[string]otherCount // by VM
-	recent int                   // own ones, and those that other VMs had while they reported
-	log    []answerSample        // of recent
+	own     int                   // of this VM
+	others  map[string]otherCount // by VM
+	earlier map[string]int        // by VM, what was kept of it at the platform
+	recent  int                   // own ones, and those that other VMs had while they reported
+	log     []answerSample        // of recent
 }
 
 type otherCount struct {
-	n  int
-	at time.Time // of the report
+	n      int       // in its present life
+	before int       // in earlier ones
+	at     time.Time // of the report
 }
 
 type answerSample struct {
@@ -39,15 +41,28 @@
 	a.addRecent(now, 1)
 }
 
-// set records the number of another VM.
+// set records the number of another VM, which begins anew when the VM starts.
 func (a *answerCounts) set(now time.Time, from string, n int) {
 	if a.others == nil {
 		a.others = make(map[string]otherCount)
 	}
-	if known, found := a.others[from]; found && n > known.n && now.Sub(known.at) <= maxAnswerGap {
-		a.addRecent(now, n-known.n)
+	c, found := a.others[from]
+	switch {
+	case n < c.n:
+		c.before += c.n
+	case found && now.Sub(c.at) <= maxAnswerGap:
+		a.addRecent(now, n-c.n)
 	}
-	a.others[from] = otherCount{n: n, at: now}
+	c.n, c.at = n, now
+	a.others[from] = c
+}
+
+// raise records that a VM, perhaps this one in an earlier life, had at least that number.
+func (a *answerCounts) raise(from string, n int) {
+	if a.earlier == nil {
+		a.earlier = make(map[string]int)
+	}
+	a.earlier[from] = max(a.earlier[from], n)
 }
 
 func (a *answerCounts) addRecent(now time.Time, n int) {
@@ -66,8 +81,13 @@
 // all returns the number of answers of all VMs, as far as known.
 func (a *answerCounts) all() int {
 	n := a.own
-	for _, other := range a.others {
-		n += other.n
+	for from, c := range a.others {
+		n += max(c.before+c.n, a.earlier[from])
+	}
+	for from, earlier := range a.earlier {
+		if _, found := a.others[from]; !found {
+			n += earlier
+		}
 	}
 	return n
 }
--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -72,7 +72,7 @@
 			}
 		}
 		if now.Sub(last) >= verdictDelay {
-			addVerdict(t.verdicts, f, verdict{last: last})
+			t.noteChange(addVerdict(t.verdicts, f, verdict{last: last}))
 		}
 	}
 }
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -155,7 +155,7 @@
 	for _, part := range parts {
 		changed = t.addPart(c, part, carrierOf(f)) || changed
 	}
-	t.stale = t.stale || changed
+	t.noteChange(changed)
 }
 
 // RecordAnswer records an answer, which began at the given time, to a request with the given parts, and
@@ -191,6 +191,13 @@
 	t.parts.answers.set(now, from, n)
 }
 
+// RaiseAnswers records that a VM, perhaps this one in an earlier life, had at least that number.
+func (t *Tracker) RaiseAnswers(from string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.parts.answers.raise(from, n)
+}
+
 // addPart records that a part was in flight at a crash. It reports whether that is new.
 func (t *Tracker) addPart(c *crash, part Fingerprint, carrier uint32) bool {
 	i, found := slices.BinarySearchFunc(c.parts, part, compareParts)
@@ -302,7 +309,7 @@
 			since[part] = before
 		}
 		if last := t.lastCrashOfPart(part); !last.IsZero() && now.Sub(since[part]) >= partVerdictDelay {
-			addVerdict(t.parts.verdicts, part, verdict{last: last})
+			t.noteChange(addVerdict(t.parts.verdicts, part, verdict{last: last}))
 		}
 	}
 	t.parts.since = since
--- a/policy/poison/poison.go
+++ b/policy/poison/poison.go
@@ -157,6 +157,7 @@
 	quarantined map[Fingerprint]bool
 	stale       bool
 	validUntil  time.Time
+	version     uint64 // counts the changes of what VMs exchange, but for answers
 	// verdicts holds the requests that were found to crash endpoints, by this VM or another, once the
 	// evidence had settled.
 	verdicts map[Fingerprint]verdict
@@ -257,7 +258,22 @@
 		changed = t.addRequest(c, f, false) || changed
 	}
 	c.running = max(c.running, len(inFlight)+max(others, 0))
-	t.stale = t.stale || changed
+	t.noteChange(changed)
+}
+
+// noteChange records whether the evidence has changed. Callers hold t.mu.
+func (t *Tracker) noteChange(changed bool) {
+	if changed {
+		t.stale = true
+		t.version++
+	}
+}
+
+// Version returns a number that changes with the crashes and verdicts.
+func (t *Tracker) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
 }
 
 // HasCrashed reports whether a crash of the endpoint since the given time is known.
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -64,7 +64,7 @@
 	}
 	out := slices.Clone(parts)
 	slices.SortStableFunc(out, func(a, b Part) int { return cmp.Compare(b.Crashes, a.Crashes) })
-	suspects := slices.DeleteFunc(out[commonParts:], func(p Part) bool { return p.suspicion() < 1 })
+	suspects := slices.DeleteFunc(out[commonParts:], func(p Part) bool { return !p.IsSuspect() })
 	slices.SortStableFunc(suspects, func(a, b Part) int { return cmp.Compare(b.suspicion(), a.suspicion()) })
 	out = out[:commonParts+len(suspects)]
 	if len(out) <= n {
@@ -77,6 +77,9 @@
 	return append(out[:fixed:fixed], append(slices.Clone(rest[first:]), rest[:first]...)[:n-fixed]...)
 }
 
+// IsSuspect reports whether the part isn't surely sound.
+func (p *Part) IsSuspect() bool { return p.suspicion() >= 1 }
+
 // suspicion orders parts. Those that crash endpoints since their last answer come first.
 func (p *Part) suspicion() float64 {
 	if p.turned {
@@ -130,17 +133,17 @@
 				known.survived, changed = int(r.Survived), true
 			}
 		}
-		for _, p := range e.Parts {
+		for j := range e.Parts {
+			p := &e.Parts[j]
 			changed = t.addPart(c, p.Part, p.Carrier) || changed
 			if known := t.parts.records[p.Part]; known != nil && p.Survived > 0 {
-				last := now.Add(-time.Duration(p.AnsweredMs) * time.Millisecond)
 				changed = changed || int(p.Survived) > known.answers.n
-				known.answers = partAnswers{n: max(known.answers.n, int(p.Survived)), last: later(known.answers.last, last)}
+				known.answers = known.answers.merge(p, now)
 			}
 		}
 		c.running = max(c.running, int(e.Running), len(c.requests))
 	}
-	t.stale = t.stale || changed
+	t.noteChange(changed)
 	return changed
 }
 
@@ -169,13 +172,19 @@
 	return out
 }
 
+// merge adds the answers that another VM reports.
+func (a partAnswers) merge(p *Part, now time.Time) partAnswers {
+	last := now.Add(-time.Duration(p.AnsweredMs) * time.Millisecond)
+	return partAnswers{n: max(a.n, int(p.Survived)), last: later(a.last, last)}
+}
+
 // MergeVerdicts applies the final decisions of another VM, and reports whether any was new.
 func (t *Tracker) MergeVerdicts(now time.Time, requests, parts []Verdict) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := mergeVerdicts(now, t.verdicts, requests)
 	changed = mergeVerdicts(now, t.parts.verdicts, parts) || changed
-	t.stale = t.stale || changed
+	t.noteChange(changed)
 	return changed
 }
 
