Let survived answers overrule decisions against a part

Cause: a VM decides by the answers with a part that it knows, against the answers of all VMs; one that has just started, or hears few others, knows none with a rare part. Its decision was final on all VMs, also on those that had seen the part answered since, and reports leave out parts that are surely sound.

A decision no longer counts on a VM that knows an answer with the part which began after the last crash that led to it and which its endpoint survived. Such a VM tells the others of these answers, by datagrams and at the platform.

--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -37,6 +37,8 @@
 	PartVerdicts map[string][]poison.Verdict `cbor:"4,keyasint,omitempty"`
 	// Answers are the answers of the reporting VM that their endpoints survived, for services with crashes.
 	Answers map[string]int `cbor:"5,keyasint,omitempty"`
+	// Objections are answers with parts that other VMs have decided against.
+	Objections map[string][]poison.Part `cbor:"7,keyasint,omitempty"`
 }
 
 // reportState is what other VMs were told about a crash.
@@ -68,9 +70,10 @@
 	defer s.mu.Unlock()
 	s.sweep(now)
 	s.logQuarantined(now)
-	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int)}
+	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part)}
 	for service, p := range s.pools {
 		requests, parts := p.tracker.Verdicts(now)
+		room = addObjections(out.Objections, service, p.tracker.Objections(now), room)
 		room = addVerdicts(out.PartVerdicts, service, parts, room)
 		room = addVerdicts(out.Verdicts, service, requests, room)
 	}
@@ -92,7 +95,7 @@
 	if len(out.Crashes) == 0 {
 		clear(out.Answers)
 	}
-	if len(out.Crashes)+len(out.Verdicts)+len(out.PartVerdicts) == 0 {
+	if len(out.Crashes)+len(out.Verdicts)+len(out.PartVerdicts)+len(out.Objections) == 0 {
 		return nil
 	}
 	return out
@@ -109,6 +112,16 @@
 	return room - n*verdictBytes
 }
 
+// addObjections does the same for objections.
+func addObjections(out map[string][]poison.Part, service string, parts []poison.Part, room int) int {
+	rand.Shuffle(len(parts), func(i, j int) { parts[i], parts[j] = parts[j], parts[i] })
+	n := min(len(parts), maxReportedVerdicts, max(room, 0)/partBytes)
+	if n > 0 {
+		out[service] = parts[:n]
+	}
+	return room - n*partBytes
+}
+
 // trim drops requests from the end until the report fits a datagram, but for some.
 func (r *crashReport) trim(room int) {
 	const least = 4
@@ -186,6 +199,9 @@
 			s.pool(service).tracker.SetOtherAnswers(now, from, n)
 		}
 	}
+	for service, parts := range r.Objections {
+		s.pool(service).tracker.MergeObjections(now, parts)
+	}
 	for service, verdicts := range r.Verdicts {
 		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, verdicts, nil) {
 			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("fingerprints", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("requests that crash endpoints heard from another VM")
--- a/gateway/node/suspects_store.go
+++ b/gateway/node/suspects_store.go
@@ -31,8 +31,8 @@
 
 // storedCrashes is what the platform keeps of crash evidence, as far as this VM knows.
 type storedCrashes struct {
-	// own holds what this VM's entry says, others what those of other VMs have said: by crash or verdict,
-	// the requests and parts. What an entry said once has reached all VMs that read it.
+	// own holds what this VM's entry says, others what those of other VMs have said: by crash, or for
+	// the verdicts and objections of a service, the requests and parts. What an entry said once has reached all VMs that read it.
 	own, others candidates
 	youngest    map[string]time.Time // by entry, when its youngest crash happened
 	// lackingSince is when this VM first had evidence that the platform lacks; zero if it lacks none.
@@ -48,7 +48,7 @@
 	alone   bool
 }
 
-// candidates are requests and parts by storedKey or, for verdicts, by service.
+// candidates are requests and parts by storedKey or objectionKey or, for verdicts, by service.
 type candidates map[string]map[poison.Fingerprint]bool
 
 func (c candidates) add(key string, f poison.Fingerprint) {
@@ -60,6 +60,9 @@
 
 func storedKey(service, endpoint string) string { return service + " " + endpoint }
 
+// objectionKey is the key of objections, which no endpoint has.
+func objectionKey(service string) string { return service + " " }
+
 // applyStored applies an entry that the platform keeps. own says that it is this VM's, perhaps written
 // before it was restarted.
 func (s *suspects) applyStored(name string, own bool, e catalog.CrashEvidence) error {
@@ -99,6 +102,11 @@
 			}
 		}
 	}
+	for _, parts := range r.Objections {
+		for i := range parts {
+			parts[i].AnsweredMs += ms
+		}
+	}
 	for _, byService := range []map[string][]poison.Verdict{r.Verdicts, r.PartVerdicts} {
 		for _, verdicts := range byService {
 			for i := range verdicts {
@@ -123,6 +131,11 @@
 			}
 		}
 	}
+	for service, parts := range r.Objections {
+		for i := range parts {
+			c.add(objectionKey(service), parts[i].Part)
+		}
+	}
 	for _, byService := range []map[string][]poison.Verdict{r.Verdicts, r.PartVerdicts} {
 		for service, verdicts := range byService {
 			for _, v := range verdicts {
@@ -193,7 +206,7 @@
 // before. lacking says that some of it is new. Callers hold s.mu.
 func (s *suspects) storeReport(now time.Time, alone bool) (r *crashReports, lacking bool) {
 	st := &s.stored
-	r = &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int)}
+	r = &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part)}
 	isNew := func(key string, f poison.Fingerprint) bool { return !st.others[key][f] && !st.own[key][f] }
 	for service, p := range s.pools {
 		requests, parts := p.tracker.Verdicts(now)
@@ -201,6 +214,10 @@
 		for _, v := range slices.Concat(r.Verdicts[service], r.PartVerdicts[service]) {
 			lacking = lacking || isNew(service, v.Fingerprint)
 		}
+		r.Objections[service] = p.tracker.Objections(now)
+		for i := range r.Objections[service] {
+			lacking = lacking || isNew(objectionKey(service), r.Objections[service][i].Part)
+		}
 		r.Answers[service] = p.tracker.Answers()
 		for _, c := range s.storable(service, p.tracker.Crashes(now), alone) {
 			key := storedKey(service, c.Endpoint)
@@ -221,7 +238,7 @@
 	}
 	known := make(map[string]bool)
 	for service, p := range pools {
-		known[service] = true
+		known[service], known[objectionKey(service)] = true, true
 		for _, c := range p.tracker.Crashes(now) {
 			known[storedKey(service, c.Endpoint)] = true
 		}
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -258,10 +258,25 @@
 func (t *Tracker) hasPartVerdict(now time.Time, parts []Fingerprint) bool {
 	return len(t.parts.verdicts) > 0 && slices.ContainsFunc(parts, func(part Fingerprint) bool {
 		v, found := t.parts.verdicts[part]
-		return found && now.Sub(v.last) <= crashLifetime
+		return found && now.Sub(v.last) <= crashLifetime && t.isUpheld(part, v)
 	})
 }
 
+// answersWith returns the survived answers with a part. Callers hold t.mu.
+func (t *Tracker) answersWith(part Fingerprint) partAnswers {
+	if r := t.parts.records[part]; r != nil {
+		return r.answers
+	}
+	answers, _ := t.parts.sound.Peek(part)
+	return answers
+}
+
+// isUpheld reports whether a decision against a part counts. It doesn't if an answer, which began after the
+// last crash that led to it, was survived: the VM that decided may have heard of few answers.
+func (t *Tracker) isUpheld(part Fingerprint, v verdict) bool {
+	return !t.answersWith(part).last.After(v.last)
+}
+
 // MayRepeat reports whether a request with the given parts may be sent to another endpoint. A part is
 // suspect if no answer with it was survived and it was in flight at several crashes; its requests fail
 // rather than take several endpoints out of service each.
@@ -285,8 +300,10 @@
 	t.parts.decidedAt = now
 	t.findTurned()
 	quarantined := make(map[Fingerprint]bool)
-	for part := range t.parts.verdicts {
-		quarantined[part] = true
+	for part, v := range t.parts.verdicts {
+		if t.isUpheld(part, v) {
+			quarantined[part] = true
+		}
 	}
 	for {
 		part, found := t.worstPart(quarantined)
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -161,7 +161,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decide(now)
-	return reportVerdicts(now, t.verdicts), reportVerdicts(now, t.parts.verdicts)
+	upheld := maps.Clone(t.parts.verdicts)
+	maps.DeleteFunc(upheld, func(part Fingerprint, v verdict) bool { return !t.isUpheld(part, v) })
+	return reportVerdicts(now, t.verdicts), reportVerdicts(now, upheld)
 }
 
 func reportVerdicts(now time.Time, verdicts map[Fingerprint]verdict) []Verdict {
@@ -172,6 +174,36 @@
 	return out
 }
 
+// Objections returns the answers with parts against which there are final decisions that don't count, for VMs
+// that don't know these answers.
+func (t *Tracker) Objections(now time.Time) (out []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range slices.Sorted(maps.Keys(t.parts.verdicts)) {
+		if !t.isUpheld(part, t.parts.verdicts[part]) {
+			a := t.answersWith(part)
+			out = append(out, Part{Part: part, Survived: uint32(a.n), AnsweredMs: uint32(max(now.Sub(a.last).Milliseconds(), 0))})
+		}
+	}
+	return out
+}
+
+// MergeObjections applies those of another VM.
+func (t *Tracker) MergeObjections(now time.Time, parts []Part) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range parts {
+		p := &parts[i]
+		answers := t.answersWith(p.Part).merge(p, now)
+		if r := t.parts.records[p.Part]; r != nil {
+			r.answers = answers
+		} else {
+			t.parts.sound.Add(p.Part, partAnswers{n: min(answers.n, maxPriorAnswers), last: answers.last})
+		}
+	}
+	t.stale = t.stale || len(parts) > 0
+}
+
 // merge adds the answers that another VM reports.
 func (a partAnswers) merge(p *Part, now time.Time) partAnswers {
 	last := now.Add(-time.Duration(p.AnsweredMs) * time.Millisecond)
