End answers whose head never ends

Cause: an endpoint in trouble may send bytes that are no answer until its connection is closed. The client of endpoints read a head of any length, interim answers and answers to other requests without a bound, so that such an endpoint filled a VM's memory or held the request until its deadline.

The head of an answer with its interim answers may now have 256 KB, an answer to another request that is skipped 8 MB; then the attempt fails and the connection is closed.

--- /dev/null
+++ b/gateway/upstream/endless_test.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+)
+
+// mostEndlessBytes ends the answers of an endpoint that nobody stops.
+const mostEndlessBytes = 64 << 20
+
+// writeEndless writes a part again and again until the other side closes the connection, and reports
+// whether it did.
+func writeEndless(w io.Writer, part string) (closed bool) {
+	for n := 0; n < mostEndlessBytes; n += len(part) {
+		if _, err := io.WriteString(w, part); err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against an endpoint whose answer's head never ends, and that fills the VM's memory or holds the request until its deadline.
+func TestEndlessHeadEnds(t *testing.T) {
+	line := strings.Repeat("a", 64<<10)
+	for name, c := range map[string]struct{ begin, part string }{
+		"no line":           {"", line},
+		"status line":       {"HTTP/1.1 200 ", line},
+		"header line":       {"HTTP/1.1 200 OK\r\nX: ", line},
+		"continued line":    {"HTTP/1.1 200 OK\r\nX: a\r\n", " " + line + "\r\n"},
+		"header lines":      {"HTTP/1.1 200 OK\r\n", strings.Repeat("X: a\r\n", 10000)},
+		"interim answers":   {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 1000)},
+		"answer to another": {"HTTP/1.1 200 OK\r\n" + idHeader + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + line + "\r\n"},
+		"answers to others": {"", strings.Repeat("HTTP/1.1 200 OK\r\n"+idHeader+": other\r\nContent-Length: 1\r\n\r\na", 1000)},
+		"nothing but lines": {"", strings.Repeat("\r\n", 30000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan bool, 1)
+			s := serve(t, func(conn net.Conn, _, _ int, _ *http.Request) bool {
+				_, err := io.WriteString(conn, c.begin)
+				closed <- err != nil || writeEndless(conn, c.part)
+				return false
+			})
+			pool := NewPool(prometheus.NewRegistry(), "test", nil)
+			a, err := pool.Send(t.Context(), s.Addr().String(), newGet("1"))
+			if err == nil {
+				a.Close()
+			}
+			require.Error(t, err)
+			require.True(t, <-closed, "the endpoint's connection is closed")
+		})
+	}
+}
+
+// Guards against an endpoint that sends no end of a chunk's or a trailer's line, which a reader of the body holds in memory.
+func TestEndlessChunkEnds(t *testing.T) {
+	line := strings.Repeat("a", 64<<10)
+	head := "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ begin, part string }{
+		"chunk size":      {head, strings.Repeat("0", 64<<10)},
+		"chunk extension": {head + "1;", line},
+		"extensions":      {head, "1;" + line[:1000] + "\r\na\r\n"},
+		"trailer":         {head + "0\r\nX: ", line},
+	} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan bool, 1)
+			s := serve(t, func(conn net.Conn, _, _ int, _ *http.Request) bool {
+				_, err := io.WriteString(conn, c.begin)
+				closed <- err != nil || writeEndless(conn, c.part)
+				return false
+			})
+			pool := NewPool(prometheus.NewRegistry(), "test", nil)
+			a, err := pool.Send(t.Context(), s.Addr().String(), newGet("1"))
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, a)
+			require.Error(t, err)
+			a.Close()
+			require.True(t, <-closed, "the endpoint's connection is closed")
+		})
+	}
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -57,6 +57,14 @@
 // errForeignAnswer is returned when the connection carries only answers to other requests.
 var errForeignAnswer = errors.New("answers on the connection belong to other requests")
 
+const (
+	// maxHeadBytes bounds the head of an answer with the interim answers before it, which a VM holds in
+	// memory.
+	maxHeadBytes = 256 << 10
+	// maxForeignBytes bounds an answer to another request, which is skipped.
+	maxForeignBytes = 8 << 20
+)
+
 // maxForeignAnswers bounds the answers to other requests that are skipped on one connection.
 const maxForeignAnswers = 2
 
@@ -150,7 +158,9 @@
 // readHead reads answers until one belongs to the request.
 func (a *Answer) readHead(r *Request) error {
 	req := &http.Request{Method: r.Method}
+	defer func() { a.conn.left = noLimit }()
 	for range maxForeignAnswers + 1 {
+		a.conn.left = maxHeadBytes
 		resp, err := readFinalResponse(a.conn.r, req)
 		if err != nil {
 			return err
@@ -163,6 +173,7 @@
 		if !a.HasFraming {
 			return errForeignAnswer
 		}
+		a.conn.left = maxForeignBytes
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return err
 		}
--- a/gateway/upstream/pool.go
+++ b/gateway/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"strings"
@@ -55,12 +56,30 @@
 	keepFor   time.Duration
 	onRead    func() // called when bytes arrive
 	hasRead   bool   // bytes arrived since the current request was sent
+	// left is how many bytes may still arrive until the head of the answer ends, or an answer before it;
+	// noLimit once the head has arrived.
+	left int
 }
 
+// noLimit is the value of left for a connection whose answer's head has arrived.
+const noLimit = -1
+
+// errHeadTooLong is returned when an endpoint sends too much before the end of an answer's head.
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
 // Read reads from the endpoint. Any received bytes show the silence detector that the endpoint
 // is alive.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.left == 0 {
+		return 0, errHeadTooLong
+	}
+	if c.left > 0 {
+		b = b[:min(len(b), c.left)]
+	}
 	n, err := c.Conn.Read(b)
+	if c.left > 0 {
+		c.left -= n
+	}
 	if n > 0 {
 		c.hasRead = true
 		c.onRead()
@@ -258,7 +277,7 @@
 		return nil, err
 	}
 	setUserTimeout(nc, userTimeout)
-	c := &conn{Conn: nc, onRead: func() {
+	c := &conn{Conn: nc, left: noLimit, onRead: func() {
 		p.detector.Received(time.Now(), addr)
 		p.observer.Received()
 	}}
