Bound the heads that goldcrestd's clients read

The check of an endpoint's state read a head of any length until its time limit; the clients of engines and services took net/http's 10 MB. All take 256 KB now.

--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -30,6 +30,8 @@
 	ColdTimeLimit = time.Minute
 	// maxFrameBytes bounds one event. A token's frame takes some hundred bytes.
 	maxFrameBytes = 256 << 10
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 256 << 10
 	// connBufferBytes is the size of each of a connection's buffers. A token's frame
 	// takes some 200 bytes; most of net/http's 4 KB would be unused in each open stream.
 	connBufferBytes = 1 << 10
@@ -150,13 +152,17 @@
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
-			ReadBufferSize:      connBufferBytes,
-			WriteBufferSize:     connBufferBytes,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
+			ReadBufferSize:         connBufferBytes,
+			WriteBufferSize:        connBufferBytes,
 		}},
 		cold: &http.Client{Transport: &http.Transport{
 			DialContext:        dialer.dialCold,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
--- a/router/engine/warm.go
+++ b/router/engine/warm.go
@@ -73,7 +73,7 @@
 	if _, err := fmt.Fprintf(conn, "GET /load HTTP/1.1\r\nHost: %s\r\n\r\n", address); err != nil {
 		return Report{}, err
 	}
-	buffer := bufio.NewReader(conn)
+	buffer := bufio.NewReader(io.LimitReader(conn, maxHeadBytes+maxFrameBytes))
 	resp, err := http.ReadResponse(buffer, nil)
 	if err != nil {
 		return Report{}, err
--- a/router/service/client.go
+++ b/router/service/client.go
@@ -23,6 +23,8 @@
 	// caller gets a byte of it, so that a cut answer is never passed on as a short
 	// success.
 	MaxAnswer = 4 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 256 << 10
 	// idlePerHost is the number of idle connections kept per endpoint for repeatable
 	// calls.
 	idlePerHost = 32
@@ -78,7 +80,7 @@
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	c := &Client{
 		repeatable: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true,
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 		// A service may close an idle connection at the moment of its reuse. net/http
 		// then sends the request again if it looks repeatable, and a request with an
@@ -86,7 +88,7 @@
 		// call therefore gets a separate connection, and Do sets no GetBody, without
 		// which net/http can't send the body again.
 		nonRepeatable: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "goldcrest_service_calls_total",
