Keep goldcrestd's evidence of crashing requests at the platform

Cause, as in the gateway: crashes and decisions were in VMs' memory and went from VM to VM alone, so that all VMs that ended at once, or heard no other one, began anew.

Two VMs, and any that doesn't hear all others, write their report to an object of kind poison when it has changed, at most once a second; a VM reads all objects when it starts, and each second while it doesn't hear all others. Objections to decisions travel with the reports.

--- a/gateway/node/suspects_store.go
+++ b/gateway/node/suspects_store.go
@@ -71,8 +71,7 @@
 		return err
 	}
 	now := time.Now()
-	// The clock of the VM that wrote the entry may be ahead.
-	r.age(max(now.Sub(e.Written), 0))
+	r.age(now.Sub(e.Written))
 	s.merge(name, &r, true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -93,26 +92,17 @@
 
 // age adds the time since the report to all ages in it.
 func (r *crashReports) age(by time.Duration) {
-	ms := uint32(min(by, storedLifetime).Milliseconds())
 	for _, crashes := range r.Crashes {
-		for i := range crashes {
-			crashes[i].AgeMs += ms
-			for j := range crashes[i].Parts {
-				crashes[i].Parts[j].AnsweredMs += ms
-			}
-		}
+		poison.AddAge(by, crashes, nil, nil)
 	}
-	for _, parts := range r.Objections {
-		for i := range parts {
-			parts[i].AnsweredMs += ms
-		}
+	for _, verdicts := range r.Verdicts {
+		poison.AddAge(by, nil, verdicts, nil)
 	}
-	for _, byService := range []map[string][]poison.Verdict{r.Verdicts, r.PartVerdicts} {
-		for _, verdicts := range byService {
-			for i := range verdicts {
-				verdicts[i].AgeMs += ms
-			}
-		}
+	for _, verdicts := range r.PartVerdicts {
+		poison.AddAge(by, nil, verdicts, nil)
+	}
+	for _, parts := range r.Objections {
+		poison.AddAge(by, nil, nil, parts)
 	}
 }
 
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -24,6 +24,21 @@
 // Age returns the time since the crash.
 func (c *Crash) Age() time.Duration { return time.Duration(c.AgeMs) * time.Millisecond }
 
+// AddAge adds the time for which a report was kept to the ages in it.
+func AddAge(by time.Duration, crashes []Crash, verdicts []Verdict, parts []Part) {
+	ms := uint32(min(max(by, 0), crashLifetime).Milliseconds())
+	for i := range crashes {
+		crashes[i].AgeMs += ms
+		AddAge(by, nil, nil, crashes[i].Parts)
+	}
+	for i := range verdicts {
+		verdicts[i].AgeMs += ms
+	}
+	for i := range parts {
+		parts[i].AnsweredMs += ms
+	}
+}
+
 // Request is a request that was in flight at a crash.
 type Request struct {
 	_           struct{} `cbor:",toarray"`
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -14,18 +14,20 @@
 	Verdicts, PartVerdicts map[string][]poison.Verdict
 	// Answers are the answers of the reporting VM that their endpoints survived.
 	Answers map[string]int
+	// Objections are answers with parts that other VMs have decided against.
+	Objections map[string][]poison.Part
 }
 
 // IsEmpty reports whether there is nothing to tell.
 func (r *PoisonReport) IsEmpty() bool {
-	return len(r.Crashes)+len(r.Verdicts)+len(r.PartVerdicts) == 0
+	return len(r.Crashes)+len(r.Verdicts)+len(r.PartVerdicts)+len(r.Objections) == 0
 }
 
 // PoisonReport returns what other VMs are to be told. limit bounds the requests, and the verdicts of each
 // pool, which are drawn at random if there are more.
 func (d *Dispatcher) PoisonReport(maxAge time.Duration, limit int) *PoisonReport {
 	r := &PoisonReport{
-		Crashes: d.RecentCrashes(maxAge, limit), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int),
+		Crashes: d.RecentCrashes(maxAge, limit), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part),
 	}
 	now := time.Now()
 	d.mu.Lock()
@@ -34,6 +36,9 @@
 		requests, parts := ps.tracker.Verdicts(now)
 		d.addVerdicts(r.Verdicts, name, requests, limit)
 		d.addVerdicts(r.PartVerdicts, name, parts, limit)
+		if objections := ps.tracker.Objections(now); len(objections) > 0 {
+			r.Objections[name] = objections[:min(len(objections), limit)]
+		}
 		if r.Crashes[name] != nil {
 			r.Answers[name] = ps.tracker.Answers()
 		}
@@ -41,6 +46,49 @@
 	return r
 }
 
+// PoisonVersion returns a number that changes with the crashes and the decisions on them.
+func (d *Dispatcher) PoisonVersion() (version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, ps := range d.pools {
+		version += ps.tracker.Version()
+	}
+	return version
+}
+
+// AddAge adds the time for which the report was kept to the ages in it.
+func (r *PoisonReport) AddAge(by time.Duration) {
+	for _, crashes := range r.Crashes {
+		poison.AddAge(by, crashes, nil, nil)
+	}
+	for _, verdicts := range r.Verdicts {
+		poison.AddAge(by, nil, verdicts, nil)
+	}
+	for _, verdicts := range r.PartVerdicts {
+		poison.AddAge(by, nil, verdicts, nil)
+	}
+	for _, parts := range r.Objections {
+		poison.AddAge(by, nil, nil, parts)
+	}
+}
+
+// HasPools reports whether this VM has all pools that the report is about.
+func (d *Dispatcher) HasPools(r *PoisonReport) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range r.Crashes {
+		if d.pools[name] == nil {
+			return false
+		}
+	}
+	for name := range r.PartVerdicts {
+		if d.pools[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // addVerdicts adds the verdicts of a pool to a report. Callers hold d.mu.
 func (d *Dispatcher) addVerdicts(out map[string][]poison.Verdict, pool string, v []poison.Verdict, limit int) {
 	if len(v) == 0 {
@@ -57,6 +105,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, ps := range d.pools {
+		ps.tracker.MergeObjections(now, r.Objections[name])
 		ps.tracker.MergeVerdicts(now, r.Verdicts[name], r.PartVerdicts[name])
 		if n, found := r.Answers[name]; found {
 			ps.tracker.SetOtherAnswers(now, from, n)
--- a/router/vm/vm.go
+++ b/router/vm/vm.go
@@ -224,7 +224,7 @@
 	for _, loop := range []func(context.Context){
 		v.register, v.fleet.members.Run, v.slots.cold.Run, v.updateFleet,
 		v.cache.Run, func(ctx context.Context) { v.cache.Subscribe(ctx, v.dispatch.Configure) },
-		v.dispatch.Run, v.pollCold, v.spreadPoison,
+		v.dispatch.Run, v.pollCold, v.spreadPoison, v.storePoison,
 		func(ctx context.Context) { v.bills.Run(ctx, bill.FlushInterval(len(v.fleet.liveIDs()))) },
 		v.loops.Run, v.maintainLedger,
 	} {
