Test with processes that a crashing part is known after all VMs have ended

Three processes of goldcrest-node refuse a part, all are killed and started again: at most three requests with it may reach endpoints after that. The caller loop of TestRequestsWithCrashingPartAreRefusedByAllVMs serves both tests; its checks are as they were.

--- a/cmd/goldcrest-node/crash_test.go
+++ b/cmd/goldcrest-node/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +12,9 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/platform"
 	"goldcrestfork/platform/platformtest"
@@ -222,46 +225,106 @@
 	}
 }
 
+// partCallers are VMs before endpoints, with a sound request that each of twelve callers repeats.
+type partCallers struct {
+	*crashPool
+	vms   []*vm
+	parts string // of the prompts of bad requests
+}
+
+// sound sends a sound request until one is served.
+func (p *partCallers) sound(i int) {
+	assert.Eventually(p.t, func() bool {
+		id := fmt.Sprintf("sound-%d-%d", i, time.Now().UnixNano())
+		complete, _ := sendStream(p.t.Context(), p.vms[i%len(p.vms)].front, id, "sound "+id, "shared:100,own-"+id+":10")
+		return complete
+	}, 20*time.Second, 10*time.Millisecond, "sound requests are served")
+}
+
+// refuse sends bad requests until all VMs refuse them, with sound ones beside.
+func (p *partCallers) refuse(name string) {
+	for i := range 2 * len(p.vms) {
+		p.sound(i)
+	}
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	ctx, cancel := context.WithCancel(p.t.Context())
+	defer cancel()
+	for c := range 12 {
+		callers.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				id := fmt.Sprintf("%s-%d-%d", name, c, i)
+				_, _ = sendStream(ctx, p.vms[c%len(p.vms)].front, id, "sound "+id, fmt.Sprintf("shared:100,second%d:50,own-%s:10", c%6, id))
+			}
+		})
+	}
+	refused := 0 // in a row
+	for i := 0; refused < 2*len(p.vms) && i < 40; i++ {
+		id := fmt.Sprint("bad-", name, i)
+		complete, quarantined := sendStream(p.t.Context(), p.vms[i%len(p.vms)].front, id, "body "+id, fmt.Sprintf(p.parts, id))
+		assert.False(p.t, complete)
+		if refused++; !quarantined {
+			refused = 0
+		}
+		p.sound(i + 1)
+	}
+	assert.Equal(p.t, 2*len(p.vms), refused, "all VMs refuse requests with the part")
+}
+
 // Guards against processes that keep sending endpoints requests with one part that crashes each of them, since no two requests are alike.
 func TestRequestsWithCrashingPartAreRefusedByAllVMs(t *testing.T) {
 	for _, parts := range []string{"shared:100,bad:50,own-%s:10", "bad:100,shared:50,own-%s:10"} {
 		t.Run(parts, func(t *testing.T) {
 			const vms, endpoints, contact, maxLater = 3, 9, 3 * time.Second, 3
-			p, address := newCrashPool(t, endpoints)
-			started := startVMs(t, address, vms)
-			sound := func(i int, id string) bool {
-				complete, _ := sendStream(t.Context(), started[i%vms].front, id, "sound "+id, "shared:100,own-"+id+":10")
-				return complete
-			}
-			for i := range 2 * vms {
-				assert.Eventually(t, func() bool { return sound(i, fmt.Sprintf("first-%d-%d", i, time.Now().UnixNano())) }, 20*time.Second, 10*time.Millisecond, "sound requests are served before")
-			}
-			var callers sync.WaitGroup
-			defer callers.Wait()
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			for c := range 12 {
-				callers.Go(func() {
-					for i := 0; ctx.Err() == nil; i++ {
-						id := fmt.Sprintf("beside-%d-%d", c, i)
-						_, _ = sendStream(ctx, started[c%vms].front, id, "sound "+id, fmt.Sprintf("shared:100,second%d:50,own-%s:10", c%6, id))
-					}
-				})
-			}
-			refused := 0 // in a row
-			for i := 0; refused < 2*vms && i < 40; i++ {
-				id := fmt.Sprint("bad-", i)
-				complete, quarantined := sendStream(t.Context(), started[i%vms].front, id, "body "+id, fmt.Sprintf(parts, id))
-				assert.False(t, complete)
-				if refused++; !quarantined {
-					refused = 0
-				}
-				assert.Eventually(t, func() bool { return sound(i+1, fmt.Sprintf("sound-%d-%d", i, time.Now().UnixNano())) }, 20*time.Second, 10*time.Millisecond, "sound requests are served")
-			}
-			assert.Equal(t, 2*vms, refused, "all VMs refuse requests with the part")
+			pool, address := newCrashPool(t, endpoints)
+			p := &partCallers{crashPool: pool, vms: startVMs(t, address, vms), parts: parts}
+			p.refuse("first")
 			p.check(crashingPart, 5, contact, maxLater)
-			_, quarantined := sendStream(t.Context(), started[0].front, "shared", "sound", "shared:100,own:10")
+			_, quarantined := sendStream(t.Context(), p.vms[0].front, "shared", "sound", "shared:100,own:10")
 			assert.False(t, quarantined, "a sound request with the other part is refused")
 		})
 	}
 }
+
+// keepsVerdict reports whether the store has a decision against a part.
+func (p *partCallers) keepsVerdict() bool {
+	for i := range p.vms {
+		o, _ := p.store.Get("goldcrest-crashes", fmt.Sprint("vm", i))
+		var spec struct {
+			Report []byte `json:"report"`
+		}
+		var report struct {
+			PartVerdicts map[string][]any `cbor:"4,keyasint"`
+		}
+		if json.Unmarshal(o.Spec, &spec) == nil && cbor.Unmarshal(spec.Report, &report) == nil && len(report.PartVerdicts["s"]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against processes that let a part crash endpoints anew once all of them have ended.
+func TestCrashingPartIsKnownAfterAllProcessesEnd(t *testing.T) {
+	const vms, endpoints, mostArrivals = 3, 9, 3
+	pool, address := newCrashPool(t, endpoints)
+	p := &partCallers{crashPool: pool, vms: startVMs(t, address, vms), parts: "shared:100,bad:50,own-%s:10"}
+	p.refuse("first")
+	require.Eventually(t, p.keepsVerdict, 20*time.Second, 10*time.Millisecond, "the store keeps the decision")
+	for _, v := range p.vms {
+		require.NoError(t, v.cmd.Process.Kill())
+	}
+	for _, v := range p.vms {
+		<-v.done
+		v.startProcess()
+	}
+	for _, v := range p.vms {
+		v.awaitReady(true)
+	}
+	p.mu.Lock()
+	before := len(p.arrivals[crashingPart])
+	p.mu.Unlock()
+	p.refuse("second")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.LessOrEqual(t, len(p.arrivals[crashingPart])-before, mostArrivals, "arrivals after all VMs had ended")
+}
