--- a/cmd/goldcrest-node/soak_test.go
+++ b/cmd/goldcrest-node/soak_test.go
@@ -66,14 +66,7 @@
 	for s := range regressions {
 		seeds = append(seeds, s)
 	}
-	if list := os.Getenv("GOLDCREST_SOAK_SEEDS"); list != "" {
-		seeds = nil
-		for f := range strings.SplitSeq(list, ",") {
-			n, err := strconv.ParseUint(f, 10, 64)
-			require.NoError(t, err)
-			seeds = append(seeds, n)
-		}
-	}
+	seeds = soakSeeds(t, seeds...)
 	length := soakLength
 	if s, err := strconv.Atoi(os.Getenv("GOLDCREST_SOAK_SECONDS")); err == nil {
 		length = time.Duration(s) * time.Second
@@ -697,3 +690,17 @@
 	w.t.Logf("seed %d: %d requests, %d served, %d keys revoked", seed, len(w.records), served, len(w.revokedAt))
 	require.Empty(w.t, w.violations, "seed %d", seed)
 }
+
+// soakSeeds returns the seeds that the environment names, or the given ones.
+func soakSeeds(t *testing.T, usual ...uint64) (seeds []uint64) {
+	list := os.Getenv("GOLDCREST_SOAK_SEEDS")
+	if list == "" {
+		return usual
+	}
+	for f := range strings.SplitSeq(list, ",") {
+		n, err := strconv.ParseUint(f, 10, 64)
+		require.NoError(t, err)
+		seeds = append(seeds, n)
+	}
+	return seeds
+}
