--- a/gateway/node/suspects_store.go
+++ b/gateway/node/suspects_store.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	now := time.Now()
-	r.age(now.Sub(e.Written))
+	poison.AddAge(now.Sub(e.Written), r.Crashes, r.Objections, r.Verdicts, r.PartVerdicts)
 	s.merge(name, &r, true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,22 +90,6 @@
 	delete(s.stored.youngest, name)
 }
 
-// age adds the time since the report to all ages in it.
-func (r *crashReports) age(by time.Duration) {
-	for _, crashes := range r.Crashes {
-		poison.AddAge(by, crashes, nil, nil)
-	}
-	for _, verdicts := range r.Verdicts {
-		poison.AddAge(by, nil, verdicts, nil)
-	}
-	for _, verdicts := range r.PartVerdicts {
-		poison.AddAge(by, nil, verdicts, nil)
-	}
-	for _, parts := range r.Objections {
-		poison.AddAge(by, nil, nil, parts)
-	}
-}
-
 // addReport adds all that a report says, and returns when its youngest crash happened.
 func (c candidates) addReport(now time.Time, r *crashReports) (youngest time.Time) {
 	note := func(ageMs uint32) {
--- a/gateway/upstream/endless_test.go
+++ b/gateway/upstream/endless_test.go
@@ -25,6 +25,17 @@
 	return false
 }
 
+// serveEndless starts an endpoint whose answer never ends, and that tells whether its connection was closed.
+func serveEndless(t *testing.T, begin, part string) (s *scriptedServer, closed chan bool) {
+	closed = make(chan bool, 1)
+	s = serve(t, func(c net.Conn, _, _ int, _ *http.Request) bool {
+		_, err := io.WriteString(c, begin)
+		closed <- err != nil || writeEndless(c, part)
+		return false
+	})
+	return s, closed
+}
+
 // Guards against an endpoint whose answer's head never ends, and that fills the VM's memory or holds the request until its deadline.
 func TestEndlessHeadEnds(t *testing.T) {
 	line := strings.Repeat("a", 64<<10)
@@ -40,12 +51,7 @@
 		"nothing but lines": {"", strings.Repeat("\r\n", 30000)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			closed := make(chan bool, 1)
-			s := serve(t, func(conn net.Conn, _, _ int, _ *http.Request) bool {
-				_, err := io.WriteString(conn, c.begin)
-				closed <- err != nil || writeEndless(conn, c.part)
-				return false
-			})
+			s, closed := serveEndless(t, c.begin, c.part)
 			pool := NewPool(prometheus.NewRegistry(), "test", nil)
 			a, err := pool.Send(t.Context(), s.Addr().String(), newGet("1"))
 			if err == nil {
@@ -68,12 +74,7 @@
 		"trailer":         {head + "0\r\nX: ", line},
 	} {
 		t.Run(name, func(t *testing.T) {
-			closed := make(chan bool, 1)
-			s := serve(t, func(conn net.Conn, _, _ int, _ *http.Request) bool {
-				_, err := io.WriteString(conn, c.begin)
-				closed <- err != nil || writeEndless(conn, c.part)
-				return false
-			})
+			s, closed := serveEndless(t, c.begin, c.part)
 			pool := NewPool(prometheus.NewRegistry(), "test", nil)
 			a, err := pool.Send(t.Context(), s.Addr().String(), newGet("1"))
 			require.NoError(t, err)
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -24,16 +24,28 @@
 // Age returns the time since the crash.
 func (c *Crash) Age() time.Duration { return time.Duration(c.AgeMs) * time.Millisecond }
 
-// AddAge adds the time for which a report was kept to the ages in it.
-func AddAge(by time.Duration, crashes []Crash, verdicts []Verdict, parts []Part) {
+// AddAge adds the time for which a report was kept to the ages in it, which are by pool.
+func AddAge(by time.Duration, crashes map[string][]Crash, answers map[string][]Part, verdicts ...map[string][]Verdict) {
 	ms := uint32(min(max(by, 0), crashLifetime).Milliseconds())
-	for i := range crashes {
-		crashes[i].AgeMs += ms
-		AddAge(by, nil, nil, crashes[i].Parts)
+	for _, list := range crashes {
+		for i := range list {
+			list[i].AgeMs += ms
+			addAnswerAge(ms, list[i].Parts)
+		}
 	}
-	for i := range verdicts {
-		verdicts[i].AgeMs += ms
+	for _, parts := range answers {
+		addAnswerAge(ms, parts)
 	}
+	for _, byPool := range verdicts {
+		for _, list := range byPool {
+			for i := range list {
+				list[i].AgeMs += ms
+			}
+		}
+	}
+}
+
+func addAnswerAge(ms uint32, parts []Part) {
 	for i := range parts {
 		parts[i].AnsweredMs += ms
 	}
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -58,18 +58,7 @@
 
 // AddAge adds the time for which the report was kept to the ages in it.
 func (r *PoisonReport) AddAge(by time.Duration) {
-	for _, crashes := range r.Crashes {
-		poison.AddAge(by, crashes, nil, nil)
-	}
-	for _, verdicts := range r.Verdicts {
-		poison.AddAge(by, nil, verdicts, nil)
-	}
-	for _, verdicts := range r.PartVerdicts {
-		poison.AddAge(by, nil, verdicts, nil)
-	}
-	for _, parts := range r.Objections {
-		poison.AddAge(by, nil, nil, parts)
-	}
+	poison.AddAge(by, r.Crashes, r.Objections, r.Verdicts, r.PartVerdicts)
 }
 
 // HasPools reports whether this VM has all pools that the report is about.
