Write objections that come late, and keep entries that hold nothing else

An answer that overrules a decision counts as a change of the evidence now, so that it is written to the platform, and an entry with objections alone no longer looks as old as the epoch, by which the VM that ranks first would have deleted it. Found by reading; no test showed either.

--- a/gateway/node/suspects_store.go
+++ b/gateway/node/suspects_store.go
@@ -31,10 +31,10 @@
 
 // storedCrashes is what the platform keeps of crash evidence, as far as this VM knows.
 type storedCrashes struct {
-	// own holds what this VM's entry says, others what those of other VMs have said: by crash, or for
-	// the verdicts and objections of a service, the requests and parts. What an entry said once has reached all VMs that read it.
+	// own holds what this VM's entry says, others what those of other VMs have said. What an entry said
+	// once has reached all VMs that read it.
 	own, others candidates
-	youngest    map[string]time.Time // by entry, when its youngest crash happened
+	youngest    map[string]time.Time // by entry, when the youngest crash or answer in it happened
 	// lackingSince is when this VM first had evidence that the platform lacks; zero if it lacks none.
 	lackingSince, wroteAt time.Time
 	writing               bool
@@ -90,7 +90,7 @@
 	delete(s.stored.youngest, name)
 }
 
-// addReport adds all that a report says, and returns when its youngest crash happened.
+// addReport adds all that a report says, and returns when the youngest crash or answer in it happened.
 func (c candidates) addReport(now time.Time, r *crashReports) (youngest time.Time) {
 	note := func(ageMs uint32) {
 		if at := now.Add(-time.Duration(ageMs) * time.Millisecond); at.After(youngest) {
@@ -107,6 +107,7 @@
 	}
 	for service, parts := range r.Objections {
 		for i := range parts {
+			note(parts[i].AnsweredMs)
 			c.add(objectionKey(service), parts[i].Part)
 		}
 	}
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -167,7 +167,7 @@
 		if r := t.parts.records[part]; r != nil {
 			r.answers = r.answers.add(began)
 			// An answer can only end a quarantine.
-			t.stale = t.stale || t.parts.quarantined[part]
+			t.noteChange(t.parts.quarantined[part])
 		} else if known, _ := t.parts.sound.Get(part); known.n < maxPriorAnswers {
 			t.parts.sound.Add(part, known.add(began))
 		} else {
