--- a/policy/watching/doc.go
+++ b/policy/watching/doc.go
@@ -1,7 +1,7 @@
 // Package watching decides, for one VM of a fleet, whether it watches the platform, which other
 // VMs it reads from instead, and how often it calls a platform that does not answer.
 //
-// Load pattern: up to hundreds of VMs each follow four kinds of objects in a store that bills
+// Load pattern: up to hundreds of VMs each follow five kinds of objects in a store that bills
 // each call, refused ones too. The store is unavailable for all, refuses some VMs, or resets
 // connections; VMs that watch it are cut off, stop or crash.
 //
