Log the answers of accepted versions, and whether all endpoints fail alike

The comparison of versions ended in the log with the roll-out, so that no line told a version that turned bad afterwards from one that fails under load. Answers of an accepted version are counted for good now, by sixteen groups of endpoints as well, and 'roll-out compared' goes on after the completion while they fail. No decision changes.

--- a/gateway/forward/handler.go
+++ b/gateway/forward/handler.go
@@ -77,6 +77,8 @@
 // AnswerResult is the result of one attempt, for the comparison of versions.
 type AnswerResult struct {
 	Service, Version, Route, Model string
+	// Endpoint is the ID of the endpoint.
+	Endpoint string
 	// Failed is set if the endpoint failed the request, by an error or a broken answer.
 	Failed bool
 	// Broke says that it failed since its connection broke.
--- a/gateway/forward/report.go
+++ b/gateway/forward/report.go
@@ -77,7 +77,10 @@
 // answerResult describes an answer to the current attempt.
 func (c *call) answerResult(ch placement.Choice, answer pace.Answer) AnswerResult {
 	answer.Work = ch.Ahead
-	a := AnswerResult{Service: c.service, Version: ch.Version, Route: c.route.Name, Answer: answer, InFlight: c.statedLoad.inFlight(), Slots: c.statedLoad.slots}
+	a := AnswerResult{
+		Service: c.service, Version: ch.Version, Route: c.route.Name, Endpoint: ch.ID, Answer: answer,
+		InFlight: c.statedLoad.inFlight(), Slots: c.statedLoad.slots,
+	}
 	if c.prompt.wildcard {
 		a.Model = c.route.Models[c.sentModel]
 	}
--- a/gateway/node/loadbound.go
+++ b/gateway/node/loadbound.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"goldcrestfork/fleet/rendezvous"
-	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
 	"goldcrestfork/policy/placement"
 )
@@ -19,7 +18,7 @@
 
 // recordLoad counts an answer by the load that its endpoint stated.
 func (r *rollouts) recordLoad(o *order, a forward.AnswerResult) {
-	if o == nil || a.Slots == 0 || a.Broke || !o.reported(r.clock()) {
+	if o == nil || a.Slots == 0 || a.Broke || !o.reported() {
 		return
 	}
 	if a.Version == o.Target || !o.decided() {
@@ -37,7 +36,7 @@
 // boundLoad bounds the load of an accepted version's endpoints. Callers hold r.mu.
 func (r *rollouts) boundLoad(now time.Duration, o *order) {
 	var b placement.LoadBound
-	if o.bound.streaming && (o.moving() || o.State == catalog.RollOutCompleted) {
+	if o.bound.streaming && o.accepted() {
 		if l, ok := o.trial.LoadBound(now); ok {
 			b = placement.LoadBound{Version: o.Target, Others: l.Others, First: l.First}
 			if ids := rendezvous.Rank(o.id, r.n.table.Steady(time.Now(), o.Service, o.Target)); len(ids) > 0 {
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -54,6 +54,7 @@
 	loggedDecision trial.Decision
 	loggedState    catalog.RollOutState
 	lastTally      time.Duration // time of the last line with the tallies
+	loggedErrors   uint64        // of the completed version in that line
 	// learntAt is the time at which the VM learnt of the decision.
 	learntAt time.Duration
 	bound    loadBound
@@ -69,10 +70,11 @@
 // compares reports whether answers count in the comparison of versions.
 func (o *order) compares() bool { return !o.decided() || o.moving() }
 
-// reported reports whether VMs tell each other of the order's answers.
-func (o *order) reported(now time.Duration) bool {
-	return o.compares() || o.State == catalog.RollOutCompleted && o.trial.BoundsLoad(now)
-}
+// accepted reports whether the new version gets all requests.
+func (o *order) accepted() bool { return o.moving() || o.State == catalog.RollOutCompleted }
+
+// reported reports whether answers count, and VMs tell each other of them: until the version is rolled back.
+func (o *order) reported() bool { return o.compares() || o.accepted() }
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
@@ -158,7 +160,7 @@
 			return
 		}
 	}
-	if o != nil && o.compares() {
+	if o != nil && o.reported() && (o.compares() || a.Version == o.Target) {
 		o.trial.CountAnswer(r.clock(), o.origin(a), result)
 	}
 }
@@ -174,7 +176,7 @@
 
 // origin returns the origin of an answer in the comparison of versions.
 func (o *order) origin(a forward.AnswerResult) trial.Origin {
-	return trial.Origin{New: a.Version == o.Target, Moving: o.moving(), Class: trial.ClassOf(a.Route)}
+	return trial.Origin{New: a.Version == o.Target, Moving: o.accepted(), Class: trial.ClassOf(a.Route), Endpoint: a.Endpoint}
 }
 
 // VerySlow implements forward.Versions.
@@ -223,7 +225,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for service, o := range r.orders {
-		if o.reported(now) {
+		if o.reported() {
 			orders = append(orders, rollOutReport{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.LocalCounts()})
 		}
 	}
@@ -246,10 +248,7 @@
 	r.mu.Lock()
 	var due []*order
 	for _, o := range r.orders {
-		if o.State != catalog.RollOutCompleted && o.State != catalog.RollOutRolledBack && now-o.lastTally >= tallyPause {
-			o.lastTally = now
-			r.addTallies(r.n.log.Info(), now, o).Str("state", string(o.State)).Msg("roll-out compared")
-		}
+		r.logTallies(now, o)
 		r.boundLoad(now, o)
 		next, ok := r.nextState(now, o)
 		if ok && time.Since(o.lastRecordTry) >= recordPause && r.isRecorder(o.id) {
@@ -293,12 +292,28 @@
 	return catalog.RollOutRunning, o.State == ""
 }
 
+// logTallies logs the tallies of a roll-out in progress, and of a completed one while its version's answers fail.
+func (r *rollouts) logTallies(now time.Duration, o *order) {
+	if !o.reported() || now-o.lastTally < tallyPause {
+		return
+	}
+	if o.State == catalog.RollOutCompleted {
+		errors := o.trial.Sum().Moved.Errors
+		if errors == o.loggedErrors {
+			return
+		}
+		o.loggedErrors = errors
+	}
+	o.lastTally = now
+	r.addTallies(r.n.log.Info(), now, o).Str("state", string(o.State)).Msg("roll-out compared")
+}
+
 // addTallies adds a roll-out's age and the tallies of all VMs to a log line.
 func (r *rollouts) addTallies(e *zerolog.Event, now time.Duration, o *order) *zerolog.Event {
 	s := o.trial.Sum()
 	return e.Str("roll_out", o.id).Dur("age_ms", o.trial.Age(now)).
 		Str("from", s.From.String()).Str("to", s.To.String()).Str("moved", s.Moved.String()).
-		Str("from_loads", s.FromLoads.String()).Str("to_loads", s.ToLoads.String())
+		Str("spread", s.Spread.String()).Str("from_loads", s.FromLoads.String()).Str("to_loads", s.ToLoads.String())
 }
 
 // isRecorder reports whether this VM ranks first among the VMs that are ready, so that only one
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -78,6 +78,8 @@
 	// new one was accepted.
 	FromLoads Loads `cbor:"6,keyasint,omitempty"`
 	ToLoads   Loads `cbor:"7,keyasint,omitempty"`
+	// Spread counts the answers of the new version by groups of endpoints since it was accepted; nil for none.
+	Spread *Spread `cbor:"8,keyasint,omitempty"`
 }
 
 // counted grows with each answer that is counted.
@@ -140,6 +142,11 @@
 	c.Classes = maps.Clone(t.own.Classes)
 	c.FromLoads, c.ToLoads = maps.Clone(t.own.FromLoads), maps.Clone(t.own.ToLoads)
 	c.Worse = t.worse
+	if t.own.Spread != nil {
+		s := *t.own.Spread
+		c.Spread = &s
+		c.Classes = nil // they count for the acceptance alone
+	}
 	return c
 }
 
@@ -161,6 +168,8 @@
 	New, Moving bool
 	// Class is that of the request's route.
 	Class Class
+	// Endpoint is the ID of the endpoint.
+	Endpoint string
 }
 
 // CountAnswer counts an attempt that failed, or the head of a stream, or another answer.
@@ -172,8 +181,14 @@
 		return
 	}
 	c.count(r)
-	if !o.Moving {
+	switch {
+	case !o.Moving:
 		t.countClass(o, r.Failed && !r.Broke)
+	case !r.Broke:
+		if t.own.Spread == nil {
+			t.own.Spread = new(Spread)
+		}
+		t.own.Spread.count(o.Endpoint, r.Failed)
 	}
 }
 
@@ -220,6 +235,19 @@
 	return sum
 }
 
+// spread adds the counts of all VMs by groups of endpoints. Callers hold t.mu.
+func (t *Trial) spread() (sum Spread) {
+	if s := t.own.Spread; s != nil {
+		sum.add(*s)
+	}
+	for _, c := range t.others {
+		if c.Spread != nil {
+			sum.add(*c.Spread)
+		}
+	}
+	return sum
+}
+
 // IsExposing reports whether further sessions that Session.Tries selects are to use the new version
 // now.
 func (t *Trial) IsExposing(now time.Duration) bool {
@@ -330,5 +358,6 @@
 	defer t.mu.Unlock()
 	from, to := t.sum()
 	fromLoads, toLoads := t.loads()
-	return Counts{From: from, To: to, Moved: t.moved(), FromLoads: fromLoads, ToLoads: toLoads}
+	spread := t.spread()
+	return Counts{From: from, To: to, Moved: t.moved(), FromLoads: fromLoads, ToLoads: toLoads, Spread: &spread}
 }
