--- a/cmd/goldcrest-node/version_test.go
+++ b/cmd/goldcrest-node/version_test.go
@@ -296,3 +296,44 @@
 	t.Logf("%d bad answers, at most %d requests at an endpoint", bad, most)
 	require.Less(t, bad, operatorsBound)
 }
+
+// Guards against a version that turns bad after its roll-out and gets all requests for good, since there is no way back: by callers
+// who come slowly and in a rush.
+func TestVersionThatTurnsBadAfterItsRollOutIsStopped(t *testing.T) {
+	const rollBack, allowedBad = 5 * time.Second, 50
+	for name, callers := range map[string]int{"few callers": 3, "many callers": versionCallers} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var turned atomic.Bool
+			var mu sync.Mutex
+			var bad, late int
+			var fiftieth time.Time
+			f := startVersionFleet(t, func(w http.ResponseWriter, r *http.Request, n int64) {
+				mu.Lock()
+				if !fiftieth.IsZero() && time.Since(fiftieth) > rollBack {
+					late++
+				}
+				fails := turned.Load() && n%5 < 2
+				if fails {
+					if bad++; bad == allowedBad {
+						fiftieth = time.Now()
+					}
+				}
+				mu.Unlock()
+				if fails {
+					failAnswer(w, r)
+					return
+				}
+				answerSoundly(w, r)
+			})
+			state, _, _ := f.rollOut(true, "/stream/a", "/plain/a")
+			require.Equal(t, "completed", state)
+			turned.Store(true)
+			f.rush(callers, rollBack+7*time.Second)
+			mu.Lock()
+			t.Logf("%d bad answers, %d requests later than operators allow", bad, late)
+			mu.Unlock()
+			require.Zero(t, late)
+		})
+	}
+}
