Hold the completion of a roll-out while the new version may have turned bad

Errors as frequent as those of a version that turned bad hold the completion for two seconds at most.

--- a/gateway/node/node.go
+++ b/gateway/node/node.go
@@ -358,6 +358,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.rollouts.due:
+			n.rollouts.tick(ctx)
 		case <-t.C:
 			n.view.Tick()
 			n.pool.Sweep()
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -43,6 +43,8 @@
 	stopped map[string]string
 	// usual holds the usual times of answers, by service.
 	usual map[string]*pace.Times
+	// due asks for a call of tick.
+	due chan struct{}
 	// open holds the requests in progress whose sessions may use a new version.
 	open map[*pin]struct{}
 }
@@ -83,11 +85,19 @@
 
 func newRollouts(n *Node) *rollouts {
 	return &rollouts{
-		n: n, clock: bootClock,
+		n: n, clock: bootClock, due: make(chan struct{}, 1),
 		orders: make(map[string]*order), inUse: make(map[string]string), stopped: make(map[string]string), usual: make(map[string]*pace.Times), open: make(map[*pin]struct{}),
 	}
 }
 
+// wake makes the VM call tick soon.
+func (r *rollouts) wake() {
+	select {
+	case r.due <- struct{}{}:
+	default:
+	}
+}
+
 // update applies the roll-out orders of the view.
 func (r *rollouts) update() {
 	for _, h := range r.updateOrders() {
@@ -115,6 +125,9 @@
 			}
 			if !old.decided() {
 				old.learntAt = now
+				if o.State == catalog.RollOutMoving {
+					time.AfterFunc(trial.MinMoving+10*time.Millisecond, r.wake)
+				}
 			}
 			old.RollOut = o
 			old.trial.SetRecord(o.Standing)
--- a/policy/trial/trial.go
+++ b/policy/trial/trial.go
@@ -37,6 +37,10 @@
 	// MinMoving is the shortest time for which an accepted version gets all requests before the old one ends,
 	// in which all VMs learn of it.
 	MinMoving = 500 * time.Millisecond
+	// maxSuspicion is the time for which an accepted version that may have turned bad isn't completed, also beyond the
+	// roll-out's time: there is no way back after that. minSuspect is the number of errors that it takes.
+	maxSuspicion = 2 * time.Second
+	minSuspect   = 5
 	// minAnswers is the number of answers of the new version needed to accept it: a version
 	// that fails a third gives fifteen good answers in a row once in 400 trials.
 	minAnswers = 15
@@ -339,6 +343,8 @@
 	switch {
 	case t.worse:
 		return TakeBack, "the new version turned worse"
+	case moving < maxSuspicion && t.isSuspect(from):
+		return Undecided, ""
 	case float64(now-t.began) >= completeShare*float64(t.duration) && moving >= MinMoving,
 		moving >= max(t.session, time.Duration((completeShare-decideShare)*float64(t.duration))):
 		return Take, "no sign against the new version since it gets all requests"
@@ -346,6 +352,16 @@
 	return Undecided, ""
 }
 
+// isSuspect reports whether errors of the new version since its acceptance are as frequent as those of one that turned
+// bad, of which there may be too few yet. Callers hold t.mu.
+func (t *Trial) isSuspect(from Tally) bool {
+	moved := t.moved()
+	errors := moved.Errors - moved.Broken
+	usual := rate(from.Errors-from.Broken, from.Requests)
+	return errors >= minSuspect && rate(errors, moved.Requests) >= usual+turnedErrors &&
+		rateEvidence(errors, moved.Requests, max(usual, minUsualRate)) >= turnedEvidence
+}
+
 // turnedBad compares the new version's latest answers with the old version's during the trial.
 func (t *Trial) turnedBad(from Tally) bool {
 	moved := t.moved()
