Report on completed roll-outs in turn, and test the held completion

Cause: since accepted versions are watched for good, each datagram held a report on each completed roll-out: 3,914 bytes for 19 services where 650 are left, and a datagram that is too large is sent without what VMs tell each other of roll-outs, limits and crashes. Change: roll-outs in progress are reported always, completed ones in turn as far as there is room (gateway/node/reports.go, moved from rollouts.go). TestCompletedRollOutsAreReportedInTurn fails without it, TestCompletionWaitsWhileTheVersionIsSuspect without the hold of the completion.

--- a/cmd/goldcrest-node/version_test.go
+++ b/cmd/goldcrest-node/version_test.go
@@ -297,8 +297,7 @@
 	require.Less(t, bad, operatorsBound)
 }
 
-// Guards against a version that turns bad after its roll-out and gets all requests for good, since there is no way back: by callers
-// who come slowly and in a rush.
+// Guards against a version that turns bad after its roll-out and gets all requests for good, since there is no way back.
 func TestVersionThatTurnsBadAfterItsRollOutIsStopped(t *testing.T) {
 	const rollBack, allowedBad = 5 * time.Second, 50
 	for name, callers := range map[string]int{"few callers": 3, "many callers": versionCallers} {
--- a/gateway/node/accepted_test.go
+++ b/gateway/node/accepted_test.go
@@ -5,10 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"goldcrestfork/gateway/catalog"
 	"goldcrestfork/gateway/forward"
+	"goldcrestfork/gateway/view"
 	"goldcrestfork/policy/placement"
 	"goldcrestfork/policy/trial"
 )
@@ -83,3 +85,32 @@
 		require.Equal(t, want, d, reason)
 	}
 }
+
+// Guards against VMs that learn nothing of each other's answers since the reports on all completed roll-outs are too large for a datagram.
+func TestCompletedRollOutsAreReportedInTurn(t *testing.T) {
+	const services = 19
+	o := newOrders()
+	for i := range services {
+		name := fmt.Sprint("s", i)
+		o.view.ApplyRollOuts(view.Update[catalog.RollOut]{Revision: int64(i + 1), Changes: []view.Change[catalog.RollOut]{
+			{Item: view.Item[catalog.RollOut]{Name: name, Revision: int64(i + 1), Value: catalog.RollOut{
+				Name: name, Service: name, Target: "v2", Created: 1, Revision: int64(i + 1), State: catalog.RollOutCompleted, Duration: time.Second,
+			}}},
+		}})
+		o.update()
+		for e := range 200 {
+			o.RecordAnswer(forward.AnswerResult{Service: name, Version: "v2", Route: "r", Endpoint: fmt.Sprint("e", e%9), Failed: e%3 == 0, InFlight: e % 20, Slots: 64})
+		}
+	}
+	heard := make(map[string]bool)
+	for range services {
+		reports := o.reports(bootClock(), maxPayloadBytes)
+		b, err := cbor.Marshal(reports)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(b), maxPayloadBytes)
+		for _, r := range reports {
+			heard[r.Service] = true
+		}
+	}
+	require.Len(t, heard, services)
+}
--- a/gateway/node/loadbound_test.go
+++ b/gateway/node/loadbound_test.go
@@ -54,7 +54,7 @@
 		bound()
 		require.Equal(t, 5+8, fill(), state)
 	}
-	require.Len(t, o.reports(bootClock()), 1, "other VMs count the answers too")
+	require.Len(t, o.reports(bootClock(), maxPayloadBytes), 1, "other VMs count the answers too")
 	for range 20 {
 		answer("v2", 8)
 	}
--- a/gateway/node/pins_test.go
+++ b/gateway/node/pins_test.go
@@ -208,7 +208,7 @@
 // round sends one VM's datagrams of a round.
 func (f *fleet) round(i int, sequence uint64) {
 	v := f.vms[i]
-	words := v.reports(f.now)
+	words := v.reports(f.now, maxPayloadBytes)
 	for n, batch := range v.table.Round(f.now, f.rng, len(words) > 0) {
 		m := &gossip.Message{From: v.self, Incarnation: 1, Sequence: 2*sequence + uint64(n), Ready: true, Others: batch.Others, Reports: batch.Reports}
 		for _, peer := range batch.To {
--- a/gateway/node/rollouts.go
+++ b/gateway/node/rollouts.go
@@ -43,6 +43,8 @@
 	stopped map[string]string
 	// usual holds the usual times of answers, by service.
 	usual map[string]*pace.Times
+	// reportTurn is the completed roll-out that the next datagram begins with.
+	reportTurn int
 	// due asks for a call of tick.
 	due chan struct{}
 	// open holds the requests in progress whose sessions may use a new version.
@@ -151,28 +153,6 @@
 	return open
 }
 
-// replace applies what is known of a service's version at a new order; old is the order before, nil for none. Callers hold
-// r.mu.
-func (r *rollouts) replace(old, current *order) {
-	stopped := current.StoppedVersion
-	if current.State == catalog.RollOutCompleted {
-		stopped = ""
-	}
-	if old != nil && old.accepted() && old.trial.Stopped() && old.Target != current.Target {
-		stopped = old.Target
-	}
-	delete(r.stopped, current.Service)
-	if stopped != "" {
-		r.stopped[current.Service] = stopped
-		current.oldStopped = true
-		current.trial.SetOldStopped()
-	}
-	if current.accepted() {
-		current.trial.JoinLate()
-	}
-	current.trial.SetRecord(current.Standing)
-}
-
 func (r *rollouts) order(service string) *order {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -259,35 +239,6 @@
 	return t
 }
 
-// rollOutReport is what one VM knows of a roll-out.
-type rollOutReport struct {
-	Service string        `cbor:"1,keyasint"`
-	ID      string        `cbor:"2,keyasint"`
-	Age     time.Duration `cbor:"3,keyasint"`
-	Counts  trial.Counts  `cbor:"4,keyasint"`
-}
-
-// reports returns this VM's part of a datagram about the roll-outs in progress.
-func (r *rollouts) reports(now time.Duration) (orders []rollOutReport) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for service, o := range r.orders {
-		if o.reported() {
-			orders = append(orders, rollOutReport{Service: service, ID: o.id, Age: o.trial.Age(now), Counts: o.trial.LocalCounts()})
-		}
-	}
-	return orders
-}
-
-// mergeReports applies another VM's reports.
-func (r *rollouts) mergeReports(now time.Duration, source string, orders []rollOutReport) {
-	for _, ow := range orders {
-		if o := r.order(ow.Service); o != nil && o.id == ow.ID {
-			o.trial.SetPeerCounts(now, source, ow.Age, ow.Counts)
-		}
-	}
-}
-
 // tick advances the roll-outs in progress; the VM that ranks first for a roll-out records its
 // state.
 func (r *rollouts) tick(ctx context.Context) {
--- a/gateway/node/rollouts_test.go
+++ b/gateway/node/rollouts_test.go
@@ -162,3 +162,19 @@
 	o.receive("v2", 10, catalog.RollOutRolledBack)
 	require.Equal(t, map[forward.VersionChoice]int{{ExcludedVersion: "v2"}: 200}, o.choices())
 }
+
+// Guards against a version that turned bad about its acceptance and is completed, with no way back, before enough answers tell.
+func TestCompletionWaitsWhileTheVersionIsSuspect(t *testing.T) {
+	for failures, wait := range map[int]bool{0: false, 3: false, 8: true} {
+		o, taken, began := newTakenOrder(t)
+		for i := range 20 {
+			o.RecordAnswer(forward.AnswerResult{Service: "s", Version: "v2", Route: "r", Failed: i < failures})
+		}
+		taken.learntAt = began + 19001*time.Millisecond
+		_, ok := o.nextState(began+19600*time.Millisecond, taken)
+		require.Equal(t, !wait, ok, "%d failures", failures)
+		next, ok := o.nextState(began+21002*time.Millisecond, taken)
+		require.True(t, ok)
+		require.Equal(t, catalog.RollOutCompleted, next, "not for longer than two seconds")
+	}
+}
--- a/gateway/node/word.go
+++ b/gateway/node/word.go
@@ -21,7 +21,7 @@
 // payload encodes this VM's gossipPayload; nil if there is nothing to report.
 func (n *Node) payload() []byte {
 	var w gossipPayload
-	w.Orders = n.rollouts.reports(bootClock())
+	w.Orders = n.rollouts.reports(bootClock(), maxPayloadBytes)
 	w.Limits = n.limitReports()
 	if b, err := cbor.Marshal(&w); err == nil {
 		w.Crashes = n.suspects.report(maxPayloadBytes - len(b))
--- a/policy/trial/accepted.go
+++ b/policy/trial/accepted.go
@@ -27,8 +27,8 @@
 	minEverywhere = 0.05
 	// suspectPart is the part of that below which errors of earlier windows are no sign of a bad version.
 	suspectPart = 2
-	// windowTime and windowAnswers are the least time and number of answers after which a window ends. A version is judged
-	// by the latest one to two windows, and by the latest windows.
+	// windowTime and windowAnswers are the least time and number of answers after which a window ends, and windows is the
+	// number of the latest ones by which a version is judged, by themselves and together.
 	windowTime    = 800 * time.Millisecond
 	windowAnswers = 32
 	windows       = 4
@@ -119,8 +119,10 @@
 func (t *Trial) Standing() Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	w := &t.watch
 	return Standing{
-		Stopped: t.watch.stopped, Bad: uint64(t.bad()), Suspect: uint64(min(t.watch.suspect+t.watch.fresh+t.watch.pending, allowedBad)), LoadBad: uint64(t.loadBad()), UsualErrors: t.usualErrors(), Load: t.bound.Others,
+		Stopped: w.stopped, Bad: uint64(t.bad()), Suspect: uint64(min(w.suspect+w.fresh+w.pending, allowedBad)),
+		LoadBad: uint64(t.loadBad()), UsualErrors: t.usualErrors(), Load: t.bound.Others,
 	}
 }
 
--- a/policy/trial/accepted_test.go
+++ b/policy/trial/accepted_test.go
@@ -140,7 +140,7 @@
 }
 
 // Guards against a version that turns bad after its roll-out, when there is no way back, and gets all requests for good.
-func TestVersionThatTurnsBadAfterItsRollOutIsStopped(t *testing.T) {
+func TestAcceptedVersionThatTurnsBadIsStopped(t *testing.T) {
 	for _, size := range []struct {
 		endpoints int
 		perS      float64
--- a/policy/trial/doc.go
+++ b/policy/trial/doc.go
@@ -2,7 +2,8 @@
 // sessions, its answers are compared with the old version's over all VMs, and it is either
 // accepted (Take) or rolled back (TakeBack) before the time set by the operators is over. An
 // accepted version gets all requests and is still compared, with the old version's answers during
-// the trial, until the roll-out is completed and the old version ends.
+// the trial, until the roll-out is completed and the old version ends. From then on it is watched for
+// good, and stopped if it fails at all endpoints (accepted.go).
 //
 // Load pattern: a roll-out of 12 to 24 s under the usual traffic. The new version is good, or
 // it fails or slows a part of its requests: at once, after some seconds, or those of one route. In
