--- a/cmd/goldcrest-node/process_test.go
+++ b/cmd/goldcrest-node/process_test.go
@@ -48,6 +48,8 @@
 // vm is one VM, whose process may be started several times.
 type vm struct {
 	t         *testing.T
+	name      string
+	binary    string // path of the program
 	cmd       *exec.Cmd
 	pid       atomic.Int64 // of the process that was started last
 	settings  string       // path of the settings file
@@ -103,7 +105,7 @@
 // test ends. The extra settings are lines of the settings file.
 func startVM(t *testing.T, store, name string, extraSettings ...string) *vm {
 	t.Helper()
-	v := &vm{t: t, settings: filepath.Join(t.TempDir(), "node.conf"), done: make(chan error, 1)}
+	v := &vm{t: t, name: name, binary: binary, settings: filepath.Join(t.TempDir(), "node.conf"), done: make(chan error, 1)}
 	v.front = fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	v.directory = fmt.Sprintf("127.0.0.1:%d", freePort(t))
 	internalPort := freePort(t)
@@ -124,7 +126,7 @@
 
 // startProcess starts the process, for the first time or after it has ended.
 func (v *vm) startProcess() {
-	v.cmd = exec.Command(binary, "--metrics-port", fmt.Sprint(v.metrics))
+	v.cmd = exec.Command(v.binary, "--metrics-port", fmt.Sprint(v.metrics))
 	v.cmd.Env = append(os.Environ(), platform.SettingsPathEnv+"="+v.settings)
 	out, err := v.cmd.StdoutPipe()
 	require.NoError(v.t, err)
@@ -137,6 +139,14 @@
 	go v.readLog(out)
 }
 
+// restartWith ends the process and starts another program in its place.
+func (v *vm) restartWith(program string) {
+	_ = v.cmd.Process.Kill() // fails only if the process has ended
+	<-v.done
+	v.binary = program
+	v.startProcess()
+}
+
 // hasStarted reports whether the current process has logged that it has started.
 func (v *vm) hasStarted() bool {
 	v.mu.Lock()
