Log when each attempt ended

A request's line had when each attempt was sent and answered, not when it ended, so that an attempt that was given up couldn't be told from one whose endpoint ended it, nor the time between two of them be read.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -99,6 +99,7 @@
 // attemptRecord is one attempt in the request's log line.
 type attemptRecord struct {
 	sentAt     time.Duration // since the request's start
+	endedAt    time.Duration // since the request's start
 	endpoint   string
 	model      string
 	result     string
@@ -567,7 +568,7 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.sentModel)
 	}
-	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
+	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endedAt: time.Since(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
 	c.sizingNote = ""
 	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
 }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -96,7 +96,7 @@
 	}
 	if len(c.attemptRecords) > 0 {
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords)).
-			Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
+			Str("ended_ms", formatEndTimes(c.attemptRecords)).Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
 	}
 	if len(c.repeatNotes) > 0 {
 		e = e.Str("repeats", strings.Join(c.repeatNotes, " "))
@@ -146,6 +146,15 @@
 	return strings.Join(out, " ")
 }
 
+// formatEndTimes formats when each attempt ended, in the same way.
+func formatEndTimes(attempts []attemptRecord) string {
+	out := make([]string, len(attempts))
+	for i, s := range attempts {
+		out[i] = strconv.FormatInt(s.endedAt.Milliseconds(), 10)
+	}
+	return strings.Join(out, " ")
+}
+
 // formatAnswers formats when the head of each attempt's answer arrived, in ms since the request's
 // start, and for a stream its events and when the last of them arrived: "31 47+24@1870". An attempt
 // without a head is "-".
