Give up a request by a reset

What callers saw: streams that went on at a second endpoint while the first one still worked on them.

Cause: only an overdue attempt reset its connection. A weak answer that was dropped for a larger model, an answer without a signature, a stream that broke by its bytes and a request whose caller had left closed it in order. An endpoint that doesn't read while it works learns of an orderly close at its second write, and the kernel goes on sending what the endpoint has not acknowledged.

Send and Answer.Close reset the connection of every exchange whose body was not read to its end. An endpoint that reads notices at once as before, one that doesn't notices at its first write.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -50,8 +50,7 @@
 func (e *Error) Unwrap() error { return e.Cause }
 
 // ErrOverdue is the cancellation cause of a request's context when the answer takes too long
-// and the request is sent to another endpoint. Send then resets the connection, so that the
-// endpoint does not receive the request later.
+// and the request is sent to another endpoint.
 var ErrOverdue = errors.New("the answer is overdue")
 
 // Answer is the head of an endpoint's answer, from which the body is then read. The caller must
@@ -86,7 +85,7 @@
 }
 
 // Send sends a request to an address and waits for the head of the answer. The context bounds
-// the whole exchange, including the body. A failure is returned as an *Error.
+// the whole exchange, including the body; when it ends the connection is reset. A failure is returned as an *Error.
 func (p *Pool) Send(ctx context.Context, addr string, r *Request) (*Answer, error) {
 	c := p.take(addr, r.AtMostOnce)
 	reused := c != nil
@@ -102,13 +101,7 @@
 	c.hasRead = false
 	a := &Answer{pool: p, addr: addr, conn: c, Reused: reused, guard: bodyGuard{name: []byte(r.IDHeader), id: []byte(r.ID)}}
 	p.begin(a, !r.AtMostOnce)
-	a.stopWatchingContext = context.AfterFunc(ctx, func() {
-		if errors.Is(context.Cause(ctx), ErrOverdue) {
-			c.abort()
-			return
-		}
-		c.Close()
-	})
+	a.stopWatchingContext = context.AfterFunc(ctx, c.abort)
 	if r.OnSend != nil {
 		r.OnSend()
 	}
@@ -184,8 +177,8 @@
 	return n, err
 }
 
-// Close returns the connection to the pool if it can carry another request. Otherwise it closes
-// the connection, which makes the endpoint stop its work. Further calls have no effect.
+// Close returns the connection to the pool if it can carry another request, and closes it otherwise. If the body was not
+// read to its end, the connection is reset. Further calls have no effect.
 func (a *Answer) Close() {
 	if a.closed {
 		return
@@ -194,7 +187,11 @@
 	a.pool.end(a)
 	a.conn.endLongHead()
 	contextActive := a.stopWatchingContext()
-	if !contextActive || !a.complete || !a.reusable || a.body.Buffered() > 0 || a.conn.r.Buffered() > 0 {
+	switch {
+	case !a.complete:
+		a.conn.abort()
+		return
+	case !contextActive || !a.reusable || a.body.Buffered() > 0 || a.conn.r.Buffered() > 0:
 		a.conn.Close()
 		return
 	}
--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -128,7 +128,8 @@
 // abort resets the connection and discards the bytes that the endpoint has not acknowledged.
 // After an orderly close the kernel would continue to send them: when a network partition heals
 // seconds later, the endpoint would run the request in parallel with the one sent elsewhere, or
-// run it after it had drained.
+// run it after it had drained. An endpoint that doesn't read while it works notices a reset when it writes for the first
+// time, and an orderly close not before the second time.
 func (c *conn) abort() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection, which has nothing to discard
