Let an overdue request go on elsewhere once its endpoint has stopped

Streams went on at a second endpoint while the first one worked on them for seconds.

Cause: a request whose answer was overdue was sent elsewhere right behind the reset of its connection. A slow endpoint that doesn't read while it works goes on until it writes, and one that stands still reads the request later, since Linux hands out bytes that came before a reset.

The VM now closes its sending side and goes on waiting. The end of the connection, or a failure in place of an answer, shows that the endpoint has stopped. Without it the answer is waited for and passed on. A request's line says in asked_ms when its endpoint was asked.

--- a/gateway/forward/bounded_test.go
+++ b/gateway/forward/bounded_test.go
@@ -95,6 +95,13 @@
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is still open")
 }
 
+// idleCount returns the number of idle connections.
+func (l *Connections) idleCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.idle.Len()
+}
+
 // hangTime ends a test that would hang.
 const hangTime = 20 * time.Second
 
@@ -215,6 +222,7 @@
 		callers = append(callers, c)
 		write(c, "/once/x")
 		require.Equal(t, http.StatusOK, read(c).StatusCode)
+		require.Eventually(t, func() bool { return conns.idleCount() == min(len(callers), limit) }, hangTime, time.Millisecond)
 	}
 	// The last one has ended the one that was idle longest.
 	requireClosed(t, first, callers[0].Reader)
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -68,9 +68,10 @@
 	// sizingNote holds, for the log, the last answer's confidence and load and the estimate for the
 	// largest model, or why a connection failed or broke.
 	sizingNote string
-	sentAt     time.Time    // when the current attempt was sent
-	sentModel  int          // the model that it asked, an index in the route's models
-	statedLoad endpointLoad // by the current attempt's answer
+	sentAt     time.Time     // when the current attempt was sent
+	timed      *timedAttempt // the current attempt's time limit, nil for none
+	sentModel  int           // the model that it asked, an index in the route's models
+	statedLoad endpointLoad  // by the current attempt's answer
 	answer     answerProgress
 	begun      bool // the current attempt was sent
 	// closedByPeer says why the connection of the current attempt broke; it is set for resultBroken.
@@ -100,6 +101,7 @@
 type attemptRecord struct {
 	sentAt     time.Duration // since the request's start
 	endedAt    time.Duration // since the request's start
+	askedAt    *time.Time    // when the endpoint was asked to stop, nil if it wasn't
 	endpoint   string
 	model      string
 	result     string
@@ -367,9 +369,9 @@
 // statusClientClosedRequest is logged if the caller disconnected; it is never sent.
 const statusClientClosedRequest = 499
 
-// send makes one attempt and returns the head of its answer. A stream continues after lastEvent
-// unless that is empty.
-func (c *call) send(ctx context.Context, ch placement.Choice, lastEvent string) (*upstream.Answer, error) {
+// send makes one attempt and returns the head of its answer; t is nil if the attempt has no time limits of its own. A
+// stream continues after lastEvent unless that is empty.
+func (c *call) send(ctx context.Context, ch placement.Choice, t *timedAttempt, lastEvent string) (*upstream.Answer, error) {
 	if c.via != nil {
 		return c.sendToPeer(ctx, ch, lastEvent)
 	}
@@ -406,6 +408,9 @@
 			c.h.cfg.Poison.Begin(c.service, ch.ID, c.fingerprint, c.prompt.sharedParts...)
 		},
 	}
+	if c.timed = t; t != nil {
+		req.StopAsked = t.stopAsked
+	}
 	c.sentAt = time.Now()
 	a, err := c.h.cfg.Pool.Send(ctx, ch.Address, req)
 	if err == nil {
@@ -446,7 +451,7 @@
 	}
 	var e *upstream.Error
 	sent := !errors.As(err, &e) || e.Sent
-	if sent && t != nil && t.isOverdue() && ctx.Err() == nil {
+	if sent && t != nil && t.isOverdue(err) && ctx.Err() == nil {
 		c.ran = refusal.Unknown
 		c.rerouteOverdue(ch)
 		return tryNext, nil
@@ -568,7 +573,11 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.sentModel)
 	}
-	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endedAt: time.Since(c.start), endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
+	var askedAt *time.Time
+	if c.timed != nil {
+		askedAt = c.timed.askedAt.Load()
+	}
+	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endedAt: time.Since(c.start), askedAt: askedAt, endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
 	c.sizingNote = ""
 	c.h.cfg.Metrics.attempts.WithLabelValues(result).Inc()
 }
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -98,6 +98,9 @@
 		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords)).
 			Str("ended_ms", formatEndTimes(c.attemptRecords)).Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
 	}
+	if asked := formatAskTimes(c.attemptRecords, c.start); asked != "" {
+		e = e.Str("asked_ms", asked)
+	}
 	if len(c.repeatNotes) > 0 {
 		e = e.Str("repeats", strings.Join(c.repeatNotes, " "))
 	}
@@ -155,6 +158,22 @@
 	return strings.Join(out, " ")
 }
 
+// formatAskTimes formats when the endpoint of each attempt was asked to stop, in ms since the request's start; "-" for one that
+// wasn't. The result is empty if none was.
+func formatAskTimes(attempts []attemptRecord, start time.Time) string {
+	out, any := make([]string, len(attempts)), false
+	for i, s := range attempts {
+		out[i] = "-"
+		if s.askedAt != nil {
+			out[i], any = strconv.FormatInt(s.askedAt.Sub(start).Milliseconds(), 10), true
+		}
+	}
+	if !any {
+		return ""
+	}
+	return strings.Join(out, " ")
+}
+
 // formatAnswers formats when the head of each attempt's answer arrived, in ms since the request's
 // start, and for a stream its events and when the last of them arrived: "31 47+24@1870". An attempt
 // without a head is "-".
--- a/gateway/forward/giveup_test.go
+++ b/gateway/forward/giveup_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -91,3 +94,110 @@
 		})
 	}
 }
+
+// Guards against a request that goes on at a second endpoint because its answer is overdue, while the first one, which is slow and doesn't notice that it was given up, still works on it.
+func TestOverdueRequestStaysWithAnEndpointThatWorks(t *testing.T) {
+	for _, path := range []string{"/aimed/a", "/aimed-plain/a"} {
+		t.Run(path, func(t *testing.T) {
+			w := newTestEnv(t, 3)
+			for range 10 { // so that the VM knows how long plain answers take
+				w.handler.overdue.answerTimes.Add("s", time.Millisecond)
+			}
+			var mu sync.Mutex
+			working := make(map[string]int)
+			w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get(testNames.RequestID)
+				mu.Lock()
+				working[id]++
+				assert.Equal(t, 1, working[id], "endpoints that work on %s", id)
+				mu.Unlock()
+				defer func() {
+					mu.Lock()
+					defer mu.Unlock()
+					working[id]--
+				}()
+				conn, in := hijack(t, rw)
+				defer conn.Close()
+				_, err := in.Read(make([]byte, 1))
+				assert.ErrorIs(t, err, io.EOF, "the VM asks the endpoint to stop")
+				_, err = io.WriteString(conn, givenUpHead(r, "X-Signature: sig\r\n")+chunk(streamOf(1, 2))+"0\r\n\r\n")
+				assert.NoError(t, err)
+			})
+			r := w.send(http.MethodPost, path, "x")
+			require.Equal(t, http.StatusOK, r.status)
+			require.Equal(t, streamOf(1, 2), r.body)
+			require.EqualValues(t, 1, w.totalRuns())
+		})
+	}
+}
+
+// endings are what an endpoint does once it is asked to stop.
+var endings = map[string]func(conn net.Conn, r *http.Request){
+	"closes": func(net.Conn, *http.Request) {},
+	"resets": func(conn net.Conn, _ *http.Request) { _ = conn.(*net.TCPConn).SetLinger(0) },
+	"fails": func(conn net.Conn, r *http.Request) {
+		endWith(conn, r, "500 Internal Server Error", "X-Signature: sig\r\n")
+	},
+	"says nothing": func(conn net.Conn, r *http.Request) { endWith(conn, r, "200 OK", "") },
+	"hasn't run":   func(conn net.Conn, r *http.Request) { endWith(conn, r, "503 Service Unavailable", "X-Not-Run: 1\r\n") },
+	"answers": func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, givenUpHead(r, "X-Signature: sig\r\n")+chunk(streamOf(1, 2))+"0\r\n\r\n") // the VM may have left
+	},
+	"breaks off": func(conn net.Conn, r *http.Request) {
+		_, _ = io.WriteString(conn, givenUpHead(r, "X-Signature: sig\r\n")+chunk(streamOf(1, 1))) // the VM may have left
+	},
+}
+
+func endWith(conn net.Conn, r *http.Request, status, more string) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nX-Request: "+r.Header.Get(testNames.RequestID)+"\r\n"+more+"Content-Length: 0\r\n\r\n")
+}
+
+// Guards against two endpoints that work on one request at the same time, for each way in which endpoints end overdue work, and against callers that get no whole answer though an endpoint gives one.
+func TestOverdueRequestIsAtOneEndpointAtATime(t *testing.T) {
+	var names []string
+	for name := range endings {
+		names = append(names, name)
+	}
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(80, seed))
+		w := newTestEnv(t, 4)
+		first, second := names[rng.IntN(len(names))], names[rng.IntN(len(names))]
+		path := []string{"/aimed/a", "/aimed-plain/a"}[seed%2]
+		if path == "/aimed/a" && (first == "breaks off" || second == "breaks off") {
+			continue // the rest of a stream has no time limit of its own
+		}
+		for range 10 {
+			w.handler.overdue.answerTimes.Add("s", time.Millisecond)
+		}
+		var mu sync.Mutex
+		arrived, working := 0, 0
+		w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			arrived++
+			n := arrived
+			working++
+			assert.Equal(t, 1, working, "seed %d: %s, %s", seed, first, second)
+			mu.Unlock()
+			done := func() {
+				mu.Lock()
+				defer mu.Unlock()
+				working--
+			}
+			if n > 2 {
+				done()
+				events(1, 2, false)(rw, r)
+				return
+			}
+			conn, in := hijack(t, rw)
+			defer conn.Close()
+			_, err := in.Read(make([]byte, 1))
+			done()
+			if err != nil && errors.Is(err, io.EOF) {
+				endings[[]string{first, second}[n-1]](conn, r)
+			}
+		})
+		r := w.send(http.MethodPost, path, "x")
+		require.Equal(t, http.StatusOK, r.status, "seed %d: %s, %s", seed, first, second)
+		require.Equal(t, streamOf(1, 2), r.body, "seed %d: %s, %s", seed, first, second)
+	}
+}
--- a/gateway/forward/harness_test.go
+++ b/gateway/forward/harness_test.go
@@ -210,6 +210,7 @@
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true},
 		{Name: "stream-once", Host: "h", Prefix: "/stream-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch},
 		{Name: "aimed", Host: "h", Prefix: "/aimed/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true, Target: 50 * time.Millisecond},
+		{Name: "aimed-plain", Host: "h", Prefix: "/aimed-plain/", Kind: catalog.Idempotent, MaxAttempts: 3, Services: branch, Target: 50 * time.Millisecond},
 		{Name: "aimed-once", Host: "h", Prefix: "/aimed-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Target: 50 * time.Millisecond},
 		{Name: "sized", Host: "h", Prefix: "/sized/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Resume: true, Models: []string{"small", "middle", "large"}},
 		{Name: "sized-once", Host: "h", Prefix: "/sized-once/", Kind: catalog.Streaming, MaxAttempts: 3, Services: branch, Models: []string{"small", "middle", "large"}},
--- a/gateway/forward/overdue.go
+++ b/gateway/forward/overdue.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"sync/atomic"
 	"time"
 
 	"goldcrestfork/gateway/catalog"
@@ -30,19 +33,27 @@
 	return &overduePolicy{answerTimes: patience.NewAnswerTimes(), rerouteBudget: retry.NewWindow(rerouteWindow, rerouteRatio, rerouteSlack)}
 }
 
-// timedAttempt is one attempt with its time limit for the head of the answer.
+// timedAttempt is one attempt with its time limit for the head of the answer. When that has passed, the endpoint is asked
+// to stop. If it ends the connection it has stopped, and the request goes on elsewhere. An endpoint that doesn't may not
+// have noticed, or not have read the request yet, and its answer is still waited for.
 type timedAttempt struct {
 	ctx    context.Context
-	cancel context.CancelCauseFunc
-	timer  *time.Timer
-	began  time.Time
+	cancel context.CancelFunc
+	// stopAsked ends when the endpoint is asked to stop.
+	stopAsked context.Context
+	askStop   context.CancelFunc
+	askedAt   atomic.Pointer[time.Time] // nil if it wasn't asked
+	timer     *time.Timer
+	began     time.Time
 }
 
 // beginAttempt starts an attempt. If the request may be repeated, the wait for the head of the
 // answer is limited. The caller must call end once the answer is read.
 func (c *call) beginAttempt(ctx context.Context, ch placement.Choice) *timedAttempt {
 	a := &timedAttempt{began: time.Now()}
-	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	c.timed = a
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	a.stopAsked, a.askStop = context.WithCancel(context.WithoutCancel(ctx)) // the end of ctx resets the connection
 	// A rerouted attempt does not add to the budget of further ones.
 	if !c.rerouted {
 		c.h.overdue.rerouteBudget.RecordFirst(c.h.cfg.Clock())
@@ -63,7 +74,9 @@
 	}
 	a.timer = time.AfterFunc(wait, func() {
 		if _, ok := c.h.overdue.rerouteBudget.TakeExtra(c.h.cfg.Clock(), 1); ok {
-			a.cancel(upstream.ErrOverdue)
+			now := time.Now()
+			a.askedAt.Store(&now)
+			a.askStop()
 		}
 	})
 	return a
@@ -78,14 +91,23 @@
 
 func (a *timedAttempt) end() {
 	a.headReceived()
-	a.cancel(nil)
+	a.cancel()
 }
 
-// isOverdue reports whether the attempt was cancelled because its answer took too long.
-func (a *timedAttempt) isOverdue() bool { return context.Cause(a.ctx) == upstream.ErrOverdue }
+// wasAsked reports whether the endpoint was asked to stop while the request may go on elsewhere.
+func (a *timedAttempt) wasAsked() bool { return a.stopAsked.Err() != nil && a.ctx.Err() == nil }
 
-// rerouteOverdue ends an attempt whose answer took too long, before the request goes to another
-// endpoint.
+// isOverdue reports whether an attempt that ended with an error did so since its endpoint was asked to stop.
+func (a *timedAttempt) isOverdue(err error) bool { return a.wasAsked() && errors.Is(err, io.EOF) }
+
+// endedByAsking reports whether an answer ends an attempt whose endpoint was asked to stop: a failure, or what a server sends
+// in place of an answer that it has given up.
+func (c *call) endedByAsking(t *timedAttempt, a *upstream.Answer) bool {
+	return c.via == nil && t.wasAsked() && !(a.Status < 300 && c.isAuthentic(a))
+}
+
+// rerouteOverdue ends an attempt whose answer took too long and whose endpoint has stopped, before the request goes to
+// another endpoint.
 func (c *call) rerouteOverdue(ch placement.Choice) {
 	c.rerouted = true
 	c.possibleRuns++
--- a/gateway/forward/plain.go
+++ b/gateway/forward/plain.go
@@ -25,7 +25,7 @@
 func (c *call) attemptPlain(ctx context.Context, ch placement.Choice) (nextAction, *refusal.Refusal) {
 	t := c.beginAttempt(ctx, ch)
 	defer t.end()
-	a, err := c.send(t.ctx, ch, "")
+	a, err := c.send(t.ctx, ch, t, "")
 	if err != nil {
 		return c.handleSendError(ctx, ch, t, err)
 	}
@@ -35,6 +35,11 @@
 		drain(a)
 		return tryNext, nil
 	}
+	if c.endedByAsking(t, a) {
+		c.ran = refusal.DidRun
+		c.rerouteOverdue(ch)
+		return tryNext, nil
+	}
 	body, err := c.readAnswerBody(ctx, a)
 	c.possibleRuns++
 	c.tried = append(c.tried, ch.ID)
--- a/gateway/forward/stream.go
+++ b/gateway/forward/stream.go
@@ -35,7 +35,7 @@
 func (c *call) attemptStream(ctx context.Context, ch placement.Choice) (nextAction, *refusal.Refusal) {
 	t := c.beginAttempt(ctx, ch)
 	defer t.end()
-	a, err := c.send(t.ctx, ch, "")
+	a, err := c.send(t.ctx, ch, t, "")
 	if err != nil {
 		return c.handleSendError(ctx, ch, t, err)
 	}
@@ -45,6 +45,11 @@
 		drain(a)
 		return tryNext, nil
 	}
+	if c.endedByAsking(t, a) {
+		c.ran = refusal.DidRun
+		c.rerouteOverdue(ch)
+		return tryNext, nil
+	}
 	c.possibleRuns++
 	c.ran = refusal.DidRun
 	c.tried = append(c.tried, ch.ID)
@@ -191,7 +196,7 @@
 		if refused != nil {
 			return ch, nil
 		}
-		a, err := c.send(ctx, ch, last)
+		a, err := c.send(ctx, ch, nil, last)
 		if err != nil {
 			if v, _ := c.handleSendError(ctx, ch, nil, err); v == giveUp {
 				return ch, nil
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -26,6 +26,10 @@
 	// AtMostOnce marks a request that must not run twice. It is sent only on a connection that
 	// was used recently or is new.
 	AtMostOnce bool
+	// StopAsked ends when the endpoint is asked to stop its work on the request, and may be nil. Send then closes the
+	// sending side of the connection and goes on waiting: an endpoint that notices ends the connection, which shows
+	// that it has stopped, and one that doesn't may still answer.
+	StopAsked context.Context
 	// OnSend is called right before the first byte is sent; it may be nil.
 	OnSend func()
 }
@@ -49,10 +53,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// ErrOverdue is the cancellation cause of a request's context when the answer takes too long
-// and the request is sent to another endpoint.
-var ErrOverdue = errors.New("the answer is overdue")
-
 // Answer is the head of an endpoint's answer, from which the body is then read. The caller must
 // call Close.
 type Answer struct {
@@ -102,6 +102,14 @@
 	a := &Answer{pool: p, addr: addr, conn: c, Reused: reused, guard: bodyGuard{name: []byte(r.IDHeader), id: []byte(r.ID)}}
 	p.begin(a, !r.AtMostOnce)
 	a.stopWatchingContext = context.AfterFunc(ctx, c.abort)
+	if r.StopAsked != nil {
+		stopWatching := context.AfterFunc(r.StopAsked, c.closeSending)
+		defer func() {
+			if !stopWatching() {
+				a.reusable = false
+			}
+		}()
+	}
 	if r.OnSend != nil {
 		r.OnSend()
 	}
--- a/gateway/upstream/watch.go
+++ b/gateway/upstream/watch.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// closeSending closes the sending side of the connection.
+func (c *conn) closeSending() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite() // fails only on a connection that has ended
+	}
+}
+
 // abort resets the connection and discards the bytes that the endpoint has not acknowledged.
 // After an orderly close the kernel would continue to send them: when a network partition heals
 // seconds later, the endpoint would run the request in parallel with the one sent elsewhere, or
