--- a/cmd/goldcrest-node/day_checks_test.go
+++ b/cmd/goldcrest-node/day_checks_test.go
@@ -81,6 +81,9 @@
 func (d *day) addIfInTouch(count *int, id string, o endpointtest.Overlap, report reporter) {
 	till := o.Second.Arrived.Add(overlapTolerance)
 	disturbed := append(d.disturbedBy(o.First.Sender, o.Second.Arrived, till), d.disturbedBy(o.First.Endpoint, o.Second.Arrived, till)...)
+	if stalled := d.stalledIn(o.Second.Arrived, till); o.Lasted-stalled <= overlapTolerance {
+		disturbed = append(disturbed, fmt.Sprintf("this process didn't run for %s", stalled))
+	}
 	at := func(t time.Time) string { return fmt.Sprintf("%.3f", t.Sub(d.began).Seconds()) }
 	text := fmt.Sprintf("%s worked on it for %s after it had come to %s; sent by %s at %s and by %s at %s, begun at %s, stopped at %s",
 		o.First.Endpoint, o.Lasted, o.Second.Endpoint, o.First.Sender, at(o.First.Arrived), o.Second.Sender, at(o.Second.Arrived), at(o.First.Began), at(o.First.Stopped))
--- a/cmd/goldcrest-node/day_test.go
+++ b/cmd/goldcrest-node/day_test.go
@@ -117,6 +117,7 @@
 	added     int            // endpoints so far
 	version   int            // of the configuration
 	impaired  []impairment
+	stalls    []impairment // of the test's own process
 }
 
 // impairment is a time in which a VM or an endpoint, or its links, were disturbed.
@@ -153,6 +154,56 @@
 	return what
 }
 
+const (
+	// stallCheck is the time between two looks at whether the test's own process runs, and stallTime how much later
+	// than that a look comes if it had no processor. Its endpoints and links then notice nothing.
+	stallCheck = 5 * time.Millisecond
+	stallTime  = 50 * time.Millisecond
+)
+
+// watchStalls records when the test's own process didn't run, until the function is called.
+func (d *day) watchStalls() (stop func()) {
+	done := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		for last := time.Now(); ; {
+			select {
+			case <-done:
+				return
+			case <-time.After(stallCheck):
+			}
+			now := time.Now()
+			if now.Sub(last) > stallCheck+stallTime {
+				d.mu.Lock()
+				d.stalls = append(d.stalls, impairment{from: last, till: now})
+				d.mu.Unlock()
+			}
+			last = now
+		}
+	})
+	return func() {
+		close(done)
+		watching.Wait()
+	}
+}
+
+// stalledIn returns for how long the test's own process didn't run in a time.
+func (d *day) stalledIn(from, till time.Time) (sum time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.stalls {
+		begin, end := s.from, s.till
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(till) {
+			end = till
+		}
+		sum += max(end.Sub(begin), 0)
+	}
+	return sum
+}
+
 // listen starts a link that the end of the test closes.
 func (d *day) listen(target string) *link.Link {
 	k, err := link.Listen(target, link.Options{Seed: d.seed})
@@ -372,6 +423,7 @@
 // play plays the day's traffic with faults.
 func (d *day) play(plan string) {
 	d.began = time.Now()
+	defer d.watchStalls()()
 	d.traffic = newDayTraffic(d)
 	var faults, callers sync.WaitGroup
 	callers.Go(d.traffic.run)
