Make the property of overdue requests fail without its fix, and write things once

TestOverdueRequestIsAtOneEndpointAtATime passed on: its endpoint took a reset for noticing that the request was given up. An endpoint that isn't asked to stop works on now; the test fails on and passes here.

--- a/cmd/goldcrest-node/day_callers_test.go
+++ b/cmd/goldcrest-node/day_callers_test.go
@@ -232,8 +232,8 @@
 	}
 }
 
-// unread reports whether the caller may take it that the VM closed the connection without having read the request: it
-// had kept the connection, and its kernel was told that bytes were not read.
+// unread reports whether the caller takes the request for one that the VM has not read: no VM took the connection, or one
+// that was kept from an earlier request was reset, as a process's machine does if it ends with bytes unread.
 func (a *dayAttempt) unread() bool {
 	return errors.Is(a.err, syscall.ECONNREFUSED) || a.reused && errors.Is(a.err, syscall.ECONNRESET)
 }
--- a/cmd/goldcrest-node/day_faults_test.go
+++ b/cmd/goldcrest-node/day_faults_test.go
@@ -54,8 +54,8 @@
 	"VMs lose their paths to endpoints":  cutPaths(link.Condition{Refused: true}, 1),
 	"VMs lose their paths silently":      cutPaths(link.Condition{SilentOut: true, SilentBack: true}, 0),
 	"VMs lose their paths one way":       cutPaths(link.Condition{SilentBack: true}, 0),
-	"a data centre is cut":               dataCentreCut,
-	"a data centre loses packets":        lossy,
+	"a data centre is cut":               betweenDataCentres(link.Condition{SilentOut: true, SilentBack: true}),
+	"a data centre loses packets":        betweenDataCentres(link.Condition{Loss: 0.025}),
 	"connections are reset":              resetConns,
 	"callers lose VMs one way":           cutCallers(link.Condition{SilentBack: true}),
 	"callers lose VMs":                   cutCallers(link.Condition{SilentOut: true, SilentBack: true}),
@@ -253,57 +253,50 @@
 	}
 }
 
-// killed ends a share of the VMs, which start again after some seconds.
-func killed(share, seconds float64) dayFault {
-	return func(d *day, rng *rand.Rand, _ time.Duration) {
-		var all sync.WaitGroup
-		for _, v := range d.someVMs(rng, share) {
-			all.Go(func() {
-				v.processes.Lock()
-				defer v.processes.Unlock()
-				defer d.impair(v.name, "killed")()
-				assert.NoError(d.t, v.cmd.Process.Kill())
-				<-v.done
-				time.Sleep(time.Duration(seconds * float64(time.Second)))
-				v.startProcess()
-			})
-		}
-		all.Wait()
-	}
-}
-
-// slowVMs lets VMs run for a fifth of the time.
-func slowVMs(d *day, rng *rand.Rand, lasts time.Duration) {
+// withVMs calls f with each of some VMs at the same time, while no other fault ends or starts their processes.
+func (d *day) withVMs(vms []*dayVM, what string, f func(v *dayVM)) {
 	var all sync.WaitGroup
-	for _, v := range d.someVMs(rng, 0.15) {
+	for _, v := range vms {
 		all.Go(func() {
 			v.processes.Lock()
 			defer v.processes.Unlock()
-			defer d.impair(v.name, "slow")()
-			for end := time.Now().Add(lasts); time.Now().Before(end); {
-				_ = v.cmd.Process.Signal(syscall.SIGSTOP) // fails only if the process has ended
-				time.Sleep(40 * time.Millisecond)
-				_ = v.cmd.Process.Signal(syscall.SIGCONT)
-				time.Sleep(10 * time.Millisecond)
-			}
+			defer d.impair(v.name, what)()
+			f(v)
 		})
 	}
 	all.Wait()
 }
 
-func frozenVMs(d *day, rng *rand.Rand, lasts time.Duration) {
-	var all sync.WaitGroup
-	for _, v := range d.someVMs(rng, 0.15) {
-		all.Go(func() {
-			v.processes.Lock()
-			defer v.processes.Unlock()
-			defer d.impair(v.name, "stands still")()
-			_ = v.cmd.Process.Signal(syscall.SIGSTOP) // fails only if the process has ended
-			time.Sleep(lasts)
-			_ = v.cmd.Process.Signal(syscall.SIGCONT)
+// killed ends a share of the VMs, which start again after some seconds.
+func killed(share, seconds float64) dayFault {
+	return func(d *day, rng *rand.Rand, _ time.Duration) {
+		d.withVMs(d.someVMs(rng, share), "killed", func(v *dayVM) {
+			assert.NoError(d.t, v.cmd.Process.Kill())
+			<-v.done
+			time.Sleep(time.Duration(seconds * float64(time.Second)))
+			v.startProcess()
 		})
 	}
-	all.Wait()
+}
+
+// slowVMs lets VMs run for a fifth of the time.
+func slowVMs(d *day, rng *rand.Rand, lasts time.Duration) {
+	d.withVMs(d.someVMs(rng, 0.15), "slow", func(v *dayVM) {
+		for end := time.Now().Add(lasts); time.Now().Before(end); {
+			_ = v.cmd.Process.Signal(syscall.SIGSTOP) // fails only if the process has ended
+			time.Sleep(40 * time.Millisecond)
+			_ = v.cmd.Process.Signal(syscall.SIGCONT)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+func frozenVMs(d *day, rng *rand.Rand, lasts time.Duration) {
+	d.withVMs(d.someVMs(rng, 0.15), "stands still", func(v *dayVM) {
+		_ = v.cmd.Process.Signal(syscall.SIGSTOP) // fails only if the process has ended
+		time.Sleep(lasts)
+		_ = v.cmd.Process.Signal(syscall.SIGCONT)
+	})
 }
 
 // graceTime is the time that a VM has to end after SIGTERM.
@@ -314,14 +307,13 @@
 	var all sync.WaitGroup
 	for _, v := range d.someVMs(rng, 0.45) {
 		all.Go(func() {
-			v.processes.Lock()
-			defer v.processes.Unlock()
-			defer d.impair(v.name, "SIGTERM")()
-			assert.NoError(d.t, v.cmd.Process.Signal(syscall.SIGTERM))
-			kill := time.AfterFunc(graceTime, func() { _ = v.cmd.Process.Kill() })
-			<-v.done
-			kill.Stop()
-			v.startProcess()
+			d.withVMs([]*dayVM{v}, "SIGTERM", func(v *dayVM) {
+				assert.NoError(d.t, v.cmd.Process.Signal(syscall.SIGTERM))
+				kill := time.AfterFunc(graceTime, func() { _ = v.cmd.Process.Kill() })
+				<-v.done
+				kill.Stop()
+				v.startProcess()
+			})
 		})
 		time.Sleep(1300 * time.Millisecond)
 	}
@@ -392,30 +384,19 @@
 	}
 }
 
-// dataCentreCut silences the links between a data centre and the endpoints of others.
-func dataCentreCut(d *day, rng *rand.Rand, lasts time.Duration) {
-	cut := d.size.dataCentres[rng.IntN(len(d.size.dataCentres))]
-	var ends []func()
-	for _, v := range d.vms {
-		ends = append(ends, d.cut(v, link.Condition{SilentOut: true, SilentBack: true}, 0, func(e *dayEndpoint) bool {
-			return (e.Spec().DataCentre == cut) != (v.dataCentre == cut)
-		})...)
-	}
-	time.Sleep(lasts)
-	endAll(ends)
-}
-
-// lossy lets the links between a data centre and the endpoints of others lose packets.
-func lossy(d *day, rng *rand.Rand, lasts time.Duration) {
-	place := d.size.dataCentres[rng.IntN(len(d.size.dataCentres))]
-	var ends []func()
-	for _, v := range d.vms {
-		ends = append(ends, d.cut(v, link.Condition{Loss: 0.025}, 0, func(e *dayEndpoint) bool {
-			return (e.Spec().DataCentre == place) != (v.dataCentre == place)
-		})...)
+// betweenDataCentres disturbs the links between one data centre and the endpoints of others.
+func betweenDataCentres(c link.Condition) dayFault {
+	return func(d *day, rng *rand.Rand, lasts time.Duration) {
+		place := d.size.dataCentres[rng.IntN(len(d.size.dataCentres))]
+		var ends []func()
+		for _, v := range d.vms {
+			ends = append(ends, d.cut(v, c, 0, func(e *dayEndpoint) bool {
+				return (e.Spec().DataCentre == place) != (v.dataCentre == place)
+			})...)
+		}
+		time.Sleep(lasts)
+		endAll(ends)
 	}
-	time.Sleep(lasts)
-	endAll(ends)
 }
 
 // resetConns resets half of the connections of some VMs, those of their callers too.
--- a/cmd/goldcrest-node/day_test.go
+++ b/cmd/goldcrest-node/day_test.go
@@ -365,7 +365,7 @@
 	{"four data centres", "VMs lose their paths to endpoints,endpoints hang,answers are lost"},
 }
 
-// TestDayOverProcesses guards against requests that run twice, go on at a second endpoint while the first still works on them, or are said not to have run when they have, in days of whole deployments with faults of processes, links and endpoints.
+// Guards against requests that run twice, go on at a second endpoint while the first still works on them, or are said not to have run when they have, in days of whole deployments with faults of processes, links and endpoints.
 func TestDayOverProcesses(t *testing.T) {
 	days, rate := ciDays, 0.5
 	if faults := os.Getenv("GOLDCREST_DAY_FAULTS"); faults != "" {
--- a/cmd/goldcrest-node/owner_test.go
+++ b/cmd/goldcrest-node/owner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"sync"
 
 	"golang.org/x/sys/unix"
@@ -18,22 +19,31 @@
 
 // nameOf returns the name of the VM that has the other end of a connection, "" if none has.
 func (o *owners) nameOf(c net.Conn) string {
+	o.mu.Lock()
+	vms := o.vms
+	o.mu.Unlock()
+	if v := ownerOf(c, vms); v != nil {
+		return v.name
+	}
+	return ""
+}
+
+// ownerOf returns the VM among some that has the other end of a connection, nil if none has.
+func ownerOf(c net.Conn, vms []*vm) *vm {
 	inode, err := inodeOfPeer(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
 	if err != nil || inode == 0 {
-		return ""
+		return nil
 	}
 	want := fmt.Sprintf("socket:[%d]", inode)
-	o.mu.Lock()
-	vms := o.vms
-	o.mu.Unlock()
 	for _, v := range vms {
-		for _, fd := range glob(fmt.Sprintf("/proc/%d/fd/*", v.pid.Load())) {
+		fds, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", v.pid.Load())) // the pattern is well formed
+		for _, fd := range fds {
 			if to, err := os.Readlink(fd); err == nil && to == want {
-				return v.name
+				return v
 			}
 		}
 	}
-	return ""
+	return nil
 }
 
 const (
--- a/cmd/goldcrest-node/paths_test.go
+++ b/cmd/goldcrest-node/paths_test.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -104,8 +101,8 @@
 	*what++
 }
 
-// maxLooks bounds the searches for a connection's VM. The system's table of connections changes while
-// it is read, so that one may be missed.
+// maxLooks bounds the searches for a connection's VM. The list of a process's files changes while it is read, so that
+// one may be missed.
 const maxLooks = 3
 
 // pathListener is an endpoint's listener behind a network.
@@ -150,41 +147,10 @@
 
 // lookUp returns the VM that has the other end of a new connection, nil if none has.
 func (n *network) lookUp(c net.Conn) *vm {
-	inode := inodeOf(c.RemoteAddr().(*net.TCPAddr).Port, c.LocalAddr().(*net.TCPAddr).Port)
-	if inode == "" {
-		return nil
-	}
 	n.mu.Lock()
 	vms := n.vms
 	n.mu.Unlock()
-	for _, v := range vms {
-		for _, fd := range glob(fmt.Sprintf("/proc/%d/fd/*", v.pid.Load())) {
-			if to, err := os.Readlink(fd); err == nil && to == "socket:["+inode+"]" {
-				return v
-			}
-		}
-	}
-	return nil
-}
-
-func glob(pattern string) []string {
-	found, _ := filepath.Glob(pattern) // the pattern is well formed
-	return found
-}
-
-// inodeOf returns the inode of the socket at a local port that is connected to another local port.
-func inodeOf(local, remote int) string {
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	_, line, found := bytes.Cut(table, fmt.Appendf(nil, " 0100007F:%04X 0100007F:%04X ", local, remote))
-	fields := strings.Fields(string(line[:min(len(line), 128)]))
-	const inode = 6 // after the addresses
-	if !found || len(fields) <= inode {
-		return ""
-	}
-	return fields[inode]
+	return ownerOf(c, vms)
 }
 
 // pathFleet is a fleet of VMs, single ones of which a network can cut off from the endpoints.
--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -101,7 +101,7 @@
 type attemptRecord struct {
 	sentAt     time.Duration // since the request's start
 	endedAt    time.Duration // since the request's start
-	askedAt    *time.Time    // when the endpoint was asked to stop, nil if it wasn't
+	askedAt    time.Duration // when the endpoint was asked to stop, since the request's start; 0 if it wasn't
 	endpoint   string
 	model      string
 	result     string
@@ -573,9 +573,11 @@
 	if c.prompt.wildcard {
 		model = strconv.Itoa(c.sentModel)
 	}
-	var askedAt *time.Time
+	var askedAt time.Duration
 	if c.timed != nil {
-		askedAt = c.timed.askedAt.Load()
+		if at := c.timed.askedAt.Load(); at != nil {
+			askedAt = at.Sub(c.start)
+		}
 	}
 	c.attemptRecords = append(c.attemptRecords, attemptRecord{sentAt: c.sentAt.Sub(c.start), endedAt: time.Since(c.start), askedAt: askedAt, endpoint: ch.ID, model: model, result: result, sizingNote: c.sizingNote, version: ch.Version, answer: c.answer})
 	c.sizingNote = ""
--- a/gateway/forward/finish.go
+++ b/gateway/forward/finish.go
@@ -95,11 +95,13 @@
 		e = e.Str("detail", c.detail)
 	}
 	if len(c.attemptRecords) > 0 {
-		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", formatSendTimes(c.attemptRecords)).
-			Str("ended_ms", formatEndTimes(c.attemptRecords)).Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
-	}
-	if asked := formatAskTimes(c.attemptRecords, c.start); asked != "" {
-		e = e.Str("asked_ms", asked)
+		sent, _ := formatTimes(c.attemptRecords, attemptRecord.sent)
+		ended, _ := formatTimes(c.attemptRecords, attemptRecord.ended)
+		e = e.Str("attempts", formatAttempts(c.attemptRecords)).Str("sent_ms", sent).Str("ended_ms", ended).
+			Str("answer_ms", formatAnswers(c.attemptRecords, c.start))
+		if asked, ok := formatTimes(c.attemptRecords, attemptRecord.asked); ok {
+			e = e.Str("asked_ms", asked)
+		}
 	}
 	if len(c.repeatNotes) > 0 {
 		e = e.Str("repeats", strings.Join(c.repeatNotes, " "))
@@ -139,41 +141,25 @@
 	return b.String()
 }
 
-// formatSendTimes formats when each attempt was sent, in ms since the request's start, separated
-// by spaces.
-func formatSendTimes(attempts []attemptRecord) string {
+// formatTimes formats a time of each attempt, in ms since the request's start, separated by spaces; "-" for an attempt without it.
+// known is false if no attempt has it.
+func formatTimes(attempts []attemptRecord, timeOf func(attemptRecord) (at time.Duration, ok bool)) (text string, known bool) {
 	out := make([]string, len(attempts))
-	for i, s := range attempts {
-		out[i] = strconv.FormatInt(s.sentAt.Milliseconds(), 10)
-	}
-	return strings.Join(out, " ")
-}
-
-// formatEndTimes formats when each attempt ended, in the same way.
-func formatEndTimes(attempts []attemptRecord) string {
-	out := make([]string, len(attempts))
-	for i, s := range attempts {
-		out[i] = strconv.FormatInt(s.endedAt.Milliseconds(), 10)
-	}
-	return strings.Join(out, " ")
-}
-
-// formatAskTimes formats when the endpoint of each attempt was asked to stop, in ms since the request's start; "-" for one that
-// wasn't. The result is empty if none was.
-func formatAskTimes(attempts []attemptRecord, start time.Time) string {
-	out, any := make([]string, len(attempts)), false
 	for i, s := range attempts {
 		out[i] = "-"
-		if s.askedAt != nil {
-			out[i], any = strconv.FormatInt(s.askedAt.Sub(start).Milliseconds(), 10), true
+		if at, ok := timeOf(s); ok {
+			out[i], known = strconv.FormatInt(at.Milliseconds(), 10), true
 		}
 	}
-	if !any {
-		return ""
-	}
-	return strings.Join(out, " ")
+	return strings.Join(out, " "), known
 }
 
+func (s attemptRecord) sent() (time.Duration, bool)  { return s.sentAt, true }
+func (s attemptRecord) ended() (time.Duration, bool) { return s.endedAt, true }
+
+// asked returns when the endpoint was asked to stop; ok is false if it wasn't.
+func (s attemptRecord) asked() (at time.Duration, ok bool) { return s.askedAt, s.askedAt > 0 }
+
 // formatAnswers formats when the head of each attempt's answer arrived, in ms since the request's
 // start, and for a stream its events and when the last of them arrived: "31 47+24@1870". An attempt
 // without a head is "-".
--- a/gateway/forward/giveup_test.go
+++ b/gateway/forward/giveup_test.go
@@ -190,11 +190,11 @@
 			}
 			conn, in := hijack(t, rw)
 			defer conn.Close()
-			_, err := in.Read(make([]byte, 1))
-			done()
-			if err != nil && errors.Is(err, io.EOF) {
-				endings[[]string{first, second}[n-1]](conn, r)
+			if _, err := in.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				return // not asked: it doesn't notice a reset, and works on
 			}
+			done()
+			endings[[]string{first, second}[n-1]](conn, r)
 		})
 		r := w.send(http.MethodPost, path, "x")
 		require.Equal(t, http.StatusOK, r.status, "seed %d: %s, %s", seed, first, second)
--- a/policy/patience/doc.go
+++ b/policy/patience/doc.go
@@ -1,5 +1,5 @@
 // Package patience decides how long a retryable request waits for the head of its answer at
-// one endpoint before it is sent to another.
+// one endpoint before that endpoint is asked to stop, so that the request can be sent to another.
 //
 // Load pattern: an endpoint accepts connections and requests but never answers some of them; it
 // is healthy otherwise and answers other requests. At other times an overload delays all
