Take no answer whose status no answer can have

Callers got an answer with the status 000 of an endpoint in trouble (goldcrestd), or waited for another one until their deadline or, behind a body, for 5 s (goldcrest-node). The same with 001 to 099 and 101; 600 to 999 were passed on by both. A write to the store of goldcrest-node counted as done for a status below 100, one to goldcrestd's as without effect, and the command told an operator's change as settled.

Cause: net/http takes any three digits for a status and returns what it doesn't know as an answer. The gateway took all below 200 for interim answers and went on waiting. Clients compared statuses by "below 300".

Change: policy/answerhead says which heads are valid: a status from 100 to 599, and not 101, which answers only a request for another protocol. Both readers ask it, gateway/upstream and the transport of router/answer, before anything of the head counts. At a VM such a head with the request's id ends the attempt at once as unsound: a request that may run twice goes elsewhere, another gets 502 with an unknown outcome, the endpoint is neither lost nor avoided, what the head states isn't recorded and the connection is reset. Without the id it is skipped like all bytes of no request. The transport closes the connection and returns an error, which the clients take for a call with an unknown outcome, and goldcrestd's engines' client for a failure.

Orders, ratings, engines' states and feeds refused such a status before; tests stay.

--- a/gateway/forward/call.go
+++ b/gateway/forward/call.go
@@ -482,6 +482,12 @@
 		}
 		return giveUp, c.contextRefusal(ctx)
 	}
+	if errors.Is(err, upstream.ErrInvalidHead) {
+		c.sizingNote = noteInvalidHead
+		c.finishAttempt(ch, placement.Failed, "unsound")
+		c.reportFailure(ch, false)
+		return c.outcomeUnknown("the head of the endpoint's answer isn't valid")
+	}
 	c.closedByPeer = isClosedByPeer(err)
 	if errors.Is(err, upstream.ErrForeignAnswer) {
 		c.sizingNote = noteForeign
@@ -557,6 +563,9 @@
 // noteForeign is the note on an attempt whose connection carried only answers without the request's id.
 const noteForeign = "foreign"
 
+// noteInvalidHead is the note on an attempt whose answer had a head that isn't valid.
+const noteInvalidHead = "invalid-head"
+
 // finishAttempt releases the attempt's slot at the endpoint and records the attempt in the
 // load, the poison detector, the log line and the metrics.
 func (c *call) finishAttempt(ch placement.Choice, o placement.Outcome, result string) {
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -8,8 +8,10 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
+	"goldcrestfork/policy/answerhead"
 	"goldcrestfork/policy/statusline"
 )
 
@@ -38,6 +40,9 @@
 // id, although other bytes arrived.
 var ErrForeignAnswer = errors.New("the answers on the connection don't bear the request's id")
 
+// ErrInvalidHead is the cause of an Error if the head of the answer to the request isn't valid.
+var ErrInvalidHead = errors.New("invalid answer")
+
 // errHeadTooLong is returned when an endpoint sends too much before the end of an answer's head.
 var errHeadTooLong = errors.New("the head of the answer is too long")
 
@@ -142,15 +147,26 @@
 		}
 		body := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), c.r), bodyBufferSize)
 		resp, err := http.ReadResponse(body, &http.Request{Method: r.Method})
+		if err == nil {
+			err = answerhead.Check(resp.StatusCode)
+		}
+		var ids []string
+		if err == nil {
+			ids = resp.Header.Values(r.IDHeader)
+		} else {
+			ids = r.idsIn(head)
+		}
 		switch {
 		case err == nil && resp.StatusCode < http.StatusOK:
 			continue
-		case err == nil && r.isAnsweredBy(resp.Header):
+		case err != nil && r.isAnsweredBy(ids):
+			return fmt.Errorf("%w: %w", ErrInvalidHead, err)
+		case r.isAnsweredBy(ids):
 			a.resp, a.body, a.Status, a.Header, a.Length = resp, body, resp.StatusCode, resp.Header, resp.ContentLength
 			a.bodyStart = c.received - int64(c.r.Buffered())
 			a.HasFraming = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
-		case err == nil && resp.Header.Get(r.IDHeader) != "":
+		case len(ids) > 0 && ids[0] != "":
 			// The endpoint has sent an answer to another request, late. It may still work on this one.
 			named = true
 			_ = c.SetReadDeadline(time.Time{})
@@ -171,12 +187,19 @@
 	return fmt.Errorf("%w: %w", ErrForeignAnswer, err)
 }
 
-// isAnsweredBy reports whether an answer with this header bears the id of the request, if it has one, and no
+// isAnsweredBy reports whether an answer with these ids bears the id of the request, if it has one, and no
 // other.
-func (r *Request) isAnsweredBy(h http.Header) bool {
-	if r.IDHeader == "" {
-		return true
+func (r *Request) isAnsweredBy(ids []string) bool {
+	return r.IDHeader == "" || len(ids) == 1 && ids[0] == r.ID
+}
+
+// idsIn returns the ids in the lines of a head that isn't valid.
+func (r *Request) idsIn(head []byte) (ids []string) {
+	for line := range bytes.Lines(head) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && strings.EqualFold(string(bytes.TrimSpace(name)), r.IDHeader) {
+			ids = append(ids, string(bytes.TrimSpace(value)))
+		}
 	}
-	ids := h.Values(r.IDHeader)
-	return len(ids) == 1 && ids[0] == r.ID
+	return ids
 }
--- a/router/answer/transport.go
+++ b/router/answer/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"goldcrestfork/policy/answerhead"
 )
 
 // Transport sends requests by net/http. It is safe for concurrent use.
@@ -26,7 +28,8 @@
 	return &Transport{base}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. The error is an *answerhead.Error if the head of the answer isn't valid;
+// the connection carries nothing further then.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	// net/http sends a request again only after the write on the connection before has ended.
 	var used *conn
@@ -42,7 +45,18 @@
 			}
 		},
 	}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := answerhead.Check(resp.StatusCode); err != nil {
+		if used != nil {
+			_ = used.Close() // fails only on a connection that has ended
+		}
+		_ = resp.Body.Close() // of a connection that has ended
+		return nil, err
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
--- a/router/engine/client.go
+++ b/router/engine/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"goldcrestfork/policy/answerhead"
 	"goldcrestfork/policy/statusline"
 	"goldcrestfork/router/answer"
 )
@@ -219,7 +220,7 @@
 	resp, err := c.clientFor(call, s).Do(req)
 	if err != nil {
 		o := classifySendError(err)
-		s.sent = s.sent || o.Result == Crashed
+		s.sent = s.sent || o.Result == Crashed || o.Result == Failed
 		return o
 	}
 	s.sent = true
@@ -288,7 +289,7 @@
 }
 
 // classifySendError distinguishes a failed connect, after which the request certainly
-// did not run, from all other errors.
+// did not run, and an answer that isn't valid from all other errors.
 func classifySendError(err error) Outcome {
 	var cold *ColdError
 	if errors.As(err, &cold) {
@@ -298,6 +299,10 @@
 	if errors.As(err, &op) && op.Op == "dial" {
 		return Outcome{Result: NotSent, Err: err}
 	}
+	var invalid *answerhead.Error
+	if errors.As(err, &invalid) {
+		return Outcome{Result: Failed, Err: err}
+	}
 	return Outcome{Result: Crashed, Err: err}
 }
 
