Take no answer in whose head a field has an invalid name

Callers got the answer of an endpoint in trouble in whose head a name held a blank, with that line passed on by a VM. A length or chunks with a blank behind the name weren't seen: 5 of 9 bytes passed for a whole answer, and the chunks' framing stood in the body. Names with control bytes and lines without a colon were refused before; a request that must run once then waited 5 s if the connection stayed open, and goldcrestd took the engine for crashed and cold.

Cause: net/http keeps a blank in a name as a part of it, for old servers, and looks up framing by the exact name.

Change: policy/answerhead refuses a head with a name that isn't a token. Both readers ask it, and the client of engines for a state that it reads from a connection. A line that net/http can't read is the same error of the transport, so that an engine's answer is a failure and no crash.

TestInvalidStatusIsNoAnswer got the fifth framing. Unusual sound heads (folded lines, all bytes of tokens, no reason, interim answers, no framing) are served before and after: TestUnusualSoundHeadsAreAnswers.

--- a/gateway/forward/badhead_test.go
+++ b/gateway/forward/badhead_test.go
@@ -5,13 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 )
 
-// badHead is an answer whose head isn't valid; ID stands for the request's id.
+// badHead is the beginning of a head that isn't valid.
 type badHead struct {
 	name, line, fields string
 }
@@ -22,10 +23,18 @@
 	{"600", "HTTP/1.1 600 High", ""}, {"999", "HTTP/1.1 999 High", ""},
 }
 
-// write sends the answer with further fields and a body, and keeps the connection open until the VM ends it.
+var badNames = []badHead{
+	{"blank in a name", okLine, "X More: 1\r\n"}, {"blank behind a name", okLine, "X-More : 1\r\n"},
+	{"length behind a blank", okLine, "Content-Length : 9\r\n"}, {"chunks behind a blank", okLine, "Transfer-Encoding : chunked\r\n"},
+	{"tab behind a name", okLine, "X-More\t: 1\r\n"}, {"NUL", okLine, "X-\x00More: 1\r\n"}, {"control byte", okLine, "X-\x01More: 1\r\n"}, {"DEL", okLine, "X-More\x7f: 1\r\n"},
+	{"CR", okLine, "X-\rMore: 1\r\n"}, {"UTF-8", okLine, "X-Möre: 1\r\n"}, {"no name", okLine, ": 1\r\n"}, {"no colon", okLine, "X-More\r\n"},
+}
+
+const okLine = "HTTP/1.1 200 OK"
+
+// write sends the answer with further fields and a body.
 func (b *badHead) write(c net.Conn, r *http.Request, fields, body string) {
 	_, _ = fmt.Fprintf(c, "%s\r\nX-Request: %s\r\nX-Signature: sig\r\n%s%s\r\n%s", b.line, r.Header.Get(testNames.RequestID), b.fields, fields, body)
-	_, _ = io.Copy(io.Discard, c)
 }
 
 var badHeadPaths = []string{"/once/a", "/safe/a", "/stream/a", "/stream-once/a"}
@@ -54,14 +63,23 @@
 // testBadHeadIsNoAnswer checks that an answer with such a head isn't passed on, and ends the wait for an answer
 // though its connection stays open.
 func testBadHeadIsNoAnswer(t *testing.T, heads []badHead) {
-	for framing, answer := range map[string]struct{ fields, body string }{
-		"length": {"Content-Length: 5\r\n", "whole"}, "chunks": {"Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n"},
-		"no body": {"Content-Length: 0\r\n", ""}, "no framing": {"", "whole"},
+	for framing, answer := range map[string]struct {
+		fields, body string
+		ends         bool // the endpoint closes its sending side
+	}{
+		"length": {"Content-Length: 5\r\n", "whole", false}, "chunks": {"Transfer-Encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n", false},
+		"no body": {"Content-Length: 0\r\n", "", false}, "no framing": {"", "whole", false}, "no framing, ends": {"", "whole", true},
 	} {
 		t.Run(framing, func(t *testing.T) {
 			testBadHeads(t, heads, func(t *testing.T, b *badHead, path string) {
 				w := newTestEnv(t, 0)
-				runs := w.addConn("e0", func(c *net.TCPConn, r *http.Request) { b.write(c, r, answer.fields, answer.body) })
+				runs := w.addConn("e0", func(c *net.TCPConn, r *http.Request) {
+					b.write(c, r, answer.fields, answer.body)
+					if answer.ends {
+						_ = c.CloseWrite()
+					}
+					_, _ = io.Copy(io.Discard, c) // until the VM ends the connection
+				})
 				requireNoAnswer(t, w.send(http.MethodPost, path, "x"))
 				require.EqualValues(t, 1, runs.Load())
 			})
@@ -103,6 +121,7 @@
 		serve := func(c *net.TCPConn, r *http.Request) {
 			if failed.CompareAndSwap(false, true) {
 				b.write(c, r, "Content-Length: 5\r\nX-Not-Run: 1\r\n", "whole")
+				_, _ = io.Copy(io.Discard, c)
 				return
 			}
 			body := streamOf(1, 2)
@@ -133,6 +152,15 @@
 	testBadHeadIsAskedForElsewhere(t, badStatuses)
 }
 
+// Guards against an answer in whose head the name of a field holds a blank or a control byte, and that a caller gets, with that line or with a body that isn't the endpoint's, or waits for.
+func TestInvalidNameIsNoAnswer(t *testing.T) { testBadHeadIsNoAnswer(t, badNames) }
+
+// Guards against an endpoint that is out of service since a head with such a name asked for it.
+func TestInvalidNameStatesNothing(t *testing.T) { testBadHeadStatesNothing(t, badNames) }
+
+// Guards against a request that such an answer repeats though it may not run twice, or fails though it may.
+func TestInvalidNameIsAskedForElsewhere(t *testing.T) { testBadHeadIsAskedForElsewhere(t, badNames) }
+
 // Guards against a caller that waits until its deadline behind a head with such a status and without the request's id.
 func TestInvalidStatusWithoutIDEndsTheWait(t *testing.T) {
 	testBadHeads(t, badStatuses[:1], func(t *testing.T, b *badHead, path string) {
@@ -144,3 +172,28 @@
 		requireNoAnswer(t, w.send(http.MethodPost, path, "x"))
 	})
 }
+
+// Guards against a sound answer that is lost since its head is an unusual one.
+func TestUnusualSoundHeadsAreAnswers(t *testing.T) {
+	for _, head := range []string{
+		okLine + "\r\nX-Folded: a\r\n b: c\r\n\td e: f\r\nContent-Length: 5\r\n", okLine + "\r\nX!#$%&'*+-.^_`|~1: a\r\nX-Empty:\r\nContent-Length: 5\r\n",
+		"HTTP/1.1 200\r\nContent-Length: 5\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + okLine + "\r\nContent-Length:\r\n 5\r\n",
+		okLine + "\r\n", "HTTP/1.0 200 OK\r\n",
+	} {
+		for _, path := range badHeadPaths {
+			w := newTestEnv(t, 0)
+			w.addConn("e0", func(c *net.TCPConn, r *http.Request) {
+				_, _ = fmt.Fprintf(c, "%sX-Request: %s\r\nX-Signature: sig\r\n\r\nwhole", head, r.Header.Get(testNames.RequestID))
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			})
+			r := w.send(http.MethodPost, path, "x")
+			require.Equal(t, http.StatusOK, r.status, "%q", head)
+			if strings.HasPrefix(path, "/stream") {
+				continue // the body is no event
+			}
+			require.NoError(t, r.err)
+			require.Equal(t, "whole", r.body)
+		}
+	}
+}
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -148,7 +148,7 @@
 		body := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), c.r), bodyBufferSize)
 		resp, err := http.ReadResponse(body, &http.Request{Method: r.Method})
 		if err == nil {
-			err = answerhead.Check(resp.StatusCode)
+			err = answerhead.Check(resp.StatusCode, resp.Header)
 		}
 		var ids []string
 		if err == nil {
--- a/policy/answerhead/answerhead.go
+++ b/policy/answerhead/answerhead.go
@@ -1,14 +1,19 @@
 // Package answerhead says whether the head of an HTTP answer is a valid one.
 //
-// Load pattern: endpoints in trouble send heads with a status that no answer can have.
+// Load pattern: endpoints in trouble send heads with a status that no answer can have, or with a field whose name
+// holds a byte that no name can hold.
 //
-// Without it: net/http takes any three digits for a status. Callers get such an answer, and what its head states
-// of the endpoint or of the request counts.
+// Without it: net/http takes any three digits for a status, and keeps a blank in a name as a part of it. Callers get
+// such an answer, and what its head states of the endpoint or of the request counts. A length or chunks whose name
+// has a blank behind it are not seen: the part of an answer passes for all of it, or the chunks' framing for its body.
 //
 // The package has no network and no clock.
 package answerhead
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Error says which part of a head isn't valid.
 type Error struct{ Part, Value string }
@@ -26,9 +31,25 @@
 )
 
 // Check returns an *Error if the head of an answer, interim or final, isn't valid.
-func Check(status int) error {
+func Check(status int, header map[string][]string) error {
 	if status < minStatus || status > maxStatus || status == switchingProtocols {
 		return &Error{Part: "status", Value: fmt.Sprintf("%03d", status)}
 	}
+	for name := range header {
+		if !isToken(name) {
+			return &Error{Part: "field name", Value: name}
+		}
+	}
 	return nil
 }
+
+// isToken reports whether s is a token (RFC 9110, section 5.6.2).
+func isToken(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if !('a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9' || strings.IndexByte("!#$%&'*+-.^_`|~", c) >= 0) {
+			return false
+		}
+	}
+	return s != ""
+}
--- a/router/answer/transport.go
+++ b/router/answer/transport.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 
 	"goldcrestfork/policy/answerhead"
 )
@@ -46,10 +48,13 @@
 		},
 	}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if malformed := textproto.ProtocolError(""); errors.As(err, &malformed) {
+		return nil, &answerhead.Error{Part: "field", Value: malformed.Error()}
+	}
 	if err != nil {
 		return nil, err
 	}
-	if err := answerhead.Check(resp.StatusCode); err != nil {
+	if err := answerhead.Check(resp.StatusCode, resp.Header); err != nil {
 		if used != nil {
 			_ = used.Close() // fails only on a connection that has ended
 		}
--- a/router/engine/warm.go
+++ b/router/engine/warm.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"goldcrestfork/policy/answerhead"
 	"goldcrestfork/policy/statusline"
 )
 
@@ -84,6 +85,9 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxFrameBytes)); err != nil {
 		return Report{}, err
 	}
+	if err := answerhead.Check(resp.StatusCode, resp.Header); err != nil {
+		return Report{}, err
+	}
 	if resp.StatusCode != http.StatusOK || resp.Close || buffer.Buffered() > 0 || statusline.InHead(resp.Status, resp.Header) {
 		return Report{}, errors.New("endpoint does not tell its state")
 	}
--- a/router/service/badhead_test.go
+++ b/router/service/badhead_test.go
@@ -30,3 +30,17 @@
 		}
 	}
 }
+
+// Guards against a sound answer that is lost since its head is an unusual one.
+func TestUnusualSoundHeadsAreAnswers(t *testing.T) {
+	for _, text := range []string{
+		answertest.Sound("X-Folded: a\r\n b: c\r\n\td e: f\r\n", "whole"), answertest.Sound("X!#$%&'*+-.^_`|~1: a\r\nX-Empty:\r\n", "whole"),
+		"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nwhole", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + answertest.Sound("", "whole"),
+		"HTTP/1.1 200 OK\nContent-Length:\n 5\n\nwhole", "HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.0 200 OK\r\n\r\nwhole",
+	} {
+		answer, result, err := NewClient(prometheus.NewRegistry()).Do(t.Context(), Call{Address: answertest.ServeText(t, text), Method: http.MethodGet, Path: "/", Idempotent: true})
+		require.NoError(t, err, "%q", text)
+		require.Equal(t, Answered, result)
+		require.Equal(t, "whole", string(answer.Body))
+	}
+}
