Take no answer of HTTP/1.0 whose head names chunks

Cause: chunks came with HTTP/1.1. net/http drops the field of an older answer and reads up to the connection's end.

Answers of HTTP/1.0 with a length or without framing are served before and after (TestUnusualSoundHeadsAreAnswers).

--- a/gateway/forward/badhead_test.go
+++ b/gateway/forward/badhead_test.go
@@ -32,6 +32,9 @@
 
 const okLine = "HTTP/1.1 200 OK"
 
+// badFraming is framing that the answer's version doesn't have.
+var badFraming = []badHead{{"chunks of HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n"}, {"kept connection of HTTP/1.0", "HTTP/1.0 200 OK", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n"}}
+
 // write sends the answer with further fields and a body.
 func (b *badHead) write(c net.Conn, r *http.Request, fields, body string) {
 	_, _ = fmt.Fprintf(c, "%s\r\nX-Request: %s\r\nX-Signature: sig\r\n%s%s\r\n%s", b.line, r.Header.Get(testNames.RequestID), b.fields, fields, body)
@@ -161,6 +164,13 @@
 // Guards against a request that such an answer repeats though it may not run twice, or fails though it may.
 func TestInvalidNameIsAskedForElsewhere(t *testing.T) { testBadHeadIsAskedForElsewhere(t, badNames) }
 
+// Guards against the framing of chunks that stands in an answer's body, since the answer is one of HTTP/1.0.
+func TestChunksOfHTTP10AreNoAnswer(t *testing.T) {
+	testBadHeadIsNoAnswer(t, badFraming)
+	testBadHeadStatesNothing(t, badFraming)
+	testBadHeadIsAskedForElsewhere(t, badFraming)
+}
+
 // Guards against a caller that waits until its deadline behind a head with such a status and without the request's id.
 func TestInvalidStatusWithoutIDEndsTheWait(t *testing.T) {
 	testBadHeads(t, badStatuses[:1], func(t *testing.T, b *badHead, path string) {
--- a/gateway/upstream/head.go
+++ b/gateway/upstream/head.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"goldcrestfork/policy/answerhead"
@@ -148,13 +147,13 @@
 		body := bufio.NewReaderSize(io.MultiReader(bytes.NewReader(head), c.r), bodyBufferSize)
 		resp, err := http.ReadResponse(body, &http.Request{Method: r.Method})
 		if err == nil {
-			err = answerhead.Check(resp.StatusCode, resp.Header)
+			err = errors.Join(answerhead.Check(resp.StatusCode, resp.Header), answerhead.CheckBytes(head))
 		}
 		var ids []string
 		if err == nil {
 			ids = resp.Header.Values(r.IDHeader)
 		} else {
-			ids = r.idsIn(head)
+			ids = answerhead.Values(head, r.IDHeader)
 		}
 		switch {
 		case err == nil && resp.StatusCode < http.StatusOK:
@@ -192,14 +191,3 @@
 func (r *Request) isAnsweredBy(ids []string) bool {
 	return r.IDHeader == "" || len(ids) == 1 && ids[0] == r.ID
 }
-
-// idsIn returns the ids in the lines of a head that isn't valid.
-func (r *Request) idsIn(head []byte) (ids []string) {
-	for line := range bytes.Lines(head) {
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if ok && strings.EqualFold(string(bytes.TrimSpace(name)), r.IDHeader) {
-			ids = append(ids, string(bytes.TrimSpace(value)))
-		}
-	}
-	return ids
-}
--- a/policy/answerhead/answerhead.go
+++ b/policy/answerhead/answerhead.go
@@ -11,6 +11,7 @@
 package answerhead
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 )
@@ -53,3 +54,28 @@
 	}
 	return s != ""
 }
+
+// CheckBytes returns an *Error if the bytes of a head, from its status line to its empty line, hold framing that
+// net/http drops without regard: chunks came with HTTP/1.1, and an older answer that names them has no known end.
+func CheckBytes(head []byte) error {
+	if !bytes.HasPrefix(head, []byte(oldVersion)) {
+		return nil
+	}
+	if codings := Values(head, "Transfer-Encoding"); len(codings) > 0 {
+		return &Error{Part: "transfer encoding of " + oldVersion, Value: codings[0]}
+	}
+	return nil
+}
+
+const oldVersion = "HTTP/1.0"
+
+// Values returns the values of a field in the bytes of a head, which needn't be valid.
+func Values(head []byte, field string) (values []string) {
+	for line := range bytes.Lines(head) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && strings.EqualFold(string(bytes.TrimSpace(name)), field) {
+			values = append(values, string(bytes.TrimSpace(value)))
+		}
+	}
+	return values
+}
--- a/policy/answerhead/answerhead_test.go
+++ b/policy/answerhead/answerhead_test.go
@@ -63,3 +63,19 @@
 	require.NoError(t, check("X-Folded: a\r\n b: c\r\n\td e: f"))
 	require.NoError(t, check("X-Empty:"))
 }
+
+// Guards against chunks of an answer that is older than they are, and against sound framing that is refused.
+func TestFramingOfOldAnswers(t *testing.T) {
+	const chunks, length = "x-a: b\r\ntransfer-encoding : chunked\r\n\r\n", "Content-Length: 5\r\n\r\n"
+	require.EqualError(t, CheckBytes([]byte("HTTP/1.0 200 OK\r\n"+chunks)), `the head of the answer has the invalid transfer encoding of HTTP/1.0 "chunked"`)
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n" + chunks, "HTTP/1.1 200 OK\r\n" + length, "HTTP/1.0 200 OK\r\n" + length, "HTTP/1.0 200 OK\r\n\r\n"} {
+		require.NoError(t, CheckBytes([]byte(head)), "%q", head)
+	}
+}
+
+// Guards against the id of a request that isn't found in a head that isn't valid.
+func TestValuesOfInvalidHeads(t *testing.T) {
+	head := []byte("HTTP/1.1 200 OK\r\nX-Id: a\r\nX-\x00: 1\r\nno colon\r\n: 1\nx-id : b \n\r\n")
+	require.Equal(t, []string{"a", "b"}, Values(head, "X-Id"))
+	require.Empty(t, Values(head, "X"))
+}
