--- a/gateway/upstream/doc.go
+++ b/gateway/upstream/doc.go
@@ -6,7 +6,7 @@
 // Endpoints close idle connections, send a late second answer on them, or crash.
 //
 // An error states whether the request may have run (Error.Sent). An answer belongs to a request
-// only if its head stands between a status line and an empty line without a second status line, and
+// only if its head stands between a status line and an empty line without a second status line, is valid, and
 // echoes the request's id alone; all other bytes on the same connection are skipped. A connection carries a
 // request once, since a late copy of the answer to an earlier sending bears the same id.
 //
--- a/policy/answerhead/answerhead.go
+++ b/policy/answerhead/answerhead.go
@@ -1,11 +1,12 @@
 // Package answerhead says whether the head of an HTTP answer is a valid one.
 //
-// Load pattern: endpoints in trouble send heads with a status that no answer can have, or with a field whose name
-// holds a byte that no name can hold.
+// Load pattern: endpoints in trouble send heads with a status that no answer can have, with a field whose name
+// holds a byte that no name can hold, or with chunks in an answer of HTTP/1.0.
 //
 // Without it: net/http takes any three digits for a status, and keeps a blank in a name as a part of it. Callers get
-// such an answer, and what its head states of the endpoint or of the request counts. A length or chunks whose name
-// has a blank behind it are not seen: the part of an answer passes for all of it, or the chunks' framing for its body.
+// such an answer, and what its head states of the endpoint or of the request counts. Framing whose name has a blank
+// behind it, and chunks of HTTP/1.0, are not seen: a part of an answer passes for all of it, or the framing of chunks
+// for its body.
 //
 // The package has no network and no clock.
 package answerhead
