Reword a comment and two names of test rows that a newcomer can't read

"Drops without regard", "closes itself" and "reads to it" don't say what is meant. Change: the comment of CheckBytes and the names of two rows; no check and no code changed. Result: the tests of policy/answerhead, router/answer, router/service and the upload and HTTP/1.0 tests of gateway/forward pass; vet and staticcheck of them too.

--- a/gateway/forward/upload_test.go
+++ b/gateway/forward/upload_test.go
@@ -47,13 +47,13 @@
 		head, body, content string
 		framed              bool // with all of the body
 	}{
-		"no framing":            {"", streamOf(1, 2), streamOf(1, 2), false},
-		"no framing, no body":   {"", "", "", false},
-		"length":                {fmt.Sprintf("Content-Length: %d\r\n", len(whole)), whole, whole, true},
-		"length, part of it":    {fmt.Sprintf("Content-Length: %d\r\n", len(whole)), streamOf(1, 2), "", false},
-		"chunks":                {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(whole), whole), whole, true},
-		"chunks, part of them":  {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", len(whole), streamOf(1, 2)), "", false},
-		"length, closes itself": {fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(whole)), whole, whole, true},
+		"no framing":                {"", streamOf(1, 2), streamOf(1, 2), false},
+		"no framing, no body":       {"", "", "", false},
+		"length":                    {fmt.Sprintf("Content-Length: %d\r\n", len(whole)), whole, whole, true},
+		"length, part of it":        {fmt.Sprintf("Content-Length: %d\r\n", len(whole)), streamOf(1, 2), "", false},
+		"chunks":                    {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(whole), whole), whole, true},
+		"chunks, part of them":      {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", len(whole), streamOf(1, 2)), "", false},
+		"length, Connection: close": {fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n", len(whole)), whole, whole, true},
 	} {
 		for ending, end := range uploadEndings {
 			for _, path := range []string{"/once/a", "/safe/a", "/stream/a", "/stream-once/a"} {
--- a/policy/answerhead/answerhead.go
+++ b/policy/answerhead/answerhead.go
@@ -57,7 +57,7 @@
 }
 
 // CheckBytes returns an *Error if the bytes of a head, from its status line to its empty line, hold framing that
-// net/http drops without regard: chunks came with HTTP/1.1, and an older answer that names them has no known end.
+// net/http ignores: chunks came with HTTP/1.1, and an older answer that names them has no known end.
 func CheckBytes(head []byte) error {
 	if !bytes.HasPrefix(head, []byte(oldVersion)) {
 		return nil
--- a/router/service/upload_test.go
+++ b/router/service/upload_test.go
@@ -38,7 +38,7 @@
 		"no framing, reads the rest":   {"HTTP/1.1 200 OK\r\n\r\nwhole", readsOn, "whole"},
 		"length, part of it, reset":    {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", resets, "-"},
 		"length, reads the rest":       {"HTTP/1.1 413 Content Too Large\r\nContent-Length: 5\r\n\r\nwhole", readsOn, "whole"},
-		"length, closes, reads to it":  {"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", readsOn, "whole"},
+		"length, Connection: close":    {"HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", readsOn, "whole"},
 		"chunks, reads the rest":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", readsOn, "whole"},
 		"chunks, part of them, closed": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", closes, "-"},
 		"no framing, after all of it": {"", func(c *net.TCPConn, r *http.Request) {
