Let VMs that know answers overrule a decision made without them

Cause: the VM that hears no other judges parts of prompts by its own few answers. It had none with a sound part that was in flight at its first three crashes, decided against it and wrote the decision to the platform. The others knew five to seven survived answers with the part, but took a decision for refuted only by an answer that began after its last crash. Few endpoints were up, so that none had, and as all VMs refused the part none could follow.

Change: a decision on a part now tells how many answers were known to a VM that made it. A VM that knows at least minExpectedAnswers more, and wouldn't decide so on its own evidence, doesn't uphold it and objects as before, which ends it at the deciding VM too. VMs that start and only hear of answers that were known at the decision uphold it, so that a part that crashes endpoints since its last answer stays refused. The numbers are exchanged beside the decisions, since VMs of earlier versions read a decision as two elements; decisions of such VMs count as before.

--- a/gateway/node/suspects_late.go
+++ b/gateway/node/suspects_late.go
@@ -29,10 +29,12 @@
 	Answers map[string]int `cbor:"3,keyasint,omitempty"`
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part `cbor:"4,keyasint,omitempty"`
+	// KnownAnswers are the numbers of poison.KnownAnswers for Verdicts.
+	KnownAnswers map[string][]uint32 `cbor:"5,keyasint,omitempty"`
 }
 
 func newLateReports() *lateReports {
-	return &lateReports{Crashes: make(map[string][]poison.PartCrash), Verdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part)}
+	return &lateReports{Crashes: make(map[string][]poison.PartCrash), Verdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part), KnownAnswers: make(map[string][]uint32)}
 }
 
 func (r *lateReports) isEmpty() bool {
@@ -83,7 +85,7 @@
 	var lists []reportList
 	for service, p := range s.pools {
 		_, parts := p.late.Verdicts(now)
-		lists = append(lists, objectionList(out.Objections, service, p.late.Objections(now)), verdictList(out.Verdicts, service, parts))
+		lists = append(lists, objectionList(out.Objections, service, p.late.Objections(now)), verdictList(out.Verdicts, out.KnownAnswers, service, parts))
 	}
 	room.addLists(lists)
 	for _, c := range s.recentLateCrashes(now) {
@@ -171,6 +173,7 @@
 		s.pool(service).late.MergeObjections(now, parts)
 	}
 	for service, verdicts := range r.Verdicts {
+		poison.SetKnownAnswers(verdicts, r.KnownAnswers[service])
 		if len(verdicts) > 0 && s.pool(service).late.MergeVerdicts(now, nil, verdicts) {
 			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("parts", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("prompt parts that crash endpoints late heard from another VM")
 		}
@@ -214,6 +217,7 @@
 	for service, p := range s.pools {
 		_, parts := p.late.Verdicts(now)
 		r.Verdicts[service] = youngestVerdicts(parts)
+		r.KnownAnswers[service] = poison.KnownAnswers(r.Verdicts[service])
 		for _, v := range r.Verdicts[service] {
 			lacking = lacking || isNew(service, v.Fingerprint)
 		}
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -37,6 +37,8 @@
 	Answers map[string]int `cbor:"5,keyasint,omitempty"`
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part `cbor:"7,keyasint,omitempty"`
+	// KnownAnswers are the numbers of poison.KnownAnswers for PartVerdicts.
+	KnownAnswers map[string][]uint32 `cbor:"9,keyasint,omitempty"`
 	// Late is about parts of prompts that crash endpoints at any time of an answer.
 	Late *lateReports `cbor:"8,keyasint,omitempty"`
 }
@@ -65,12 +67,12 @@
 	defer s.mu.Unlock()
 	s.sweep(now)
 	s.logQuarantined(now)
-	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part)}
+	out := &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part), KnownAnswers: make(map[string][]uint32)}
 	room := reportRoom(size - reportBytes)
 	var lists []reportList
 	for service, p := range s.pools {
 		requests, parts := p.tracker.Verdicts(now)
-		lists = append(lists, objectionList(out.Objections, service, p.tracker.Objections(now)), verdictList(out.PartVerdicts, service, parts), verdictList(out.Verdicts, service, requests))
+		lists = append(lists, objectionList(out.Objections, service, p.tracker.Objections(now)), verdictList(out.PartVerdicts, out.KnownAnswers, service, parts), verdictList(out.Verdicts, nil, service, requests))
 	}
 	room.addLists(lists)
 	if s.reports++; s.reports%reservedLateRounds == 0 {
@@ -117,13 +119,22 @@
 	*r += room
 }
 
-// verdictList adds verdicts of a service, drawn at random if there are many.
-func verdictList(out map[string][]poison.Verdict, service string, v []poison.Verdict) reportList {
+// verdictList adds verdicts of a service, drawn at random if there are many, and their known answers unless
+// these are nil.
+func verdictList(out map[string][]poison.Verdict, answers map[string][]uint32, service string, v []poison.Verdict) reportList {
+	empty, each := listSize(service), verdictBytes
+	if answers != nil {
+		empty, each = 2*empty, each+knownAnswersBytes
+	}
 	return func(room *reportRoom) {
 		rand.Shuffle(len(v), func(i, j int) { v[i], v[j] = v[j], v[i] })
-		n := min(len(v), maxReportedVerdicts, (int(*room)-listSize(service))/verdictBytes)
-		if n > 0 && room.take(listSize(service)+n*verdictBytes) {
-			out[service] = v[:n]
+		n := min(len(v), maxReportedVerdicts, (int(*room)-empty)/each)
+		if n <= 0 || !room.take(empty+n*each) {
+			return
+		}
+		out[service] = v[:n]
+		if answers != nil {
+			answers[service] = poison.KnownAnswers(v[:n])
 		}
 	}
 }
@@ -229,6 +240,7 @@
 		}
 	}
 	for service, verdicts := range r.PartVerdicts {
+		poison.SetKnownAnswers(verdicts, r.KnownAnswers[service])
 		if len(verdicts) > 0 && s.pool(service).tracker.MergeVerdicts(now, nil, verdicts) {
 			s.log.Info().Str("service", service).Str("from", from).Bool("stored", stored).Strs("parts", fingerprintsOf(verdicts)).Int64("youngest_ms", youngest(verdicts)).Msg("prompt parts that crash endpoints heard from another VM")
 		}
--- a/gateway/node/suspects_size.go
+++ b/gateway/node/suspects_size.go
@@ -6,9 +6,10 @@
 // which are small.
 const (
 	// reportBytes and lateSectionBytes are the sizes of crashReports and of lateReports with empty lists.
-	reportBytes, lateSectionBytes = 24, 20
-	// verdictBytes is the size of a verdict, answersBytes that of a number of answers without the service's name.
-	verdictBytes, answersBytes = 15, 8
+	reportBytes, lateSectionBytes = 26, 22
+	// verdictBytes is the size of a verdict, knownAnswersBytes that of its known answers, answersBytes that of a
+	// number of answers without the service's name.
+	verdictBytes, knownAnswersBytes, answersBytes = 15, 5, 8
 )
 
 // reportRoom is the number of bytes that are left for reports.
--- a/gateway/node/suspects_store.go
+++ b/gateway/node/suspects_store.go
@@ -207,11 +207,12 @@
 // before. lacking says that some of it is new. Callers hold s.mu.
 func (s *suspects) storeReport(now time.Time, alone bool) (r *crashReports, lacking bool) {
 	st := &s.stored
-	r = &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part)}
+	r = &crashReports{Crashes: make(map[string][]poison.Crash), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part), KnownAnswers: make(map[string][]uint32)}
 	isNew := func(key string, f poison.Fingerprint) bool { return !st.others[key][f] && !st.own[key][f] }
 	for service, p := range s.pools {
 		requests, parts := p.tracker.Verdicts(now)
 		r.Verdicts[service], r.PartVerdicts[service] = youngestVerdicts(requests), youngestVerdicts(parts)
+		r.KnownAnswers[service] = poison.KnownAnswers(r.PartVerdicts[service])
 		for _, v := range slices.Concat(r.Verdicts[service], r.PartVerdicts[service]) {
 			lacking = lacking || isNew(service, v.Fingerprint)
 		}
--- a/policy/poison/decide.go
+++ b/policy/poison/decide.go
@@ -85,6 +85,8 @@
 type verdict struct {
 	last  time.Time // its last crash
 	heard bool      // the decision came from elsewhere
+	// answers is the number of survived answers with a part that were known to a VM that decided against it.
+	answers uint32
 }
 
 // addVerdict records that a request or part crashes endpoints. It reports whether that is new.
@@ -96,9 +98,8 @@
 	if found {
 		v.heard = known.heard
 	}
-	if v.last.After(known.last) {
-		verdicts[f] = v
-	}
+	v.last, v.answers = later(v.last, known.last), max(v.answers, known.answers)
+	verdicts[f] = v
 	return !found
 }
 
--- a/policy/poison/parts.go
+++ b/policy/poison/parts.go
@@ -300,10 +300,20 @@
 	return answers
 }
 
-// isUpheld reports whether a decision against a part counts. It doesn't if an answer, which began after the
-// last crash that led to it, was survived: the VM that decided may have heard of few answers.
+// isUpheld reports whether a decision against a part counts. The VM that decided may have heard of few answers:
+// the decision doesn't count if an answer, which began after the last crash that led to it, was survived, or if
+// this VM knows minExpectedAnswers more than were known at the decision and wouldn't decide so by itself.
 func (t *Tracker) isUpheld(part Fingerprint, v verdict) bool {
-	return !t.answersWith(part).last.After(v.last)
+	answers := t.answersWith(part)
+	if answers.last.After(v.last) {
+		return false
+	}
+	known, suffices := answers.n, false
+	if r := t.parts.records[part]; r != nil {
+		known = r.known()
+		suffices = r.turned || r.crashes >= t.crashesPerAnswer()*known
+	}
+	return suffices || known < minExpectedAnswers || uint32(known-minExpectedAnswers) < v.answers
 }
 
 // MayRepeat reports whether a request with the given parts may be sent to another endpoint. A part is
@@ -334,12 +344,14 @@
 			quarantined[part] = true
 		}
 	}
+	answers := make(map[Fingerprint]uint32) // of the parts that the evidence of this VM decides against
 	for {
 		part, found := t.worstPart(quarantined)
 		if !found {
 			break
 		}
 		quarantined[part] = true
+		answers[part] = uint32(t.parts.records[part].known())
 	}
 	t.parts.quarantined = quarantined
 	t.parts.suspects = make(map[Fingerprint]bool)
@@ -355,7 +367,7 @@
 			since[part] = before
 		}
 		if last := t.lastCrashOfPart(part); !last.IsZero() && now.Sub(since[part]) >= t.partVerdictDelay() {
-			t.noteChange(addVerdict(t.parts.verdicts, part, verdict{last: last}))
+			t.noteChange(addVerdict(t.parts.verdicts, part, verdict{last: last, answers: answers[part]}))
 		}
 	}
 	t.parts.since = since
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -193,6 +194,31 @@
 	Fingerprint Fingerprint
 	// AgeMs is the time since its last crash in ms.
 	AgeMs uint32
+	// Answers is the number of survived answers with a part that were known to a VM that decided against it. It
+	// is exchanged apart, since VMs of earlier versions read two elements; see KnownAnswers.
+	Answers uint32 `cbor:"-"`
+}
+
+// unknownAnswers is the number of a VM of an earlier version, which doesn't tell it.
+const unknownAnswers = math.MaxUint32
+
+// KnownAnswers returns the numbers of answers of verdicts on parts, for VMs that read the verdicts.
+func KnownAnswers(verdicts []Verdict) []uint32 {
+	out := make([]uint32, 0, len(verdicts))
+	for _, v := range verdicts {
+		out = append(out, v.Answers)
+	}
+	return out
+}
+
+// SetKnownAnswers sets the numbers that KnownAnswers returned for verdicts.
+func SetKnownAnswers(verdicts []Verdict, answers []uint32) {
+	for i := range verdicts {
+		verdicts[i].Answers = unknownAnswers
+		if len(answers) == len(verdicts) {
+			verdicts[i].Answers = answers[i]
+		}
+	}
 }
 
 // Verdicts returns the final decisions on requests and on parts, for VMs that have started since the
@@ -209,7 +235,7 @@
 func reportVerdicts(now time.Time, verdicts map[Fingerprint]verdict) []Verdict {
 	out := make([]Verdict, 0, len(verdicts))
 	for _, f := range slices.Sorted(maps.Keys(verdicts)) {
-		out = append(out, Verdict{Fingerprint: f, AgeMs: uint32(max(now.Sub(verdicts[f].last).Milliseconds(), 0))})
+		out = append(out, Verdict{Fingerprint: f, AgeMs: uint32(max(now.Sub(verdicts[f].last).Milliseconds(), 0)), Answers: verdicts[f].answers})
 	}
 	return out
 }
@@ -267,7 +293,7 @@
 func mergeVerdicts(now time.Time, known map[Fingerprint]verdict, heard []Verdict) (changed bool) {
 	for _, v := range heard {
 		if age := time.Duration(v.AgeMs) * time.Millisecond; age <= crashLifetime {
-			changed = addVerdict(known, v.Fingerprint, verdict{last: now.Add(-age), heard: true}) || changed
+			changed = addVerdict(known, v.Fingerprint, verdict{last: now.Add(-age), heard: true, answers: v.Answers}) || changed
 		}
 	}
 	return changed
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -16,6 +16,8 @@
 	Answers map[string]int
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part
+	// KnownAnswers are the numbers of poison.KnownAnswers for PartVerdicts.
+	KnownAnswers map[string][]uint32
 }
 
 // IsEmpty reports whether there is nothing to tell.
@@ -27,7 +29,7 @@
 // pool, which are drawn at random if there are more.
 func (d *Dispatcher) PoisonReport(maxAge time.Duration, limit int) *PoisonReport {
 	r := &PoisonReport{
-		Crashes: d.RecentCrashes(maxAge, limit), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part),
+		Crashes: d.RecentCrashes(maxAge, limit), Verdicts: make(map[string][]poison.Verdict), PartVerdicts: make(map[string][]poison.Verdict), Answers: make(map[string]int), Objections: make(map[string][]poison.Part), KnownAnswers: make(map[string][]uint32),
 	}
 	now := time.Now()
 	d.mu.Lock()
@@ -36,6 +38,9 @@
 		requests, parts := ps.tracker.Verdicts(now)
 		d.addVerdicts(r.Verdicts, name, requests, limit)
 		d.addVerdicts(r.PartVerdicts, name, parts, limit)
+		if v := r.PartVerdicts[name]; len(v) > 0 {
+			r.KnownAnswers[name] = poison.KnownAnswers(v)
+		}
 		if objections := ps.tracker.Objections(now); len(objections) > 0 {
 			r.Objections[name] = objections[:min(len(objections), limit)]
 		}
@@ -95,6 +100,7 @@
 	defer d.mu.Unlock()
 	for name, ps := range d.pools {
 		ps.tracker.MergeObjections(now, r.Objections[name])
+		poison.SetKnownAnswers(r.PartVerdicts[name], r.KnownAnswers[name])
 		ps.tracker.MergeVerdicts(now, r.Verdicts[name], r.PartVerdicts[name])
 		if n, found := r.Answers[name]; found {
 			ps.tracker.SetOtherAnswers(now, from, n)
--- a/router/dispatch/poison_test.go
+++ b/router/dispatch/poison_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
@@ -75,3 +76,20 @@
 		}
 	})
 }
+
+// Guards against decisions on parts that other VMs read without the answers that were known when they were made.
+func TestDecisionsAreReadWithTheirAnswers(t *testing.T) {
+	a, b := newPool(), newPool()
+	for _, ps := range a.pools {
+		ps.tracker.MergeVerdicts(time.Now(), nil, []poison.Verdict{{Fingerprint: 1, AgeMs: 100, Answers: 300}, {Fingerprint: 2, AgeMs: 100}})
+	}
+	encoded, err := cbor.Marshal(a.PoisonReport(time.Minute, 10))
+	require.NoError(t, err)
+	var heard PoisonReport
+	require.NoError(t, cbor.Unmarshal(encoded, &heard))
+	b.MergePoison("a", &heard)
+	for name, ps := range b.pools {
+		_, parts := ps.tracker.Verdicts(time.Now())
+		require.Equal(t, []uint32{300, 0}, poison.KnownAnswers(parts), name)
+	}
+}
