--- a/gateway/node/suspects_late.go
+++ b/gateway/node/suspects_late.go
@@ -29,7 +29,7 @@
 	Answers map[string]int `cbor:"3,keyasint,omitempty"`
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part `cbor:"4,keyasint,omitempty"`
-	// KnownAnswers are the numbers of poison.KnownAnswers for Verdicts.
+	// KnownAnswers are the Answers of each of Verdicts, in their order.
 	KnownAnswers map[string][]uint32 `cbor:"5,keyasint,omitempty"`
 }
 
--- a/gateway/node/suspects_report.go
+++ b/gateway/node/suspects_report.go
@@ -37,7 +37,7 @@
 	Answers map[string]int `cbor:"5,keyasint,omitempty"`
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part `cbor:"7,keyasint,omitempty"`
-	// KnownAnswers are the numbers of poison.KnownAnswers for PartVerdicts.
+	// KnownAnswers are the Answers of each of PartVerdicts, in their order.
 	KnownAnswers map[string][]uint32 `cbor:"9,keyasint,omitempty"`
 	// Late is about parts of prompts that crash endpoints at any time of an answer.
 	Late *lateReports `cbor:"8,keyasint,omitempty"`
--- a/policy/poison/verdicts_test.go
+++ b/policy/poison/part_verdicts_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// Guards against a part that crashes endpoints since its last answer being let through by VMs that start, since
-// they hear of earlier answers.
+// Guards against VMs that start and let a part through that crashes endpoints since its last answer, because they hear of earlier answers.
 func TestDecisionDespiteAnswersCountsForVMsThatStart(t *testing.T) {
 	const part Fingerprint = 7
 	decided := New(stormPool)
@@ -72,17 +71,13 @@
 	verdicts, now := partVerdicts(decided, last.Add(answerJudgement))
 	require.Len(t, verdicts, 1)
 
-	for _, form := range []string{"this version", "an earlier version"} {
+	for version, known := range map[string][]uint32{"this version": KnownAnswers(verdicts), "an earlier version": nil} {
 		started := New(stormPool)
 		started.Merge(now, decided.Crashes(now))
 		heard := []Verdict{{Fingerprint: verdicts[0].Fingerprint, AgeMs: verdicts[0].AgeMs}}
-		known := KnownAnswers(verdicts)
-		if form == "an earlier version" {
-			known = nil
-		}
 		SetKnownAnswers(heard, known)
 		started.MergeVerdicts(now, nil, heard)
-		require.True(t, started.IsQuarantined(now, 1, part), "decided by a VM of %s", form)
+		require.True(t, started.IsQuarantined(now, 1, part), "decided by a VM of %s", version)
 		require.Empty(t, started.Objections(now))
 	}
 }
--- a/policy/poison/report.go
+++ b/policy/poison/report.go
@@ -194,15 +194,15 @@
 	Fingerprint Fingerprint
 	// AgeMs is the time since its last crash in ms.
 	AgeMs uint32
-	// Answers is the number of survived answers with a part that were known to a VM that decided against it. It
-	// is exchanged apart, since VMs of earlier versions read two elements; see KnownAnswers.
+	// Answers is the number of survived answers with a part that were known to a VM that decided against it.
+	// Reports hold it as KnownAnswers, since earlier versions read arrays of two elements alone.
 	Answers uint32 `cbor:"-"`
 }
 
-// unknownAnswers is the number of a VM of an earlier version, which doesn't tell it.
+// unknownAnswers stands for the number of a VM of an earlier version, which doesn't tell it.
 const unknownAnswers = math.MaxUint32
 
-// KnownAnswers returns the numbers of answers of verdicts on parts, for VMs that read the verdicts.
+// KnownAnswers returns the Answers of each verdict, for reports.
 func KnownAnswers(verdicts []Verdict) []uint32 {
 	out := make([]uint32, 0, len(verdicts))
 	for _, v := range verdicts {
@@ -211,7 +211,8 @@
 	return out
 }
 
-// SetKnownAnswers sets the numbers that KnownAnswers returned for verdicts.
+// SetKnownAnswers sets the Answers of each verdict of a report, whose KnownAnswers are empty if its VM is of an
+// earlier version.
 func SetKnownAnswers(verdicts []Verdict, answers []uint32) {
 	for i := range verdicts {
 		verdicts[i].Answers = unknownAnswers
--- a/router/dispatch/poison.go
+++ b/router/dispatch/poison.go
@@ -16,7 +16,7 @@
 	Answers map[string]int
 	// Objections are answers with parts that other VMs have decided against.
 	Objections map[string][]poison.Part
-	// KnownAnswers are the numbers of poison.KnownAnswers for PartVerdicts.
+	// KnownAnswers are the Answers of each of PartVerdicts, in their order.
 	KnownAnswers map[string][]uint32
 }
 
