Start the endpoints of crash tests at ports that no connection takes

An endpoint comes back at the port of its life before, which the system had picked from the range of outgoing connections; one of these took it in the second for which the endpoint was down. No check of a VM had failed.

Change: the endpoints take ports of freePort, below that range, as the VMs of these tests do. No check changed; a start that fails is still an error.

Measured: the tests of crashes in cmd/goldcrest-node with the race detector, three times each: passed. The port that was taken isn't played by itself.

--- a/cmd/goldcrest-node/crash_test.go
+++ b/cmd/goldcrest-node/crash_test.go
@@ -68,7 +68,7 @@
 		}
 	})
 	for i := range endpoints {
-		p.start(fmt.Sprint("e", i), "127.0.0.1:0", 0)
+		p.start(fmt.Sprint("e", i), fmt.Sprintf("127.0.0.1:%d", freePort(t)), 0)
 	}
 	return p, address
 }
@@ -88,7 +88,7 @@
 	assert.LessOrEqual(p.t, n, most, cause)
 }
 
-// start starts an endpoint's life at an address, or at any free one.
+// start starts an endpoint's life at an address.
 func (p *crashPool) start(name, address string, life int) {
 	p.mu.Lock()
 	closed := p.closed
